--- /dev/null
+++ b/agaterail/application.py
@@ -0,0 +1,197 @@
+"""The application object that wires the parts of one daemon."""
+
+from __future__ import annotations
+
+import importlib
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from agaterail import logs
+from agaterail.engines.http import HttpEngine
+from agaterail.events import EventBus
+from agaterail.exchange import Exchange
+from agaterail.filters import FilterChain
+from agaterail.hostlists.http import HttpHostList
+from agaterail.logstore.http import HttpLogStore
+from agaterail.metrics import MemoryMetrics, StatsdMetrics
+from agaterail.peers import Peers
+from agaterail.peers.memory import MemoryNetwork, MemoryTransport
+from agaterail.services.http import HttpService
+from agaterail.tables import NO_VERSION, Tables
+from agaterail.targets import TargetBook
+from agaterail.timers import GeventTimerService
+from agaterail.util.address import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from returns.result import Result
+
+    from agaterail import errors
+    from agaterail.controllers import Controller
+    from agaterail.engines import Engine
+    from agaterail.exchange import Reply
+    from agaterail.filters import Filter
+    from agaterail.hostlists import HostList
+    from agaterail.logstore import LogStore
+    from agaterail.metrics import Metrics
+    from agaterail.policies import Policy
+    from agaterail.services import Service
+    from agaterail.settings import Settings
+    from agaterail.tables import Pool
+    from agaterail.timers import Subscription, TimerService
+
+logger = logs.get_logger("main")
+
+BUILTIN_PARTS = (
+    "agaterail.policies.simple",
+    "agaterail.filters.identify",
+    "agaterail.filters.match",
+    "agaterail.filters.prefix",
+    "agaterail.filters.retry",
+    "agaterail.filters.choose",
+    "agaterail.filters.relay",
+    "agaterail.filters.forward",
+    "agaterail.controllers.tables",
+    "agaterail.controllers.hosts",
+)
+REQUEST_ID_BYTES = 12
+DEFAULT_POLICY = "pure_hash"
+
+
+class Application:
+    """Parts of one daemon and the state that they share.
+
+    Attributes
+    ----------
+    tables
+        Tables in force; replaced as a whole, never changed in place.
+    ready
+        Whether new connections are wanted.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        timers: TimerService | None = None,
+        log_store: LogStore | None = None,
+        host_list: HostList | None = None,
+        metrics: Metrics | None = None,
+        peers: Peers | None = None,
+        parts: Iterable[str] = BUILTIN_PARTS,
+    ) -> None:
+        self.settings = settings
+        self.timers = timers or GeventTimerService()
+        self.log_store = log_store or HttpLogStore(settings.log_service)
+        self.host_list = host_list or _host_list(settings)
+        self.metrics = metrics or _metrics(settings)
+        self.peers = peers or _lone_peers(settings)
+        self.events = EventBus()
+        self.tables = Tables()
+        self.targets = TargetBook()
+        self.filters: list[Filter] = []
+        self.controllers: dict[str, Controller] = {}
+        self.policies: dict[str, Policy] = {}
+        self.engines: dict[str, Engine] = {}
+        self.services: dict[str, Service] = {}
+        self.subscriptions: list[Subscription] = []
+        self.draining = False
+        self.in_flight = 0
+        for name in parts:
+            importlib.import_module(name).setup(self)
+        self.chain = FilterChain(self.filters)
+
+    def add_filter(self, item: Filter) -> None:
+        """Register a filter of the request chain."""
+        self.filters.append(item)
+
+    def add_controller(self, controller: Controller) -> None:
+        """Register a controller under its name."""
+        self.controllers[controller.name] = controller
+
+    def add_policy(self, policy: Policy) -> None:
+        """Register a policy under its name."""
+        self.policies[policy.name] = policy
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send new connections."""
+        return not self.draining and self.tables.through != NO_VERSION
+
+    def start(self) -> None:
+        """Receive from peers and start the controllers."""
+        self.peers.start()
+        for controller in self.controllers.values():
+            subscription = self.timers.every(controller.period_s, controller.reconcile)
+            self.subscriptions.append(subscription)
+        logger.info("Controllers started.", count=len(self.controllers))
+
+    def stop(self) -> None:
+        """Stop the controllers."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        self.peers.stop()
+
+    def handle(
+        self, method: str, path: str, query: str, headers: dict[str, str], body: bytes
+    ) -> tuple[Exchange, Result[Reply, errors.Failure]]:
+        """Pass one request through the filters."""
+        exchange = Exchange(
+            request_id=secrets.token_hex(REQUEST_ID_BYTES),
+            method=method,
+            path=path,
+            query=query,
+            headers=headers,
+            body=body,
+            received_at=self.timers.now(),
+            tables=self.tables,
+        )
+        self.in_flight += 1
+        exchange.on_finish(self._on_finish)
+        return exchange, self.chain.run(exchange)
+
+    def policy_of(self, pool: Pool) -> Policy:
+        """Return the policy that a pool names."""
+        return self.policies.get(pool.policy) or self.policies[DEFAULT_POLICY]
+
+    def engine_at(self, address: str) -> Engine:
+        """Return the client of an engine, made on first use."""
+        engine = self.engines.get(address)
+        if engine is None:
+            engine = self.engines[address] = HttpEngine(Address.parse(address))
+        return engine
+
+    def service_at(self, address: str) -> Service:
+        """Return the client of a service, made on first use."""
+        service = self.services.get(address)
+        if service is None:
+            service = self.services[address] = HttpService(Address.parse(address))
+        return service
+
+    def status(self) -> dict[str, Any]:
+        """Return what the ``status`` command shows."""
+        parts = {name: item.status() for name, item in self.controllers.items()}
+        return {"ready": self.ready, "in_flight": self.in_flight, **parts}
+
+    def _on_finish(self, outcome: errors.Outcome) -> None:
+        self.in_flight -= 1
+        self.metrics.count(f"requests.{outcome.value}")
+
+
+def _lone_peers(settings: Settings) -> Peers:
+    network = MemoryNetwork()
+    own = str(settings.peer_listen)
+    return Peers(
+        own,
+        MemoryTransport(network, own),
+        MemoryTransport(network, own),
+        settings.peer_secret,
+    )
+
+
+def _host_list(settings: Settings) -> HostList | None:
+    return None if settings.host_list is None else HttpHostList(settings.host_list)
+
+
+def _metrics(settings: Settings) -> Metrics:
+    return MemoryMetrics() if settings.statsd is None else StatsdMetrics(settings.statsd)
--- /dev/null
+++ b/agaterail/cmd/__init__.py
@@ -0,0 +1,3 @@
+"""Commands of the command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/agaterail/cmd/serve.py
@@ -0,0 +1,86 @@
+"""The ``serve`` command: run the daemon."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import attrs
+from returns.result import Success
+
+from agaterail import logs, settings
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from agaterail.peers import Peers
+    from agaterail.settings import Settings
+
+EXIT_USAGE = 2
+DRAIN_STEP_S = 0.05
+
+
+def serve(flags: Mapping[str, str], print_only: bool = False) -> int:
+    """Run the daemon until it has drained; returns the exit status."""
+    loaded = settings.load(flags, os.environ)
+    if not isinstance(loaded, Success):
+        for problem in loaded.failure():
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    chosen = loaded.unwrap()
+    if print_only:
+        _print_settings(chosen)
+        return 0
+    logs.configure(chosen.log_level, chosen.log_json)
+    return _run(chosen)
+
+
+def _print_settings(chosen: Settings) -> None:
+    for field in attrs.fields(type(chosen)):
+        value = getattr(chosen, field.name)
+        if field.name == "peer_secret" and value:
+            value = "(set)"
+        print(f"{chosen.flag_of(field.name)} ({chosen.variable_of(field.name)}): {value}")
+
+
+def _peers(chosen: Settings) -> Peers:
+    from agaterail.peers import Peers
+    from agaterail.peers.datagram import DatagramTransport
+    from agaterail.peers.grpc import GrpcTransport
+
+    return Peers(
+        str(chosen.peer_listen),
+        GrpcTransport(chosen.peer_listen),
+        DatagramTransport(chosen.peer_listen),
+        chosen.peer_secret,
+    )
+
+
+def _run(chosen: Settings) -> int:
+    import gevent.event
+
+    from agaterail.application import Application
+    from agaterail.server import make_server
+
+    app = Application(chosen, peers=_peers(chosen))
+    try:
+        server = make_server(app, chosen.listen)
+    except OSError as error:
+        print(f"--listen (AGATERAIL_LISTEN): {error}", file=sys.stderr)
+        return EXIT_USAGE
+    stopping = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    app.start()
+    server.start()
+    stopping.wait()
+    app.draining = True
+    gevent.sleep(chosen.drain_lag_s)
+    deadline = app.timers.now() + chosen.drain_limit_s
+    while app.in_flight and app.timers.now() < deadline:
+        gevent.sleep(DRAIN_STEP_S)
+    app.stop()
+    server.stop(timeout=1)
+    return 0
--- /dev/null
+++ b/agaterail/codec.py
@@ -0,0 +1,34 @@
+"""Binary form of records and messages: MessagePack by cattrs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+from cattrs.preconf.msgpack import make_converter
+from cattrs.strategies import configure_tagged_union
+from returns.result import Failure, Result, Success
+
+from agaterail.records import TablesRecord
+
+converter = make_converter(omit_if_default=True)
+configure_tagged_union(TablesRecord, converter)
+
+
+def encode(value: Any, kind: Any = None) -> bytes:
+    """Encode an attrs object; ``kind`` is its union type when it has one."""
+    return msgpack.packb(converter.unstructure(value, unstructure_as=kind), use_bin_type=True)
+
+
+def decode(data: bytes, kind: Any) -> Result[Any, str]:
+    """Decode bytes of an untrusted source.
+
+    Returns
+    -------
+    Result
+        The object, or a sentence that says why the bytes are not one.
+    """
+    try:
+        return Success(converter.structure(msgpack.unpackb(data, raw=False), kind))
+    except Exception as error:  # cattrs and msgpack raise many unrelated types
+        return Failure(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/agaterail/engines/http.py
@@ -0,0 +1,200 @@
+"""Engines over their HTTP protocol (docs/internals/protocols)."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from agaterail.engines import (
+    CacheContents,
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    Engine,
+    EngineOrder,
+    EngineReply,
+    EngineRequest,
+    EngineState,
+    LoadReport,
+    OrderAnswer,
+)
+from agaterail.util.httpconn import HttpConnections, Response, SendError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.util.address import Address
+
+OK = 200
+STALE_FENCING = 409
+ACCEPTED = 202
+CONTROL_TIMEOUT_S = 2.0
+TRANSFER_TIMEOUT_S = 5.0
+
+
+class HttpEngineReply(EngineReply):
+    """Answer of an engine that is read from a kept connection."""
+
+    def __init__(self, response: Response) -> None:
+        self.response = response
+        self.status = response.status_code
+        self.request_id = str(response.get("x-request-id", ""))
+        self.weights_version = str(response.get("x-weights-version", ""))
+        self.refused = response.get("x-not-run") == "true"
+        hint = response.get("retry-after")
+        self.retry_after_s = float(hint) if isinstance(hint, str) else None
+
+    def read_available(self) -> bytes:
+        """Return the next bytes, or nothing at the end; raises OSError."""
+        return self.response.read_available()
+
+    def set_read_timeout(self, seconds: float) -> None:
+        """Bound the wait of each later read."""
+        self.response.set_read_timeout(seconds)
+
+    def discard(self) -> None:
+        """Close the connection at once."""
+        self.response.discard()
+
+
+class HttpEngine(Engine):
+    """Engine reached by HTTP; control calls use connections of their own."""
+
+    def __init__(self, address: Address) -> None:
+        self.requests = HttpConnections(address)
+        self.control = HttpConnections(address)
+
+    def open(self, request: EngineRequest) -> Result[EngineReply, SendError]:
+        """Send a request and return the head of the answer."""
+        return self._send("/v1/chat/completions", request)
+
+    def resume(self, request: EngineRequest) -> Result[EngineReply, SendError]:
+        """Continue the stream of a request at its ``position``."""
+        return self._send("/resume", request)
+
+    def cancel(self, request_id: str) -> Result[None, str]:
+        """Stop a request."""
+        return self._call("POST", "/cancel", {"request_id": request_id}).map(lambda _: None)
+
+    def load(self) -> Result[LoadReport, str]:
+        """Fetch the load report."""
+        return self._call("GET", "/load").bind(_parse_load)
+
+    def events(self, after: int, wait_s: float) -> Result[CacheEvents, str]:
+        """Fetch the cache events after a sequence number."""
+        path = f"/events?after={after}&wait_ms={int(wait_s * 1e3)}"
+        return self._call("GET", path, timeout_s=CONTROL_TIMEOUT_S + wait_s).bind(
+            _parse_events
+        )
+
+    def contents(self) -> Result[CacheContents, str]:
+        """Fetch all cached keys."""
+        return self._call("GET", "/cache", timeout_s=TRANSFER_TIMEOUT_S).bind(_parse_contents)
+
+    def order(self, order: EngineOrder) -> Result[OrderAnswer, str]:
+        """Give an order; a failed call leaves open whether it was taken."""
+        fields = {
+            "order_id": order.order_id,
+            "fencing": order.fencing,
+            "model": order.model,
+            "weights_version": order.weights_version,
+            "adapters": list(order.adapters),
+            "role": order.role,
+        }
+        body = json.dumps(fields).encode()
+        answer = self.control.call("POST", "/orders", body, timeout_s=CONTROL_TIMEOUT_S)
+        if not isinstance(answer, Success):
+            return Failure(str(answer.failure()))
+        status, _ = answer.unwrap()
+        answers = {
+            OK: OrderAnswer.DONE,
+            ACCEPTED: OrderAnswer.STARTED,
+            STALE_FENCING: OrderAnswer.STALE,
+        }
+        return Success(answers.get(status, OrderAnswer.FAILED))
+
+    def state(self) -> Result[EngineState, str]:
+        """Read the engine's state back."""
+        return self._call("GET", "/state").bind(_parse_state)
+
+    def export_blocks(self, keys: Sequence[bytes]) -> Result[int, str]:
+        """Have blocks copied to the KV store; returns how many were."""
+        fields = {"keys": [key.hex() for key in keys]}
+        answer = self._call("POST", "/kv/export", fields, TRANSFER_TIMEOUT_S)
+        return answer.map(lambda body: int(body.get("blocks", 0)))
+
+    def import_blocks(self, keys: Sequence[bytes], source: str) -> Result[int, str]:
+        """Have blocks copied in from the KV store or an engine at ``source``."""
+        fields = {"keys": [key.hex() for key in keys], "source": source}
+        answer = self._call("POST", "/kv/import", fields, TRANSFER_TIMEOUT_S)
+        return answer.map(lambda body: int(body.get("blocks", 0)))
+
+    def _send(self, path: str, request: EngineRequest) -> Result[EngineReply, SendError]:
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": request.request_id,
+            "x-cache-salt": request.cache_salt,
+            "x-priority": str(request.priority),
+            "x-position": str(request.position),
+        }
+        sent = self.requests.send(
+            "POST", path, request.body, headers, timeout_s=request.deadline_ms / 1e3
+        )
+        return sent.map(HttpEngineReply)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        fields: dict[str, Any] | None = None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> Result[dict[str, Any], str]:
+        body = b"" if fields is None else json.dumps(fields).encode()
+        answer = self.control.call(method, path, body, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Failure(str(answer.failure()))
+        status, data = answer.unwrap()
+        if status != OK:
+            return Failure(f"status {status}")
+        try:
+            parsed = json.loads(data)
+        except ValueError as error:
+            return Failure(f"malformed answer: {error}")
+        if not isinstance(parsed, dict):
+            return Failure("malformed answer: not an object")
+        return Success(parsed)
+
+
+def _parse_load(fields: dict[str, Any]) -> Result[LoadReport, str]:
+    try:
+        return Success(LoadReport(**fields))
+    except TypeError as error:
+        return Failure(f"malformed load report: {error}")
+
+
+def _parse_state(fields: dict[str, Any]) -> Result[EngineState, str]:
+    try:
+        return Success(EngineState(**{**fields, "adapters": tuple(fields["adapters"])}))
+    except (TypeError, KeyError) as error:
+        return Failure(f"malformed state: {error}")
+
+
+def _parse_events(fields: dict[str, Any]) -> Result[CacheEvents, str]:
+    try:
+        events = [
+            CacheEvent(number, CacheEventKind(kind), tuple(bytes.fromhex(key) for key in keys))
+            for number, kind, keys in fields["events"]
+        ]
+        return Success(CacheEvents(fields["incarnation"], events, fields["last"]))
+    except (TypeError, KeyError, ValueError) as error:
+        return Failure(f"malformed events: {error}")
+
+
+def _parse_contents(fields: dict[str, Any]) -> Result[CacheContents, str]:
+    try:
+        keys = tuple(bytes.fromhex(key) for key in fields["keys"])
+        return Success(CacheContents(fields["incarnation"], fields["sequence"], keys))
+    except (TypeError, KeyError, ValueError) as error:
+        return Failure(f"malformed contents: {error}")
--- /dev/null
+++ b/agaterail/exchange.py
@@ -0,0 +1,96 @@
+"""One request on its way through the filters, and its reply."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail.errors import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
+    from agaterail.chat import ChatRequest
+    from agaterail.engines import EngineReply
+    from agaterail.policies import Decision
+    from agaterail.prefix import Prefix, Scope
+    from agaterail.tables import Pool, Route, Tables
+
+
+@attrs.define(kw_only=True)
+class Exchange:
+    """Everything known of one request.
+
+    Attributes
+    ----------
+    tables
+        Tables in force when the request arrived; used to its end.
+    deadline_at
+        Monotonic second by which the first byte of the answer is due.
+    excluded
+        Targets that this request must not be sent to again.
+    attempt
+        Number of targets asked so far.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+    received_at: float
+    tables: Tables
+    caller: str = ""
+    route: Route | None = None
+    pool: Pool | None = None
+    chat: ChatRequest | None = None
+    scope: Scope | None = None
+    prefix: Prefix | None = None
+    deadline_at: float = 0.0
+    decision: Decision | None = None
+    excluded: set[str] = attrs.field(factory=set)
+    attempt: int = 0
+    outcome: Outcome | None = None
+    finishers: list[Callable[[Outcome], None]] = attrs.field(factory=list)
+
+    @property
+    def at_most_once(self) -> bool:
+        """Tell whether the route declares this method as not idempotent."""
+        return self.route is not None and self.method in self.route.at_most_once_methods
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the id of the current attempt, which the target repeats."""
+        return f"{self.request_id}.{self.attempt}"
+
+    def on_finish(self, callback: Callable[[Outcome], None]) -> None:
+        """Call back once when the last byte was sent or the request failed."""
+        self.finishers.append(callback)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Record the outcome and release what the filters hold, once."""
+        if self.outcome is not None:
+            return
+        self.outcome = outcome
+        while self.finishers:
+            self.finishers.pop()(outcome)
+
+
+@attrs.define(kw_only=True)
+class Reply:
+    """Answer for the caller.
+
+    Attributes
+    ----------
+    body
+        Whole body, or an iterator of its parts with a ``close`` method.
+    source
+        Engine's answer that the body is still to be read from.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes | Iterator[bytes] = b""
+    source: EngineReply | None = None
--- /dev/null
+++ b/agaterail/filters/__init__.py
@@ -0,0 +1,51 @@
+"""Filters that a request passes through, outermost first."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result
+
+from agaterail import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from agaterail.exchange import Exchange, Reply
+
+    Proceed = Callable[[Exchange], "Result[Reply, errors.Failure]"]
+
+
+class Filter(abc.ABC):
+    """One step of the chain.
+
+    Attributes
+    ----------
+    order
+        Place in the chain; lower is further out.
+    """
+
+    order: int
+
+    @abc.abstractmethod
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Handle a request, by itself or by proceeding to the next filter."""
+
+
+class FilterChain:
+    """Filters in their order."""
+
+    def __init__(self, filters: Sequence[Filter]) -> None:
+        self.filters = sorted(filters, key=lambda item: item.order)
+
+    def run(self, exchange: Exchange) -> Result[Reply, errors.Failure]:
+        """Pass a request through all filters."""
+        return self._step(0, exchange)
+
+    def _step(self, index: int, exchange: Exchange) -> Result[Reply, errors.Failure]:
+        if index == len(self.filters):
+            return Failure(errors.Failure(errors.ErrorKind.INTERNAL, "No filter answered."))
+        return self.filters[index].handle(
+            exchange, lambda passed: self._step(index + 1, passed)
+        )
--- /dev/null
+++ b/agaterail/filters/retry.py
@@ -0,0 +1,101 @@
+"""Send a request to another target when that is safe and affordable."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from agaterail import errors, logs
+from agaterail.errors import ErrorKind, Outcome
+from agaterail.filters import Filter
+
+if TYPE_CHECKING:
+    from agaterail.application import Application
+    from agaterail.exchange import Exchange, Reply
+    from agaterail.filters import Proceed
+    from agaterail.timers import TimerService
+
+logger = logs.get_logger("retry")
+
+MAX_ATTEMPTS = 4
+BUDGET_FRACTION = 0.2
+BUDGET_BURST = 10.0
+RETRYABLE = frozenset(
+    {
+        ErrorKind.TARGET_REFUSED,
+        ErrorKind.TARGET_UNREACHABLE,
+        ErrorKind.TARGET_LOST,
+        ErrorKind.TARGET_FAILED,
+        ErrorKind.WRONG_WEIGHTS,
+    }
+)
+
+
+class RetryBudget:
+    """Retries as a fraction of the requests of this daemon.
+
+    A count per request would multiply the traffic of a pool that is dying;
+    the shared budget bounds it to a fraction.
+    """
+
+    def __init__(self, fraction: float = BUDGET_FRACTION, burst: float = BUDGET_BURST) -> None:
+        self.fraction = fraction
+        self.burst = burst
+        self.tokens = burst
+
+    def on_request(self) -> None:
+        """Earn a fraction of a retry."""
+        self.tokens = min(self.burst, self.tokens + self.fraction)
+
+    def take(self) -> bool:
+        """Spend one retry if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RetryFilter(Filter):
+    """Repeats the inner filters with the failed target excluded."""
+
+    order = 450
+
+    def __init__(self, timers: TimerService) -> None:
+        self.timers = timers
+        self.budget = RetryBudget()
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Try targets until one answers or trying again is not allowed."""
+        self.budget.on_request()
+        started: errors.Failure | None = None
+        while True:
+            result = proceed(exchange)
+            if isinstance(result, Success):
+                return result
+            failure = result.failure()
+            if failure.outcome is not Outcome.NOT_RUN:
+                started = failure
+            if not self._may_retry(exchange, failure):
+                # An earlier target may have run the request although the last
+                # one did not: "not run" would then be false.
+                return Failure(started or failure)
+            if exchange.decision is not None:
+                exchange.excluded.add(exchange.decision.address)
+            logger.info("Retries.", request=exchange.request_id, after=failure.kind.value)
+
+    def _may_retry(self, exchange: Exchange, failure: errors.Failure) -> bool:
+        if failure.kind not in RETRYABLE or exchange.attempt >= MAX_ATTEMPTS:
+            return False
+        if exchange.at_most_once and failure.outcome is not Outcome.NOT_RUN:
+            # A target may have acted on the first copy; a second one could
+            # book the same swap twice.
+            return False
+        if self.timers.now() >= exchange.deadline_at:
+            return False
+        return self.budget.take()
+
+
+def setup(app: Application) -> None:
+    """Register the filter."""
+    app.add_filter(RetryFilter(app.timers))
--- /dev/null
+++ b/agaterail/logs.py
@@ -0,0 +1,70 @@
+"""Structured log lines with a fixed prefix per part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+
+def get_logger(part: str) -> Any:
+    """Return a logger whose lines start with the part's prefix.
+
+    Parameters
+    ----------
+    part
+        Short name of the part, such as ``"tables"``.
+    """
+    return structlog.get_logger(part=part)
+
+
+def configure(level: str = "info", json_lines: bool = False) -> None:
+    """Set the level and form of all log lines of this process.
+
+    Parameters
+    ----------
+    level
+        Name of the lowest level shown.
+    json_lines
+        Write one JSON object a line instead of ``key=value`` pairs.
+    """
+    renderer: Any = _render_line
+    if json_lines:
+        renderer = structlog.processors.JSONRenderer()
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelName(level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def _render_line(_logger: Any, _method: str, event: dict[str, Any]) -> str:
+    part = event.pop("part", "main")
+    sentence = event.pop("event", "")
+    stamp = event.pop("timestamp", "")
+    level = event.pop("level", "info")
+    exception = event.pop("exception", None)
+    pairs = " ".join(f"{key}={_quote(value)}" for key, value in event.items())
+    line = f"{stamp} {level} {part}: {sentence}"
+    if pairs:
+        line = f"{line} {pairs}"
+    if exception:
+        line = f"{line}\n{exception}"
+    return line
+
+
+def _quote(value: Any) -> str:
+    text = f"{value:.3f}" if isinstance(value, float) else str(value)
+    if " " in text or not text:
+        return repr(text)
+    return text
--- /dev/null
+++ b/agaterail/logstore/http.py
@@ -0,0 +1,67 @@
+"""Log service over its HTTP protocol (docs/internals/protocols)."""
+
+from __future__ import annotations
+
+import msgpack
+from returns.result import Failure, Result, Success
+
+from agaterail.logstore import LogError, LogErrorKind, LogRecord, LogSlice, LogStore
+from agaterail.util.address import Address
+from agaterail.util.httpconn import ConnectFailed, HttpConnections
+
+THROTTLED = 429
+TOO_LARGE = 413
+OK = 200
+
+
+class HttpLogStore(LogStore):
+    """Log reached by HTTP."""
+
+    def __init__(self, address: Address, timeout_s: float = 2.0) -> None:
+        self.connections = HttpConnections(address)
+        self.timeout_s = timeout_s
+
+    def append(self, stream: str, data: bytes) -> Result[int, LogError]:
+        """Append one record and return its offset."""
+        answer = self.connections.call(
+            "POST", f"/streams/{stream}/append", data, timeout_s=self.timeout_s
+        )
+        if not isinstance(answer, Success):
+            return Failure(_error_of(answer.failure()))
+        status, body = answer.unwrap()
+        if status != OK:
+            return Failure(_refusal(status))
+        return Success(msgpack.unpackb(body)["offset"])
+
+    def read(
+        self, stream: str, offset: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogSlice, LogError]:
+        """Read records from an offset on, waiting up to ``wait_s`` for the first."""
+        path = (
+            f"/streams/{stream}/read?offset={offset}&limit={limit}&wait_ms={int(wait_s * 1e3)}"
+        )
+        answer = self.connections.call("GET", path, timeout_s=self.timeout_s + wait_s)
+        if not isinstance(answer, Success):
+            return Failure(_error_of(answer.failure()))
+        status, body = answer.unwrap()
+        if status != OK:
+            return Failure(_refusal(status))
+        fields = msgpack.unpackb(body)
+        records = [LogRecord(number, data) for number, data in fields["records"]]
+        return Success(LogSlice(records, fields["first"], fields["end"]))
+
+
+def _error_of(error: object) -> LogError:
+    if isinstance(error, ConnectFailed):
+        return LogError(LogErrorKind.DOWN, error.reason)
+    return LogError(LogErrorKind.UNANSWERED, str(error))
+
+
+def _refusal(status: int) -> LogError:
+    if status == THROTTLED:
+        return LogError(LogErrorKind.THROTTLED)
+    if status == TOO_LARGE:
+        return LogError(LogErrorKind.TOO_LARGE)
+    # 503 is sent before the record is looked at; any other status says nothing.
+    kind = LogErrorKind.DOWN if status == 503 else LogErrorKind.UNANSWERED
+    return LogError(kind, f"status {status}")
--- /dev/null
+++ b/agaterail/logstore/memory.py
@@ -0,0 +1,56 @@
+"""Log kept in memory, for tests."""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+
+from agaterail.logstore import LogError, LogErrorKind, LogRecord, LogSlice, LogStore
+
+
+class MemoryLogStore(LogStore):
+    """Log with switchable faults.
+
+    Attributes
+    ----------
+    down
+        Refuse every call.
+    lose_answers
+        Number of coming appends that take effect but are not answered.
+    """
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[LogRecord]] = {}
+        self.next_offset: dict[str, int] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.appends = 0
+
+    def append(self, stream: str, data: bytes) -> Result[int, LogError]:
+        """Append one record and return its offset."""
+        if self.down:
+            return Failure(LogError(LogErrorKind.DOWN))
+        offset = self.next_offset.get(stream, 0)
+        self.next_offset[stream] = offset + 1
+        self.streams.setdefault(stream, []).append(LogRecord(offset, data))
+        self.appends += 1
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Failure(LogError(LogErrorKind.UNANSWERED))
+        return Success(offset)
+
+    def read(
+        self, stream: str, offset: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogSlice, LogError]:
+        """Read records from an offset on; never waits."""
+        if self.down:
+            return Failure(LogError(LogErrorKind.DOWN))
+        kept = self.streams.get(stream, [])
+        end = self.next_offset.get(stream, 0)
+        first = kept[0].offset if kept else end
+        records = [record for record in kept if record.offset >= offset][:limit]
+        return Success(LogSlice(records, first, end))
+
+    def expire(self, stream: str, before: int) -> None:
+        """Drop the records below an offset."""
+        kept = self.streams.get(stream, [])
+        self.streams[stream] = [record for record in kept if record.offset >= before]
--- /dev/null
+++ b/agaterail/peers/__init__.py
@@ -0,0 +1,150 @@
+"""Messages between the daemons.
+
+Two transports carry them. Calls go over gRPC and are for what must arrive;
+queries and notices are single datagrams and are for hints, whose loss costs
+milliseconds or a prefix hit at most. docs/internals/decisions has the
+measurement behind the split.
+"""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgpack
+from returns.result import Failure, Result, Success
+
+from agaterail import codec, logs
+from agaterail.peers import envelope
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+logger = logs.get_logger("peers")
+
+M = TypeVar("M")
+MESSAGES: dict[str, type] = {}
+
+
+def peer_message(kind: type[M]) -> type[M]:
+    """Register an attrs class as a message under its own name."""
+    MESSAGES[kind.__name__] = kind
+    return kind
+
+
+class Transport(abc.ABC):
+    """Carries sealed messages and their answers."""
+
+    receive: Callable[[str, bytes], bytes | None]
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Begin to receive."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Stop receiving."""
+
+    @abc.abstractmethod
+    def ask(self, address: str, data: bytes, timeout_s: float) -> Result[bytes, str]:
+        """Send and wait for the answer."""
+
+    @abc.abstractmethod
+    def tell(self, address: str, data: bytes) -> None:
+        """Send without an answer."""
+
+
+class Peers:
+    """Typed messages to and from the other daemons.
+
+    Parameters
+    ----------
+    own_address
+        Address under which the others reach this daemon.
+    calls, datagrams
+        Transports for calls and for hints.
+    secret
+        Shared secret of the daemons.
+    """
+
+    def __init__(
+        self, own_address: str, calls: Transport, datagrams: Transport, secret: str
+    ) -> None:
+        self.own_address = own_address
+        self.calls = calls
+        self.datagrams = datagrams
+        self.key = envelope.key_of(secret)
+        self.handlers: dict[type, Callable[[str, Any], object]] = {}
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        calls.receive = self.receive
+        datagrams.receive = self.receive
+
+    def handle(self, kind: type[M], handler: Callable[[str, M], object]) -> None:
+        """Answer messages of a type; the handler gets the sender's address."""
+        self.handlers[kind] = handler
+
+    def start(self) -> None:
+        """Begin to receive."""
+        self.calls.start()
+        self.datagrams.start()
+
+    def stop(self) -> None:
+        """Stop receiving."""
+        self.calls.stop()
+        self.datagrams.stop()
+
+    def call(self, address: str, message: object, timeout_s: float = 1.0) -> Result[Any, str]:
+        """Send a message that must arrive and return the answer."""
+        return self._ask(self.calls, address, message, timeout_s)
+
+    def query(self, address: str, message: object, timeout_s: float) -> Result[Any, str]:
+        """Ask for a hint by datagram; an answer may never come."""
+        return self._ask(self.datagrams, address, message, timeout_s)
+
+    def notify(self, address: str, message: object) -> None:
+        """Send a hint by datagram and forget it."""
+        if address == self.own_address:
+            self._dispatch(address, message)
+            return
+        self.datagrams.tell(address, self._seal(message))
+
+    def receive(self, _source: str, data: bytes) -> bytes | None:
+        """Handle a sealed message and return the sealed answer."""
+        opened = self._open(data)
+        if not isinstance(opened, Success):
+            logger.warning("Drops a message.", reason=opened.failure())
+            return None
+        sender, message = opened.unwrap()
+        answer = self._dispatch(sender, message)
+        return None if answer is None else self._seal(answer)
+
+    def _ask(
+        self, transport: Transport, address: str, message: object, timeout_s: float
+    ) -> Result[Any, str]:
+        if address == self.own_address:
+            return Success(self._dispatch(address, message))
+        answered = transport.ask(address, self._seal(message), timeout_s)
+        return answered.bind(self._open).map(lambda opened: opened[1])
+
+    def _dispatch(self, sender: str, message: object) -> object:
+        handler = self.handlers.get(type(message))
+        return None if handler is None else handler(sender, message)
+
+    def _seal(self, message: object) -> bytes:
+        fields = codec.converter.unstructure(message)
+        body = msgpack.packb([self.own_address, type(message).__name__, fields])
+        sealed = envelope.seal(self.key, body)
+        self.sent_messages += 1
+        self.sent_bytes += len(sealed)
+        return sealed
+
+    def _open(self, data: bytes) -> Result[tuple[str, Any], str]:
+        body = envelope.open_sealed(self.key, data)
+        if body is None:
+            return Failure("wrong secret or damaged")
+        try:
+            sender, name, fields = msgpack.unpackb(body)
+            return Success((sender, codec.converter.structure(fields, MESSAGES[name])))
+        except Exception as error:  # msgpack and cattrs raise many unrelated types
+            return Failure(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/agaterail/peers/memory.py
@@ -0,0 +1,60 @@
+"""Transport within one process, for tests."""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+
+from agaterail.peers import Transport
+
+
+class MemoryNetwork:
+    """Addresses of one test, with links that can be cut.
+
+    Attributes
+    ----------
+    cut
+        Pairs of sender and receiver between which nothing arrives.
+    """
+
+    def __init__(self) -> None:
+        self.transports: dict[str, MemoryTransport] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.messages = 0
+
+
+class MemoryTransport(Transport):
+    """Transport that calls the receiver directly."""
+
+    def __init__(self, network: MemoryNetwork, address: str) -> None:
+        self.network = network
+        self.address = address
+
+    def start(self) -> None:
+        """Begin to receive."""
+        self.network.transports[self.address] = self
+
+    def stop(self) -> None:
+        """Stop receiving."""
+        self.network.transports.pop(self.address, None)
+
+    def ask(self, address: str, data: bytes, timeout_s: float) -> Result[bytes, str]:
+        """Send and return the answer at once."""
+        receiver = self._receiver(address)
+        if receiver is None:
+            return Failure("no answer")
+        answer = receiver.receive(self.address, data)
+        if answer is None or (address, self.address) in self.network.cut:
+            return Failure("no answer")
+        return Success(answer)
+
+    def tell(self, address: str, data: bytes) -> None:
+        """Send without an answer."""
+        receiver = self._receiver(address)
+        if receiver is not None:
+            receiver.receive(self.address, data)
+
+    def _receiver(self, address: str) -> MemoryTransport | None:
+        self.network.messages += 1
+        if (self.address, address) in self.network.cut:
+            return None
+        return self.network.transports.get(address)
--- /dev/null
+++ b/agaterail/policies/__init__.py
@@ -0,0 +1,64 @@
+"""Ways to choose the target of a request."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.prefix import Prefix
+    from agaterail.tables import Pool, Route
+    from agaterail.targets import TargetState
+
+
+@attrs.frozen(kw_only=True)
+class Placement:
+    """A request that needs a target.
+
+    Attributes
+    ----------
+    prefix
+        Named prefix; None for services.
+    deadline_ms
+        Time left until the first byte is due.
+    """
+
+    pool: Pool
+    route: Route
+    prefix: Prefix | None
+    deadline_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """A chosen target and why.
+
+    Attributes
+    ----------
+    hit_blocks
+        Leading blocks expected in the target's cache.
+    expected_ms
+        Expected time to the first token, or None when it was not estimated.
+    terms
+        Terms of the cost in milliseconds, by name, for the log line.
+    """
+
+    address: str
+    reason: str
+    hit_blocks: int = 0
+    expected_ms: float | None = None
+    terms: tuple[tuple[str, float], ...] = ()
+
+
+class Policy(abc.ABC):
+    """Chooses among the usable targets of a pool."""
+
+    name: str
+
+    @abc.abstractmethod
+    def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
+        """Return a decision, or None when no target can make the deadline."""
--- /dev/null
+++ b/agaterail/server.py
@@ -0,0 +1,191 @@
+"""HTTP server for callers: falcon on gevent's WSGI server."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import falcon
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.server import _tcp_listener
+from returns.result import Success
+
+from agaterail import errors, logs
+from agaterail.errors import ErrorKind, Outcome
+from agaterail.filters.identify import digest_of
+from agaterail.filters.relay import error_object
+
+if TYPE_CHECKING:
+    from agaterail.application import Application
+    from agaterail.exchange import Exchange, Reply
+    from agaterail.util.address import Address
+
+logger = logs.get_logger("server")
+
+BACKLOG = 1024
+NOT_READY = 503
+ERROR_STATUS_FROM = 400
+
+
+class CallerResource:
+    """Passes every request that is not the router's own to the filters."""
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+
+    def serve(self, request: falcon.Request, response: falcon.Response, **_: Any) -> None:
+        """Answer one request."""
+        body = self._read_body(request)
+        if isinstance(body, errors.Failure):
+            _send_failure(response, body, "")
+            return
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        exchange, result = self.app.handle(
+            request.method, request.path, request.query_string, headers, body
+        )
+        if isinstance(result, Success):
+            _send_reply(response, exchange, result.unwrap())
+            return
+        failure = result.failure()
+        exchange.finish(failure.outcome)
+        logger.info(
+            "Request failed.",
+            request=exchange.request_id,
+            kind=failure.kind.value,
+            outcome=failure.outcome.value,
+            detail=failure.detail,
+        )
+        _send_failure(response, failure, exchange.request_id)
+
+    def _read_body(self, request: falcon.Request) -> bytes | errors.Failure:
+        limit = self.app.settings.max_body_bytes
+        length = request.content_length
+        if length is not None and length > limit:
+            return errors.Failure(ErrorKind.BODY_TOO_LARGE)
+        try:
+            body = (
+                request.bounded_stream.read(limit + 1)
+                if length is not None
+                else (request.stream.read(limit + 1))
+            )
+        except OSError:
+            return errors.Failure(ErrorKind.BAD_REQUEST, "The body could not be read.")
+        if len(body) > limit:
+            return errors.Failure(ErrorKind.BODY_TOO_LARGE)
+        if length is not None and len(body) < length:
+            return errors.Failure(ErrorKind.BAD_REQUEST, "The body was cut short.")
+        return body
+
+
+class HealthResource:
+    """Answers while the process runs."""
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Answer always."""
+        response.text = "ok\n"
+
+
+class ReadyResource:
+    """Tells the balancer whether to send new connections."""
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Fail before tables are loaded and once a drain began."""
+        if not self.app.ready:
+            response.status = NOT_READY
+        response.text = "ready\n" if self.app.ready else "not ready\n"
+
+
+class ModelsResource:
+    """Lists the models that the caller's routes serve."""
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer in the OpenAI form."""
+        key = (request.auth or "").partition(" ")[2].strip()
+        caller = digest_of(key)
+        routes = [held.row for held in self.app.tables.routes.values()]
+        mine = [route for route in routes if caller in route.callers]
+        if not mine:
+            _send_failure(response, errors.Failure(ErrorKind.UNAUTHENTICATED), "")
+            return
+        names = sorted({model for route in mine for model in route.models})
+        response.media = {
+            "object": "list",
+            "data": [
+                {"id": name, "object": "model", "created": 0, "owned_by": "agaterail"}
+                for name in names
+            ],
+        }
+
+
+class _Handler(WSGIHandler):
+    """Handler that reads chunked and sized bodies and logs nothing itself."""
+
+    def log_request(self) -> None:
+        """Leave the log to the filters."""
+
+
+def make_wsgi(app: Application) -> falcon.App:
+    """Return the WSGI application for callers."""
+    wsgi = falcon.App()
+    wsgi.add_route("/healthz", HealthResource())
+    wsgi.add_route("/readyz", ReadyResource(app))
+    wsgi.add_route("/v1/models", ModelsResource(app))
+    wsgi.add_sink(CallerResource(app).serve, prefix="/")  # type: ignore[arg-type]
+    wsgi.add_error_handler(Exception, _on_exception)
+    return wsgi
+
+
+def make_server(app: Application, address: Address) -> WSGIServer:
+    """Return a server that is bound but not started.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    listener = _tcp_listener((address.host, address.port), backlog=BACKLOG, reuse_addr=True)
+    return WSGIServer(listener, make_wsgi(app), handler_class=_Handler, log=None)
+
+
+def _send_reply(response: falcon.Response, exchange: Exchange, reply: Reply) -> None:
+    response.status = reply.status
+    for name, value in reply.headers.items():
+        response.set_header(name, value)
+    response.set_header("x-request-id", exchange.request_id)
+    if exchange.decision is not None:
+        response.set_header("x-agaterail-target", exchange.decision.address)
+        response.set_header("x-agaterail-reason", exchange.decision.reason)
+    if isinstance(reply.body, bytes):
+        response.data = reply.body
+        failed = reply.status >= ERROR_STATUS_FROM
+        exchange.finish(Outcome.FAILED_AT_TARGET if failed else Outcome.COMPLETED)
+        return
+    response.stream = reply.body
+
+
+def _send_failure(response: falcon.Response, failure: errors.Failure, request_id: str) -> None:
+    response.status = failure.answer.status
+    response.media = error_object(failure)
+    response.set_header("x-agaterail-outcome", failure.outcome.value)
+    if request_id:
+        response.set_header("x-request-id", request_id)
+    if failure.retry_hint_s is not None:
+        response.set_header("retry-after", str(max(1, round(failure.retry_hint_s))))
+        response.set_header("retry-after-ms", str(int(failure.retry_hint_s * 1e3)))
+
+
+def _on_exception(
+    _request: falcon.Request, response: falcon.Response, error: Exception, _params: Any
+) -> None:
+    if isinstance(error, falcon.HTTPError):
+        response.status = error.status
+        response.data = json.dumps(error.to_dict()).encode()
+        return
+    logger.error("Request raised.", exc_info=error)
+    _send_failure(response, errors.Failure(ErrorKind.INTERNAL), "")
--- /dev/null
+++ b/agaterail/settings.py
@@ -0,0 +1,158 @@
+"""Settings of a daemon, read from flags and environment variables."""
+
+from __future__ import annotations
+
+import difflib
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from agaterail.util.address import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+ENVIRONMENT_PREFIX = "AGATERAIL_"
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+def _setting(default: Any, parse: Callable[[str], Any], description: str) -> Any:
+    return attrs.field(default=default, metadata={"parse": parse, "description": description})
+
+
+def _address(text: str) -> Address:
+    return Address.parse(text)
+
+
+def _seconds(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not a number of seconds") from None
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"{text!r} is not zero or a positive number of seconds")
+    return value
+
+
+def _count(text: str) -> int:
+    if not text.isdecimal():
+        raise ValueError(f"{text!r} is not a whole number of zero or more")
+    return int(text)
+
+
+def _switch(text: str) -> bool:
+    lowered = text.lower()
+    if lowered in ("true", "1", "yes"):
+        return True
+    if lowered in ("false", "0", "no"):
+        return False
+    raise ValueError(f"{text!r} is not true or false")
+
+
+def _level(text: str) -> str:
+    if text not in LOG_LEVELS:
+        raise ValueError(f"{text!r} is not one of {', '.join(LOG_LEVELS)}")
+    return text
+
+
+def _word(text: str) -> str:
+    if not text or text != text.strip():
+        raise ValueError("the value is empty or has spaces at its ends")
+    return text
+
+
+def _optional(parse: Callable[[str], Any]) -> Callable[[str], Any]:
+    return lambda text: parse(text) if text else None
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one daemon; times carry their unit in the name."""
+
+    listen: Address = _setting(
+        Address("127.0.0.1", 8080), _address, "address for callers, IP:port"
+    )
+    peer_listen: Address = _setting(
+        Address("127.0.0.1", 8081),
+        _address,
+        "address for other daemons, IP:port (TCP and UDP)",
+    )
+    domain: str = _setting("default", _word, "failure domain of this host")
+    log_service: Address = _setting(
+        Address("127.0.0.1", 9000), _address, "address of the platform's log, IP:port"
+    )
+    host_list: Address | None = _setting(
+        None, _optional(_address), "address of the platform's host list, IP:port"
+    )
+    kv_store: Address | None = _setting(
+        None, _optional(_address), "address of the store of kept KV cache, IP:port"
+    )
+    statsd: Address | None = _setting(None, _optional(_address), "address of statsd, IP:port")
+    peer_secret: str = _setting("", str, "shared secret of the daemons")
+    log_level: str = _setting("info", _level, "lowest level of log lines")
+    log_json: bool = _setting(False, _switch, "write log lines as JSON")
+    drain_lag_s: float = _setting(
+        5.0, _seconds, "seconds for which new connections are served after SIGTERM"
+    )
+    drain_limit_s: float = _setting(
+        120.0, _seconds, "seconds after which a drain ends in any case"
+    )
+    max_body_bytes: int = _setting(32 * 1024 * 1024, _count, "largest request body in bytes")
+    max_in_flight: int = _setting(2000, _count, "most requests at a time on this daemon")
+
+    @classmethod
+    def flag_of(cls, name: str) -> str:
+        """Return the flag of a setting."""
+        return "--" + name.replace("_", "-")
+
+    @classmethod
+    def variable_of(cls, name: str) -> str:
+        """Return the environment variable of a setting."""
+        return ENVIRONMENT_PREFIX + name.upper()
+
+
+@attrs.frozen
+class SettingsProblem:
+    """One line that names the flag, the variable and what is wrong."""
+
+    flag: str
+    variable: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.flag} ({self.variable}): {self.reason}"
+
+
+def load(flags: Mapping[str, str], environment: Mapping[str, str]) -> Result[Settings, list]:
+    """Read settings; a flag goes before its variable, which goes before the default.
+
+    Returns
+    -------
+    Result
+        The settings, or all problems found.
+    """
+    fields = {field.name: field for field in attrs.fields(Settings)}
+    problems = [_unknown(flag, fields) for flag in flags if flag not in fields]
+    values: dict[str, Any] = {}
+    for name, field in fields.items():
+        text = flags.get(name, environment.get(Settings.variable_of(name)))
+        if text is None:
+            continue
+        try:
+            values[name] = field.metadata["parse"](text)
+        except ValueError as error:
+            problems.append(
+                SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), str(error))
+            )
+    if problems:
+        return Failure(problems)
+    return Success(Settings(**values))
+
+
+def _unknown(name: str, fields: Mapping[str, Any]) -> SettingsProblem:
+    near = difflib.get_close_matches(name, fields, n=1)
+    reason = "there is no such setting"
+    if near:
+        reason = f"{reason}; did you mean {Settings.flag_of(near[0])}?"
+    return SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), reason)
--- /dev/null
+++ b/agaterail/tables.py
@@ -0,0 +1,157 @@
+"""Rows of the routes table and the pools table."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from typing import Generic, TypeVar
+
+import attrs
+
+DEFAULT_BLOCK_TOKENS = 2000
+DEFAULT_TOKEN_BYTES = 4
+DEFAULT_DEADLINE_MS = 30_000
+DEFAULT_MISS_WEIGHT = 3.0
+MAX_PRIORITY = 9
+NO_VERSION = -1
+
+
+class TableName(enum.Enum):
+    """The two tables that operators edit."""
+
+    ROUTES = "routes"
+    POOLS = "pools"
+
+
+class PoolKind(enum.Enum):
+    """What the targets of a pool are."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@attrs.frozen(kw_only=True)
+class TargetEntry:
+    """One target of a pool and the failure domain it stands in."""
+
+    address: str
+    domain: str
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """A named set of targets with the state that they should have.
+
+    Attributes
+    ----------
+    fencing
+        Whether the engines refuse orders with an old fencing number.
+    serving_min
+        Targets that must go on serving during a rollout.
+    block_tokens
+        Tokens in one cached block.
+    token_bytes
+        Prompt bytes that count as one token.
+    prefill_ms_per_token, decode_ms_per_token
+        Estimates used until an engine's own figures are known.
+    import_ms_per_block
+        Estimated time to import one cached block; 0 disables imports.
+    """
+
+    name: str
+    kind: PoolKind
+    targets: tuple[TargetEntry, ...]
+    model: str = ""
+    weights_version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+    fencing: bool = True
+    serving_min: int = 1
+    block_tokens: int = DEFAULT_BLOCK_TOKENS
+    token_bytes: int = DEFAULT_TOKEN_BYTES
+    prefill_ms_per_token: float = 0.05
+    decode_ms_per_token: float = 10.0
+    import_ms_per_block: float = 0.0
+    policy: str = "cost"
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """A named rule that says which callers and requests go to which pool.
+
+    Attributes
+    ----------
+    callers
+        SHA-256 digests, in hex, of the API keys that may use the route.
+    models
+        Model names served; used for chat completions only.
+    path_prefix, methods
+        Requests served; used for services only.
+    at_most_once_methods
+        HTTP methods whose requests are not idempotent.
+    priority
+        0 to 9, larger is more urgent; passed to the engine.
+    deadline_ms
+        Longest time to the first byte of the answer.
+    max_concurrency, tokens_per_s
+        Limits of the route over all hosts; 0 means no limit.
+    miss_weight
+        Cost of a missing token in units of its own prefill time.
+    """
+
+    name: str
+    workspace: str
+    callers: tuple[str, ...]
+    pool: str
+    models: tuple[str, ...] = ()
+    path_prefix: str = ""
+    methods: tuple[str, ...] = ()
+    at_most_once_methods: tuple[str, ...] = ()
+    priority: int = 5
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    max_concurrency: int = 0
+    tokens_per_s: int = 0
+    miss_weight: float = DEFAULT_MISS_WEIGHT
+    hedge_after_ms: int = 0
+    resume_elsewhere: bool = True
+
+
+Row = Route | Pool
+R = TypeVar("R", Route, Pool)
+
+
+@attrs.frozen
+class Versioned(Generic[R]):
+    """A row with the log offset of the edit that last wrote it."""
+
+    row: R
+    version: int
+    author: str = ""
+
+
+@attrs.frozen
+class Tables:
+    """Both tables as accepted up to one offset of the log.
+
+    Attributes
+    ----------
+    through
+        Offset of the last record that was folded in; -1 before the first.
+    edit_ids
+        Ids of recently accepted edits with their offsets.
+    """
+
+    routes: Mapping[str, Versioned[Route]] = attrs.field(factory=dict)
+    pools: Mapping[str, Versioned[Pool]] = attrs.field(factory=dict)
+    edit_ids: Mapping[str, int] = attrs.field(factory=dict)
+    through: int = NO_VERSION
+
+    def pool_of(self, route: Route) -> Pool:
+        """Return the pool that a valid route names."""
+        return self.pools[route.pool].row
+
+    def version_of(self, table: TableName, name: str) -> int:
+        """Return the version of a row, or -1 when there is no such row."""
+        rows = self.routes if table is TableName.ROUTES else self.pools
+        versioned = rows.get(name)
+        return NO_VERSION if versioned is None else versioned.version
--- /dev/null
+++ b/agaterail/targets.py
@@ -0,0 +1,82 @@
+"""What this process knows of each target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from agaterail.engines import LoadReport
+    from agaterail.tables import Pool, TargetEntry
+
+UNREACHABLE_S = 1.0
+
+
+@attrs.define
+class TargetState:
+    """State of one target as seen from this host.
+
+    Attributes
+    ----------
+    in_flight
+        Requests of this process at the target.
+    load
+        Last load report, with the monotonic second at which it came.
+    unreachable_until
+        Monotonic second until which the target is not chosen.
+    """
+
+    address: str
+    domain: str = ""
+    in_flight: int = 0
+    leaving: bool = False
+    unreachable_until: float = 0.0
+    load: LoadReport | None = None
+    load_at: float = 0.0
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new work may go to the target."""
+        return not self.leaving and now >= self.unreachable_until
+
+
+class TargetBook:
+    """States of all targets that the tables name."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, TargetState] = {}
+
+    def state_of(self, entry: TargetEntry) -> TargetState:
+        """Return the state of a target, made on first use."""
+        state = self.states.get(entry.address)
+        if state is None:
+            state = self.states[entry.address] = TargetState(entry.address)
+        state.domain = entry.domain
+        return state
+
+    def usable(
+        self, pool: Pool, now: float, excluded: Iterable[str] = ()
+    ) -> list[TargetState]:
+        """Return the targets of a pool that may get new work."""
+        states = [self.state_of(entry) for entry in pool.targets]
+        return [
+            state for state in states if state.usable(now) and state.address not in excluded
+        ]
+
+    def mark_unreachable(self, address: str, now: float) -> None:
+        """Leave a target out for a while after a failed connection."""
+        state = self.states.get(address)
+        if state is not None:
+            state.unreachable_until = now + UNREACHABLE_S
+
+    def set_leaving(self, addresses: set[str]) -> list[str]:
+        """Mark exactly these targets as leaving and return the newly marked."""
+        newly: list[str] = []
+        for state in self.states.values():
+            leaving = state.address in addresses
+            if leaving and not state.leaving:
+                newly.append(state.address)
+            state.leaving = leaving
+        return newly
--- /dev/null
+++ b/agaterail/util/__init__.py
@@ -0,0 +1,3 @@
+"""Small helpers without state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/agaterail/util/httpconn.py
@@ -0,0 +1,196 @@
+"""HTTP requests that are sent at most once and say how far they got."""
+
+from __future__ import annotations
+
+import errno
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from returns.result import Failure, Result, Success
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from gevent.socket import socket as Socket  # noqa: N812
+
+    from agaterail.util.address import Address
+
+POOL_SIZE = 4096
+READ_SIZE = 65536
+
+
+@attrs.frozen
+class ConnectFailed:
+    """No connection was made, so no byte reached the target."""
+
+    reason: str
+
+
+@attrs.frozen
+class ExchangeBroken:
+    """Bytes may have reached the target and no full answer head came back."""
+
+    reason: str
+    timed_out: bool = False
+
+
+SendError = ConnectFailed | ExchangeBroken
+
+
+class _FreshPool(ConnectionPool):
+    """Pool that can hand out a connection that was never used before."""
+
+    def fresh_socket(self) -> Socket:
+        """Open a new connection, counted like a pooled one."""
+        self._semaphore.acquire()
+        try:
+            return self._create_socket()
+        except BaseException:
+            self._semaphore.release()
+            raise
+
+    def _resolve(self) -> list:
+        # Peers are IP numbers: no resolver call, and no thread for one.
+        family = (
+            gevent.socket.AF_INET6 if ":" in self._connection_host else gevent.socket.AF_INET
+        )
+        place = (self._connection_host, self._connection_port)
+        return [(family, gevent.socket.SOCK_STREAM, gevent.socket.IPPROTO_TCP, "", place)]
+
+    def after_connect(self, sock: Socket) -> None:
+        """Turn off Nagle's algorithm: heads and bodies go out in one write."""
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+
+
+class Response(HTTPSocketPoolResponse):
+    """Response whose body can be read as it arrives."""
+
+    def read_available(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end."""
+        while not self._body_buffer and not self.message_complete:
+            sock = self._sock
+            if sock is None:
+                raise ConnectionResetError(errno.ECONNRESET, "connection closed")
+            data = sock.recv(READ_SIZE)
+            if not data:
+                self.release()
+                raise ConnectionResetError(errno.ECONNRESET, "body cut short")
+            try:
+                self.feed(data)
+            except HTTPParseError as error:
+                self.discard()
+                raise ConnectionResetError(errno.EPROTO, str(error)) from error
+        available = bytes(self._body_buffer)
+        del self._body_buffer[:]
+        return available
+
+    def set_read_timeout(self, seconds: float) -> None:
+        """Bound the wait of each later read."""
+        if self._sock is not None:
+            self._sock.settimeout(seconds)
+
+    def discard(self) -> None:
+        """Close the connection, so that nothing late is read as another answer."""
+        pool, sock = self._pool, self._sock
+        self._pool = self._sock = None
+        if pool is not None and sock is not None:
+            pool.release_socket(sock)
+
+
+class HttpConnections:
+    """Kept connections to one address, without the library's own resends.
+
+    geventhttpclient's ``request`` sends a request again when a kept connection
+    turns out to be closed. The target may have acted on the first copy, so a
+    non-idempotent request could run twice; here each call is one attempt.
+    """
+
+    def __init__(self, address: Address, connect_timeout_s: float = 1.0) -> None:
+        self.address = address
+        self.pool = _FreshPool(
+            address.host,
+            address.port,
+            address.host,
+            address.port,
+            size=POOL_SIZE,
+            connection_timeout=connect_timeout_s,
+        )
+        self.client = HTTPClient(address.host, address.port)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+        fresh: bool = False,
+    ) -> Result[Response, SendError]:
+        """Send one request and read the head of its answer.
+
+        Parameters
+        ----------
+        timeout_s
+            Longest wait for the head, and for each later read of the body.
+        fresh
+            Use a new connection: a kept one can be closed by the target in
+            the moment of sending, which leaves the outcome unknown.
+        """
+        try:
+            head = self.client._build_request(
+                method, path, body=body, headers=dict(headers or {})
+            )
+        except ValueError as error:
+            return Failure(ConnectFailed(str(error)))
+        try:
+            sock = self.pool.fresh_socket() if fresh else self.pool.get_socket()
+        except (OSError, RuntimeError) as error:
+            return Failure(ConnectFailed(str(error)))
+        try:
+            sock.settimeout(timeout_s)
+            sock.sendall(head.encode("latin-1") + body)
+        except OSError as error:
+            self.pool.release_socket(sock)
+            return Failure(ExchangeBroken(str(error), isinstance(error, TimeoutError)))
+        except BaseException:
+            # A greenlet killed in mid-send leaves half a request on the
+            # connection; the next request on it would be read as its rest.
+            self.pool.release_socket(sock)
+            raise
+        try:
+            return Success(Response(sock, self.pool, block_size=READ_SIZE, method=method))
+        except Exception as error:  # parse errors and socket errors; the response closed it
+            return Failure(ExchangeBroken(str(error), isinstance(error, TimeoutError)))
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> Result[tuple[int, bytes], SendError]:
+        """Send one request and read its whole answer.
+
+        Returns
+        -------
+        Result
+            Status code and body.
+        """
+        sent = self.send(method, path, body, headers, timeout_s)
+        if not isinstance(sent, Success):
+            return Failure(sent.failure())
+        response = sent.unwrap()
+        try:
+            return Success((response.status_code, response.read()))
+        except Exception as error:
+            response.discard()
+            return Failure(ExchangeBroken(str(error), isinstance(error, TimeoutError)))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.pool.close()
--- /dev/null
+++ b/agaterail/weightstores/__init__.py
@@ -0,0 +1,3 @@
+"""Weight stores, behind one interface."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/base.py
@@ -0,0 +1,127 @@
+"""Minimal HTTP frame that all stand-ins share."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
+from gevent.pywsgi import WSGIServer
+from gevent.server import _tcp_listener
+
+BACKLOG = 1024
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One HTTP call of a stand-in."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object; an empty body as an empty one."""
+        return json.loads(self.body) if self.body else {}
+
+
+@attrs.frozen
+class Answer:
+    """Answer of a stand-in; a body that is no bytes is streamed."""
+
+    status: int = 200
+    body: bytes | Iterable[bytes] = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+def json_answer(fields: object, status: int = 200, **headers: str) -> Answer:
+    """Return a JSON answer."""
+    return Answer(
+        status, json.dumps(fields).encode(), {"content-type": "application/json", **headers}
+    )
+
+
+Handler = Callable[[Call], Answer]
+
+
+class StandIn:
+    """HTTP server with a table of paths and switchable faults.
+
+    ``POST /control`` sets attributes of ``faults`` by name; ``GET /control``
+    shows them.
+    """
+
+    def __init__(self, faults: Any = None) -> None:
+        self.faults = faults
+        self.paths: dict[str, Handler] = {"/control": self._control}
+        self.server: WSGIServer | None = None
+
+    def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return the address as IP:port."""
+        listener = _tcp_listener((host, port), backlog=BACKLOG, reuse_addr=True)
+        self.server = WSGIServer(listener, self._serve, log=None, error_log=None)
+        self.server.start()
+        return f"{host}:{self.server.server_port}"
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        if self.server is not None:
+            self.server.stop(timeout=0)
+
+    def route(self, call: Call) -> Answer:
+        """Answer one call; exact paths go before prefixes."""
+        handler = self.paths.get(call.path)
+        if handler is None:
+            fitting = [
+                path
+                for path in self.paths
+                if path.endswith("/") and call.path.startswith(path)
+            ]
+            if not fitting:
+                return json_answer({"error": "no such path"}, 404)
+            handler = self.paths[max(fitting, key=len)]
+        return handler(call)
+
+    def _control(self, call: Call) -> Answer:
+        if call.method == "POST":
+            for name, value in call.json().items():
+                if not hasattr(self.faults, name):
+                    return json_answer({"error": f"no fault {name}"}, 400)
+                setattr(self.faults, name, value)
+        return json_answer(attrs.asdict(self.faults) if self.faults is not None else {})
+
+    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        call = _call_of(environ)
+        try:
+            answer = self.route(call)
+        except ConnectionAbortedError:
+            environ["wsgi.input"].socket.close()
+            raise
+        body = answer.body
+        headers = list(answer.headers.items())
+        if isinstance(body, bytes):
+            headers.append(("content-length", str(len(body))))
+            body = [body]
+        start_response(f"{answer.status} -", headers)
+        return body
+
+
+def _call_of(environ: dict[str, Any]) -> Call:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return Call(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))),
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+    )
--- /dev/null
+++ b/standins/log.py
@@ -0,0 +1,124 @@
+"""Stand-in for the platform's append-only log."""
+
+from __future__ import annotations
+
+import collections
+import time
+
+import attrs
+import gevent
+import msgpack
+from gevent.event import Event
+
+from standins.base import Answer, Call, StandIn, json_answer
+
+MAX_RECORD_BYTES = 1024 * 1024
+MAX_WAIT_S = 30.0
+
+
+@attrs.define
+class LogFaults:
+    """Switchable faults.
+
+    Attributes
+    ----------
+    lose_answers
+        Coming appends that take effect and are answered by a cut connection.
+    retention
+        Records kept per stream; 0 keeps all.
+    stale_records
+        Newest records that readers do not see yet.
+    appends_per_s
+        Appends allowed per second; more are refused with 429.
+    """
+
+    down: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    retention: int = 0
+    stale_records: int = 0
+    appends_per_s: int = 500
+
+
+class LogStandIn(StandIn):
+    """Streams of records in memory."""
+
+    def __init__(self) -> None:
+        super().__init__(LogFaults())
+        self.faults: LogFaults
+        self.streams: dict[str, collections.deque[tuple[int, bytes]]] = {}
+        self.ends: dict[str, int] = {}
+        self.changed: dict[str, Event] = {}
+        self.appended_at: collections.deque[float] = collections.deque()
+        self.reads = 0
+        self.read_bytes = 0
+        self.appends = 0
+        self.paths["/streams/"] = self._stream
+        self.paths["/stats"] = self._stats
+
+    def _stream(self, call: Call) -> Answer:
+        if self.faults.slow_ms:
+            gevent.sleep(self.faults.slow_ms / 1e3)
+        if self.faults.down:
+            return Answer(503)
+        name, _, action = call.path.removeprefix("/streams/").rpartition("/")
+        if action == "append" and call.method == "POST":
+            return self._append(name, call.body)
+        if action == "read":
+            return self._read(name, call)
+        return Answer(404)
+
+    def _append(self, name: str, data: bytes) -> Answer:
+        if len(data) > MAX_RECORD_BYTES:
+            return Answer(413)
+        now = time.monotonic()
+        while self.appended_at and self.appended_at[0] < now - 1.0:
+            self.appended_at.popleft()
+        if len(self.appended_at) >= self.faults.appends_per_s:
+            return Answer(429)
+        self.appended_at.append(now)
+        offset = self.ends.get(name, 0)
+        self.ends[name] = offset + 1
+        kept = self.streams.setdefault(name, collections.deque())
+        kept.append((offset, data))
+        while self.faults.retention and len(kept) > self.faults.retention:
+            kept.popleft()
+        self.appends += 1
+        self.changed.setdefault(name, Event()).set()
+        self.changed[name] = Event()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise ConnectionAbortedError
+        return _packed({"offset": offset})
+
+    def _read(self, name: str, call: Call) -> Answer:
+        offset = int(call.query.get("offset", "0"))
+        limit = int(call.query.get("limit", "1000"))
+        wait_s = min(MAX_WAIT_S, int(call.query.get("wait_ms", "0")) / 1e3)
+        if offset >= self._visible_end(name) and wait_s > 0:
+            self.changed.setdefault(name, Event()).wait(wait_s)
+            if self.faults.down:
+                return Answer(503)
+        end = self._visible_end(name)
+        kept = self.streams.get(name, collections.deque())
+        first = kept[0][0] if kept else end
+        start = max(0, offset - first)
+        records = [
+            kept[index] for index in range(start, max(start, min(len(kept), start + limit)))
+        ]
+        records = [record for record in records if record[0] < end]
+        answer = _packed({"records": records, "first": first, "end": end})
+        self.reads += 1
+        self.read_bytes += len(answer.body) if isinstance(answer.body, bytes) else 0
+        return answer
+
+    def _visible_end(self, name: str) -> int:
+        return max(0, self.ends.get(name, 0) - self.faults.stale_records)
+
+    def _stats(self, _call: Call) -> Answer:
+        fields = {"reads": self.reads, "read_bytes": self.read_bytes, "appends": self.appends}
+        return json_answer(fields)
+
+
+def _packed(fields: object) -> Answer:
+    return Answer(200, msgpack.packb(fields), {"content-type": "application/msgpack"})
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,70 @@
+"""Stand-in for a plain service, some of whose calls may not repeat."""
+
+from __future__ import annotations
+
+import attrs
+import gevent
+
+from standins.base import Answer, Call, StandIn, json_answer
+
+
+@attrs.define
+class ServiceFaults:
+    """Switchable faults.
+
+    Attributes
+    ----------
+    refuse
+        Answer 503 with ``x-not-run: true`` before running.
+    cut_before, cut_after
+        Coming calls whose connection is cut before or after running.
+    crossed
+        Coming answers that carry the id of another request.
+    """
+
+    refuse: bool = False
+    slow_ms: int = 0
+    cut_before: int = 0
+    cut_after: int = 0
+    fail: int = 0
+    crossed: int = 0
+
+
+class ServiceStandIn(StandIn):
+    """Runs calls and keeps a journal of every execution."""
+
+    def __init__(self) -> None:
+        super().__init__(ServiceFaults())
+        self.faults: ServiceFaults
+        self.journal: list[str] = []
+        self.paths["/journal"] = lambda _call: json_answer({"executions": self.journal})
+        self.paths["/"] = self._run
+
+    def _run(self, call: Call) -> Answer:
+        request_id = call.headers.get("x-request-id", "")
+        if self.faults.refuse:
+            refusal = {"x-not-run": "true", "x-request-id": request_id}
+            return json_answer({"error": "not run"}, 503, **refusal)
+        if self._spend("cut_before"):
+            raise ConnectionAbortedError
+        self.journal.append(call.headers.get("idempotency-key", request_id))
+        if self.faults.slow_ms:
+            gevent.sleep(self.faults.slow_ms / 1e3)
+        if self._spend("cut_after"):
+            raise ConnectionAbortedError
+        if self._spend("crossed"):
+            request_id = "another-request"
+        status = 500 if self._spend("fail") else 200
+        answer = {
+            "path": call.path,
+            "method": call.method,
+            "echo": call.body.decode("utf-8", "replace"),
+        }
+        return json_answer(answer, status, **{"x-request-id": request_id})
+
+    def _spend(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        if left <= 0:
+            return False
+        setattr(self.faults, fault, left - 1)
+        return True
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,42 @@
+"""Stand-in for the rate-limited weight store."""
+
+from __future__ import annotations
+
+import attrs
+import gevent
+
+from standins.base import Answer, Call, StandIn, json_answer
+
+
+@attrs.define
+class WeightFaults:
+    """Switchable faults; a load takes longer while more than two run."""
+
+    down: bool = False
+    load_ms: int = 2000
+    missing_versions: str = ""
+
+
+class WeightsStandIn(StandIn):
+    """Hands out weights slowly."""
+
+    def __init__(self) -> None:
+        super().__init__(WeightFaults())
+        self.faults: WeightFaults
+        self.loading = 0
+        self.most_loading = 0
+        self.paths["/weights"] = self._weights
+        self.paths["/stats"] = lambda _call: json_answer({"most_loading": self.most_loading})
+
+    def _weights(self, call: Call) -> Answer:
+        if self.faults.down:
+            return Answer(503)
+        if call.query.get("version", "") in self.faults.missing_versions.split(","):
+            return Answer(404)
+        self.loading += 1
+        self.most_loading = max(self.most_loading, self.loading)
+        try:
+            gevent.sleep(self.faults.load_ms / 1e3 * max(1.0, self.loading / 2))
+        finally:
+            self.loading -= 1
+        return json_answer({})
--- /dev/null
+++ b/tests/test_agaterail/test_fold.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import unittest
+
+import attrs
+
+from agaterail.fold import Verdict, fold, snapshot_of
+from agaterail.tables import TableName, Tables
+from tests.support import chat_route, delete, edit, engine_pool, put
+
+
+def first_tables():
+    return fold(Tables(), edit("e0", put(engine_pool()), put(chat_route())), 0).tables
+
+
+class FoldTest(unittest.TestCase):
+    def test_a_valid_edit_is_accepted_and_versions_its_rows_by_offset(self):
+        folded = fold(Tables(), edit("e0", put(engine_pool()), put(chat_route())), 7)
+        self.assertIs(folded.verdict, Verdict.ACCEPTED)
+        self.assertEqual(folded.tables.routes["chat"].version, 7)
+        self.assertEqual(folded.tables.through, 7)
+
+    def test_a_route_to_a_missing_pool_is_refused(self):
+        folded = fold(Tables(), edit("e0", put(chat_route())), 0)
+        self.assertIs(folded.verdict, Verdict.INVALID)
+        self.assertEqual(folded.problems[0].field, "pool")
+
+    def test_deleting_a_pool_in_use_is_refused(self):
+        tables = first_tables()
+        folded = fold(tables, edit("e1", delete(TableName.POOLS, "assistant", 0)), 1)
+        self.assertIs(folded.verdict, Verdict.INVALID)
+        self.assertEqual(folded.tables.pools, tables.pools)
+
+    def test_the_second_of_two_racing_edits_is_a_conflict(self):
+        # Two operators saw version 0 of one route and publish at the same
+        # time. The first offset wins; the second edit would silently undo it.
+        tables = first_tables()
+        first = fold(tables, edit("e1", put(chat_route(priority=1), 0)), 1)
+        second = fold(first.tables, edit("e2", put(chat_route(priority=2), 0)), 2)
+        self.assertIs(second.verdict, Verdict.CONFLICT)
+        self.assertEqual(second.tables.routes["chat"].row.priority, 1)
+
+    def test_a_repeated_edit_changes_nothing(self):
+        # The answer to an append was lost and the operator's tool sends the
+        # edit again; the second copy must not count as another edit.
+        tables = first_tables()
+        change = edit("e1", put(chat_route(priority=1), 0))
+        once = fold(tables, change, 1).tables
+        twice = fold(once, change, 2)
+        self.assertIs(twice.verdict, Verdict.REPEATED)
+        self.assertEqual(twice.tables.routes, once.routes)
+
+    def test_one_bad_row_refuses_the_whole_edit(self):
+        tables = first_tables()
+        change = edit(
+            "e1", put(chat_route(priority=1), 0), put(chat_route("bad", priority=99))
+        )
+        folded = fold(tables, change, 1)
+        self.assertIs(folded.verdict, Verdict.INVALID)
+        self.assertEqual(folded.tables.routes, tables.routes)
+
+    def test_a_late_snapshot_takes_nobody_back(self):
+        # A slow daemon writes a snapshot of older tables after a newer edit
+        # was accepted; a reader that used it would revert the edit.
+        old = first_tables()
+        new = fold(old, edit("e1", put(chat_route(priority=1), 0)), 1).tables
+        folded = fold(new, snapshot_of(old), 2)
+        self.assertIs(folded.verdict, Verdict.SNAPSHOT_IGNORED)
+        self.assertEqual(folded.tables.routes["chat"].row.priority, 1)
+
+    def test_a_new_reader_starts_from_a_snapshot(self):
+        tables = first_tables()
+        folded = fold(Tables(), snapshot_of(tables), 5)
+        self.assertIs(folded.verdict, Verdict.SNAPSHOT_USED)
+        self.assertEqual(folded.tables.routes, tables.routes)
+
+    def test_a_damaged_snapshot_is_ignored(self):
+        damaged = attrs.evolve(snapshot_of(first_tables()), digest="00")
+        self.assertIs(fold(Tables(), damaged, 5).verdict, Verdict.SNAPSHOT_IGNORED)
+
+    def test_a_record_of_other_rules_is_judged_by_nobody(self):
+        record = attrs.evolve(edit("e0", put(engine_pool())), rules=99)
+        self.assertIs(fold(Tables(), record, 0).verdict, Verdict.UNKNOWN_RULES)
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,81 @@
+"""Start stand-ins and three daemons, send streamed requests, print what came back."""
+
+from __future__ import annotations
+
+from agaterail.util import greenlets
+
+greenlets.patch()
+
+import collections
+import sys
+import tempfile
+import time
+
+import gevent
+from gevent.pool import Pool as GreenletPool
+
+from standins.load import Seen, StreamClient, Workload
+from tools.fleet import MODEL, Fleet, api_key_of, apply_tables, tables_toml
+
+REQUESTS = 300
+CONCURRENCY = 24
+ENGINES = 5
+DAEMONS = 3
+WORKSPACES = 8
+SEED = 7
+ENGINE = {"block_tokens": 100, "capacity_blocks": 600, "prefill_ms_per_token": 0.05}
+POOL = {"block_tokens": 100, "prefill_ms_per_token": 0.05, "weights_version": "v1"}
+
+
+def main() -> None:
+    """Run the demo; exit 0 only if every stream was whole and in order."""
+    started = time.monotonic()
+    with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+        fleet.start_platform()
+        fleet.start_engines(ENGINES, ENGINE)
+        apply_tables(fleet, tables_toml(fleet.engines, WORKSPACES, POOL, {}), folder)
+        fleet.start_daemons(DAEMONS)
+        seen = _send(fleet)
+    _print(seen, time.monotonic() - started)
+    sys.exit(0 if all(item.whole for item in seen) else 1)
+
+
+def _send(fleet: Fleet) -> list[Seen]:
+    workload = Workload(SEED, workspaces=WORKSPACES)
+    clients = {
+        (daemon.address, workspace): StreamClient(daemon.address, api_key_of(workspace), MODEL)
+        for daemon in fleet.daemons
+        for workspace in range(WORKSPACES)
+    }
+    senders = GreenletPool(CONCURRENCY)
+    sent: list[gevent.Greenlet] = []
+    for number, prompt in enumerate(workload.prompts(REQUESTS)):
+        daemon = fleet.daemons[number % len(fleet.daemons)]
+        sent.append(senders.spawn(clients[daemon.address, prompt.workspace].ask, prompt))
+    senders.join()
+    return [greenlet.get() for greenlet in sent]
+
+
+def _print(seen: list[Seen], seconds: float) -> None:
+    for number, item in enumerate(seen):
+        state = "whole" if item.whole else f"FAILED {item.error[:100]}"
+        print(
+            f"request {number:3d}: {state}, {item.tokens} tokens, "
+            f"first token {item.first_token_ms:.0f} ms, cached {item.cached_tokens}/"
+            f"{item.prompt_tokens}, target {item.target}, reason {item.reason}"
+        )
+    whole = [item for item in seen if item.whole]
+    prompt_tokens = sum(item.prompt_tokens for item in whole)
+    hit_rate = sum(item.cached_tokens for item in whole) / max(1, prompt_tokens)
+    first = sorted(item.first_token_ms for item in whole) or [0.0]
+    reasons = collections.Counter(item.reason for item in seen)
+    print(f"whole streams: {len(whole)} of {len(seen)}")
+    print(f"prefix hit rate: {hit_rate:.3f}")
+    for part in (0.5, 0.95, 0.99):
+        print(f"first token p{part * 100:.0f}: {first[int(len(first) * part)]:.0f} ms")
+    print("reasons: " + ", ".join(f"{name} {count}" for name, count in reasons.most_common()))
+    print(f"took {seconds:.1f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,222 @@
+"""Stand-ins and daemons as processes on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from types import TracebackType
+
+import attrs
+from returns.result import Success
+
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DOMAINS = ("a", "b", "c")
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 5.0
+MODEL = "atlas"
+
+
+def api_key_of(workspace: int) -> str:
+    """Return the API key of a workspace in the demo and the measurements."""
+    return f"key-{workspace}"
+
+
+def digest_of(api_key: str) -> str:
+    """Return the digest that a route names an API key by."""
+    return hashlib.sha256(api_key.encode()).hexdigest()
+
+
+@attrs.define
+class Daemon:
+    """One running daemon."""
+
+    address: str
+    peer_address: str
+    process: subprocess.Popen
+
+
+class Fleet:
+    """Processes that are ended together."""
+
+    def __init__(self, log_level: str = "warning") -> None:
+        self.processes: list[subprocess.Popen] = []
+        self.log_level = log_level
+        self.log = ""
+        self.hosts = ""
+        self.kv_store = ""
+        self.engines: list[str] = []
+        self.services: list[str] = []
+        self.daemons: list[Daemon] = []
+        self.port = free_port_base()
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End all processes of the fleet."""
+        for process in self.processes:
+            process.terminate()
+        end = time.monotonic() + STOP_TIMEOUT_S
+        for process in self.processes:
+            try:
+                process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def start_stand_in(self, kind: str, properties: Mapping[str, object] | None = None) -> str:
+        """Start one stand-in and return its address."""
+        command = [sys.executable, "-m", "standins", kind]
+        for name, value in (properties or {}).items():
+            command += ["--set", f"{name}={value}"]
+        process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        self.processes.append(process)
+        assert process.stdout is not None
+        return process.stdout.readline().strip()
+
+    def start_platform(self) -> None:
+        """Start the log, the host list and the KV store."""
+        self.log = self.start_stand_in("log")
+        self.hosts = self.start_stand_in("hosts")
+        self.kv_store = self.start_stand_in("kvstore")
+
+    def start_engines(self, count: int, properties: Mapping[str, object]) -> None:
+        """Start engines and put them on the host list."""
+        for number in range(count):
+            address = self.start_stand_in("engine", properties)
+            self.engines.append(address)
+            self.put_host(address, "engine", "live", DOMAINS[number % len(DOMAINS)])
+
+    def start_daemons(self, count: int, flags: Sequence[str] = ()) -> None:
+        """Start daemons and wait until they answer."""
+        for _ in range(count):
+            self.daemons.append(self.start_daemon(flags))
+        for daemon in self.daemons:
+            wait_for(daemon.address, "/readyz")
+
+    def start_daemon(self, flags: Sequence[str] = (), address: str = "") -> Daemon:
+        """Start one daemon without waiting for it."""
+        number = len(self.daemons)
+        address = address or self.next_address()
+        peer_address = self.next_address()
+        command = [
+            sys.executable, "-m", "agaterail", "serve",
+            "--listen", address,
+            "--peer-listen", peer_address,
+            "--domain", DOMAINS[number % len(DOMAINS)],
+            "--log-service", self.log,
+            "--host-list", self.hosts,
+            "--kv-store", self.kv_store,
+            "--peer-secret", "demo-secret",
+            "--log-level", self.log_level,
+            *flags,
+        ]  # fmt: skip
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        process = subprocess.Popen(command, cwd=ROOT, env=environment)
+        self.processes.append(process)
+        self.put_host(peer_address, "router", "live", DOMAINS[number % len(DOMAINS)])
+        return Daemon(address, peer_address, process)
+
+    def next_address(self) -> str:
+        """Return a loopback address that no process of the fleet uses."""
+        self.port += 1
+        return f"127.0.0.1:{self.port}"
+
+    def put_host(self, address: str, role: str, state: str, domain: str) -> None:
+        """Change the host list."""
+        fields = {"address": address, "role": role, "state": state, "domain": domain}
+        call(self.hosts, "POST", "/hosts", fields)
+
+    def control(self, address: str, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        call(address, "POST", "/control", faults)
+
+
+def call(address: str, method: str, path: str, fields: object = None) -> dict:
+    """Call a stand-in and return its JSON answer."""
+    body = b"" if fields is None else json.dumps(fields).encode()
+    answer = HttpConnections(Address.parse(address)).call(method, path, body, timeout_s=10.0)
+    if not isinstance(answer, Success):
+        raise RuntimeError(f"{address}{path}: {answer.failure()}")
+    return json.loads(answer.unwrap()[1])
+
+
+def wait_for(address: str, path: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until a GET is answered with 200."""
+    connections = HttpConnections(Address.parse(address))
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        answer = connections.call("GET", path, timeout_s=1.0)
+        if isinstance(answer, Success) and answer.unwrap()[0] == 200:
+            return
+        time.sleep(0.05)
+    raise RuntimeError(f"{address}{path} did not answer in {timeout_s} s")
+
+
+def free_port_base() -> int:
+    """Return a port with free ones above it, as far as the kernel knows now."""
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return min(probe.getsockname()[1], 64000)
+
+
+def tables_toml(
+    engines: Sequence[str],
+    workspaces: int,
+    pool: Mapping[str, object],
+    route: Mapping[str, object],
+) -> str:
+    """Return table files for one engine pool and a route per workspace."""
+    lines = ["[pools.assistant]", 'kind = "engine"', f'model = "{MODEL}"']
+    entries = [
+        f'{{address = "{address}", domain = "{DOMAINS[number % len(DOMAINS)]}"}}'
+        for number, address in enumerate(engines)
+    ]
+    lines.append(f"targets = [{', '.join(entries)}]")
+    lines += [f"{name} = {_toml(value)}" for name, value in pool.items()]
+    for workspace in range(workspaces):
+        lines += [
+            "",
+            f"[routes.assistant-{workspace}]",
+            f'workspace = "workspace-{workspace}"',
+            f'callers = ["{digest_of(api_key_of(workspace))}"]',
+            f'models = ["{MODEL}"]',
+            'pool = "assistant"',
+        ]
+        lines += [f"{name} = {_toml(value)}" for name, value in route.items()]
+    return "\n".join(lines) + "\n"
+
+
+def apply_tables(fleet: Fleet, text: str, folder: str) -> None:
+    """Write a table file and apply it with the product's own command."""
+    file = pathlib.Path(folder) / "tables.toml"
+    file.write_text(text, encoding="utf-8")
+    command = [sys.executable, "-m", "agaterail", "apply", str(file)]
+    command += ["--log-service", fleet.log, "--author", "fleet"]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    subprocess.run(command, check=True, cwd=ROOT, env=environment, stdout=subprocess.DEVNULL)
+
+
+def _toml(value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else str(value)
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,82 @@
+"""Run the unit tests and print ``N passed, N failed`` as the last line.
+
+Tests named in KNOWN-RED.txt may fail; they are printed and counted apart.
+"""
+
+from __future__ import annotations
+
+from agaterail.util import greenlets
+
+greenlets.patch()
+
+import pathlib
+import sys
+import time
+import unittest
+
+import hypothesis
+
+from agaterail import logs
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+MAX_KNOWN_RED = 3
+SLOWEST_SHOWN = 5
+
+
+class TimedResult(unittest.TextTestResult):
+    """Result that also keeps the time of each test."""
+
+    def __init__(self, *arguments: object, **named: object) -> None:
+        super().__init__(*arguments, **named)  # type: ignore[arg-type]
+        self.times: list[tuple[float, str]] = []
+        self.started_at = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the start."""
+        self.started_at = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the end."""
+        self.times.append((time.monotonic() - self.started_at, test.id()))
+        super().stopTest(test)
+
+
+def main() -> None:
+    """Run all tests, or those whose dotted names are given."""
+    hypothesis.settings.register_profile(
+        "ci", derandomize=True, deadline=None, database=None, print_blob=False
+    )
+    hypothesis.settings.load_profile("ci")
+    logs.configure("error")
+    loader = unittest.TestLoader()
+    if len(sys.argv) > 1:
+        suite = loader.loadTestsFromNames(sys.argv[1:])
+    else:
+        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    runner = unittest.TextTestRunner(resultclass=TimedResult, verbosity=1, buffer=True)
+    result = runner.run(suite)
+    assert isinstance(result, TimedResult)
+    known = _known_red()
+    broken = [*result.failures, *result.errors]
+    red = [test.id() for test, _ in broken if test.id() in known]
+    failed = len(broken) - len(red) + len(result.unexpectedSuccesses)
+    for seconds, name in sorted(result.times, reverse=True)[:SLOWEST_SHOWN]:
+        print(f"slow: {seconds:.2f} s {name}")
+    for name in red:
+        print(f"known red: {name}")
+    passed = result.testsRun - len(broken) - len(result.skipped)
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed or len(known) > MAX_KNOWN_RED or not result.testsRun else 0)
+
+
+def _known_red() -> set[str]:
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {line.split()[0] for line in lines if line.strip() and not line.startswith("#")}
+
+
+if __name__ == "__main__":
+    main()
