Check the command line before fire reads it

Fire drops the value of a flag without one, passes unknown flags on, reads 007 as a number and goes on to attributes of a result with words left over. Each word is now checked against the command's signature and the settings; fire gets values as literals of their text. Unknown and misspelt flags, missing values, wrong types, ports in use and unknown commands end in one line and status 2. Settings for TLS files and header bounds are read and checked; a shared secret is needed unless peers are reached on loopback. The status command asks a daemon over its peer port.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -54,6 +54,7 @@
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
     "agaterail.controllers.hosts",
+    "agaterail.status",
 )
 REQUEST_ID_BYTES = 12
 DEFAULT_POLICY = "pure_hash"
@@ -119,7 +120,13 @@
         return not self.draining and self.tables.through != NO_VERSION
 
     def start(self) -> None:
-        """Receive from peers and start the controllers."""
+        """Receive from peers and start the controllers.
+
+        Raises
+        ------
+        OSError
+            If the address for peers cannot be bound.
+        """
         self.peers.start()
         for controller in self.controllers.values():
             subscription = self.timers.every(controller.period_s, controller.reconcile)
--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -6,69 +6,194 @@
 
 greenlets.patch()
 
+import difflib
+import os
+import re
 import sys
 from typing import TYPE_CHECKING
 
+import attrs
 import fire
-from fire.decorators import SetParseFn
+from fire.helptext import HelpText
+from fire.trace import FireTrace
+from returns.result import Success
 
-from agaterail import __version__
+from agaterail import __version__, settings
+from agaterail.cmd import arguments
 from agaterail.cmd.serve import serve
+from agaterail.cmd.status import status
 from agaterail.cmd.tables import apply, check, diff, history, show
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
+PROGRAM = "agaterail"
+FLAG_LINE = re.compile(r"(?:-\w, )?(--\w+)")
+FAILED = 1
 USAGE_ERROR = 2
+INTERRUPTED = 130
+HELP_WORDS = ("--help", "-h", "help")
+COMMANDS = ("serve", "check", "diff", "apply", "show", "history", "status", "version")
 
 
 class Commands:
-    """Router for language-model traffic with long shared prompts."""
+    """Router for language-model traffic with long shared prompts.
+
+    serve runs the daemon; check, diff, apply, show and history are for the
+    tables; status asks a running daemon. Each command has its own --help.
+    """
 
-    @SetParseFn(str)
     def serve(self, print_settings: str = "false", **flags: str) -> int:
-        """Run the daemon.
+        """Run the daemon until SIGTERM, then drain and exit.
+
+        Each setting is a flag (--listen) or a variable (AGATERAIL_LISTEN); a
+        flag goes before its variable, which goes before the default.
 
-        Each setting is a flag (--listen) or a variable (AGATERAIL_LISTEN).
-        --print-settings prints all of them with their values and ends.
+        Parameters
+        ----------
+        print_settings
+            Print all settings with their values and end.
         """
         return serve(flags, print_only=print_settings != "false")
 
-    @SetParseFn(str)
     def check(self, *paths: str) -> int:
-        """Check table files (TOML) without the log."""
+        """Check table files (TOML) by themselves; the log is not asked.
+
+        Names every problem with its file, row and field. Exits 0 if there is
+        none, else 2.
+        """
         return check(paths)
 
-    @SetParseFn(str)
     def diff(self, *paths: str, log_service: str = "") -> int:
-        """Show what applying table files would change."""
-        return diff(paths, log_service)
+        """Show what applying table files would change.
+
+        Parameters
+        ----------
+        log_service
+            Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        """
+        return _with_log(log_service, lambda address: diff(paths, address))
 
-    @SetParseFn(str)
     def apply(
         self, *paths: str, log_service: str = "", author: str = "", dry_run: str = "false"
     ) -> int:
-        """Make the tables in force equal to the files, all or nothing."""
-        return apply(paths, log_service, author, dry_run != "false")
+        """Make the tables in force equal to the files, all or nothing.
+
+        Exits 0 only after the edit was read back as accepted.
+
+        Parameters
+        ----------
+        log_service
+            Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        author
+            Name kept with the edit; the user's name if left out.
+        dry_run
+            Print the plan and end.
+        """
+        return _with_log(
+            log_service, lambda address: apply(paths, address, author, dry_run != "false")
+        )
 
-    @SetParseFn(str)
     def show(self, log_service: str = "") -> int:
-        """Print the tables in force."""
-        return show(log_service)
+        """Print the tables in force with each row's version and author.
+
+        Parameters
+        ----------
+        log_service
+            Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        """
+        return _with_log(log_service, show)
 
-    @SetParseFn(str)
     def history(self, log_service: str = "") -> int:
-        """Print the judged edits that the log still keeps."""
-        return history(log_service)
+        """Print the edits that the log still keeps and how each was judged.
+
+        Parameters
+        ----------
+        log_service
+            Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        """
+        return _with_log(log_service, history)
+
+    def status(self, peer: str = "", json: str = "false", **flags: str) -> int:
+        """Ask a daemon for its tables version, members, engines and limits.
+
+        The daemons' shared secret comes from AGATERAIL_PEER_SECRET.
+
+        Parameters
+        ----------
+        peer
+            The daemon's --peer-listen address, IP:port.
+        json
+            Print one JSON object.
+        """
+        return status(peer, json != "false", flags)
 
     def version(self) -> int:
         """Print the version."""
-        print(f"agaterail {__version__}")
+        print(f"{PROGRAM} {__version__}")
         return 0
 
 
-def main(arguments: Sequence[str] | None = None) -> None:
+def main(words: Sequence[str] | None = None) -> None:
     """Run one command and exit with its status."""
-    given = list(sys.argv[1:] if arguments is None else arguments)
-    status = fire.Fire(Commands(), command=given, name="agaterail", serialize=lambda _: "")
-    sys.exit(status if isinstance(status, int) else USAGE_ERROR)
+    try:
+        code = run(list(sys.argv[1:] if words is None else words))
+    except KeyboardInterrupt:
+        code = INTERRUPTED
+    except Exception as error:  # the operator gets one line in any case
+        print(f"{PROGRAM}: {type(error).__name__}: {error}", file=sys.stderr)
+        code = FAILED
+    sys.exit(code)
+
+
+def run(words: list[str]) -> int:
+    """Run one command and return its exit status."""
+    if not words:
+        return _complain(f"Name a command: {', '.join(COMMANDS)}.")
+    name, *rest = words
+    if name in HELP_WORDS:
+        return _help(Commands(), PROGRAM)
+    if name not in COMMANDS:
+        return _complain(_unknown_command(name))
+    command = getattr(Commands(), name)
+    if any(word in HELP_WORDS[:2] for word in rest):
+        return _help(command, f"{PROGRAM} {name}")
+    checked = arguments.check(rest, arguments.accepted_by(command))
+    if not isinstance(checked, Success):
+        return _complain(*checked.failure())
+    code = fire.Fire(
+        Commands(), command=[name, *checked.unwrap()], name=PROGRAM, serialize=lambda _: None
+    )
+    return code if isinstance(code, int) else USAGE_ERROR
+
+
+def _with_log(log_service: str, command: Callable[[str], int]) -> int:
+    flags = {"log_service": log_service} if log_service else {}
+    loaded = settings.load_one("log_service", flags, os.environ)
+    if not isinstance(loaded, Success):
+        return _complain(str(loaded.failure()))
+    return command(str(loaded.unwrap()))
+
+
+def _help(component: object, name: str) -> int:
+    # Printed here and not by fire, whose pager would start a process. Short
+    # flags are left out: they would change their meaning with each new flag.
+    text = HelpText(component, FireTrace(component, name=name))
+    print(FLAG_LINE.sub(lambda match: match[1].replace("_", "-"), text))
+    if name.endswith(" serve"):
+        print("\nSETTINGS")
+        for field in attrs.fields(settings.Settings):
+            print(f"    {settings.described(field)}")
+    return 0
+
+
+def _unknown_command(name: str) -> str:
+    near = difflib.get_close_matches(name, COMMANDS, n=1)
+    hint = f"did you mean {near[0]}?" if near else f"there are {', '.join(COMMANDS)}."
+    return f"{name!r}: there is no such command; {hint}"
+
+
+def _complain(*lines: str) -> int:
+    for line in lines:
+        print(line, file=sys.stderr)
+    return USAGE_ERROR
--- a/agaterail/cmd/serve.py
+++ b/agaterail/cmd/serve.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import ssl
 import sys
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,8 @@
         for problem in loaded.failure():
             print(problem, file=sys.stderr)
         return EXIT_USAGE
+    for name in settings.unknown_variables(os.environ):
+        print(f"Warning: {name} is no setting.", file=sys.stderr)
     chosen = loaded.unwrap()
     if print_only:
         _print_settings(chosen)
@@ -37,6 +40,14 @@
     return _run(chosen)
 
 
+def _complain(name: str, reason: str) -> int:
+    problem = settings.SettingsProblem(
+        settings.Settings.flag_of(name), settings.Settings.variable_of(name), reason
+    )
+    print(problem, file=sys.stderr)
+    return EXIT_USAGE
+
+
 def _print_settings(chosen: Settings) -> None:
     for field in attrs.fields(type(chosen)):
         value = getattr(chosen, field.name)
@@ -52,7 +63,7 @@
 
     return Peers(
         str(chosen.peer_listen),
-        GrpcTransport(chosen.peer_listen),
+        GrpcTransport(chosen.peer_listen, chosen),
         DatagramTransport(chosen.peer_listen),
         chosen.peer_secret,
     )
@@ -67,13 +78,17 @@
     app = Application(chosen, peers=_peers(chosen))
     try:
         server = make_server(app, chosen.listen)
+    except ssl.SSLError as error:
+        return _complain("tls_certificate", f"the files cannot be used: {error}")
     except OSError as error:
-        print(f"--listen (AGATERAIL_LISTEN): {error}", file=sys.stderr)
-        return EXIT_USAGE
+        return _complain("listen", f"{chosen.listen} cannot be bound: {error.strerror}")
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
-    app.start()
+    try:
+        app.start()
+    except OSError as error:
+        return _complain("peer_listen", f"{chosen.peer_listen} cannot be bound: {error}")
     server.start()
     stopping.wait()
     app.draining = True
--- /dev/null
+++ b/agaterail/cmd/status.py
@@ -0,0 +1,79 @@
+"""The ``status`` command: ask a running daemon."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Result, Success
+
+from agaterail import settings
+from agaterail.status import StatusQuery
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from agaterail.settings import Settings
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+TIMEOUT_S = 5.0
+INDENT = "  "
+
+
+def status(peer: str, as_json: bool, flags: Mapping[str, str]) -> int:
+    """Print the status of the daemon at ``peer``; returns the exit status."""
+    given = {**flags, "peer_listen": peer} if peer else dict(flags)
+    loaded = settings.load(given, os.environ)
+    if not isinstance(loaded, Success):
+        for problem in loaded.failure():
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    asked = _ask(loaded.unwrap())
+    if not isinstance(asked, Success):
+        address = loaded.unwrap().peer_listen
+        print(f"The daemon at {address} gave no answer: {asked.failure()}", file=sys.stderr)
+        return EXIT_FAILED
+    report = json.loads(asked.unwrap().report)
+    if as_json:
+        print(json.dumps(report))
+    else:
+        print("\n".join(lines_of(report)))
+    return 0
+
+
+def lines_of(report: Mapping[str, Any], indent: str = "") -> list[str]:
+    """Return a report as one line for each value, nested by indentation."""
+    lines: list[str] = []
+    for name, value in report.items():
+        if isinstance(value, dict):
+            lines.append(f"{indent}{name}:" + ("" if value else " none"))
+            lines += lines_of(value, indent + INDENT)
+        elif isinstance(value, list):
+            lines.append(f"{indent}{name}: {len(value)}")
+            lines += [f"{indent}{INDENT}{item}" for item in value]
+        else:
+            lines.append(f"{indent}{name}: {_text(value)}")
+    return lines
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
+def _ask(chosen: Settings) -> Result[Any, str]:
+    from agaterail.peers import Peers
+    from agaterail.peers.grpc import GrpcTransport
+    from agaterail.peers.memory import MemoryNetwork, MemoryTransport
+
+    calls = GrpcTransport(chosen.peer_listen, chosen)
+    # A short-lived client: it listens on no port and gets no hints.
+    peers = Peers("status", calls, MemoryTransport(MemoryNetwork(), ""), chosen.peer_secret)
+    try:
+        return peers.call(str(chosen.peer_listen), StatusQuery(), TIMEOUT_S)
+    finally:
+        calls.stop()
--- a/agaterail/peers/grpc.py
+++ b/agaterail/peers/grpc.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import errno
+import os
+import pathlib
 from concurrent import futures
 from typing import TYPE_CHECKING
 
+# The library's core would write its own lines to stderr; failures are returned.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
+import attrs
 import grpc
 import grpc.experimental.gevent as grpc_gevent
 from gevent.lock import BoundedSemaphore
@@ -13,6 +20,7 @@
 from agaterail.peers import Transport
 
 if TYPE_CHECKING:
+    from agaterail.settings import Settings
     from agaterail.util.address import Address
 
 METHOD = "/agaterail.Peers/Call"
@@ -27,17 +35,45 @@
 )
 
 
+@attrs.frozen
+class TlsFiles:
+    """Contents of the files with which daemons prove themselves to each other."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+
+    @classmethod
+    def read(cls, settings: Settings) -> TlsFiles | None:
+        """Read the files that the settings name, or return None if they name none."""
+        names = (
+            settings.peer_tls_certificate,
+            settings.peer_tls_key,
+            settings.peer_tls_authority,
+        )
+        if not all(names):
+            return None
+        return cls(*(pathlib.Path(name or "").read_bytes() for name in names))
+
+
 class GrpcTransport(Transport):
     """One server and a channel per peer.
 
     With client and server in one process under gevent, calls run into their
     deadlines once about twenty are in flight, although the peer answers; four
     at a time ran without a loss, so more wait their turn here.
+
+    Parameters
+    ----------
+    settings
+        Names the TLS files; without them calls are authenticated by the
+        shared secret but not encrypted.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, settings: Settings | None = None) -> None:
         grpc_gevent.init_gevent()
         self.address = address
+        self.tls = TlsFiles.read(settings) if settings is not None else None
         self.channels: dict[str, grpc.Channel] = {}
         self.in_flight = BoundedSemaphore(MAX_CALLS_IN_FLIGHT)
         self.server: grpc.Server | None = None
@@ -47,7 +83,7 @@
 
         Raises
         ------
-        RuntimeError
+        OSError
             If the address cannot be bound.
         """
         handler = grpc.unary_unary_rpc_method_handler(self._serve)
@@ -56,7 +92,10 @@
         server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(service, {method: handler}),)
         )
-        server.add_insecure_port(str(self.address))
+        try:
+            self._bind(server)
+        except RuntimeError as error:
+            raise OSError(errno.EADDRINUSE, f"{self.address} cannot be bound") from error
         server.start()
         self.server = server
 
@@ -86,8 +125,27 @@
     def _channel(self, address: str) -> grpc.Channel:
         channel = self.channels.get(address)
         if channel is None:
-            channel = self.channels[address] = grpc.insecure_channel(address, options=OPTIONS)
+            channel = self.channels[address] = self._connect(address)
         return channel
 
+    def _connect(self, address: str) -> grpc.Channel:
+        if self.tls is None:
+            return grpc.insecure_channel(address, options=OPTIONS)
+        credentials = grpc.ssl_channel_credentials(
+            self.tls.authority, self.tls.key, self.tls.certificate
+        )
+        return grpc.secure_channel(address, credentials, options=OPTIONS)
+
+    def _bind(self, server: grpc.Server) -> None:
+        if self.tls is None:
+            server.add_insecure_port(str(self.address))
+            return
+        credentials = grpc.ssl_server_credentials(
+            [(self.tls.key, self.tls.certificate)],
+            self.tls.authority,
+            require_client_auth=True,
+        )
+        server.add_secure_port(str(self.address), credentials)
+
     def _serve(self, data: bytes, context: grpc.ServicerContext) -> bytes:
         return self.receive(context.peer(), data) or b""
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import difflib
+import ipaddress
+import pathlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -62,6 +64,14 @@
     return text
 
 
+def _file(text: str) -> str:
+    try:
+        with pathlib.Path(text).open("rb"):
+            return text
+    except OSError as error:
+        raise ValueError(f"{text!r} cannot be read: {error.strerror}") from None
+
+
 def _optional(parse: Callable[[str], Any]) -> Callable[[str], Any]:
     return lambda text: parse(text) if text else None
 
@@ -100,6 +110,30 @@
     )
     max_body_bytes: int = _setting(32 * 1024 * 1024, _count, "largest request body in bytes")
     max_in_flight: int = _setting(2000, _count, "most requests at a time on this daemon")
+    max_header_bytes: int = _setting(
+        32 * 1024, _count, "largest request line and headers of a request in bytes"
+    )
+    header_timeout_s: float = _setting(
+        10.0, _seconds, "seconds in which the headers of a request must have arrived"
+    )
+    idle_timeout_s: float = _setting(
+        300.0, _seconds, "seconds after which an idle connection of a caller is closed"
+    )
+    tls_certificate: str | None = _setting(
+        None, _optional(_file), "file of the certificate chain shown to callers (PEM)"
+    )
+    tls_key: str | None = _setting(
+        None, _optional(_file), "file of the key of --tls-certificate (PEM)"
+    )
+    peer_tls_certificate: str | None = _setting(
+        None, _optional(_file), "file of the certificate chain shown to other daemons (PEM)"
+    )
+    peer_tls_key: str | None = _setting(
+        None, _optional(_file), "file of the key of --peer-tls-certificate (PEM)"
+    )
+    peer_tls_authority: str | None = _setting(
+        None, _optional(_file), "file of the authority that signs the daemons' certificates"
+    )
 
     @classmethod
     def flag_of(cls, name: str) -> str:
@@ -124,7 +158,9 @@
         return f"{self.flag} ({self.variable}): {self.reason}"
 
 
-def load(flags: Mapping[str, str], environment: Mapping[str, str]) -> Result[Settings, list]:
+def load(
+    flags: Mapping[str, str], environment: Mapping[str, str]
+) -> Result[Settings, list[SettingsProblem]]:
     """Read settings; a flag goes before its variable, which goes before the default.
 
     Returns
@@ -132,22 +168,75 @@
     Result
         The settings, or all problems found.
     """
-    fields = {field.name: field for field in attrs.fields(Settings)}
+    fields = attrs.fields_dict(Settings)
     problems = [_unknown(flag, fields) for flag in flags if flag not in fields]
     values: dict[str, Any] = {}
-    for name, field in fields.items():
-        text = flags.get(name, environment.get(Settings.variable_of(name)))
-        if text is None:
-            continue
-        try:
-            values[name] = field.metadata["parse"](text)
-        except ValueError as error:
-            problems.append(
-                SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), str(error))
-            )
+    for name in fields:
+        loaded = load_one(name, flags, environment)
+        if isinstance(loaded, Success):
+            values[name] = loaded.unwrap()
+        else:
+            problems.append(loaded.failure())
     if problems:
         return Failure(problems)
-    return Success(Settings(**values))
+    settings = Settings(**values)
+    joined = _joined_problems(settings)
+    return Failure(joined) if joined else Success(settings)
+
+
+def load_one(
+    name: str, flags: Mapping[str, str], environment: Mapping[str, str]
+) -> Result[Any, SettingsProblem]:
+    """Read one setting by the same precedence."""
+    field = attrs.fields_dict(Settings)[name]
+    text = flags.get(name, environment.get(Settings.variable_of(name)))
+    if text is None:
+        return Success(field.default)
+    try:
+        return Success(field.metadata["parse"](text))
+    except ValueError as error:
+        return Failure(_problem(name, str(error)))
+
+
+def unknown_variables(environment: Mapping[str, str]) -> list[str]:
+    """Return the variables with the prefix that are no setting."""
+    known = {Settings.variable_of(name) for name in attrs.fields_dict(Settings)}
+    return sorted(
+        name
+        for name in environment
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in known
+    )
+
+
+def described(field: Any) -> str:
+    """Return the flag, variable, meaning and default of a setting in one line."""
+    default = "none" if field.default in (None, "") else str(field.default)
+    flag, variable = Settings.flag_of(field.name), Settings.variable_of(field.name)
+    return f"{flag} ({variable}): {field.metadata['description']}; default {default}"
+
+
+def _joined_problems(settings: Settings) -> list[SettingsProblem]:
+    problems: list[SettingsProblem] = []
+    for certificate, key in (
+        ("tls_certificate", "tls_key"),
+        ("peer_tls_certificate", "peer_tls_key"),
+        ("peer_tls_certificate", "peer_tls_authority"),
+    ):
+        for given, missing in ((certificate, key), (key, certificate)):
+            if getattr(settings, given) and not getattr(settings, missing):
+                reason = f"needed together with {Settings.flag_of(given)}"
+                problems.append(_problem(missing, reason))
+    loopback = ipaddress.ip_address(settings.peer_listen.host).is_loopback
+    if not settings.peer_secret and not loopback:
+        # Without a secret anyone who reaches the port could answer hints and
+        # calls as a daemon; on loopback only this host's processes reach it.
+        reason = f"needed unless {Settings.flag_of('peer_listen')} is a loopback address"
+        problems.append(_problem("peer_secret", reason))
+    return problems
+
+
+def _problem(name: str, reason: str) -> SettingsProblem:
+    return SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), reason)
 
 
 def _unknown(name: str, fields: Mapping[str, Any]) -> SettingsProblem:
@@ -155,4 +244,4 @@
     reason = "there is no such setting"
     if near:
         reason = f"{reason}; did you mean {Settings.flag_of(near[0])}?"
-    return SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), reason)
+    return _problem(name, reason)
