--- a/agaterail/filters/identify.py
+++ b/agaterail/filters/identify.py
@@ -25,13 +25,23 @@
 
     def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
         """Refuse a request without a key."""
-        header = exchange.headers.get("authorization", "")
-        if not header.lower().startswith(SCHEME):
+        exchange.caller = caller_of(exchange.headers.get("authorization", ""))
+        if not exchange.caller:
             return Failure(errors.Failure(errors.ErrorKind.UNAUTHENTICATED))
-        exchange.caller = digest_of(header[len(SCHEME) :].strip())
         return proceed(exchange)
 
 
+def caller_of(header: str) -> str:
+    """Return the digest of a bearer key, or nothing without one.
+
+    Keys are looked up by digest only, so that the time of a comparison tells
+    nothing of a key.
+    """
+    if not header[: len(SCHEME)].lower() == SCHEME:
+        return ""
+    return digest_of(header[len(SCHEME) :].strip())
+
+
 def digest_of(api_key: str) -> str:
     """Return the digest that a route names a caller by."""
     return sha256(api_key.encode("utf-8", "surrogateescape")).hexdigest()
--- a/agaterail/server.py
+++ b/agaterail/server.py
@@ -12,8 +12,10 @@
 
 from agaterail import errors, logs
 from agaterail.errors import ErrorKind, Outcome
-from agaterail.filters.identify import digest_of
+from agaterail.filters.identify import caller_of
+from agaterail.filters.match import CallerIndex
 from agaterail.filters.relay import error_object
+from agaterail.tables import NO_VERSION
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -99,28 +101,43 @@
 
 
 class ModelsResource:
-    """Lists the models that the caller's routes serve."""
+    """Lists the models that the caller's routes serve, in the OpenAI form."""
 
     def __init__(self, app: Application) -> None:
         self.app = app
+        self.index = CallerIndex()
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Answer in the OpenAI form."""
-        key = (request.auth or "").partition(" ")[2].strip()
-        caller = digest_of(key)
-        routes = [held.row for held in self.app.tables.routes.values()]
-        mine = [route for route in routes if caller in route.callers]
-        if not mine:
-            _send_failure(response, errors.Failure(ErrorKind.UNAUTHENTICATED), "")
+        """Answer all models."""
+        names = self._names(request)
+        if not names:
+            _send_failure(response, self._refusal(names), "")
             return
-        names = sorted({model for route in mine for model in route.models})
-        response.media = {
-            "object": "list",
-            "data": [
-                {"id": name, "object": "model", "created": 0, "owned_by": "agaterail"}
-                for name in names
-            ],
-        }
+        response.media = {"object": "list", "data": [_model(name) for name in names]}
+
+    def on_get_one(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        """Answer one model."""
+        names = self._names(request)
+        if name in names:
+            response.media = _model(name)
+            return
+        _send_failure(response, self._refusal(names), "")
+
+    def _refusal(self, names: list[str]) -> errors.Failure:
+        if self.app.tables.through == NO_VERSION:
+            return errors.Failure(ErrorKind.TABLES_UNAVAILABLE)
+        return errors.Failure(ErrorKind.NO_ROUTE if names else ErrorKind.UNAUTHENTICATED)
+
+    def _names(self, request: falcon.Request) -> list[str]:
+        caller = caller_of(request.auth or "")
+        routes = self.index.routes_of(self.app.tables, caller)
+        return sorted({model for route in routes for model in route.models})
+
+
+def _model(name: str) -> dict[str, str | int]:
+    return {"id": name, "object": "model", "created": 0, "owned_by": "agaterail"}
 
 
 class _Handler(WSGIHandler):
@@ -135,7 +152,9 @@
     wsgi = falcon.App()
     wsgi.add_route("/healthz", HealthResource())
     wsgi.add_route("/readyz", ReadyResource(app))
-    wsgi.add_route("/v1/models", ModelsResource(app))
+    models = ModelsResource(app)
+    wsgi.add_route("/v1/models", models)
+    wsgi.add_route("/v1/models/{name}", models, suffix="one")
     wsgi.add_sink(CallerResource(app).serve, prefix="/")  # type: ignore[arg-type]
     wsgi.add_error_handler(Exception, _on_exception)
     return wsgi
@@ -175,6 +194,10 @@
     response.set_header("x-agaterail-outcome", failure.outcome.value)
     if request_id:
         response.set_header("x-request-id", request_id)
+    # Stock OpenAI clients send a failed request again by themselves; with an
+    # unknown outcome they would do so without the caller's knowledge.
+    retry = failure.retry_hint_s is not None
+    response.set_header("x-should-retry", "true" if retry else "false")
     if failure.retry_hint_s is not None:
         response.set_header("retry-after", str(max(1, round(failure.retry_hint_s))))
         response.set_header("retry-after-ms", str(int(failure.retry_hint_s * 1e3)))
