--- a/agaterail/filters/identify.py
+++ b/agaterail/filters/identify.py
@@ -37,7 +37,7 @@
     Keys are looked up by digest only, so that the time of a comparison tells
     nothing of a key.
     """
-    if not header[: len(SCHEME)].lower() == SCHEME:
+    if header[: len(SCHEME)].lower() != SCHEME:
         return ""
     return digest_of(header[len(SCHEME) :].strip())
 
