Build one binary that runs as one process and writes nothing

shiv unpacks 42 MB below a directory that must be writable, PyInstaller and Nuitka start a second process. A test starts it with an empty environment in an empty directory and finds no child and no file.

--- /dev/null
+++ b/tests/test_tools/test_build_binary.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import tempfile
+import unittest
+
+from returns.result import Success
+
+from agaterail import codec
+from agaterail.records import TABLES_STREAM, TablesRecord
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+from standins.engine import EngineConfig, EngineStandIn
+from standins.log import LogStandIn
+from tests.support import (
+    API_KEY,
+    MODEL,
+    chat_route,
+    edit,
+    engine_pool,
+    free_port,
+    put,
+    wait_until,
+)
+from tools.build_binary import build_cached, runtime_packages
+
+FAST = EngineConfig(block_tokens=10, prefill_ms_per_token=0.001, decode_ms=1.0)
+BODY = b'{"model": "%s", "messages": [{"role": "user", "content": "hello"}]}'
+START_SECONDS = 20.0
+
+
+class BinaryTest(unittest.TestCase):
+    def setUp(self):
+        self.engine, self.log = EngineStandIn(FAST), LogStandIn()
+        change = edit("e0", put(engine_pool([self.engine.start()])), put(chat_route()))
+        self.log_address = self.log.start()
+        log = HttpConnections(Address.parse(self.log_address))
+        data = codec.encode(change, TablesRecord)
+        appended = log.call("POST", f"/streams/{TABLES_STREAM}/append", data)
+        self.assertIsInstance(appended, Success)
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.binary = build_cached()
+
+    def tearDown(self):
+        self.engine.stop()
+        self.log.stop()
+
+    def test_it_serves_as_one_process_without_environment_or_files(self):
+        # The hosts have no disks and a process must not start another one. A
+        # packer that unpacks itself or runs its program as a child shows here
+        # as files, as a second process, or as a failure to start.
+        listen, peer = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        flags = ["--listen", listen, "--peer-listen", peer, "--drain-lag-s", "0"]
+        command = [self.binary, "serve", "--log-service", self.log_address, *flags]
+        daemon = subprocess.Popen(command, cwd=self.folder, env={}, stderr=subprocess.DEVNULL)
+        self.addCleanup(daemon.kill)
+        connections = HttpConnections(Address.parse(listen))
+        wait_until(lambda: status_of(connections, "/readyz") == 200, START_SECONDS)
+        answer = connections.call(
+            "POST",
+            "/v1/chat/completions",
+            BODY % MODEL.encode(),
+            {"authorization": f"Bearer {API_KEY}"},
+        )
+        self.assertEqual(answer.unwrap()[0], 200)
+        self.assertEqual(children_of(daemon.pid), [])
+        self.assertEqual(list(pathlib.Path(self.folder).iterdir()), [])
+        asked = subprocess.run(
+            [self.binary, "status", "--peer", peer],
+            env={},
+            capture_output=True,
+            text=True,
+            timeout=START_SECONDS,
+            check=False,
+        )
+        self.assertIn("ready: yes\n", asked.stdout)
+        daemon.terminate()
+        self.assertEqual(daemon.wait(START_SECONDS), 0)
+
+    def test_only_run_time_packages_are_in_it(self):
+        packages = runtime_packages()
+        self.assertIn("gevent", packages)
+        for name in ("openai", "mypy", "shiv", "cryptography", "hypothesis"):
+            self.assertNotIn(name, packages)
+
+
+def status_of(connections, path):
+    return connections.call("GET", path).value_or((0, b""))[0]
+
+
+def children_of(pid):
+    tasks = pathlib.Path(f"/proc/{pid}/task").iterdir()
+    return [child for task in tasks for child in (task / "children").read_text().split()]
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,142 @@
+"""Build ``dist/agaterail``: one executable file that runs as one process."""
+
+from __future__ import annotations
+
+import hashlib
+import importlib.metadata
+import pathlib
+import py_compile
+import sys
+import tempfile
+import tomllib
+import zipfile
+from collections.abc import Iterator
+
+from pip._vendor.packaging.requirements import Requirement
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TARGET = ROOT / "dist" / "agaterail"
+PACKAGE = ROOT / "agaterail"
+START = ROOT / "tools" / "binary_main.py"
+LOCK = ROOT / "requirements.lock"
+DATE = (2020, 1, 1, 0, 0, 0)
+EXECUTABLE = 0o755
+DIGEST_BYTES = 12
+LEFT_OUT = ("tests", "testing", "__pycache__")
+LEFT_OUT_SUFFIXES = (".pyc", ".pyi", ".c", ".h", ".pyx", ".pxd", ".pth")
+
+
+def main() -> None:
+    """Build the binary and print where it is."""
+    build(TARGET)
+    print(f"{TARGET.relative_to(ROOT)}: {TARGET.stat().st_size / 1e6:.1f} MB")
+
+
+def build(target: pathlib.Path) -> None:
+    """Write the binary; the same sources and lock give the same bytes."""
+    target.parent.mkdir(parents=True, exist_ok=True)
+    with target.open("wb") as file:
+        file.write(f"#!{sys._base_executable}\n".encode())  # type: ignore[attr-defined]
+        with zipfile.ZipFile(file, "w", zipfile.ZIP_DEFLATED) as archive:
+            members = _members()
+            # Packages without __init__.py are found by their directory's entry.
+            for folder in sorted({parent for name in members for parent in _parents(name)}):
+                archive.writestr(zipfile.ZipInfo(f"{folder}/", DATE), b"")
+            for name, path in sorted(members.items()):
+                _add(archive, name, path)
+    target.chmod(EXECUTABLE)
+
+
+def build_cached() -> pathlib.Path:
+    """Build the binary unless one of the same sources and lock is kept."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for path in (*sorted(PACKAGE.rglob("*.py")), START, LOCK, pathlib.Path(__file__)):
+        digest.update(path.read_bytes())
+    target = ROOT / "build" / f"agaterail-{digest.hexdigest()}"
+    if not target.exists():
+        unfinished = target.with_suffix(".unfinished")
+        build(unfinished)
+        unfinished.rename(target)
+    return target
+
+
+def runtime_packages() -> dict[str, str]:
+    """Return the locked versions of the run-time packages and what they need.
+
+    Raises
+    ------
+    RuntimeError
+        If an installed version is not the locked one.
+    """
+    locked = dict(line.split("==") for line in LOCK.read_text().split())
+    locked = {_normal(name): version for name, version in locked.items()}
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))["project"]
+    found: dict[str, str] = {}
+    left = [Requirement(text) for text in project["dependencies"]]
+    while left:
+        requirement = left.pop()
+        name = _normal(requirement.name)
+        marker = requirement.marker
+        if name in found or (marker is not None and not marker.evaluate({"extra": ""})):
+            continue
+        installed = importlib.metadata.version(name)
+        if installed != locked.get(name):
+            raise RuntimeError(f"{name} {installed} is not the locked {locked.get(name)}")
+        found[name] = installed
+        left += [Requirement(text) for text in importlib.metadata.requires(name) or ()]
+    return found
+
+
+def _normal(name: str) -> str:
+    return name.lower().replace("_", "-").replace(".", "-")
+
+
+def _members() -> dict[str, pathlib.Path]:
+    members = {"__main__.py": START}
+    for path in PACKAGE.rglob("*.py"):
+        members[str(path.relative_to(ROOT))] = path
+    for package in runtime_packages():
+        for file in importlib.metadata.files(package) or ():
+            if _wanted(file):
+                members[str(file)] = pathlib.Path(str(file.locate()))
+    return members
+
+
+def _parents(name: str) -> list[str]:
+    return [str(parent) for parent in pathlib.PurePosixPath(name).parents][:-1]
+
+
+def _wanted(file: pathlib.PurePath) -> bool:
+    parts = file.parts
+    return not (
+        parts[0] == ".."
+        or any(part in LEFT_OUT for part in parts)
+        or file.suffix in LEFT_OUT_SUFFIXES
+    )
+
+
+def _add(archive: zipfile.ZipFile, name: str, path: pathlib.Path) -> None:
+    for member, data in _contents(name, path):
+        info = zipfile.ZipInfo(member, DATE)
+        info.compress_type = zipfile.ZIP_DEFLATED
+        archive.writestr(info, data)
+
+
+def _contents(name: str, path: pathlib.Path) -> Iterator[tuple[str, bytes]]:
+    yield name, path.read_bytes()
+    if path.suffix != ".py":
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        compiled = pathlib.Path(folder) / "compiled.pyc"
+        py_compile.compile(
+            str(path),
+            str(compiled),
+            dfile=name,
+            doraise=True,
+            invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+        )
+        yield f"{name}c", compiled.read_bytes()
+
+
+if __name__ == "__main__":
+    main()
