Give orders to engines under a lease that lives on the log

Cause: orders (weights, models, adapters, roles) need one giver at a time and a fencing number, without a coordination service.

Change: leases as a chain of records (leases, controllers/leases), a pure planner of rollout steps (rollout) and its controller: two loads at once over the system, serving minimum, one engine checked before the second, a bad version halts itself and is taken back, halts kept on the log. Pools gain also_serve, the older weights that may answer during a rollout.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -54,6 +54,8 @@
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
     "agaterail.controllers.hosts",
+    "agaterail.controllers.leases",
+    "agaterail.controllers.rollout",
 )
 REQUEST_ID_BYTES = 12
 DEFAULT_POLICY = "pure_hash"
--- /dev/null
+++ b/agaterail/controllers/leases.py
@@ -0,0 +1,116 @@
+"""Hold the lease for orders, or follow who does."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Success
+
+from agaterail import codec, logs
+from agaterail.controllers import Controller
+from agaterail.events import MembersChanged
+from agaterail.leases import LeaseKeeper, LeaseRecord
+from agaterail.records import LEASES_STREAM
+from agaterail.util import rendezvous
+
+if TYPE_CHECKING:
+    from agaterail.application import Application
+    from agaterail.logstore import LogSlice
+
+logger = logs.get_logger("leases")
+
+LEASE_KEY = b"orders"
+CANDIDATES = 3
+NONCE_BYTES = 8
+
+
+class LeasesController(Controller):
+    """Keeps the lease while this daemon is among the few candidates.
+
+    Only the first daemons in rendezvous order follow the stream, so the reads
+    of the log do not grow with the number of daemons. Daemons that disagree on
+    the order only make more candidates; the log decides between them.
+    """
+
+    name = "leases"
+    period_s = 1.0
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        own = app.peers.own_address
+        self.members: tuple[str, ...] = (own,)
+        self.keeper = LeaseKeeper(
+            f"{own}/{secrets.token_hex(NONCE_BYTES)}", lambda: secrets.token_hex(NONCE_BYTES)
+        )
+        self.next_offset = 0
+        app.events.subscribe(MembersChanged, self._on_members)
+
+    def reconcile(self) -> None:
+        """Read the stream and append what is due."""
+        rank = self.rank()
+        if rank is None:
+            self.keeper.caught_up = False
+            return
+        if not self._read():
+            return
+        now = self.app.timers.now()
+        record = self.keeper.next_record(now, rank)
+        if record is not None:
+            self._append(record)
+            self._read()
+
+    def rank(self) -> int | None:
+        """Return this daemon's place among the candidates, or None."""
+        members = {*self.members, self.app.peers.own_address}
+        order = rendezvous.ranked(LEASE_KEY, members, CANDIDATES)
+        own = self.app.peers.own_address
+        return order.index(own) if own in order else None
+
+    def release(self) -> None:
+        """Give the lease up, so that a rival need not wait it out."""
+        record = self.keeper.release()
+        if record is not None:
+            self._append(record)
+
+    def status(self) -> dict[str, Any]:
+        """Return the holder as this daemon knows it."""
+        return {
+            "holder": self.keeper.view.holder,
+            "fencing": self.keeper.view.fencing,
+            "remaining_s": round(self.keeper.remaining_s(self.app.timers.now()), 1),
+        }
+
+    def _append(self, record: LeaseRecord) -> None:
+        self.keeper.sending(record, self.app.timers.now())
+        self.app.log_store.append(LEASES_STREAM, codec.encode(record))
+        logger.info("Appended a lease record.", action=record.action.value)
+
+    def _read(self) -> bool:
+        read = self.app.log_store.read(LEASES_STREAM, self.next_offset)
+        if not isinstance(read, Success):
+            self.keeper.caught_up = False
+            return False
+        part: LogSlice = read.unwrap()
+        now = self.app.timers.now()
+        for record in part.records:
+            gap = record.offset != self.next_offset
+            self.next_offset = record.offset + 1
+            decoded = codec.decode(record.data, LeaseRecord)
+            if isinstance(decoded, Success):
+                self.keeper.observe(decoded.unwrap(), record.offset, now, gap)
+            else:
+                self.keeper.skip(record.offset, now)
+        if self.next_offset < part.first:
+            self.next_offset = part.end
+            self.keeper.skip(part.end - 1, now)
+        self.keeper.caught_up = self.next_offset >= part.end
+        return self.keeper.caught_up
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = event.members
+
+
+def setup(app: Application) -> None:
+    """Register the controller."""
+    app.add_controller(LeasesController(app))
--- /dev/null
+++ b/agaterail/controllers/rollout.py
@@ -0,0 +1,254 @@
+"""Give engines the orders of a rollout while this daemon holds the lease."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from gevent.pool import Pool as GreenletPool
+from returns.result import Success
+
+from agaterail import codec, logs
+from agaterail.controllers import Controller
+from agaterail.controllers.leases import LeasesController
+from agaterail.engines import EngineOrder, EngineRequest, OrderAnswer
+from agaterail.prefix import Scope
+from agaterail.records import ROLLOUT_STREAM
+from agaterail.rollout import (
+    DesiredState,
+    EngineView,
+    Revision,
+    Step,
+    StepKind,
+    plan,
+    take_in,
+)
+from agaterail.tables import NO_VERSION, Pool, PoolKind, Versioned
+
+if TYPE_CHECKING:
+    from agaterail.application import Application
+
+logger = logs.get_logger("rollout")
+
+ORDER_TIMEOUT_S = 2.0
+READS_PER_STEP = 8
+PARALLEL_READS = 8
+PROBE_DEADLINE_MS = 5000
+PROBE_WORKSPACE = "agaterail-probe"
+ID_BYTES = 8
+OK = 200
+
+
+@attrs.frozen(kw_only=True)
+class RolloutHalted:
+    """Record that a revision failed, so that the next holder does not try it."""
+
+    revision: Revision
+    reason: str
+    fencing: int
+
+
+class RolloutController(Controller):
+    """Reads engines back, plans and gives orders.
+
+    Every order is absolute and carries the fencing number. An engine that
+    ignores numbers can be sent an order by a holder that was paused between
+    its check and the send; reading back finds the engine in the wrong state
+    and the order is given again.
+    """
+
+    name = "rollout"
+    period_s = 0.5
+
+    def __init__(self, app: Application, leases: LeasesController) -> None:
+        self.app = app
+        self.leases = leases
+        self.engines: dict[str, EngineView] = {}
+        self.halted: dict[Revision, str] = {}
+        self.fencing = NO_VERSION
+        self.orders_from = 0.0
+        self.halts_offset = 0
+        self.sweep = 0
+
+    def reconcile(self) -> None:
+        """Take one step of the rollouts, or forget them without the lease."""
+        now = self.app.timers.now()
+        if self.leases.keeper.remaining_s(now) <= 0.0:
+            self.fencing = NO_VERSION
+            return
+        if self.fencing != self.leases.keeper.view.fencing:
+            self._take_over(now)
+        if not self._read_halts():
+            return
+        pools = self._pools()
+        self._read_back(pools)
+        if self.app.timers.now() < self.orders_from:
+            return
+        for step in plan(pools, self.engines, frozenset(self.halted), self.app.timers.now()):
+            if not self._take(step):
+                return
+
+    def status(self) -> dict[str, Any]:
+        """Return the halted revisions and the engines that are being changed."""
+        now = self.app.timers.now()
+        halted = {f"{item.pool}@{item.version}": why for item, why in self.halted.items()}
+        busy = [address for address, view in self.engines.items() if view.busy(now)]
+        return {"halted": halted, "busy": busy, "leading": self.fencing != NO_VERSION}
+
+    def _take_over(self, now: float) -> None:
+        # What the former holder ordered is not known here. All engines are
+        # read back first, and its last order in flight is waited out, so that
+        # it cannot arrive after this holder's first one.
+        self.engines = {}
+        self.fencing = self.leases.keeper.view.fencing
+        self.orders_from = now + ORDER_TIMEOUT_S
+        logger.info("Took over the orders.", fencing=self.fencing)
+
+    def _pools(self) -> list[Versioned[Pool]]:
+        now = self.app.timers.now()
+        pools = [
+            held
+            for held in self.app.tables.pools.values()
+            if held.row.kind is PoolKind.ENGINE and held.row.weights_version
+        ]
+        for held in pools:
+            for entry in held.row.targets:
+                self.engines.setdefault(entry.address, EngineView(known_at=now))
+        return pools
+
+    def _read_back(self, pools: list[Versioned[Pool]]) -> None:
+        readers = GreenletPool(PARALLEL_READS)
+        due = self._due(pools)
+        reads = readers.map(lambda address: self.app.engine_at(address).state(), due)
+        for address, read in zip(due, reads, strict=True):
+            view = self.engines[address]
+            take_in(view, read.value_or(None), self.app.timers.now())
+            known = self.app.targets.states.get(address)
+            if known is not None and known.load is not None:
+                view.cached_blocks = known.load.cached_blocks
+
+    def _due(self, pools: list[Versioned[Pool]]) -> list[str]:
+        # Engines that are not where they should be are read at each step; the
+        # others in turn, so that a stray order is found without 600 reads a
+        # step.
+        unsettled: list[str] = []
+        settled: list[str] = []
+        for held in pools:
+            desired = DesiredState.of(held.row)
+            for entry in held.row.targets:
+                verified = self.engines[entry.address].verified(desired)
+                (settled if verified else unsettled).append(entry.address)
+        count = min(READS_PER_STEP, len(settled))
+        start = self.sweep
+        self.sweep += count
+        return unsettled + [settled[(start + step) % len(settled)] for step in range(count)]
+
+    def _take(self, step: Step) -> bool:
+        if self.leases.keeper.remaining_s(self.app.timers.now()) <= ORDER_TIMEOUT_S:
+            # An order that is still in flight when the lease ends could cross
+            # the next holder's orders.
+            return False
+        if step.kind is StepKind.ORDER:
+            self._order(step)
+        elif step.kind is StepKind.PROBE:
+            self._probe(step)
+        else:
+            self._halt(step.revision, step.reason)
+        return True
+
+    def _order(self, step: Step) -> None:
+        assert step.desired is not None
+        view = self.engines[step.address]
+        view.ordered = step.desired
+        view.ordered_at = self.app.timers.now()
+        view.ordered_for = step.revision
+        order = EngineOrder(
+            order_id=secrets.token_hex(ID_BYTES),
+            fencing=self.fencing,
+            model=step.desired.model,
+            weights_version=step.desired.weights_version,
+            adapters=step.desired.adapters,
+            role=step.desired.role,
+        )
+        answer = self.app.engine_at(step.address).order(order)
+        logger.info(
+            "Ordered a state.",
+            target=step.address,
+            pool=step.revision.pool,
+            version=step.desired.weights_version,
+            fencing=self.fencing,
+            answer=answer.map(lambda item: item.value).value_or("none"),
+        )
+        if answer == Success(OrderAnswer.FAILED):
+            view.ordered = None
+            view.failed = step.revision
+        elif answer == Success(OrderAnswer.STALE):
+            view.ordered = None
+            self.fencing = NO_VERSION
+
+    def _probe(self, step: Step) -> None:
+        assert step.desired is not None
+        view = self.engines[step.address]
+        assert view.state is not None
+        if self._answers(step.address, step.desired):
+            view.probed = (view.state.incarnation, step.desired)
+            logger.info("Engine passed the check.", target=step.address)
+        else:
+            view.failed = step.revision
+            logger.warning("Engine failed the check.", target=step.address)
+
+    def _answers(self, address: str, desired: DesiredState) -> bool:
+        request_id = f"probe-{secrets.token_hex(ID_BYTES)}"
+        body = {
+            "model": desired.model,
+            "messages": [{"role": "user", "content": "ping"}],
+            "max_tokens": 1,
+        }
+        request = EngineRequest(
+            request_id=request_id,
+            body=json.dumps(body).encode(),
+            cache_salt=Scope(PROBE_WORKSPACE, desired.model, "", desired.weights_version).salt,
+            priority=0,
+            deadline_ms=PROBE_DEADLINE_MS,
+            stream=False,
+        )
+        opened = self.app.engine_at(address).open(request)
+        if not isinstance(opened, Success):
+            return False
+        reply = opened.unwrap()
+        try:
+            while reply.read_available():
+                pass
+        except OSError:
+            reply.discard()
+            return False
+        matches = reply.weights_version == desired.weights_version
+        return reply.status == OK and reply.request_id == request_id and matches
+
+    def _halt(self, revision: Revision, reason: str) -> None:
+        self.halted[revision] = reason
+        record = RolloutHalted(revision=revision, reason=reason, fencing=self.fencing)
+        self.app.log_store.append(ROLLOUT_STREAM, codec.encode(record))
+        logger.warning("Halted a rollout.", pool=revision.pool, reason=reason)
+
+    def _read_halts(self) -> bool:
+        read = self.app.log_store.read(ROLLOUT_STREAM, self.halts_offset)
+        if not isinstance(read, Success):
+            return False
+        part = read.unwrap()
+        for record in part.records:
+            decoded = codec.decode(record.data, RolloutHalted)
+            if isinstance(decoded, Success):
+                halted: RolloutHalted = decoded.unwrap()
+                self.halted.setdefault(halted.revision, halted.reason)
+        self.halts_offset = part.records[-1].offset + 1 if part.records else part.end
+        return self.halts_offset >= part.end
+
+
+def setup(app: Application) -> None:
+    """Register the controller."""
+    leases = app.controllers["leases"]
+    assert isinstance(leases, LeasesController)
+    app.add_controller(RolloutController(app, leases))
--- a/agaterail/records.py
+++ b/agaterail/records.py
@@ -11,6 +11,7 @@
 RULES_VERSION = 1
 TABLES_STREAM = "tables"
 LEASES_STREAM = "leases"
+ROLLOUT_STREAM = "rollout"
 
 
 class Action(enum.Enum):
--- /dev/null
+++ b/agaterail/rollout.py
@@ -0,0 +1,255 @@
+"""Steps that bring engines to the state which the pools table asks for."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from agaterail.engines import EngineState
+    from agaterail.tables import Pool, Versioned
+
+MAX_LOADS = 2
+LOAD_TIMEOUT_S = 60.0
+
+
+@attrs.frozen
+class DesiredState:
+    """State that an engine should have."""
+
+    model: str
+    weights_version: str
+    adapters: tuple[str, ...]
+    role: str
+
+    @classmethod
+    def of(cls, pool: Pool) -> DesiredState:
+        """Return the state that a pool's row asks for."""
+        return cls(pool.model, pool.weights_version, pool.adapters, pool.role)
+
+    def met_by(self, state: EngineState) -> bool:
+        """Tell whether an engine has this state."""
+        if not state.healthy or state.loading:
+            return False
+        found = DesiredState(state.model, state.weights_version, state.adapters, state.role)
+        return found == self
+
+
+@attrs.frozen
+class Revision:
+    """One version of a pool's row; a new edit is a new revision."""
+
+    pool: str
+    version: int
+
+
+class StepKind(enum.Enum):
+    """What to do next."""
+
+    ORDER = "order"
+    PROBE = "probe"
+    HALT = "halt"
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """One step of a rollout."""
+
+    kind: StepKind
+    revision: Revision
+    address: str = ""
+    desired: DesiredState | None = None
+    reason: str = ""
+
+
+@attrs.define(kw_only=True)
+class EngineView:
+    """What the lease holder knows of one engine.
+
+    Attributes
+    ----------
+    state
+        State as last read back; None when the last read failed.
+    known_at
+        Monotonic second at which the view was made, until the first read.
+    ordered
+        State of an order whose effect was not read back yet.
+    ordered_at
+        Monotonic second of that order.
+    failed
+        Revision whose order the engine failed.
+    probed
+        State that passed the check, with the engine's incarnation.
+    cached_blocks
+        Blocks that would be lost by a load.
+    """
+
+    state: EngineState | None = None
+    known_at: float | None = None
+    ordered: DesiredState | None = None
+    ordered_at: float = 0.0
+    ordered_for: Revision | None = None
+    failed: Revision | None = None
+    probed: tuple[str, DesiredState] | None = None
+    cached_blocks: int = 0
+
+    def busy(self, now: float) -> bool:
+        """Tell whether the engine loads, or may load for all that is known."""
+        if self.ordered is not None or (self.state is not None and self.state.loading):
+            return True
+        # The former holder may have ordered a load just before this one took
+        # over. An engine that cannot be read counts as loading for as long as
+        # a load can take; else a third load could start beside it.
+        return self.known_at is not None and now - self.known_at < LOAD_TIMEOUT_S
+
+    def serves(self, versions: tuple[str, ...], now: float) -> bool:
+        """Tell whether the engine answers with one of these weights versions."""
+        state = self.state
+        if state is None or self.busy(now) or not state.healthy:
+            return False
+        return state.weights_version in versions
+
+    def verified(self, desired: DesiredState) -> bool:
+        """Tell whether the engine has a state and passed the check in it."""
+        if self.state is None or not desired.met_by(self.state):
+            return False
+        return self.probed == (self.state.incarnation, desired)
+
+
+def take_in(view: EngineView, state: EngineState | None, now: float) -> None:
+    """Update a view with a state that was read back, or None when it could not be.
+
+    An order is settled when its state is seen. One that is not within the time
+    of a load has failed, also when the engine died of it. Orders are absolute,
+    so a repeated one does no harm.
+    """
+    view.state = state
+    if state is not None:
+        view.known_at = None
+    if view.ordered is None:
+        return
+    if state is not None and view.ordered.met_by(state):
+        view.ordered = None
+    elif now - view.ordered_at > LOAD_TIMEOUT_S:
+        view.ordered = None
+        view.failed = view.ordered_for
+
+
+def plan(
+    pools: Iterable[Versioned[Pool]],
+    engines: Mapping[str, EngineView],
+    halted: frozenset[Revision],
+    now: float,
+) -> list[Step]:
+    """Return the steps that may be taken now, in order.
+
+    Parameters
+    ----------
+    pools
+        Engine pools in force.
+    engines
+        Views of all engines of these pools, by address.
+    halted
+        Revisions that a failed engine has stopped.
+    """
+    loads = sum(view.busy(now) for view in engines.values())
+    steps: list[Step] = []
+    for held in sorted(pools, key=lambda item: item.version):
+        revision = Revision(held.row.name, held.version)
+        views = {entry.address: engines[entry.address] for entry in held.row.targets}
+        if revision in halted:
+            wanted = _fallback_steps(held.row, revision, views, now)
+        else:
+            wanted = _pool_steps(held.row, revision, views, now)
+        for step in wanted:
+            if step.kind is StepKind.ORDER:
+                if loads >= MAX_LOADS:
+                    continue
+                loads += 1
+            steps.append(step)
+    return steps
+
+
+def _pool_steps(
+    pool: Pool, revision: Revision, views: Mapping[str, EngineView], now: float
+) -> list[Step]:
+    desired = DesiredState.of(pool)
+    failed = [address for address, view in views.items() if view.failed == revision]
+    if failed:
+        reason = f"{failed[0]} did not reach the state"
+        return [Step(kind=StepKind.HALT, revision=revision, address=failed[0], reason=reason)]
+    steps = [
+        Step(kind=StepKind.PROBE, revision=revision, address=address, desired=desired)
+        for address, view in views.items()
+        if _needs_probe(view, desired, now)
+    ]
+    for address in _orders(pool, desired, views, now):
+        steps.append(
+            Step(kind=StepKind.ORDER, revision=revision, address=address, desired=desired)
+        )
+    return steps
+
+
+def _fallback_steps(
+    pool: Pool, revision: Revision, views: Mapping[str, EngineView], now: float
+) -> list[Step]:
+    """Return the engines of a halted revision to the weights they came from."""
+    if not pool.also_serve:
+        return []
+    desired = DesiredState.of(pool)
+    fallback = attrs.evolve(desired, weights_version=pool.also_serve[0])
+    return [
+        Step(kind=StepKind.ORDER, revision=revision, address=address, desired=fallback)
+        for address, view in views.items()
+        if view.state is not None
+        and not view.busy(now)
+        and view.state.weights_version == pool.weights_version
+        and not view.verified(desired)
+    ]
+
+
+def _needs_probe(view: EngineView, desired: DesiredState, now: float) -> bool:
+    if view.state is None or view.busy(now) or not desired.met_by(view.state):
+        return False
+    return not view.verified(desired)
+
+
+def _orders(
+    pool: Pool, desired: DesiredState, views: Mapping[str, EngineView], now: float
+) -> list[str]:
+    if any(_needs_probe(view, desired, now) for view in views.values()):
+        return []
+    checked = any(view.verified(desired) for view in views.values())
+    if not checked and any(view.busy(now) for view in views.values()):
+        # Until one engine has passed the check, a second one is not put at
+        # risk: a bad version would take them down together.
+        return []
+    versions = (pool.weights_version, *pool.also_serve)
+    serving = sum(view.serves(versions, now) for view in views.values())
+    chosen: list[str] = []
+    for address in _order_of_engines(views, desired, now):
+        if len(chosen) == (MAX_LOADS if checked else 1):
+            break
+        if views[address].serves(versions, now):
+            if serving <= pool.serving_min:
+                continue
+            serving -= 1
+        chosen.append(address)
+    return chosen
+
+
+def _order_of_engines(
+    views: Mapping[str, EngineView], desired: DesiredState, now: float
+) -> list[str]:
+    # A load drops the engine's cache: engines with few blocks go first, so
+    # that the long prefixes of the others stay warm while the check runs.
+    waiting = [
+        address
+        for address, view in views.items()
+        if view.state is not None and not view.busy(now) and not desired.met_by(view.state)
+    ]
+    return sorted(waiting, key=lambda address: (views[address].cached_blocks, address))
--- a/agaterail/tables.py
+++ b/agaterail/tables.py
@@ -44,6 +44,9 @@
 
     Attributes
     ----------
+    weights_version, also_serve
+        Weights that engines should load, and older ones that may go on
+        answering until they have.
     fencing
         Whether the engines refuse orders with an old fencing number.
     serving_min
@@ -63,6 +66,7 @@
     targets: tuple[TargetEntry, ...]
     model: str = ""
     weights_version: str = ""
+    also_serve: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     role: str = "serve"
     fencing: bool = True
