--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -56,6 +56,7 @@
     "agaterail.controllers.hosts",
     "agaterail.controllers.leases",
     "agaterail.controllers.rollout",
+    "agaterail.status",
 )
 REQUEST_ID_BYTES = 12
 DEFAULT_POLICY = "pure_hash"
@@ -121,7 +122,13 @@
         return not self.draining and self.tables.through != NO_VERSION
 
     def start(self) -> None:
-        """Receive from peers and start the controllers."""
+        """Receive from peers and start the controllers.
+
+        Raises
+        ------
+        OSError
+            If the address for peers cannot be bound.
+        """
         self.peers.start()
         for controller in self.controllers.values():
             subscription = self.timers.every(controller.period_s, controller.reconcile)
