Choose engines by cost, with what their homes know

Cause: pools named the cost policy, which did not exist, so that the first engine by hash was taken whatever its queue and cache were.

Change: each engine has a home daemon that follows its events and load; the choose filter asks the homes of a few candidates, and tells them of each dispatch.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -7,10 +7,12 @@
 from typing import TYPE_CHECKING, Any
 
 from agaterail import logs
+from agaterail.candidates import CandidateFinder
 from agaterail.engines.http import HttpEngine
 from agaterail.events import EventBus
 from agaterail.exchange import Exchange
 from agaterail.filters import FilterChain
+from agaterail.homes import HomeMap
 from agaterail.hostlists.http import HttpHostList
 from agaterail.logstore.http import HttpLogStore
 from agaterail.metrics import MemoryMetrics, StatsdMetrics
@@ -45,6 +47,7 @@
 
 BUILTIN_PARTS = (
     "agaterail.policies.simple",
+    "agaterail.policies.cost",
     "agaterail.filters.identify",
     "agaterail.filters.match",
     "agaterail.filters.prefix",
@@ -54,9 +57,10 @@
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
     "agaterail.controllers.hosts",
+    "agaterail.controllers.homes",
 )
 REQUEST_ID_BYTES = 12
-DEFAULT_POLICY = "pure_hash"
+DEFAULT_POLICY = "cost"
 
 
 class Application:
@@ -89,6 +93,8 @@
         self.events = EventBus()
         self.tables = Tables()
         self.targets = TargetBook()
+        self.homes = HomeMap(self.peers.own_address)
+        self.candidates = CandidateFinder(self.peers, self.homes, self.timers)
         self.filters: list[Filter] = []
         self.controllers: dict[str, Controller] = {}
         self.policies: dict[str, Policy] = {}
--- /dev/null
+++ b/agaterail/controllers/homes.py
@@ -0,0 +1,247 @@
+"""Follow the engines that this daemon is the home of."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.candidates import (
+    CandidateAnswer,
+    CandidateQuery,
+    CandidateState,
+    DispatchNotice,
+    FinishNotice,
+    split_keys,
+)
+from agaterail.controllers import Controller
+from agaterail.events import MembersChanged, TablesChanged
+from agaterail.index import EngineIndex
+from agaterail.loads import EngineLoad
+from agaterail.tables import PoolKind
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.application import Application
+    from agaterail.engines import Engine
+    from agaterail.tables import Pool, Tables
+    from agaterail.timers import Subscription, TimerService
+
+logger = logs.get_logger("homes")
+
+LOAD_PERIOD_S = 0.2
+EVENTS_WAIT_S = 1.0
+EVENTS_PAUSE_S = 0.02
+# Events of a prefill come after it; a prediction must outlast the queue, the
+# prefill and this delay, or a second request would not see the first.
+PREDICTION_SLACK_S = 3.0
+# The contents of a large cache are megabytes. Fetching them after every lost
+# event would use far more of the network than the events themselves.
+CONTENTS_BYTES_PER_KEY = 36
+CONTENTS_BYTES_PER_S = 2500.0
+MIN_CONTENTS_PERIOD_S = 1.0
+
+
+class FollowedEngine:
+    """One engine with its index, its load and the timers that feed them."""
+
+    def __init__(
+        self, address: str, engine: Engine, timers: TimerService, prefill_ms_per_token: float
+    ) -> None:
+        self.address = address
+        self.engine = engine
+        self.timers = timers
+        self.index = EngineIndex(timers.now())
+        self.load = EngineLoad(prefill_ms_per_token)
+        self.contents_due_at = timers.now()
+        self.subscriptions: list[Subscription] = []
+
+    def start(self) -> None:
+        """Begin to follow the engine."""
+        self.subscriptions = [
+            self.timers.every(EVENTS_PAUSE_S, self.fetch_events),
+            self.timers.every(LOAD_PERIOD_S, self.fetch_load),
+        ]
+
+    def stop(self) -> None:
+        """Follow the engine no longer."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+
+    def fetch_events(self) -> None:
+        """Fetch the contents when they are needed and due, else the next events."""
+        if self.index.needs_contents and self.timers.now() >= self.contents_due_at:
+            self._fetch_contents()
+        fetched = self.engine.events(self.index.sequence, EVENTS_WAIT_S)
+        if isinstance(fetched, Success):
+            known = self.index.incarnation
+            self.index.on_events(fetched.unwrap(), self.timers.now())
+            self._note_restart(known)
+
+    def fetch_load(self) -> None:
+        """Fetch the load report."""
+        asked_at = self.timers.now()
+        fetched = self.engine.load()
+        if isinstance(fetched, Success):
+            report = fetched.unwrap()
+            known = self.index.incarnation
+            # A report of a dead incarnation may still arrive, from before the
+            # crash; it must not bring the old queue back.
+            if self.index.on_incarnation(report.incarnation):
+                self.index.on_weights(report.weights_version)
+                self.index.set_capacity(report.capacity_blocks)
+                self.load.on_report(report, asked_at)
+            self._note_restart(known)
+        self.index.expire(self.timers.now())
+        self.load.expire(self.timers.now())
+
+    def on_dispatch(self, notice: DispatchNotice) -> None:
+        """Count a dispatch and expect its blocks."""
+        now = self.timers.now()
+        self.load.on_dispatch(notice.dispatch_id, notice.missing_tokens, now)
+        until = now + self.load.queue_ms(now) / 1e3 + PREDICTION_SLACK_S
+        self.index.predict(notice.dispatch_id, split_keys(notice.keys), now, until)
+
+    def on_finish(self, notice: FinishNotice) -> None:
+        """Release a dispatch; what did not run leaves no blocks."""
+        self.load.on_finish(notice.dispatch_id, notice.ran)
+        if not notice.ran:
+            self.index.withdraw(notice.dispatch_id)
+
+    def view(self, keys: Sequence[int], depths: Sequence[int]) -> CandidateState:
+        """Return what is known of the engine for one prompt."""
+        now = self.timers.now()
+        hit = self.index.lookup(keys, depths, now)
+        report = self.load.report
+        return CandidateState(
+            engine=self.address,
+            depth=hit.depth,
+            confidence=round(hit.confidence, 3),
+            queue_ms=round(self.load.queue_ms(now), 1),
+            in_flight=len(self.load.running),
+            age_ms=round(self.load.age_ms(now), 0),
+            prefill_ms_per_token=self.load.prefill_ms_per_token,
+            weights_version=self.index.weights_version,
+            leaving=report is not None and report.draining,
+        )
+
+    def _fetch_contents(self) -> None:
+        fetched = self.engine.contents()
+        if not isinstance(fetched, Success):
+            return
+        contents = fetched.unwrap()
+        known = self.index.incarnation
+        taken = self.index.on_contents(contents, self.timers.now())
+        self._note_restart(known)
+        size = len(contents.keys) * CONTENTS_BYTES_PER_KEY
+        pause_s = max(MIN_CONTENTS_PERIOD_S, size / CONTENTS_BYTES_PER_S)
+        self.contents_due_at = self.timers.now() + pause_s
+        logger.debug(
+            "Fetched contents.", engine=self.address, keys=len(contents.keys), taken=taken
+        )
+
+    def _note_restart(self, known: str) -> None:
+        if known and known != self.index.incarnation:
+            self.load.on_restart()
+            self.contents_due_at = self.timers.now()
+            logger.info("Engine has restarted.", engine=self.address)
+
+
+class HomesController(Controller):
+    """Keeps one follower per engine that this daemon is the home of."""
+
+    name = "homes"
+    period_s = 1.0
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        self.homes = app.homes
+        self.followed: dict[str, FollowedEngine] = {}
+        self.pools: dict[str, Pool] = {}
+        app.events.subscribe(TablesChanged, self.on_tables)
+        app.events.subscribe(MembersChanged, self.on_members)
+        app.peers.handle(CandidateQuery, self.on_query)
+        app.peers.handle(DispatchNotice, self.on_dispatch)
+        app.peers.handle(FinishNotice, self.on_finish)
+
+    def reconcile(self) -> None:
+        """Follow exactly the engines of the tables that are this daemon's."""
+        wanted = {engine for engine in self.pools if self.homes.is_own(engine)}
+        for address in self.followed.keys() - wanted:
+            self.followed.pop(address).stop()
+            logger.info("Follows an engine no longer.", engine=address)
+        for address in sorted(wanted - self.followed.keys()):
+            self._follow(address)
+
+    def on_tables(self, event: TablesChanged) -> None:
+        """Take the engines that the tables name."""
+        self.pools = _pools_of_engines(event.tables)
+        self.homes.set_engines(self.pools)
+        self.reconcile()
+
+    def on_members(self, event: MembersChanged) -> None:
+        """Take over the engines of daemons that have gone."""
+        self.homes.set_members(event.members)
+        self.reconcile()
+
+    def on_query(self, _sender: str, query: CandidateQuery) -> CandidateAnswer:
+        """Answer for the engines followed here."""
+        keys = split_keys(query.keys)
+        depths = query.depths or range(1, len(keys) + 1)
+        followed = [self.followed.get(engine) for engine in query.engines]
+        return CandidateAnswer(
+            tuple(item.view(keys, depths) for item in followed if item is not None)
+        )
+
+    def on_dispatch(self, _sender: str, notice: DispatchNotice) -> None:
+        """Count a dispatch of any daemon."""
+        followed = self.followed.get(notice.engine)
+        if followed is not None:
+            followed.on_dispatch(notice)
+
+    def on_finish(self, _sender: str, notice: FinishNotice) -> None:
+        """Release a dispatch of any daemon."""
+        followed = self.followed.get(notice.engine)
+        if followed is not None:
+            followed.on_finish(notice)
+
+    def status(self) -> dict[str, Any]:
+        """Return the followed engines with what is known of them."""
+        return {
+            "followed": {
+                address: {
+                    "blocks": len(item.index.table),
+                    "predicted": len(item.index.predicted),
+                    "gaps": item.index.gaps,
+                    "queue_ms": round(item.load.queue_ms(self.app.timers.now()), 1),
+                }
+                for address, item in self.followed.items()
+            }
+        }
+
+    def _follow(self, address: str) -> None:
+        followed = FollowedEngine(
+            address,
+            self.app.engine_at(address),
+            self.app.timers,
+            self.pools[address].prefill_ms_per_token,
+        )
+        self.followed[address] = followed
+        followed.start()
+        logger.info("Follows an engine.", engine=address)
+
+
+def _pools_of_engines(tables: Tables) -> dict[str, Pool]:
+    return {
+        entry.address: held.row
+        for held in tables.pools.values()
+        if held.row.kind is PoolKind.ENGINE
+        for entry in held.row.targets
+    }
+
+
+def setup(app: Application) -> None:
+    """Register the controller."""
+    app.add_controller(HomesController(app))
--- a/agaterail/filters/choose.py
+++ b/agaterail/filters/choose.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result
+import attrs
+from returns.result import Failure, Result, Success
 
 from agaterail import errors, logs
-from agaterail.errors import ErrorKind
+from agaterail.candidates import ShortPrefix, shorten
+from agaterail.errors import ErrorKind, Outcome
 from agaterail.filters import Filter
 from agaterail.policies import Placement
 
@@ -15,11 +17,10 @@
     from agaterail.application import Application
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
+    from agaterail.policies import Decision, Policy
 
 logger = logs.get_logger("choose")
 
-HASH_POLICY = "pure_hash"
-
 
 class ChooseFilter(Filter):
     """Asks the pool's policy and writes the decision to the log."""
@@ -36,19 +37,19 @@
         now = self.app.timers.now()
         if now >= exchange.deadline_at:
             return Failure(errors.Failure(ErrorKind.DEADLINE_EXCEEDED_BEFORE_RUN))
-        targets = self.app.targets.usable(pool, now, exchange.excluded)
-        if not targets:
-            return Failure(errors.Failure(ErrorKind.NO_TARGET))
         placement = Placement(
             pool=pool,
             route=route,
             prefix=exchange.prefix,
             deadline_ms=(exchange.deadline_at - now) * 1e3,
+            now=now,
         )
-        decision = self.app.policy_of(pool).choose(placement, targets)
-        if decision is None:
-            return Failure(errors.Failure(ErrorKind.OVERLOADED))
-        exchange.decision = decision
+        policy = self.app.policy_of(pool)
+        short = None if exchange.prefix is None else shorten(exchange.prefix)
+        chosen = self._choose(exchange, policy, placement, short)
+        if not isinstance(chosen, Success):
+            return Failure(chosen.failure())
+        exchange.decision = decision = chosen.unwrap()
         exchange.attempt += 1
         logger.info(
             "Chose target.",
@@ -59,7 +60,50 @@
             reason=decision.reason,
             **dict(decision.terms),
         )
-        return proceed(exchange)
+        if short is None:
+            return proceed(exchange)
+        return self._proceed_told(exchange, proceed, decision, short)
+
+    def _choose(
+        self,
+        exchange: Exchange,
+        policy: Policy,
+        placement: Placement,
+        short: ShortPrefix | None,
+    ) -> Result[Decision, errors.Failure]:
+        targets = None
+        entries = policy.candidates(placement, exchange.excluded)
+        if entries is not None and short is not None:
+            states = [self.app.targets.state_of(entry) for entry in entries]
+            targets = [state for state in states if state.usable(placement.now)]
+            asked = [state.address for state in targets]
+            views = self.app.candidates.ask(asked, short) if asked else {}
+            placement = attrs.evolve(placement, views=views)
+        if not targets:
+            targets = self.app.targets.usable(placement.pool, placement.now, exchange.excluded)
+        if not targets:
+            return Failure(errors.Failure(ErrorKind.NO_TARGET))
+        decision = policy.choose(placement, targets)
+        if decision is None:
+            return Failure(errors.Failure(ErrorKind.OVERLOADED))
+        return Success(decision)
+
+    def _proceed_told(
+        self, exchange: Exchange, proceed: Proceed, decision: Decision, short: ShortPrefix
+    ) -> Result[Reply, errors.Failure]:
+        assert exchange.prefix is not None and exchange.pool is not None
+        address, dispatch_id = decision.address, exchange.attempt_id
+        hit_tokens = decision.hit_blocks * exchange.pool.block_tokens
+        missing = max(0, exchange.prefix.prompt_tokens - hit_tokens)
+        finder = self.app.candidates
+        finder.tell_dispatch(address, dispatch_id, missing, short.keys)
+        result = proceed(exchange)
+        if isinstance(result, Success):
+            exchange.on_finish(lambda _: finder.tell_finish(address, dispatch_id, True))
+        else:
+            ran = result.failure().outcome is not Outcome.NOT_RUN
+            finder.tell_finish(address, dispatch_id, ran)
+        return result
 
 
 def setup(app: Application) -> None:
--- a/agaterail/policies/__init__.py
+++ b/agaterail/policies/__init__.py
@@ -8,10 +8,11 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
+    from agaterail.candidates import CandidateState
     from agaterail.prefix import Prefix
-    from agaterail.tables import Pool, Route
+    from agaterail.tables import Pool, Route, TargetEntry
     from agaterail.targets import TargetState
 
 
@@ -25,12 +26,18 @@
         Named prefix; None for services.
     deadline_ms
         Time left until the first byte is due.
+    now
+        Second of the timer service.
+    views
+        What homes said of the candidates; empty for policies that ask nothing.
     """
 
     pool: Pool
     route: Route
     prefix: Prefix | None
     deadline_ms: float
+    now: float = 0.0
+    views: Mapping[str, CandidateState] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +66,15 @@
 
     name: str
 
+    def candidates(
+        self, placement: Placement, excluded: Collection[str]
+    ) -> Sequence[TargetEntry] | None:
+        """Return the targets whose homes should be asked first, best first.
+
+        None means that the policy looks at all usable targets and asks nothing.
+        """
+        return None
+
     @abc.abstractmethod
     def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
         """Return a decision, or None when no target can make the deadline."""
--- /dev/null
+++ b/agaterail/policies/cost.py
@@ -0,0 +1,263 @@
+"""Choose the target with the lowest expected cost in milliseconds."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail.events import MembersChanged
+from agaterail.heat import Heat
+from agaterail.policies import Decision, Placement, Policy
+from agaterail.policies.simple import placement_key
+from agaterail.util import mixing
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from agaterail.application import Application
+    from agaterail.candidates import CandidateState
+    from agaterail.tables import Pool, TargetEntry
+    from agaterail.targets import TargetState
+
+CANDIDATES = 4
+MAX_RANKED = 16
+MAX_CACHED_RANKINGS = 2048
+DOMAIN_PENALTY_MS = 2.0
+# Without an answer from its home, the first engine in rendezvous order holds
+# the prefix about every second time and the others hardly ever.
+UNKNOWN_FIRST_HIT = 0.5
+UNKNOWN_QUEUE_SHARE = 0.5
+LEAST_LOADED_PERIOD_S = 0.05
+KNOWN_FOR_S = 2.0
+
+
+@attrs.frozen
+class Terms:
+    """Cost of one target, in milliseconds by cause.
+
+    Attributes
+    ----------
+    miss
+        Expected prefill of missing tokens, times the route's weight.
+    prefill
+        The same without the weight.
+    """
+
+    queue: float
+    miss: float
+    domain: float
+    prefill: float
+    transfer: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Return what the policy minimises."""
+        return self.queue + self.miss + self.domain + self.transfer
+
+    @property
+    def expected_ms(self) -> float:
+        """Return the expected time to the first token."""
+        return self.queue + self.prefill + self.transfer
+
+
+class PoolRanking:
+    """Rendezvous order of one pool's targets, with the recent keys cached."""
+
+    def __init__(self, targets: tuple[TargetEntry, ...]) -> None:
+        self.targets = targets
+        self.numbers = [mixing.number_of(entry.address.encode()) for entry in targets]
+        self.cached: OrderedDict[bytes, list[TargetEntry]] = OrderedDict()
+
+    def ranked(self, key: bytes) -> list[TargetEntry]:
+        """Return the leading targets for a key, best first."""
+        held = self.cached.get(key)
+        if held is not None:
+            self.cached.move_to_end(key)
+            return held
+        number = int.from_bytes(key[: mixing.NUMBER_BYTES], "little")
+        places = mixing.ranked(number, self.numbers, MAX_RANKED)
+        held = self.cached[key] = [self.targets[place] for place in places]
+        if len(self.cached) > MAX_CACHED_RANKINGS:
+            self.cached.popitem(last=False)
+        return held
+
+
+class LeastLoaded:
+    """The engine with the shortest queue among those heard of lately."""
+
+    def __init__(self) -> None:
+        self.queues: dict[str, tuple[float, float]] = {}
+        self.least = ""
+        self.found_at = -LEAST_LOADED_PERIOD_S
+
+    def learn(self, views: Collection[CandidateState], now: float) -> None:
+        """Note the queues that homes reported."""
+        for view in views:
+            self.queues[view.engine] = (view.queue_ms, now)
+
+    def find(self, now: float) -> str:
+        """Return an address, or nothing; searched anew only now and then.
+
+        A search at each request would cost more than the decision itself with
+        hundreds of engines. The home is asked before the engine is chosen, so
+        that an answer from before the last search does no harm.
+        """
+        if now - self.found_at >= LEAST_LOADED_PERIOD_S:
+            self.found_at = now
+            self.queues = {
+                address: held
+                for address, held in self.queues.items()
+                if now - held[1] < KNOWN_FOR_S
+            }
+            self.least = min(self.queues, key=self._queue_ms, default="")
+        return self.least
+
+    def _queue_ms(self, address: str) -> float:
+        return self.queues[address][0]
+
+
+class CostPolicy(Policy):
+    """Expected queue plus weighted expected recomputation.
+
+    Parameters
+    ----------
+    own_domain
+        Failure domain of this host; other domains cost a little more.
+    count
+        Candidates by rendezvous order, before hot prefixes widen the list.
+    """
+
+    name = "cost"
+
+    def __init__(
+        self,
+        own_domain: str,
+        heat: Heat | None = None,
+        count: int = CANDIDATES,
+        seed: int | None = None,
+    ) -> None:
+        self.own_domain = own_domain
+        self.heat = heat or Heat()
+        self.count = count
+        self.random = random.Random(seed)
+        self.rankings: dict[str, PoolRanking] = {}
+        self.least_loaded = LeastLoaded()
+
+    def candidates(
+        self, placement: Placement, excluded: Collection[str]
+    ) -> Sequence[TargetEntry] | None:
+        """Return the first targets by hash, and the least loaded one known."""
+        if placement.prefix is None:
+            return None
+        key = placement_key(placement)
+        ranking = self._ranking(placement.pool)
+        count = self.count + self.heat.on_request(key, placement.now)
+        chosen = [entry for entry in ranking.ranked(key) if entry.address not in excluded][
+            :count
+        ]
+        spare = self._spare(ranking, placement.now)
+        if spare is not None and spare not in chosen and spare.address not in excluded:
+            chosen.append(spare)
+        return chosen
+
+    def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
+        """Return the cheapest target; the order of ``targets`` breaks ties."""
+        if not targets:
+            return None
+        if placement.prefix is None:
+            return self._choose_service(targets)
+        self.least_loaded.learn(placement.views.values(), placement.now)
+        fitting = [state for state in targets if self._fits(placement, state)] or targets
+        costs = [self._terms(placement, state, rank) for rank, state in enumerate(fitting)]
+        place = min(range(len(costs)), key=lambda index: costs[index].total)
+        return self._decision(placement, fitting[place], costs[place], place)
+
+    def _choose_service(self, targets: Sequence[TargetState]) -> Decision:
+        least = min(
+            targets, key=lambda state: (state.in_flight, state.domain != self.own_domain)
+        )
+        return Decision(address=least.address, reason="least_in_flight")
+
+    def _fits(self, placement: Placement, state: TargetState) -> bool:
+        view = placement.views.get(state.address)
+        if view is None:
+            return True
+        wanted = placement.pool.weights_version
+        other = wanted and view.weights_version and view.weights_version != wanted
+        return not view.leaving and not other
+
+    def _terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
+        assert placement.prefix is not None
+        view = placement.views.get(state.address)
+        if view is None:
+            return self._unknown_terms(placement, state, rank)
+        tokens = placement.prefix.prompt_tokens
+        cached = view.depth * view.confidence * placement.pool.block_tokens
+        each = view.prefill_ms_per_token or placement.pool.prefill_ms_per_token
+        prefill = max(0.0, tokens - cached) * each
+        return Terms(
+            queue=view.queue_ms,
+            miss=prefill * placement.route.miss_weight,
+            domain=self._domain_ms(state),
+            prefill=prefill,
+        )
+
+    def _unknown_terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
+        assert placement.prefix is not None
+        whole = placement.prefix.prompt_tokens * placement.pool.prefill_ms_per_token
+        prefill = whole * (1.0 - UNKNOWN_FIRST_HIT) if rank == 0 else whole
+        return Terms(
+            queue=state.in_flight * whole * UNKNOWN_QUEUE_SHARE,
+            miss=prefill * placement.route.miss_weight,
+            domain=self._domain_ms(state),
+            prefill=prefill,
+        )
+
+    def _domain_ms(self, state: TargetState) -> float:
+        return 0.0 if state.domain == self.own_domain else DOMAIN_PENALTY_MS
+
+    def _decision(
+        self, placement: Placement, state: TargetState, terms: Terms, place: int
+    ) -> Decision:
+        view = placement.views.get(state.address)
+        return Decision(
+            address=state.address,
+            reason="unknown" if view is None else f"cost_{'hit' if view.depth else 'cold'}",
+            hit_blocks=0 if view is None else view.depth,
+            expected_ms=terms.expected_ms,
+            terms=(
+                ("queue_ms", terms.queue),
+                ("miss_ms", terms.miss),
+                ("domain_ms", terms.domain),
+                ("transfer_ms", terms.transfer),
+                ("rank", float(place)),
+                ("views", float(len(placement.views))),
+            ),
+        )
+
+    def _ranking(self, pool: Pool) -> PoolRanking:
+        ranking = self.rankings.get(pool.name)
+        if ranking is None or ranking.targets is not pool.targets:
+            ranking = self.rankings[pool.name] = PoolRanking(pool.targets)
+        return ranking
+
+    def _spare(self, ranking: PoolRanking, now: float) -> TargetEntry | None:
+        address = self.least_loaded.find(now)
+        for entry in ranking.targets if address else ():
+            if entry.address == address:
+                return entry
+        return self.random.choice(ranking.targets)
+
+
+def setup(app: Application) -> None:
+    """Register the policy."""
+    policy = CostPolicy(app.settings.domain)
+
+    def on_members(event: MembersChanged) -> None:
+        policy.heat.members = max(1, len(event.members))
+
+    app.events.subscribe(MembersChanged, on_members)
+    app.add_policy(policy)
