Bound the size and time of request heads and bodies; add TLS

A caller could send headers without end (the library takes 100 lines of 64 KB) or a byte now and then, and hold memory and descriptors for good. The head is now bounded in bytes and seconds, an idle connection is closed, a body has its own time, and a refused body is not read to its end. What the library would log of a malformed request is left out, since it may quote a key.

--- a/agaterail/server.py
+++ b/agaterail/server.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import falcon
-from gevent.pywsgi import WSGIHandler, WSGIServer
-from gevent.server import _tcp_listener
+import gevent
 from returns.result import Success
 
 from agaterail import errors, logs
@@ -16,6 +15,7 @@
 from agaterail.filters.match import CallerIndex
 from agaterail.filters.relay import error_object
 from agaterail.tables import NO_VERSION
+from agaterail.wsgi import BoundedServer
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -24,7 +24,6 @@
 
 logger = logs.get_logger("server")
 
-BACKLOG = 1024
 NOT_READY = 503
 ERROR_STATUS_FROM = 400
 
@@ -40,6 +39,7 @@
         body = self._read_body(request)
         if isinstance(body, errors.Failure):
             _send_failure(response, body, "")
+            response.set_header("connection", "close")
             return
         headers = {name.lower(): value for name, value in request.headers.items()}
         exchange, result = self.app.handle(
@@ -64,14 +64,16 @@
         length = request.content_length
         if length is not None and length > limit:
             return errors.Failure(ErrorKind.BODY_TOO_LARGE)
-        try:
-            body = (
-                request.bounded_stream.read(limit + 1)
-                if length is not None
-                else (request.stream.read(limit + 1))
-            )
-        except OSError:
-            return errors.Failure(ErrorKind.BAD_REQUEST, "The body could not be read.")
+        # A body that trickles in would hold its part in memory for good.
+        with gevent.Timeout(self.app.settings.body_timeout_s) as timer:
+            try:
+                body = _stream_of(request).read(limit + 1)
+            except OSError:
+                return errors.Failure(ErrorKind.BAD_REQUEST, "The body could not be read.")
+            except gevent.Timeout as timeout:
+                if timeout is not timer:
+                    raise
+                return errors.Failure(ErrorKind.BAD_REQUEST, "The body came too slowly.")
         if len(body) > limit:
             return errors.Failure(ErrorKind.BODY_TOO_LARGE)
         if length is not None and len(body) < length:
@@ -79,6 +81,11 @@
         return body
 
 
+def _stream_of(request: falcon.Request) -> Any:
+    chunked = request.content_length is None
+    return request.stream if chunked else request.bounded_stream
+
+
 class HealthResource:
     """Answers while the process runs."""
 
@@ -140,13 +147,6 @@
     return {"id": name, "object": "model", "created": 0, "owned_by": "agaterail"}
 
 
-class _Handler(WSGIHandler):
-    """Handler that reads chunked and sized bodies and logs nothing itself."""
-
-    def log_request(self) -> None:
-        """Leave the log to the filters."""
-
-
 def make_wsgi(app: Application) -> falcon.App:
     """Return the WSGI application for callers."""
     wsgi = falcon.App()
@@ -160,7 +160,7 @@
     return wsgi
 
 
-def make_server(app: Application, address: Address) -> WSGIServer:
+def make_server(app: Application, address: Address) -> BoundedServer:
     """Return a server that is bound but not started.
 
     Raises
@@ -168,8 +168,7 @@
     OSError
         If the address cannot be bound.
     """
-    listener = _tcp_listener((address.host, address.port), backlog=BACKLOG, reuse_addr=True)
-    return WSGIServer(listener, make_wsgi(app), handler_class=_Handler, log=None)
+    return BoundedServer(address, make_wsgi(app), app.settings)
 
 
 def _send_reply(response: falcon.Response, exchange: Exchange, reply: Reply) -> None:
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -116,6 +116,9 @@
     header_timeout_s: float = _setting(
         10.0, _seconds, "seconds in which the headers of a request must have arrived"
     )
+    body_timeout_s: float = _setting(
+        30.0, _seconds, "seconds in which the body of a request must have arrived"
+    )
     idle_timeout_s: float = _setting(
         300.0, _seconds, "seconds after which an idle connection of a caller is closed"
     )
--- /dev/null
+++ b/agaterail/wsgi.py
@@ -0,0 +1,146 @@
+"""WSGI server whose requests are bounded in size and time."""
+
+from __future__ import annotations
+
+import http.client
+import ssl
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.server import _tcp_listener
+
+from agaterail import logs
+
+if TYPE_CHECKING:
+    from agaterail.settings import Settings
+    from agaterail.util.address import Address
+
+logger = logs.get_logger("server")
+
+BACKLOG = 1024
+TIMEOUT_ANSWER = ("408", b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
+TOO_LARGE_ANSWER = (
+    "431",
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n\r\n",
+)
+
+
+class HeadTooLargeError(ValueError):
+    """Request line and headers together exceed the limit."""
+
+
+class BoundedHandler(WSGIHandler):
+    """Handler that gives up on heads that are too large, too slow or idle.
+
+    Without these bounds a caller that sends headers without end fills the
+    memory, and one that sends a byte now and then holds a connection for good;
+    a few thousand of them take all descriptors of the process.
+    """
+
+    head_bytes = 0
+    head_timer: gevent.Timeout | None = None
+
+    def handle_one_request(self) -> Any:
+        """Handle the next request of the connection."""
+        try:
+            return super().handle_one_request()
+        except gevent.Timeout as timeout:
+            if timeout is not self.head_timer:
+                raise
+            return TIMEOUT_ANSWER
+        finally:
+            self._stop_head_timer()
+
+    def read_requestline(self) -> str:
+        """Wait for the next request; nothing means that none came."""
+        self.head_timer = None
+        with gevent.Timeout(self.server.settings.idle_timeout_s, False):
+            if self.rfile.peek(1):
+                timeout_s = self.server.settings.header_timeout_s
+                self.head_timer = gevent.Timeout.start_new(timeout_s)
+        if self.head_timer is None:
+            return ""
+        line = super().read_requestline()
+        self.head_bytes = len(line)
+        return line
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the request line and the headers."""
+        try:
+            return super().read_request(raw_requestline)
+        except http.client.HTTPException as error:  # more headers than the library takes
+            raise HeadTooLargeError(str(error)) from error
+        finally:
+            self._stop_head_timer()
+
+    def MessageClass(self, file: Any, *arguments: Any) -> Any:  # noqa: N802
+        """Parse the headers from lines whose sum is bounded."""
+        limit = self.server.settings.max_header_bytes - self.head_bytes
+        return super().MessageClass(_BoundedLines(file, limit), *arguments)
+
+    def run_application(self) -> None:
+        """Answer the request; a body that was refused is not read to its end."""
+        try:
+            super().run_application()
+        finally:
+            if self.close_connection:
+                self.wsgi_input = Input(self.rfile, 0)
+
+    def log_request(self) -> None:
+        """Leave the log to the filters."""
+
+    def log_error(self, msg: str, *args: object) -> None:
+        """Leave out what the library would quote of the request: it may hold keys."""
+        logger.info("Refused a malformed request.", caller=str(self.client_address))
+
+    def _handle_client_error(self, ex: Exception) -> Any:
+        if isinstance(ex, HeadTooLargeError):
+            logger.info("Refused a request head.", reason="too large")
+            return TOO_LARGE_ANSWER
+        if isinstance(ex, OSError):  # the caller left in the middle of a head
+            return TIMEOUT_ANSWER
+        return super()._handle_client_error(ex)
+
+    def _stop_head_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.close()
+
+
+class BoundedServer(WSGIServer):
+    """Server that hands the settings to its handlers."""
+
+    handler_class = BoundedHandler
+
+    def __init__(self, address: Address, application: Any, settings: Settings) -> None:
+        listener = _tcp_listener(
+            (address.host, address.port), backlog=BACKLOG, reuse_addr=True
+        )
+        tls: dict[str, Any] = {}
+        if settings.tls_certificate and settings.tls_key:
+            tls["ssl_context"] = _tls_context(settings.tls_certificate, settings.tls_key)
+        super().__init__(listener, application, log=None, error_log=None, **tls)
+        self.settings = settings
+
+
+class _BoundedLines:
+    """Lines of a file until their sum exceeds a limit."""
+
+    def __init__(self, file: Any, limit: int) -> None:
+        self.file = file
+        self.left = limit
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line."""
+        line = self.file.readline(max(1, min(limit, self.left + 1)))
+        self.left -= len(line)
+        if self.left < 0:
+            raise HeadTooLargeError("too many bytes")
+        return line
+
+
+def _tls_context(certificate: str, key: str) -> ssl.SSLContext:
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(certificate, key)
+    return context
--- a/tests/test_agaterail/test_peers/test_processes.py
+++ b/tests/test_agaterail/test_peers/test_processes.py
@@ -7,13 +7,14 @@
 import unittest
 
 from tests.support import ROOT, free_port
+from tests.tls import make_tls_files
 
 PEER = """
 from agaterail.util import greenlets
 greenlets.patch()
-import sys
+import os, sys
 import attrs
-from agaterail import logs
+from agaterail import logs, settings
 logs.configure("error")
 import gevent
 from agaterail.peers import Peers, peer_message
@@ -28,7 +29,8 @@
 
 own, other = sys.argv[1], sys.argv[2]
 address = Address.parse(own)
-peers = Peers(own, GrpcTransport(address), DatagramTransport(address), sys.argv[3])
+chosen = settings.load({}, os.environ).unwrap()
+peers = Peers(own, GrpcTransport(address, chosen), DatagramTransport(address), sys.argv[3])
 peers.handle(Ping, lambda sender, ping: Ping(ping.number + 1))
 peers.start()
 print("up", flush=True)
@@ -45,9 +47,12 @@
 """
 
 
+HOSTS = ("127.0.0.71", "127.0.0.72")
+
+
 class TwoProcessesTest(unittest.TestCase):
-    def run_pair(self, secrets, count, timeout_s):
-        addresses = [f"127.0.0.{number}:{free_port()}" for number in (71, 72)]
+    def run_pair(self, secrets, count, timeout_s, environments=({}, {})):
+        addresses = [f"{host}:{free_port()}" for host in HOSTS]
         processes = [
             subprocess.Popen(
                 [sys.executable, "-c", PEER, own, other, secret, str(count), str(timeout_s)],
@@ -55,9 +60,11 @@
                 stdout=subprocess.PIPE,
                 stderr=subprocess.DEVNULL,
                 text=True,
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
+                env={**os.environ, "PYTHONPATH": str(ROOT), **environment},
+            )
+            for own, other, secret, environment in zip(
+                addresses, addresses[::-1], secrets, environments, strict=True
             )
-            for own, other, secret in zip(addresses, addresses[::-1], secrets, strict=True)
         ]
         for process in processes:
             self.assertEqual(process.stdout.readline(), "up\n")
@@ -76,3 +83,23 @@
 
     def test_another_secret_gets_no_answer(self):
         self.assertEqual(self.run_pair(["one", "other"], 2, 0.3), [0, 0])
+
+    def test_both_prove_themselves_by_certificates(self):
+        files = [make_tls_files(self, HOSTS)] * 2
+        environments = [files_for_peers(item) for item in files]
+        self.assertEqual(self.run_pair(["same", "same"], 5, 5.0, environments), [5, 5])
+
+    def test_a_certificate_of_another_authority_gets_no_answer(self):
+        # A process that knows the secret but holds a certificate that the
+        # daemons' authority did not sign asks a daemon. The handshake fails
+        # on both sides, so neither call is answered.
+        environments = [files_for_peers(make_tls_files(self, HOSTS)) for _ in range(2)]
+        self.assertEqual(self.run_pair(["same", "same"], 2, 0.5, environments), [0, 0])
+
+
+def files_for_peers(files):
+    return {
+        "AGATERAIL_PEER_TLS_CERTIFICATE": files.certificate,
+        "AGATERAIL_PEER_TLS_KEY": files.key,
+        "AGATERAIL_PEER_TLS_AUTHORITY": files.certificate,
+    }
