--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint binary bench slopes venv
+.PHONY: demo test lint binary bench slopes reference overhead venv
 
 venv: $(VENV)/installed
 
@@ -30,3 +30,9 @@
 
 slopes: venv
 	$(BIN)/python -m tools.slopes
+
+reference: venv
+	$(BIN)/python -m tools.reference
+
+overhead: venv
+	$(BIN)/python -m tools.overhead
--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -6,7 +6,9 @@
 import secrets
 from typing import TYPE_CHECKING, Any
 
-from agaterail import logs
+from returns.result import Success
+
+from agaterail import __version__, logs
 from agaterail.candidates import CandidateFinder
 from agaterail.engines.http import HttpEngine
 from agaterail.events import EventBus
@@ -59,6 +61,7 @@
     "agaterail.controllers.hosts",
     "agaterail.controllers.leases",
     "agaterail.controllers.rollout",
+    "agaterail.controllers.gauges",
     "agaterail.status",
     "agaterail.controllers.homes",
 )
@@ -162,8 +165,10 @@
             tables=self.tables,
         )
         self.in_flight += 1
-        exchange.on_finish(self._on_finish)
-        return exchange, self.chain.run(exchange)
+        exchange.on_finish(lambda outcome: self._on_finish(exchange, outcome))
+        result = self.chain.run(exchange)
+        self._measure(exchange, result)
+        return exchange, result
 
     def policy_of(self, pool: Pool) -> Policy:
         """Return the policy that a pool names."""
@@ -186,11 +191,29 @@
     def status(self) -> dict[str, Any]:
         """Return what the ``status`` command shows."""
         parts = {name: item.status() for name, item in self.controllers.items()}
-        return {"ready": self.ready, "in_flight": self.in_flight, **parts}
-
-    def _on_finish(self, outcome: errors.Outcome) -> None:
+        own = {"version": __version__, "ready": self.ready, "in_flight": self.in_flight}
+        return {**own, **parts}
+
+    def _measure(self, exchange: Exchange, result: Result[Reply, errors.Failure]) -> None:
+        if exchange.attempt:
+            self.metrics.count("attempts", exchange.attempt)
+        if not isinstance(result, Success):
+            self.metrics.count(f"errors.{result.failure().kind.value}")
+            return
+        self.metrics.timing("first_part", self._age_ms(exchange))
+        if exchange.prefix is not None and exchange.decision is not None:
+            assert exchange.pool is not None
+            hit_tokens = exchange.decision.hit_blocks * exchange.pool.block_tokens
+            self.metrics.count("prompt_tokens", exchange.prefix.prompt_tokens)
+            self.metrics.count("expected_hit_tokens", hit_tokens)
+
+    def _on_finish(self, exchange: Exchange, outcome: errors.Outcome) -> None:
         self.in_flight -= 1
         self.metrics.count(f"requests.{outcome.value}")
+        self.metrics.timing("request", self._age_ms(exchange))
+
+    def _age_ms(self, exchange: Exchange) -> float:
+        return (self.timers.now() - exchange.received_at) * 1e3
 
 
 def _lone_peers(settings: Settings) -> Peers:
--- a/agaterail/metrics.py
+++ b/agaterail/metrics.py
@@ -3,16 +3,77 @@
 from __future__ import annotations
 
 import abc
+import enum
 from typing import TYPE_CHECKING
 
+import attrs
 import statsd
 
+from agaterail.errors import ErrorKind, Outcome
+from agaterail.fold import Verdict
+
 if TYPE_CHECKING:
     from agaterail.util.address import Address
 
 PREFIX = "agaterail"
 
 
+class MetricKind(enum.Enum):
+    """How statsd treats a metric."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    TIMING = "timing"
+
+
+@attrs.frozen
+class Metric:
+    """One metric, or one for each member of an enumeration.
+
+    Attributes
+    ----------
+    name
+        Name without the prefix; ``{}`` stands for a member's value.
+    members
+        Enumeration whose values ``{}`` stands for.
+    """
+
+    name: str
+    kind: MetricKind
+    unit: str
+    description: str
+    members: type[enum.Enum] | None = None
+
+    def names(self) -> list[str]:
+        """Return the names with each member filled in."""
+        if self.members is None:
+            return [self.name]
+        return [self.name.format(member.value) for member in self.members]
+
+
+_COUNTER, _GAUGE, _TIMING = MetricKind.COUNTER, MetricKind.GAUGE, MetricKind.TIMING
+
+METRICS = (
+    Metric("requests.{}", _COUNTER, "requests", "Requests by what became of them.", Outcome),
+    Metric("errors.{}", _COUNTER, "requests", "Requests that got an error.", ErrorKind),
+    Metric("attempts", _COUNTER, "attempts", "Targets asked, retries included."),
+    Metric("prompt_tokens", _COUNTER, "tokens", "Prompt tokens of routed completions."),
+    Metric(
+        "expected_hit_tokens", _COUNTER, "tokens", "Of these, expected in the engine's cache."
+    ),
+    Metric("first_part", _TIMING, "ms", "From arrival to the first part of the answer."),
+    Metric("request", _TIMING, "ms", "From arrival to the end of the answer."),
+    Metric("in_flight", _GAUGE, "requests", "Requests in flight on this daemon."),
+    Metric("ready", _GAUGE, "0 or 1", "Whether the balancer should send new connections."),
+    Metric("members", _GAUGE, "daemons", "Live daemons that this one knows."),
+    Metric("peers.messages", _GAUGE, "messages", "Messages to peers since the start."),
+    Metric("peers.bytes", _GAUGE, "bytes", "Bytes to peers since the start."),
+    Metric("tables.through", _GAUGE, "offset", "Offset of the tables in force."),
+    Metric("tables.{}", _COUNTER, "records", "Records of the tables, as judged.", Verdict),
+    Metric("tables.snapshots", _COUNTER, "records", "Snapshots written by this daemon."),
+)
+
+
 class Metrics(abc.ABC):
     """Sink for the metrics of one process."""
 
--- a/agaterail/tables.py
+++ b/agaterail/tables.py
@@ -44,6 +44,18 @@
 
     Attributes
     ----------
+    kind
+        Whether the targets are model engines or plain services.
+    targets
+        Addresses of the form IP:port, each with its failure domain.
+    model
+        Model that the engines should have loaded.
+    adapters
+        Adapters that the engines should have loaded.
+    role
+        Role that the engines should be in.
+    policy
+        Policy that chooses among the targets.
     weights_version, also_serve
         Weights that engines should load, and older ones that may go on
         answering until they have.
@@ -85,6 +97,10 @@
 
     Attributes
     ----------
+    workspace
+        Workspace whose cached prefixes the requests may share.
+    pool
+        Name of the pool that serves the route.
     callers
         SHA-256 digests, in hex, of the API keys that may use the route.
     models
@@ -101,6 +117,11 @@
         Limits of the route over all hosts; 0 means no limit.
     miss_weight
         Cost of a missing token in units of its own prefill time.
+    hedge_after_ms
+        Time without a first token after which an idempotent request goes to a
+        second target as well; 0 means never.
+    resume_elsewhere
+        Whether a broken stream may be continued on another engine.
     """
 
     name: str
--- a/tests/support.py
+++ b/tests/support.py
@@ -12,10 +12,12 @@
 
 import gevent
 
+from agaterail import codec
 from agaterail.application import Application
 from agaterail.filters.identify import digest_of
+from agaterail.logstore.http import HttpLogStore
 from agaterail.logstore.memory import MemoryLogStore
-from agaterail.records import Action, Change, Edit
+from agaterail.records import TABLES_STREAM, Action, Change, Edit, TablesRecord
 from agaterail.server import make_server
 from agaterail.settings import Settings
 from agaterail.tables import NO_VERSION, Pool, PoolKind, Route, TableName, TargetEntry
@@ -107,6 +109,18 @@
         return response, response.read()
 
 
+def append_edit(log_address, change):
+    """Append an edit to a log that is reached by HTTP."""
+    log = HttpLogStore(Address.parse(log_address))
+    log.append(TABLES_STREAM, codec.encode(change, TablesRecord)).unwrap()
+
+
+def status_of(address, method, path, body=b"", headers=None):
+    """Send one request and return the status of its answer, or 0 without one."""
+    connections = HttpConnections(Address.parse(address))
+    return connections.call(method, path, body, headers).value_or((0, b""))[0]
+
+
 def wait_until(condition, seconds=5.0):
     """Wait for a condition that greenlets bring about; the bound only ends a hang."""
     end = time.monotonic() + seconds
--- a/tests/test_tools/test_build_binary.py
+++ b/tests/test_tools/test_build_binary.py
@@ -5,22 +5,18 @@
 import tempfile
 import unittest
 
-from returns.result import Success
-
-from agaterail import codec
-from agaterail.records import TABLES_STREAM, TablesRecord
-from agaterail.util.address import Address
-from agaterail.util.httpconn import HttpConnections
 from standins.engine import EngineConfig, EngineStandIn
 from standins.log import LogStandIn
 from tests.support import (
     API_KEY,
     MODEL,
+    append_edit,
     chat_route,
     edit,
     engine_pool,
     free_port,
     put,
+    status_of,
     wait_until,
 )
 from tools.build_binary import build_cached, runtime_packages
@@ -35,10 +31,7 @@
         self.engine, self.log = EngineStandIn(FAST), LogStandIn()
         change = edit("e0", put(engine_pool([self.engine.start()])), put(chat_route()))
         self.log_address = self.log.start()
-        log = HttpConnections(Address.parse(self.log_address))
-        data = codec.encode(change, TablesRecord)
-        appended = log.call("POST", f"/streams/{TABLES_STREAM}/append", data)
-        self.assertIsInstance(appended, Success)
+        append_edit(self.log_address, change)
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
         self.binary = build_cached()
 
@@ -55,15 +48,10 @@
         command = [self.binary, "serve", "--log-service", self.log_address, *flags]
         daemon = subprocess.Popen(command, cwd=self.folder, env={}, stderr=subprocess.DEVNULL)
         self.addCleanup(daemon.kill)
-        connections = HttpConnections(Address.parse(listen))
-        wait_until(lambda: status_of(connections, "/readyz") == 200, START_SECONDS)
-        answer = connections.call(
-            "POST",
-            "/v1/chat/completions",
-            BODY % MODEL.encode(),
-            {"authorization": f"Bearer {API_KEY}"},
-        )
-        self.assertEqual(answer.unwrap()[0], 200)
+        wait_until(lambda: status_of(listen, "GET", "/readyz") == 200, START_SECONDS)
+        key = {"authorization": f"Bearer {API_KEY}"}
+        body = BODY % MODEL.encode()
+        self.assertEqual(status_of(listen, "POST", "/v1/chat/completions", body, key), 200)
         self.assertEqual(children_of(daemon.pid), [])
         self.assertEqual(list(pathlib.Path(self.folder).iterdir()), [])
         asked = subprocess.run(
@@ -85,10 +73,6 @@
             self.assertNotIn(name, packages)
 
 
-def status_of(connections, path):
-    return connections.call("GET", path).value_or((0, b""))[0]
-
-
 def children_of(pid):
     tasks = pathlib.Path(f"/proc/{pid}/task").iterdir()
     return [child for task in tasks for child in (task / "children").read_text().split()]
