--- a/agaterail/wsgi.py
+++ b/agaterail/wsgi.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import ssl
 from typing import TYPE_CHECKING, Any
 
@@ -116,6 +117,9 @@
         listener = _tcp_listener(
             (address.host, address.port), backlog=BACKLOG, reuse_addr=True
         )
+        # Accepted connections inherit this. With Nagle's algorithm an event
+        # waits for the caller's delayed acknowledgement, about 40 ms.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         tls: dict[str, Any] = {}
         if settings.tls_certificate and settings.tls_key:
             tls["ssl_context"] = _tls_context(settings.tls_certificate, settings.tls_key)
--- a/standins/base.py
+++ b/standins/base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -63,6 +64,7 @@
     def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the address as IP:port."""
         listener = _tcp_listener((host, port), backlog=BACKLOG, reuse_addr=True)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server = WSGIServer(listener, self._serve, log=None, error_log=None)
         self.server.start()
         return f"{host}:{self.server.server_port}"
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -50,6 +50,7 @@
     def __init__(self, log_level: str = "warning") -> None:
         self.processes: list[subprocess.Popen] = []
         self.log_level = log_level
+        self.daemon_output: int | None = None
         self.log = ""
         self.hosts = ""
         self.kv_store = ""
@@ -129,7 +130,9 @@
             *flags,
         ]  # fmt: skip
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        process = subprocess.Popen(command, cwd=ROOT, env=environment)
+        process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stderr=self.daemon_output
+        )
         self.processes.append(process)
         self.put_host(peer_address, "router", "live", DOMAINS[number % len(DOMAINS)])
         return Daemon(address, peer_address, process)
