--- a/standins/base.py
+++ b/standins/base.py
@@ -12,6 +12,8 @@
 from gevent.server import _tcp_listener
 
 BACKLOG = 1024
+# The Date and Content-Length lines that the server adds by itself.
+DATE_BYTES = 60
 
 
 @attrs.frozen(kw_only=True)
@@ -48,6 +50,15 @@
 Handler = Callable[[Call], Answer]
 
 
+@attrs.define
+class Traffic:
+    """Calls and their bytes at the level of HTTP, streamed bodies left out."""
+
+    calls: int = 0
+    received_bytes: int = 0
+    sent_bytes: int = 0
+
+
 class StandIn:
     """HTTP server with a table of paths and switchable faults.
 
@@ -57,8 +68,12 @@
 
     def __init__(self, faults: Any = None) -> None:
         self.faults = faults
-        self.paths: dict[str, Handler] = {"/control": self._control}
+        self.paths: dict[str, Handler] = {
+            "/control": self._control,
+            "/traffic": lambda _call: json_answer(attrs.asdict(self.traffic)),
+        }
         self.server: WSGIServer | None = None
+        self.traffic = Traffic()
 
     def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the address as IP:port."""
@@ -101,15 +116,32 @@
         except ConnectionAbortedError:
             environ["wsgi.input"].socket.close()
             raise
+        self.traffic.calls += 1
+        self.traffic.received_bytes += _request_bytes(call)
         body = answer.body
         headers = list(answer.headers.items())
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
+            self.traffic.sent_bytes += _answer_bytes(answer, body)
             body = [body]
         start_response(f"{answer.status} -", headers)
         return body
 
 
+def _request_bytes(call: Call) -> int:
+    query = "&".join(f"{name}={value}" for name, value in call.query.items())
+    line = len(f"{call.method} {call.path}?{query} HTTP/1.1")
+    return line + _header_bytes(call.headers) + len(call.body)
+
+
+def _answer_bytes(answer: Answer, body: bytes) -> int:
+    return len(b"HTTP/1.1 200 -") + _header_bytes(answer.headers) + DATE_BYTES + len(body)
+
+
+def _header_bytes(headers: Mapping[str, str]) -> int:
+    return sum(len(name) + len(value) + len(": \r\n") for name, value in headers.items()) + 4
+
+
 def _call_of(environ: dict[str, Any]) -> Call:
     headers = {
         name[5:].replace("_", "-").lower(): value
--- /dev/null
+++ b/tools/slopes/__main__.py
@@ -0,0 +1,26 @@
+"""Measure all slopes: ``make slopes``, or the roles that are named."""
+
+from __future__ import annotations
+
+from agaterail.util import greenlets
+
+greenlets.patch()
+
+import importlib
+import sys
+
+from agaterail import logs
+
+ROLES = ("home", "receiver", "state")
+
+
+def main() -> None:
+    """Print one line per slope."""
+    logs.configure("error")
+    for role in sys.argv[1:] or ROLES:
+        for slope in importlib.import_module(f"tools.slopes.{role}").measure():
+            print(slope, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/slopes/home.py
@@ -0,0 +1,161 @@
+"""Engine home: events, keys, load reports, candidate queries."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from collections.abc import Iterator
+from hashlib import blake2b
+
+from agaterail.candidates import CandidateAnswer, CandidateQuery, CandidateState
+from agaterail.engines import CacheEvent, CacheEventKind, CacheEvents
+from agaterail.index import EngineIndex
+from agaterail.peers import Peers
+from agaterail.peers.memory import MemoryNetwork, MemoryTransport
+from standins.base import Call
+from standins.engine import EngineConfig, EngineStandIn
+from tools.slopes.fit import Point, Slope, cpu_s, fit, held_bytes
+
+INCARNATION = "0123456789ab"
+KEYS_PER_EVENT = 1
+QUERY_ENGINES = 2
+
+
+def key_of(number: int) -> bytes:
+    """Return a block key as engines name it."""
+    return blake2b(number.to_bytes(8, "big"), digest_size=16).digest()
+
+
+def measure() -> Iterator[Slope]:
+    """Measure the slopes of this role."""
+    yield fit(
+        "home.key_memory", "bytes", "key", [_memory(n) for n in (20_000, 60_000, 120_000)]
+    )
+    yield fit(
+        "home.event_cpu", "s", "event", [_events_cpu(n) for n in (20_000, 40_000, 80_000)]
+    )
+    yield fit(
+        "home.event_bytes", "bytes", "event", [_event_bytes(n) for n in (100, 400, 1600)]
+    )
+    yield fit("home.load_bytes", "bytes", "report", [_load_bytes(n) for n in (10, 20, 40)])
+    yield fit("home.query_cpu", "s", "query", [_query_cpu(n) for n in (500, 1000, 2000)])
+    yield fit("home.query_bytes", "bytes", "key", [_query_bytes(n) for n in (4, 8, 16)])
+
+
+def _filled(keys: list[bytes]) -> EngineIndex:
+    index = EngineIndex(0.0)
+    index.on_events(CacheEvents(INCARNATION, [], 0), 0.0)
+    batches = itertools.batched(keys, 100) if hasattr(itertools, "batched") else _cut(keys)
+    for sequence, batch in enumerate(batches, 1):
+        event = CacheEvent(sequence, CacheEventKind.STORED, tuple(batch))
+        index.on_events(CacheEvents(INCARNATION, [event], sequence), sequence * 1e-3)
+    return index
+
+
+def _cut(keys: list[bytes]) -> Iterator[list[bytes]]:
+    for start in range(0, len(keys), 100):
+        yield keys[start : start + 100]
+
+
+def _memory(count: int) -> Point:
+    keys = [key_of(number) for number in range(count)]
+    return Point(count, held_bytes(lambda: _filled(keys)))
+
+
+def _events_cpu(count: int) -> Point:
+    # A cache in steady state: each new block evicts an old one.
+    keys = [key_of(number) for number in range(count)]
+    index = _filled(keys[: count // 2])
+    first = index.sequence + 1
+    events: list[CacheEvent] = []
+    for place in range(count // 2):
+        number = first + 2 * place
+        stored = (keys[count // 2 + place],)
+        events.append(CacheEvent(number, CacheEventKind.STORED, stored))
+        events.append(CacheEvent(number + 1, CacheEventKind.EVICTED, (keys[place],)))
+    batches = [
+        CacheEvents(
+            INCARNATION, events[start : start + 100], events[start : start + 100][-1].sequence
+        )
+        for start in range(0, len(events), 100)
+    ]
+
+    def apply() -> None:
+        for batch in batches:
+            index.on_events(batch, 1.0)
+
+    return Point(len(events), cpu_s(apply, repeat=1))
+
+
+def _event_bytes(count: int) -> Point:
+    engine = EngineStandIn(EngineConfig(capacity_blocks=10 * count))
+    for number in range(count):
+        engine.cache.store((key_of(number),))
+    call = Call(method="GET", path="/events", query={"after": "0"}, headers={}, body=b"")
+    return Point(count, len(_body(engine.route(call))))
+
+
+def _load_bytes(count: int) -> Point:
+    engine = EngineStandIn(EngineConfig())
+    call = Call(method="GET", path="/load", query={}, headers={}, body=b"")
+    return Point(count, sum(len(_body(engine.route(call))) for _ in range(count)))
+
+
+def _body(answer: object) -> bytes:
+    body = getattr(answer, "body", b"")
+    assert isinstance(body, bytes)
+    json.loads(body)
+    return body
+
+
+def _pair() -> tuple[Peers, Peers]:
+    network = MemoryNetwork()
+    made: list[Peers] = []
+    for address in ("10.0.0.1:1", "10.0.0.2:1"):
+        transports = [MemoryTransport(network, address) for _ in range(2)]
+        peers = Peers(address, transports[0], transports[1], "secret")
+        peers.start()
+        made.append(peers)
+    return made[0], made[1]
+
+
+def _query(keys: int) -> CandidateQuery:
+    engines = tuple(f"10.1.0.{number}:8000" for number in range(QUERY_ENGINES))
+    return CandidateQuery(engines=engines, keys=bytes(8 * keys))
+
+
+def _answer(query: CandidateQuery) -> CandidateAnswer:
+    return CandidateAnswer(
+        tuple(
+            CandidateState(
+                engine=engine,
+                depth=4,
+                confidence=0.9,
+                queue_ms=12.5,
+                in_flight=3,
+                age_ms=200.0,
+                prefill_ms_per_token=0.05,
+                weights_version="v1",
+                leaving=False,
+            )
+            for engine in query.engines
+        )
+    )
+
+
+def _query_cpu(count: int) -> Point:
+    asker, home = _pair()
+    home.handle(CandidateQuery, lambda _sender, query: _answer(query))
+
+    def ask() -> None:
+        for _ in range(count):
+            asker.query(home.own_address, _query(8), 1.0)
+
+    return Point(count, cpu_s(ask))
+
+
+def _query_bytes(keys: int) -> Point:
+    asker, home = _pair()
+    home.handle(CandidateQuery, lambda _sender, query: _answer(query))
+    asker.query(home.own_address, _query(keys), 1.0)
+    return Point(keys, asker.sent_bytes + home.sent_bytes)
--- /dev/null
+++ b/tools/slopes/receiver.py
@@ -0,0 +1,79 @@
+"""Receiving daemon: choosing a target among many engines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from agaterail.candidates import CandidateState
+from agaterail.policies import Placement
+from agaterail.policies.cost import CostPolicy
+from agaterail.prefix import Prefix
+from agaterail.tables import Pool, PoolKind, Route, TargetEntry
+from agaterail.targets import TargetBook
+from tools.slopes.fit import Point, Slope, cpu_s, fit
+from tools.slopes.home import key_of
+
+ENGINES = 600
+DECISIONS = 1000
+
+
+def measure() -> Iterator[Slope]:
+    """Measure the slopes of this role."""
+    counts = (500, 1000, 2000)
+    yield fit("receiver.decision_cpu", "s", "decision", [_decide(n, ENGINES) for n in counts])
+    engines = [Point(n, _decide(DECISIONS, n).value / DECISIONS) for n in (5, 40, 200, 600)]
+    yield fit("receiver.decision_by_pool", "s", "engine", engines)
+
+
+def _decide(decisions: int, engines: int) -> Point:
+    pool = pool_of(engines)
+    book = TargetBook()
+    policy = CostPolicy("a", seed=1)
+    route = Route(name="r", workspace="w", callers=(), pool="p", models=("atlas",))
+    keys = [key_of(number) for number in range(decisions)]
+
+    def run() -> None:
+        for number, key in enumerate(keys):
+            prefix = Prefix(tuple(keys[:8]), (2, 6), 16_000, key)
+            placement = Placement(
+                pool=pool, route=route, prefix=prefix, deadline_ms=1400.0, now=number * 1e-3
+            )
+            entries = policy.candidates(placement, ()) or ()
+            states = [book.state_of(entry) for entry in entries]
+            views = {state.address: _view(state.address) for state in states}
+            policy.choose(
+                Placement(
+                    pool=pool,
+                    route=route,
+                    prefix=prefix,
+                    deadline_ms=1400.0,
+                    now=number * 1e-3,
+                    views=views,
+                ),
+                states,
+            )
+
+    return Point(decisions, cpu_s(run))
+
+
+def pool_of(engines: int) -> Pool:
+    """Return a pool with so many engines in five failure domains."""
+    targets = tuple(
+        TargetEntry(address=f"10.1.{n // 250}.{n % 250 + 1}:8000", domain="abcde"[n % 5])
+        for n in range(engines)
+    )
+    return Pool(name="p", kind=PoolKind.ENGINE, targets=targets, model="atlas")
+
+
+def _view(address: str) -> CandidateState:
+    return CandidateState(
+        engine=address,
+        depth=4,
+        confidence=0.9,
+        queue_ms=10.0,
+        in_flight=2,
+        age_ms=200.0,
+        prefill_ms_per_token=0.05,
+        weights_version="",
+        leaving=False,
+    )
