--- a/agaterail/wsgi.py
+++ b/agaterail/wsgi.py
@@ -88,6 +88,25 @@
             if self.close_connection:
                 self.wsgi_input = Input(self.rfile, 0)
 
+    def _sendall(self, data: bytes) -> None:
+        # One system call for what fits into the socket's buffer, as an event
+        # nearly always does; the library's sendall asks for its size first.
+        sent = self.socket.send(data)
+        if sent < len(data):
+            super()._sendall(memoryview(data)[sent:])
+        self.response_length += sent
+
+    def _write_with_headers(self, data: bytes) -> None:
+        # The library sends head and first part in two calls and two segments.
+        self.headers_sent = True
+        self.finalize_headers()
+        head = [b"HTTP/1.1 " + self.status]
+        head += [name + b": " + value for name, value in self.response_headers]
+        start = b"\r\n".join(head) + b"\r\n\r\n"
+        if data and self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(start + data)
+
     def log_request(self) -> None:
         """Leave the log to the filters."""
 
