--- a/agaterail/candidates.py
+++ b/agaterail/candidates.py
@@ -8,6 +8,7 @@
 import gevent
 from returns.result import Success
 
+from agaterail import codec
 from agaterail.index import SHORT_KEY_BYTES, short_key
 from agaterail.peers import peer_message
 
@@ -20,10 +21,10 @@
     from agaterail.timers import TimerService
 
 QUERY_TIMEOUT_S = 0.02
-# A home that did not answer several times is left out for a while: waiting for
-# it in every request would add the whole timeout to each first token.
-MAX_MISSES = 3
-SILENT_HOME_S = 1.0
+# A home that has not answered for a while is asked only now and then: waiting
+# for it in every request would add the whole timeout to each first token.
+SILENT_AFTER_S = 0.25
+SILENT_HOME_S = 0.25
 EXACT_DEPTH = 32
 
 
@@ -149,7 +150,8 @@
         self.timers = timers
         self.timeout_s = QUERY_TIMEOUT_S
         self.silent_until: dict[str, float] = {}
-        self.misses: dict[str, int] = {}
+        self.missing_since: dict[str, float] = {}
+        _warm_codec()
 
     def ask(self, engines: Sequence[str], prefix: ShortPrefix) -> dict[str, CandidateState]:
         """Return what is known of the engines whose homes answered in time."""
@@ -196,14 +198,26 @@
     def _ask_one(self, home: str, question: CandidateQuery) -> CandidateAnswer | None:
         result = self.peers.query(home, question, self.timeout_s)
         if isinstance(result, Success) and isinstance(result.unwrap(), CandidateAnswer):
-            self.misses.pop(home, None)
+            self.missing_since.pop(home, None)
             return result.unwrap()
-        self.misses[home] = self.misses.get(home, 0) + 1
-        if self.misses[home] >= MAX_MISSES:
-            self.silent_until[home] = self.timers.now() + SILENT_HOME_S
+        now = self.timers.now()
+        # One burst can miss the deadline many times at once, so that the time
+        # counts and not the number of misses.
+        if now - self.missing_since.setdefault(home, now) >= SILENT_AFTER_S:
+            self.silent_until[home] = now + SILENT_HOME_S
         return None
 
 
+def _warm_codec() -> None:
+    # The converter writes code for each class on first use, which takes
+    # milliseconds: the first questions after a start would miss their deadline.
+    query = CandidateQuery(("",), b"", (1,))
+    answer = CandidateAnswer((CandidateState("", 1, 0.5, 1.0, 1, 1.0, 1.0, "v", True),))
+    for message in (query, answer, DispatchNotice("", "", 1, b""), FinishNotice("", "")):
+        fields = codec.converter.unstructure(message)
+        codec.converter.structure(fields, type(message))
+
+
 def _ladder(count: int) -> Iterator[int]:
     step, depth = 1, 0
     while depth + step <= count:
--- a/agaterail/controllers/homes.py
+++ b/agaterail/controllers/homes.py
@@ -74,10 +74,11 @@
         """Fetch the contents when they are needed and due, else the next events."""
         if self.index.needs_contents and self.timers.now() >= self.contents_due_at:
             self._fetch_contents()
+        asked_at = self.timers.now()
         fetched = self.engine.events(self.index.sequence, EVENTS_WAIT_S)
         if isinstance(fetched, Success):
             known = self.index.incarnation
-            self.index.on_events(fetched.unwrap(), self.timers.now())
+            self.index.on_events(fetched.unwrap(), asked_at, self.timers.now())
             self._note_restart(known)
 
     def fetch_load(self) -> None:
@@ -89,7 +90,7 @@
             known = self.index.incarnation
             # A report of a dead incarnation may still arrive, from before the
             # crash; it must not bring the old queue back.
-            if self.index.on_incarnation(report.incarnation):
+            if self.index.on_incarnation(report.incarnation, asked_at, self.timers.now()):
                 self.index.on_weights(report.weights_version)
                 self.index.set_capacity(report.capacity_blocks)
                 self.load.on_report(report, asked_at)
@@ -128,12 +129,13 @@
         )
 
     def _fetch_contents(self) -> None:
+        asked_at = self.timers.now()
         fetched = self.engine.contents()
         if not isinstance(fetched, Success):
             return
         contents = fetched.unwrap()
         known = self.index.incarnation
-        taken = self.index.on_contents(contents, self.timers.now())
+        taken = self.index.on_contents(contents, asked_at, self.timers.now())
         self._note_restart(known)
         size = len(contents.keys) * CONTENTS_BYTES_PER_KEY
         pause_s = max(MIN_CONTENTS_PERIOD_S, size / CONTENTS_BYTES_PER_S)
--- a/agaterail/index.py
+++ b/agaterail/index.py
@@ -189,6 +189,7 @@
         self.generation = OLD_GENERATION + 1
         self.incarnation = ""
         self.weights_version = ""
+        self.learnt_at = now
         self.dead: deque[str] = deque(maxlen=REMEMBERED_INCARNATIONS)
         self.sequence = 0
         self.needs_contents = True
@@ -200,15 +201,26 @@
 
     # Events of the engine
 
-    def on_incarnation(self, incarnation: str) -> bool:
-        """Take note of an engine's incarnation; False for one that is dead."""
+    def on_incarnation(self, incarnation: str, asked_at: float, now: float) -> bool:
+        """Take note of an engine's incarnation; False for one that may be dead.
+
+        Parameters
+        ----------
+        asked_at
+            When the question was sent whose answer names the incarnation.
+        """
         if incarnation == self.incarnation:
             return True
-        if incarnation in self.dead:
+        # A question from before the current incarnation was learnt may have
+        # been answered by the one before. Taking it for a newer one would
+        # follow the dead engine and ignore the live one from then on. If there
+        # is a newer one, the next question finds it.
+        if incarnation in self.dead or asked_at < self.learnt_at:
             return False
         if self.incarnation:
             self.dead.append(self.incarnation)
         self.incarnation = incarnation
+        self.learnt_at = now
         self.drop_all()
         self.sequence = 0
         self.needs_contents = True
@@ -221,10 +233,10 @@
             self.needs_contents = True
         self.weights_version = version
 
-    def on_events(self, batch: CacheEvents, now: float) -> None:
+    def on_events(self, batch: CacheEvents, asked_at: float, now: float) -> None:
         """Apply events in order; repeated and late ones change nothing."""
         known = self.incarnation
-        if not self.on_incarnation(batch.incarnation):
+        if not self.on_incarnation(batch.incarnation, asked_at, now):
             return
         if known != batch.incarnation:
             # The batch was asked for with a number of the old incarnation:
@@ -237,9 +249,9 @@
             self._mark_gap(batch.last_sequence - self.sequence)
             self.sequence = batch.last_sequence
 
-    def on_contents(self, contents: CacheContents, now: float) -> bool:
+    def on_contents(self, contents: CacheContents, asked_at: float, now: float) -> bool:
         """Replace all entries; False when the contents are older than the events."""
-        if not self.on_incarnation(contents.incarnation):
+        if not self.on_incarnation(contents.incarnation, asked_at, now):
             return False
         if contents.sequence < self.sequence:
             return False
--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -30,6 +30,10 @@
 # the prefix about every second time and the others hardly ever.
 UNKNOWN_FIRST_HIT = 0.5
 UNKNOWN_QUEUE_SHARE = 0.5
+# Requests for one cold prefix that arrive at several daemons at once must meet
+# at one engine although none is told of the others yet. Each place further down
+# the order costs this part of the prefill, so that only a queue moves them.
+RANK_SHARE = 0.2
 LEAST_LOADED_PERIOD_S = 0.05
 KNOWN_FOR_S = 2.0
 
@@ -50,12 +54,13 @@
     miss: float
     domain: float
     prefill: float
+    rank: float = 0.0
     transfer: float = 0.0
 
     @property
     def total(self) -> float:
         """Return what the policy minimises."""
-        return self.queue + self.miss + self.domain + self.transfer
+        return self.queue + self.miss + self.domain + self.rank + self.transfer
 
     @property
     def expected_ms(self) -> float:
@@ -173,7 +178,7 @@
         fitting = [state for state in targets if self._fits(placement, state)] or targets
         costs = [self._terms(placement, state, rank) for rank, state in enumerate(fitting)]
         place = min(range(len(costs)), key=lambda index: costs[index].total)
-        return self._decision(placement, fitting[place], costs[place], place)
+        return self._decision(placement, fitting[place], costs[place])
 
     def _choose_service(self, targets: Sequence[TargetState]) -> Decision:
         least = min(
@@ -203,6 +208,7 @@
             miss=prefill * placement.route.miss_weight,
             domain=self._domain_ms(state),
             prefill=prefill,
+            rank=prefill * RANK_SHARE * rank,
         )
 
     def _unknown_terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
@@ -214,14 +220,13 @@
             miss=prefill * placement.route.miss_weight,
             domain=self._domain_ms(state),
             prefill=prefill,
+            rank=prefill * RANK_SHARE * rank,
         )
 
     def _domain_ms(self, state: TargetState) -> float:
         return 0.0 if state.domain == self.own_domain else DOMAIN_PENALTY_MS
 
-    def _decision(
-        self, placement: Placement, state: TargetState, terms: Terms, place: int
-    ) -> Decision:
+    def _decision(self, placement: Placement, state: TargetState, terms: Terms) -> Decision:
         view = placement.views.get(state.address)
         return Decision(
             address=state.address,
@@ -232,8 +237,8 @@
                 ("queue_ms", terms.queue),
                 ("miss_ms", terms.miss),
                 ("domain_ms", terms.domain),
+                ("rank_ms", terms.rank),
                 ("transfer_ms", terms.transfer),
-                ("rank", float(place)),
                 ("views", float(len(placement.views))),
             ),
         )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -132,6 +132,10 @@
             self.keys.move_to_end(key)
         return count
 
+    def held(self, keys: tuple[bytes, ...]) -> int:
+        """Return how many leading keys are held, and leave their age as it is."""
+        return next((n for n, key in enumerate(keys) if key not in self.keys), len(keys))
+
     def store(self, keys: tuple[bytes, ...]) -> None:
         """Hold keys; children are evicted before their parents."""
         new = [key for key in keys if key not in self.keys]
@@ -219,6 +223,7 @@
         self.waiting: list[Job] = []
         self.running: list[Job] = []
         self.arrived = Event()
+        self.prefill_ends_at = 0.0
         self.accepted = 0
         self.reports: collections.deque[tuple[float, dict[str, Any]]] = collections.deque(
             maxlen=2000
@@ -363,7 +368,9 @@
             hit = self.cache.leading(job.keys)
             job.cached_tokens = hit * self.config.block_tokens
             missing = max(1, job.prompt_tokens - job.cached_tokens)
-            gevent.sleep(missing * self.config.prefill_ms_per_token / 1e3)
+            prefill_s = missing * self.config.prefill_ms_per_token / 1e3
+            self.prefill_ends_at = time.monotonic() + prefill_s
+            gevent.sleep(prefill_s)
             while self.faults.paused:
                 gevent.sleep(0.01)
             self.computed_tokens += missing
@@ -422,7 +429,7 @@
             "model": self.model,
             "running": len(self.running),
             "waiting": len(self.waiting),
-            "waiting_prefill_tokens": sum(job.prompt_tokens for job in self.waiting),
+            "waiting_prefill_tokens": self._waiting_prefill_tokens(),
             "accepted": self.accepted,
             "cached_blocks": len(self.cache.keys),
             "capacity_blocks": self.config.capacity_blocks,
@@ -432,6 +439,16 @@
             "role": self.role,
         }
 
+    def _waiting_prefill_tokens(self) -> int:
+        # Only what must still be computed: counting cached tokens would show an
+        # engine that serves hits as the busiest one.
+        waiting = sum(
+            max(1, job.prompt_tokens - self.cache.held(job.keys) * self.config.block_tokens)
+            for job in self.waiting
+        )
+        left_s = max(0.0, self.prefill_ends_at - time.monotonic())
+        return waiting + int(left_s * 1e3 / max(1e-9, self.config.prefill_ms_per_token))
+
     def _load(self, _call: Call) -> Answer:
         shown_at = time.monotonic() - self.faults.load_lag_ms / 1e3
         if self.faults.load_frozen:
--- a/tests/support.py
+++ b/tests/support.py
@@ -13,6 +13,7 @@
 import gevent
 
 from agaterail.application import Application
+from agaterail.engines import LoadReport
 from agaterail.filters.identify import digest_of
 from agaterail.logstore.memory import MemoryLogStore
 from agaterail.records import Action, Change, Edit
@@ -134,3 +135,21 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
+
+
+def load_report(**fields):
+    defaults = {
+        "incarnation": "a",
+        "weights_version": "v1",
+        "model": MODEL,
+        "running": 0,
+        "waiting": 0,
+        "waiting_prefill_tokens": 0,
+        "accepted": 0,
+        "cached_blocks": 0,
+        "capacity_blocks": 100,
+        "prefill_ms_per_token": 1.0,
+        "decode_ms_per_token": 10.0,
+        "age_ms": 0.0,
+    }
+    return LoadReport(**{**defaults, **fields})
