--- a/tools/slopes/home.py
+++ b/tools/slopes/home.py
@@ -44,11 +44,13 @@
 
 def _filled(keys: list[bytes]) -> EngineIndex:
     index = EngineIndex(0.0)
-    index.on_events(CacheEvents(INCARNATION, [], 0), 0.0)
+    index.on_events(CacheEvents(INCARNATION, [], 0), 0, 0.0)
     batches = itertools.batched(keys, 100) if hasattr(itertools, "batched") else _cut(keys)
     for sequence, batch in enumerate(batches, 1):
         event = CacheEvent(sequence, CacheEventKind.STORED, tuple(batch))
-        index.on_events(CacheEvents(INCARNATION, [event], sequence), sequence * 1e-3)
+        index.on_events(
+            CacheEvents(INCARNATION, [event], sequence), sequence * 1e-3, sequence * 1e-3
+        )
     return index
 
 
@@ -82,7 +84,7 @@
 
     def apply() -> None:
         for batch in batches:
-            index.on_events(batch, 1.0)
+            index.on_events(batch, 1.0, 1.0)
 
     return Point(len(events), cpu_s(apply, repeat=1))
 
