Claim idempotency keys on the log before a request may act

Cause: two daemons that got the same key at the same moment, or a repeat after a crash, ran a non-idempotent request twice. Change: claims by key range on the log with group commit, judged by the fold of all kept records up to their offset; owners are a hint; repeats get the recorded answer, 'in progress' or 'unknown'. The retry filter reports why the last target failed and not only that none is left.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -51,6 +51,8 @@
     "agaterail.filters.identify",
     "agaterail.filters.match",
     "agaterail.filters.prefix",
+    "agaterail.controllers.claims",
+    "agaterail.filters.claim",
     "agaterail.filters.retry",
     "agaterail.filters.choose",
     "agaterail.filters.relay",
--- /dev/null
+++ b/agaterail/controllers/claims.py
@@ -0,0 +1,414 @@
+"""Keep the claims of requests that run once: append, read back, hand over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from gevent.event import Event
+from returns.result import Success
+
+from agaterail import claims, codec, logs
+from agaterail.claims import (
+    Claim,
+    ClaimBatch,
+    Finish,
+    PartitionQueue,
+    Release,
+    Ticket,
+    Verdict,
+    VerdictKind,
+)
+from agaterail.controllers import Controller
+from agaterail.events import MembersChanged
+from agaterail.peers import peer_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.application import Application
+    from agaterail.logstore import LogRecord, LogSlice, LogStore
+    from agaterail.timers import Subscription, TimerService
+
+logger = logs.get_logger("claims")
+
+GROUP_S = 0.015
+HAND_GROUP_S = 0.005
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 5.0
+READ_LIMIT = 1000
+FOLLOW_WAIT_S = 2.0
+FOLLOW_PERIOD_S = 0.05
+HAND_WAIT_S = 0.5
+HAND_TIMEOUT_S = 0.8
+STATUS_TIMEOUT_S = 0.2
+IDLE_STEPS = 60
+
+OnVerdict = "Callable[[Verdict], None]"
+
+
+@peer_message
+@attrs.frozen
+class HandClaims:
+    """Claims, releases and finishes for the owner of their partitions."""
+
+    batch: ClaimBatch
+
+
+@peer_message
+@attrs.frozen
+class ClaimVerdicts:
+    """Verdicts that the owner read back in time."""
+
+    verdicts: tuple[Verdict, ...]
+
+
+@peer_message
+@attrs.frozen
+class AttemptQuery:
+    """Question whether the receiver still runs an attempt."""
+
+    attempt: str
+
+
+@peer_message
+@attrs.frozen
+class AttemptStatus:
+    """Answer to an attempt query."""
+
+    running: bool
+
+
+class PartitionWorker:
+    """Appends and reads one partition."""
+
+    def __init__(self, number: int, log_store: LogStore, timers: TimerService) -> None:
+        self.stream = claims.stream_of(number)
+        self.log_store = log_store
+        self.timers = timers
+        self.queue = PartitionQueue()
+        self.listeners: dict[str, list[Callable[[Verdict], None]]] = {}
+        self.scheduled = False
+        self.flushing = False
+        self.retry_s = FIRST_RETRY_S
+        self.following: Subscription | None = None
+        self.idle_steps = 0
+
+    def submit(self, claim: Claim, listener: Callable[[Verdict], None]) -> None:
+        """Queue a claim and call back with its verdict."""
+        if not self.queue.submit(claim):
+            listener(Verdict(attempt=claim.attempt, kind=VerdictKind.UNAVAILABLE))
+            return
+        self.listeners.setdefault(claim.attempt, []).append(listener)
+        self.schedule(GROUP_S)
+
+    def release(self, release: Release) -> None:
+        """Queue the release of an attempt that will not run."""
+        self.queue.abandon(release.attempt)
+        self.listeners.pop(release.attempt, None)
+        self.queue.release(release)
+        self.schedule(GROUP_S)
+
+    def finish(self, finish: Finish) -> None:
+        """Queue the outcome of an attempt."""
+        self.queue.finish(finish)
+        self.schedule(GROUP_S)
+
+    def set_following(self, wanted: bool) -> None:
+        """Read new records as they come, or stop to."""
+        if wanted and self.following is None:
+            self.following = self.timers.every(FOLLOW_PERIOD_S, self._follow)
+        if not wanted and self.following is not None:
+            self.following.cancel()
+            self.following = None
+
+    def schedule(self, delay_s: float) -> None:
+        """Flush after a delay, in which more entries join the batch."""
+        self.idle_steps = 0
+        if not self.scheduled and not self.flushing:
+            self.scheduled = True
+            self.timers.after(delay_s, self.flush)
+
+    def flush(self) -> None:
+        """Append one batch and read up to it."""
+        self.scheduled = False
+        if self.flushing:
+            return
+        self.flushing = True
+        try:
+            delay_s = self._append_and_read()
+        finally:
+            self.flushing = False
+        if not self.queue.idle:
+            self.schedule(delay_s)
+
+    def _append_and_read(self) -> float:
+        failed = False
+        batch = self.queue.next_batch()
+        if batch is not None:
+            appended = self.log_store.append(self.stream, codec.encode(batch))
+            if isinstance(appended, Success):
+                self.queue.on_appended()
+            else:
+                failed = True
+                self._tell(self.queue.on_append_failed(appended.failure().kind))
+        if not self._read(0.0):
+            failed = True
+        self.retry_s = min(MAX_RETRY_S, self.retry_s * 2) if failed else FIRST_RETRY_S
+        return self.retry_s if failed else GROUP_S
+
+    def _follow(self) -> None:
+        self._read(FOLLOW_WAIT_S)
+
+    def _read(self, wait_s: float) -> bool:
+        while True:
+            offset = self.queue.partition.through + 1
+            read = self.log_store.read(self.stream, offset, READ_LIMIT, wait_s)
+            if not isinstance(read, Success):
+                return False
+            found: LogSlice = read.unwrap()
+            if not found.records:
+                return True
+            self._tell(self.queue.on_records([_decode(record) for record in found.records]))
+            wait_s = 0.0
+
+    def _tell(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            for listener in self.listeners.pop(verdict.attempt, ()):
+                listener(verdict)
+
+
+class OwnerLink:
+    """Hands entries to the owner of their partitions, one call at a time."""
+
+    def __init__(self, controller: ClaimsController, owner: str) -> None:
+        self.controller = controller
+        self.owner = owner
+        self.tickets: list[WaitingTicket] = []
+        self.releases: list[Release] = []
+        self.finishes: list[Finish] = []
+        self.scheduled = False
+
+    def schedule(self) -> None:
+        """Send soon; entries that come meanwhile join the message."""
+        if not self.scheduled:
+            self.scheduled = True
+            self.controller.app.timers.after(HAND_GROUP_S, self._send)
+
+    def _send(self) -> None:
+        tickets, self.tickets = self.tickets, []
+        releases, self.releases = self.releases, []
+        finishes, self.finishes = self.finishes, []
+        batch = ClaimBatch(
+            finishes=tuple(finishes),
+            releases=tuple(releases),
+            claims=tuple(ticket.claim for ticket in tickets),
+        )
+        answered = self.controller.app.peers.call(
+            self.owner, HandClaims(batch), HAND_TIMEOUT_S
+        )
+        self.scheduled = False
+        if self.tickets or self.releases or self.finishes:
+            self.schedule()
+        answer = answered.value_or(None)
+        if not isinstance(answer, ClaimVerdicts):
+            logger.info("Owner gave no answer.", owner=self.owner)
+            for release in releases:
+                self.controller.worker_of(release.key).release(release)
+            for finish in finishes:
+                self.controller.worker_of(finish.key).finish(finish)
+            answer = ClaimVerdicts(())
+        by_attempt = {verdict.attempt: verdict for verdict in answer.verdicts}
+        for ticket in tickets:
+            verdict = by_attempt.get(ticket.claim.attempt)
+            if verdict is None or verdict.kind is VerdictKind.UNAVAILABLE:
+                # The owner may have appended the claim all the same. The fold
+                # takes the first copy, so following the partition here is safe.
+                self.controller.claim_here(ticket)
+            else:
+                ticket.settle(verdict)
+
+
+class WaitingTicket(Ticket):
+    """Ticket that a request waits on."""
+
+    def __init__(self, claim: Claim) -> None:
+        super().__init__(claim)
+        self.done = Event()
+
+    def settle(self, verdict: Verdict) -> bool:
+        """Take a verdict and wake the request."""
+        first = super().settle(verdict)
+        self.done.set()
+        return first
+
+
+class ClaimsController(Controller):
+    """Claims of this daemon and of those that hand theirs to it.
+
+    Attributes
+    ----------
+    running
+        Attempts of this daemon that won and whose outcome is not queued yet.
+    """
+
+    name = "claims"
+    period_s = 1.0
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        self.members: tuple[str, ...] = ()
+        self.workers: dict[int, PartitionWorker] = {}
+        self.links: dict[str, OwnerLink] = {}
+        self.running: set[str] = set()
+        app.events.subscribe(MembersChanged, self._on_members)
+        app.peers.handle(HandClaims, self._on_hand)
+        app.peers.handle(AttemptQuery, self._on_query)
+
+    def reconcile(self) -> None:
+        """Follow the owned partitions and drop idle ones."""
+        own = set(claims.owned(self.app.peers.own_address, self.members))
+        for number in own:
+            self._worker(number).set_following(True)
+        for number, worker in list(self.workers.items()):
+            if number in own:
+                continue
+            worker.set_following(False)
+            worker.idle_steps += 1
+            if worker.queue.idle and worker.idle_steps > IDLE_STEPS:
+                del self.workers[number]
+
+    def status(self) -> dict[str, Any]:
+        """Return the partitions read here and their remembered keys."""
+        return {
+            "partitions": sorted(self.workers),
+            "keys": sum(len(item.queue.partition.entries) for item in self.workers.values()),
+            "running": len(self.running),
+        }
+
+    def claim(self, claim: Claim, timeout_s: float) -> Verdict | None:
+        """Claim a key and wait for the verdict; None when it did not come in time.
+
+        An attempt that is given up here is never started, so the caller may be
+        told that it was not run; its release frees the key for a repeat.
+        """
+        ticket = WaitingTicket(claim)
+        owner = claims.owner_of(claims.partition_of(claim.key), self.members)
+        if owner in (None, self.app.peers.own_address):
+            self.claim_here(ticket)
+        else:
+            link = self._link(str(owner))
+            link.tickets.append(ticket)
+            link.schedule()
+        ticket.done.wait(timeout_s)
+        ticket.abandon()
+        verdict = ticket.verdict
+        if verdict is None or verdict.kind is VerdictKind.UNAVAILABLE:
+            # A copy of the claim may be on the log or on its way there: without
+            # a release every repeat would be told "in progress" for good.
+            self.release(Release(claim.key, claim.attempt))
+        elif verdict.kind is VerdictKind.WON:
+            self.running.add(claim.attempt)
+        return verdict
+
+    def claim_here(self, ticket: Ticket) -> None:
+        """Claim through this daemon's own reading of the partition."""
+        if ticket.settled:
+            return
+        self.worker_of(ticket.claim.key).submit(
+            ticket.claim, lambda verdict: _settle(ticket, verdict)
+        )
+
+    def release(self, release: Release) -> None:
+        """Write that an attempt did not and will not run."""
+        self.running.discard(release.attempt)
+        link = self._owner_link(release.key)
+        # The own queue may hold a copy of the claim; it must not be appended.
+        if link is None or release.attempt in self.worker_of(release.key).queue.waiting:
+            self.worker_of(release.key).release(release)
+            return
+        link.releases.append(release)
+        link.schedule()
+
+    def finish(self, finish: Finish) -> None:
+        """Write how an attempt ended."""
+        self.running.discard(finish.attempt)
+        link = self._owner_link(finish.key)
+        if link is None:
+            self.worker_of(finish.key).finish(finish)
+            return
+        link.finishes.append(finish)
+        link.schedule()
+
+    def runs(self, holder: str, attempt: str) -> bool:
+        """Ask a claimer whether it still runs an attempt; no answer means no."""
+        answer = self.app.peers.query(holder, AttemptQuery(attempt), STATUS_TIMEOUT_S)
+        status = answer.value_or(None)
+        return isinstance(status, AttemptStatus) and status.running
+
+    def worker_of(self, key: bytes) -> PartitionWorker:
+        """Return the worker of a key's partition, made on first use."""
+        return self._worker(claims.partition_of(key))
+
+    def _worker(self, number: int) -> PartitionWorker:
+        worker = self.workers.get(number)
+        if worker is None:
+            worker = PartitionWorker(number, self.app.log_store, self.app.timers)
+            self.workers[number] = worker
+        return worker
+
+    def _link(self, owner: str) -> OwnerLink:
+        link = self.links.get(owner)
+        if link is None:
+            link = self.links[owner] = OwnerLink(self, owner)
+        return link
+
+    def _owner_link(self, key: bytes) -> OwnerLink | None:
+        owner = claims.owner_of(claims.partition_of(key), self.members)
+        if owner in (None, self.app.peers.own_address):
+            return None
+        return self._link(str(owner))
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = event.members
+
+    def _on_query(self, _sender: str, query: AttemptQuery) -> AttemptStatus:
+        return AttemptStatus(query.attempt in self.running)
+
+    def _on_hand(self, _sender: str, message: HandClaims) -> ClaimVerdicts:
+        for finish in message.batch.finishes:
+            self.worker_of(finish.key).finish(finish)
+        for release in message.batch.releases:
+            self.worker_of(release.key).release(release)
+        found: list[Verdict] = []
+        wanted = len(message.batch.claims)
+        done = Event()
+
+        def on_verdict(verdict: Verdict) -> None:
+            found.append(verdict)
+            if len(found) >= wanted:
+                done.set()
+
+        for claim in message.batch.claims:
+            self.worker_of(claim.key).submit(claim, on_verdict)
+        if wanted:
+            done.wait(HAND_WAIT_S)
+        return ClaimVerdicts(tuple(found))
+
+
+def _settle(ticket: Ticket, verdict: Verdict) -> None:
+    ticket.settle(verdict)
+
+
+def _decode(record: LogRecord) -> tuple[int, ClaimBatch]:
+    decoded = codec.decode(record.data, ClaimBatch)
+    if not isinstance(decoded, Success):
+        # Every reader skips the same bytes, so all still judge alike.
+        logger.warning("Skips a malformed record.", offset=record.offset)
+        return record.offset, ClaimBatch()
+    return record.offset, decoded.unwrap()
+
+
+def setup(app: Application) -> None:
+    """Register the controller."""
+    app.add_controller(ClaimsController(app))
--- a/agaterail/exchange.py
+++ b/agaterail/exchange.py
@@ -32,6 +32,8 @@
         Targets that this request must not be sent to again.
     attempt
         Number of targets asked so far.
+    answer_headers
+        Headers of the answer, whether it is a reply or an error.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     excluded: set[str] = attrs.field(factory=set)
     attempt: int = 0
     outcome: Outcome | None = None
+    answer_headers: dict[str, str] = attrs.field(factory=dict)
     finishers: list[Callable[[Outcome], None]] = attrs.field(factory=list)
 
     @property
--- a/agaterail/filters/retry.py
+++ b/agaterail/filters/retry.py
@@ -69,14 +69,19 @@
         """Try targets until one answers or trying again is not allowed."""
         self.budget.on_request()
         started: errors.Failure | None = None
+        last: errors.Failure | None = None
         while True:
             result = proceed(exchange)
             if isinstance(result, Success):
                 return result
             failure = result.failure()
+            if failure.kind is ErrorKind.NO_TARGET and last is not None:
+                # Why the only targets failed says more than that none is left.
+                failure = last
+            last = failure
             if failure.outcome is not Outcome.NOT_RUN:
                 started = failure
-            if not self._may_retry(exchange, failure):
+            if result.failure() is not failure or not self._may_retry(exchange, failure):
                 # An earlier target may have run the request although the last
                 # one did not: "not run" would then be false.
                 return Failure(started or failure)
--- a/agaterail/server.py
+++ b/agaterail/server.py
@@ -58,6 +58,7 @@
             detail=failure.detail,
         )
         _send_failure(response, failure, exchange.request_id)
+        response.set_headers(exchange.answer_headers)
 
     def _read_body(self, request: falcon.Request) -> bytes | errors.Failure:
         limit = self.app.settings.max_body_bytes
@@ -176,6 +177,7 @@
     response.status = reply.status
     for name, value in reply.headers.items():
         response.set_header(name, value)
+    response.set_headers(exchange.answer_headers)
     response.set_header("x-request-id", exchange.request_id)
     if exchange.decision is not None:
         response.set_header("x-agaterail-target", exchange.decision.address)
--- a/tests/support.py
+++ b/tests/support.py
@@ -78,8 +78,10 @@
 class LocalDaemon:
     """An application and its server on a port by the kernel, in this process."""
 
-    def __init__(self, log_store=None, start_controllers=True, **settings):
-        self.app = Application(Settings(**settings), log_store=log_store or MemoryLogStore())
+    def __init__(self, log_store=None, start_controllers=True, peers=None, **settings):
+        self.app = Application(
+            Settings(**settings), log_store=log_store or MemoryLogStore(), peers=peers
+        )
         self.server = make_server(self.app, Address("127.0.0.1", 0))
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
