--- a/agaterail/records.py
+++ b/agaterail/records.py
@@ -12,6 +12,7 @@
 TABLES_STREAM = "tables"
 SNAPSHOTS_STREAM = "tables-snapshots"
 LEASES_STREAM = "leases"
+ROLLOUT_STREAM = "rollout"
 
 
 class Action(enum.Enum):
