Report an edit only after it is read back, and plan before applying

Change: apply prints a plan with the changed fields, sends the same edit again under the same id until it is read back, and tells apart refused (exit 1) and sent but not read back (exit 3). An edit above the record limit is refused before it is sent, or split with --in-parts into edits that each leave valid tables.

--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -64,55 +64,80 @@
         """
         return check(paths)
 
-    def diff(self, *paths: str, log_service: str = "") -> int:
+    def diff(self, *paths: str, log_service: str = "", against: str = "") -> int:
         """Show what applying table files would change.
 
         Parameters
         ----------
         log_service
             Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        against
+            Directory or file to compare with instead of what is in force.
         """
-        return _with_log(log_service, lambda address: diff(paths, address))
+        return _with_log(log_service, lambda address: diff(paths, address, against))
 
     def apply(
-        self, *paths: str, log_service: str = "", author: str = "", dry_run: str = "false"
+        self,
+        *paths: str,
+        log_service: str = "",
+        author: str = "",
+        dry_run: str = "false",
+        allow_empty: str = "false",
+        in_parts: str = "false",
     ) -> int:
         """Make the tables in force equal to the files, all or nothing.
 
-        Exits 0 only after the edit was read back as accepted.
+        Exits 0 only after the edit was read back as accepted, 1 if it was
+        refused, 3 if it was sent and could not be read back.
 
         Parameters
         ----------
         log_service
             Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
         author
-            Name kept with the edit; the user's name if left out.
+            Name kept with the edit (AGATERAIL_AUTHOR); needed.
         dry_run
             Print the plan and end.
+        allow_empty
+            Apply files without any row, which deletes all rows.
+        in_parts
+            Split an edit that is larger than a record of the log.
         """
         return _with_log(
-            log_service, lambda address: apply(paths, address, author, dry_run != "false")
+            log_service,
+            lambda address: apply(
+                paths,
+                address,
+                author,
+                dry_run != "false",
+                allow_empty != "false",
+                in_parts != "false",
+            ),
         )
 
-    def show(self, log_service: str = "") -> int:
+    def show(self, log_service: str = "", json: str = "false") -> int:
         """Print the tables in force with each row's version and author.
 
         Parameters
         ----------
         log_service
             Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        json
+            Print JSON instead of a table file.
         """
-        return _with_log(log_service, show)
+        return _with_log(log_service, lambda address: show(address, json != "false"))
 
-    def history(self, log_service: str = "") -> int:
+    def history(self, log_service: str = "", json: str = "false") -> int:
         """Print the edits that the log still keeps and how each was judged.
 
         Parameters
         ----------
         log_service
             Address of the platform's log, IP:port (AGATERAIL_LOG_SERVICE).
+        json
+            Print one JSON object a line.
         """
-        return _with_log(log_service, history)
+        return _with_log(log_service, lambda address: history(address, json != "false"))
 
     def status(self, peer: str = "", json: str = "false", **flags: str) -> int:
         """Ask a daemon for its tables version, members, engines and limits.
--- a/agaterail/cmd/tables.py
+++ b/agaterail/cmd/tables.py
@@ -8,28 +8,36 @@
 import time
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
-from agaterail import codec, table_files
-from agaterail.fold import Verdict, fold
-from agaterail.logstore import LogStore
+from agaterail import editing, table_files, table_text
+from agaterail.editing import SubmitError, SubmitFailure
+from agaterail.fold import Verdict
 from agaterail.logstore.http import HttpLogStore
-from agaterail.records import TABLES_STREAM, Edit, TablesRecord
+from agaterail.records import Edit
+from agaterail.snapshots import MAX_RECORD_BYTES
 from agaterail.tables import Tables
+from agaterail.tables_reader import TablesReader
 from agaterail.util.address import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from agaterail.fold import Folded
+    from agaterail.logstore import LogStore
     from agaterail.records import Change
-    from agaterail.tables import Pool, Route, Versioned
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+EXIT_UNKNOWN = 3
 EDIT_ID_BYTES = 12
-READ_BACK_TRIES = 20
-READ_BACK_PAUSE_S = 0.2
+AUTHOR_VARIABLE = "AGATERAIL_AUTHOR"
+LOG_VARIABLE = "AGATERAIL_LOG_SERVICE"
+DEFAULT_LOG = "127.0.0.1:9000"
+NO_LOG = (
+    "This may be an outage of the log. The daemons go on with the tables in force; "
+    "try again later."
+)
 
 
 def check(paths: Sequence[str]) -> int:
@@ -37,149 +45,170 @@
     return 0 if _read_files(paths) is not None else EXIT_USAGE
 
 
-def diff(paths: Sequence[str], log_service: str) -> int:
-    """Print what applying files would change; returns the exit status."""
+def diff(paths: Sequence[str], log_service: str, against: str = "") -> int:
+    """Print what applying files would change; returns the exit status.
+
+    Parameters
+    ----------
+    against
+        Files to compare with instead of what is in force; the log is not
+        asked.
+    """
     wanted = _read_files(paths)
     if wanted is None:
         return EXIT_USAGE
-    force = _in_force(_log(log_service))
+    force = _read_files([against]) if against else _in_force(_log(log_service))
     if force is None:
-        return EXIT_FAILED
-    _print_plan(table_files.changes_between(force, wanted))
+        return EXIT_USAGE if against else EXIT_FAILED
+    _print(table_text.plan_lines(force, table_files.changes_between(force, wanted)))
     return 0
 
 
-def apply(paths: Sequence[str], log_service: str, author: str, dry_run: bool) -> int:
+def apply(
+    paths: Sequence[str],
+    log_service: str,
+    author: str,
+    dry_run: bool,
+    allow_empty: bool = False,
+    in_parts: bool = False,
+) -> int:
     """Append one edit and report its verdict; returns the exit status."""
+    author = author or os.environ.get(AUTHOR_VARIABLE, "")
+    if not author and not dry_run:
+        return _refuse(f"An edit needs an author: give --author or {AUTHOR_VARIABLE}.")
     wanted = _read_files(paths)
     if wanted is None:
         return EXIT_USAGE
+    if not wanted.routes and not wanted.pools and not allow_empty:
+        # A wrong directory reads as empty tables, which would delete all rows.
+        return _refuse("The files hold no row. To delete all rows give --allow-empty.")
     log = _log(log_service)
-    force = _in_force(log)
-    if force is None:
+    reader = TablesReader(log)
+    if not _read_to_end(reader):
         return EXIT_FAILED
-    changes = table_files.changes_between(force, wanted)
-    _print_plan(changes)
+    changes = table_files.changes_between(reader.tables, wanted)
+    _print(table_text.plan_lines(reader.tables, changes))
     if dry_run or not changes:
         return 0
-    edit = Edit(
-        edit_id=secrets.token_hex(EDIT_ID_BYTES),
-        author=author or os.environ.get("USER", ""),
-        changes=changes,
-    )
-    return _report(submit(log, force, edit))
-
+    return _submit_all(log, reader, author, changes, in_parts, time.sleep)
 
-def submit(log: LogStore, force: Tables, edit: Edit) -> Result[Folded, str]:
-    """Append an edit and read back how it was judged.
 
-    The verdict comes from reading the edit on the log, never from the answer
-    to the append: that answer can be lost after the append took effect.
-    """
-    appended = log.append(TABLES_STREAM, codec.encode(edit, TablesRecord))
-    tables = force
-    for _ in range(READ_BACK_TRIES):
-        read = log.read(TABLES_STREAM, tables.through + 1)
-        if isinstance(read, Success):
-            for record in read.unwrap().records:
-                decoded = codec.decode(record.data, TablesRecord)
-                if not isinstance(decoded, Success):
-                    continue
-                folded = fold(tables, decoded.unwrap(), record.offset)
-                tables = folded.tables
-                if decoded.unwrap() == edit:
-                    return Success(folded)
-        time.sleep(READ_BACK_PAUSE_S)
-    return Failure(f"The edit was not read back. Append: {appended}")
-
-
-def show(log_service: str) -> int:
+def show(log_service: str, as_json: bool = False) -> int:
     """Print the tables in force; returns the exit status."""
     force = _in_force(_log(log_service))
     if force is None:
         return EXIT_FAILED
-    for pool in force.pools.values():
-        print(f"pools.{pool.row.name}", _described(pool))
-    for route in force.routes.values():
-        print(f"routes.{route.row.name}", _described(route))
+    _print([table_text.as_json(force)] if as_json else table_text.toml_lines(force))
     return 0
 
 
-def history(log_service: str) -> int:
-    """Print each judged record; returns the exit status."""
-    log = _log(log_service)
-    tables = Tables()
-    read = log.read(TABLES_STREAM, 0)
-    if not isinstance(read, Success):
-        print(f"The log gave no answer: {read.failure()}", file=sys.stderr)
-        return EXIT_FAILED
-    for record in read.unwrap().records:
-        decoded = codec.decode(record.data, TablesRecord)
-        if not isinstance(decoded, Success):
-            continue
-        folded = fold(tables, decoded.unwrap(), record.offset)
-        tables = folded.tables
-        author = getattr(decoded.unwrap(), "author", "snapshot")
-        print(f"{record.offset} {folded.verdict.value} {author}")
+def history(log_service: str, as_json: bool = False) -> int:
+    """Print each record that is kept, with its verdict; returns the exit status."""
+    reader = TablesReader(_log(log_service))
+    line = table_text.history_json if as_json else table_text.history_line
+    while True:
+        stepped = reader.step()
+        if not isinstance(stepped, Success):
+            print(f"The log gave no answer: {stepped.failure()}. {NO_LOG}", file=sys.stderr)
+            return EXIT_FAILED
+        step = stepped.unwrap()
+        if step.gap and not step.adopted:
+            print("Records have expired and no snapshot covers them.", file=sys.stderr)
+            return EXIT_FAILED
+        if step.adopted:
+            through = reader.tables.through
+            print(f"Starts from a snapshot through offset {through}.", file=sys.stderr)
+        _print(line(judged) for judged in step.judged)
+        if step.at_end:
+            return 0
+
+
+def _submit_all(
+    log: LogStore,
+    reader: TablesReader,
+    author: str,
+    changes: Sequence[Change],
+    in_parts: bool,
+    pause: Callable[[float], None],
+) -> int:
+    parts: Sequence[Sequence[Change]] = editing.parts_of(changes) if in_parts else [changes]
+    for number, part in enumerate(parts, 1):
+        edit = Edit(
+            edit_id=secrets.token_hex(EDIT_ID_BYTES), author=author, changes=tuple(part)
+        )
+        if len(parts) > 1:
+            print(f"Part {number} of {len(parts)}:")
+        status = report(edit, editing.submit(log, reader, edit, pause))
+        if status:
+            return status
     return 0
 
 
+def report(edit: Edit, result: Result[Folded, SubmitFailure]) -> int:
+    """Print how an edit was judged; returns the exit status."""
+    if not isinstance(result, Success):
+        return _report_failure(edit, result.failure())
+    folded = result.unwrap()
+    if folded.verdict is Verdict.ACCEPTED:
+        print(f"Accepted at offset {folded.tables.through} as edit {edit.edit_id}.")
+        return 0
+    print(f"Not accepted: {folded.verdict.value}. Nothing was changed.", file=sys.stderr)
+    _print(folded.problems, error=True)
+    _print(table_text.conflict_lines(folded.tables, folded.conflicts), error=True)
+    return EXIT_FAILED
+
+
+def _report_failure(edit: Edit, failure: SubmitFailure) -> int:
+    if failure.kind is SubmitError.TOO_LARGE:
+        print(
+            f"The edit has {editing.size_of(edit)} bytes and the log takes "
+            f"{MAX_RECORD_BYTES} at a time. Nothing was changed. With --in-parts it is "
+            "applied as several edits, each all or nothing by itself.",
+            file=sys.stderr,
+        )
+        return EXIT_FAILED
+    if failure.kind is SubmitError.NOT_SENT:
+        print(f"The log took no edit: {failure.detail}. Nothing was changed.", file=sys.stderr)
+        return EXIT_FAILED
+    print(
+        f"Edit {edit.edit_id} was sent and not read back: {failure.detail}. It may still "
+        "come into force; look for its id in the history before you apply again.",
+        file=sys.stderr,
+    )
+    return EXIT_UNKNOWN
+
+
 def _read_files(paths: Sequence[str]) -> Tables | None:
     result = table_files.read(paths)
     if isinstance(result, Success):
         return result.unwrap()
-    for problem in result.failure():
-        print(problem, file=sys.stderr)
+    _print(result.failure(), error=True)
     return None
 
 
 def _log(log_service: str) -> LogStore:
-    text = log_service or os.environ.get("AGATERAIL_LOG_SERVICE", "127.0.0.1:9000")
+    text = log_service or os.environ.get(LOG_VARIABLE, DEFAULT_LOG)
     return HttpLogStore(Address.parse(text))
 
 
 def _in_force(log: LogStore) -> Tables | None:
-    tables = Tables()
-    while True:
-        read = log.read(TABLES_STREAM, tables.through + 1)
-        if not isinstance(read, Success):
-            print(f"The log gave no answer: {read.failure()}", file=sys.stderr)
-            return None
-        if not read.unwrap().records:
-            return tables
-        for record in read.unwrap().records:
-            decoded = codec.decode(record.data, TablesRecord)
-            if isinstance(decoded, Success):
-                tables = fold(tables, decoded.unwrap(), record.offset).tables
+    reader = TablesReader(log)
+    return reader.tables if _read_to_end(reader) else None
 
 
-def _described(held: Versioned[Route] | Versioned[Pool]) -> str:
-    return f"version={held.version} author={held.author} {held.row}"
+def _read_to_end(reader: TablesReader) -> bool:
+    result = editing.read_to_end(reader)
+    if isinstance(result, Success):
+        return True
+    print(f"{result.failure()} {NO_LOG}", file=sys.stderr)
+    return False
 
 
-def _print_plan(changes: Sequence[Change]) -> None:
-    for change in changes:
-        print(f"{change.action.value} {change.table.value}.{change.name}")
-    if not changes:
-        print("No changes.")
+def _refuse(reason: str) -> int:
+    print(reason, file=sys.stderr)
+    return EXIT_USAGE
 
 
-def _report(result: Result[Folded, str]) -> int:
-    if not isinstance(result, Success):
-        print(result.failure(), file=sys.stderr)
-        return EXIT_FAILED
-    folded = result.unwrap()
-    if folded.verdict in (Verdict.ACCEPTED, Verdict.REPEATED):
-        print(f"Accepted at offset {folded.tables.through}.")
-        return 0
-    print(f"Not accepted: {folded.verdict.value}.", file=sys.stderr)
-    for problem in folded.problems:
-        print(problem, file=sys.stderr)
-    for change in folded.conflicts:
-        version = folded.tables.version_of(change.table, change.name)
-        print(
-            f"{change.table.value}.{change.name}: you saw version "
-            f"{change.expected_version}, in force is {version}",
-            file=sys.stderr,
-        )
-    return EXIT_FAILED
+def _print(lines: Iterable[object], error: bool = False) -> None:
+    for line in lines:
+        print(line, file=sys.stderr if error else sys.stdout)
--- /dev/null
+++ b/agaterail/editing.py
@@ -0,0 +1,156 @@
+"""Bring one edit onto the log and learn how it was judged."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from agaterail import codec
+from agaterail.logstore import LogErrorKind
+from agaterail.records import TABLES_STREAM, Action, Edit, TablesRecord
+from agaterail.snapshots import MAX_RECORD_BYTES
+from agaterail.tables import TableName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from agaterail.fold import Folded
+    from agaterail.logstore import LogError, LogStore
+    from agaterail.records import Change
+    from agaterail.tables_reader import Judged, TablesReader
+
+PAUSE_S = 0.2
+TRIES = 100
+READS_BEFORE_RESEND = 5
+EDIT_OVERHEAD_BYTES = 1024
+PART_ORDER = (
+    (TableName.POOLS, Action.PUT),
+    (TableName.ROUTES, Action.PUT),
+    (TableName.ROUTES, Action.DELETE),
+    (TableName.POOLS, Action.DELETE),
+)
+
+
+class SubmitError(enum.Enum):
+    """Why there is no verdict."""
+
+    TOO_LARGE = "too_large"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+    GAP = "gap"
+
+
+@attrs.frozen
+class SubmitFailure:
+    """An edit without a verdict; only ``UNKNOWN`` may still come into force."""
+
+    kind: SubmitError
+    detail: str = ""
+
+
+def read_to_end(reader: TablesReader) -> Result[None, str]:
+    """Read until nothing more is readable."""
+    while True:
+        stepped = reader.step()
+        if not isinstance(stepped, Success):
+            return Failure(f"The log gave no answer: {_reason(stepped.failure())}.")
+        step = stepped.unwrap()
+        if step.gap and not step.adopted:
+            return Failure(
+                f"Records before offset {reader.first} have expired and no snapshot covers "
+                "them. The tables in force cannot be read from the log."
+            )
+        if step.at_end:
+            return Success(None)
+
+
+def size_of(edit: Edit) -> int:
+    """Return the bytes of an edit on the log."""
+    return len(codec.encode(edit, TablesRecord))
+
+
+def parts_of(changes: Sequence[Change], limit: int = MAX_RECORD_BYTES) -> list[list[Change]]:
+    """Split changes so that each part fits a record.
+
+    Pools are put before the routes that name them and deleted after these are
+    gone, so that each part leaves valid tables.
+    """
+    parts: list[list[Change]] = []
+    size = limit
+    for table, action in PART_ORDER:
+        for change in changes:
+            if change.table is not table or change.action is not action:
+                continue
+            added = len(codec.encode(change))
+            if size + added > limit - EDIT_OVERHEAD_BYTES:
+                parts.append([])
+                size = 0
+            parts[-1].append(change)
+            size += added
+    return parts
+
+
+def submit(
+    log: LogStore, reader: TablesReader, edit: Edit, pause: Callable[[float], None]
+) -> Result[Folded, SubmitFailure]:
+    """Append an edit and read back how it was judged.
+
+    The verdict comes from reading the edit on the log, never from the answer
+    to the append: that answer can be lost after the append took effect. The
+    same edit with the same id is sent again until it is read back; a new id
+    would count as another edit.
+    """
+    if size_of(edit) > MAX_RECORD_BYTES:
+        return Failure(SubmitFailure(SubmitError.TOO_LARGE))
+    maybe_sent = False
+    reads_left = 0
+    detail = ""
+    for _ in range(TRIES):
+        if reads_left <= 0:
+            appended = log.append(TABLES_STREAM, codec.encode(edit, TablesRecord))
+            if isinstance(appended, Success):
+                maybe_sent = True
+            else:
+                error = appended.failure()
+                detail = _reason(error)
+                if error.kind is LogErrorKind.TOO_LARGE:
+                    return Failure(SubmitFailure(SubmitError.TOO_LARGE))
+                maybe_sent = maybe_sent or error.kind is LogErrorKind.UNANSWERED
+            reads_left = READS_BEFORE_RESEND if maybe_sent else 0
+        if maybe_sent:
+            found = _read_back(reader, edit)
+            if found is not None:
+                return found
+            reads_left -= 1
+        pause(PAUSE_S)
+    kind = SubmitError.UNKNOWN if maybe_sent else SubmitError.NOT_SENT
+    return Failure(SubmitFailure(kind, detail))
+
+
+def _read_back(reader: TablesReader, edit: Edit) -> Result[Folded, SubmitFailure] | None:
+    while True:
+        stepped = reader.step()
+        if not isinstance(stepped, Success):
+            return None
+        step = stepped.unwrap()
+        mine = _first_of(step.judged, edit)
+        if mine is not None:
+            return Success(mine.folded)
+        if step.gap and not step.adopted:
+            return Failure(SubmitFailure(SubmitError.GAP))
+        if step.at_end:
+            return None
+
+
+def _first_of(judged: Sequence[Judged], edit: Edit) -> Judged | None:
+    for item in judged:
+        if isinstance(item.record, Edit) and item.record.edit_id == edit.edit_id:
+            return item
+    return None
+
+
+def _reason(error: LogError) -> str:
+    return f"{error.kind.value} {error.detail}".strip()
--- a/agaterail/logstore/memory.py
+++ b/agaterail/logstore/memory.py
@@ -16,6 +16,10 @@
         Refuse every call.
     lose_answers
         Number of coming appends that take effect but are not answered.
+    stale_records
+        Newest records that readers do not see yet.
+    max_record_bytes
+        Larger appends are refused.
     """
 
     def __init__(self) -> None:
@@ -23,12 +27,16 @@
         self.next_offset: dict[str, int] = {}
         self.down = False
         self.lose_answers = 0
+        self.stale_records = 0
+        self.max_record_bytes = 1024 * 1024
         self.appends = 0
 
     def append(self, stream: str, data: bytes) -> Result[int, LogError]:
         """Append one record and return its offset."""
         if self.down:
             return Failure(LogError(LogErrorKind.DOWN))
+        if len(data) > self.max_record_bytes:
+            return Failure(LogError(LogErrorKind.TOO_LARGE))
         offset = self.next_offset.get(stream, 0)
         self.next_offset[stream] = offset + 1
         self.streams.setdefault(stream, []).append(LogRecord(offset, data))
@@ -45,9 +53,9 @@
         if self.down:
             return Failure(LogError(LogErrorKind.DOWN))
         kept = self.streams.get(stream, [])
-        end = self.next_offset.get(stream, 0)
-        first = kept[0].offset if kept else end
-        records = [record for record in kept if record.offset >= offset][:limit]
+        first = kept[0].offset if kept else self.next_offset.get(stream, 0)
+        end = max(first, self.next_offset.get(stream, 0) - self.stale_records)
+        records = [record for record in kept if offset <= record.offset < end][:limit]
         return Success(LogSlice(records, first, end))
 
     def expire(self, stream: str, before: int) -> None:
--- a/agaterail/table_files.py
+++ b/agaterail/table_files.py
@@ -61,8 +61,8 @@
     """Return the changes that make the tables in force equal to the wanted ones."""
     changes: list[Change] = []
     for table in (TableName.POOLS, TableName.ROUTES):
-        old = _rows(force, table)
-        new = _rows(wanted, table)
+        old = force.rows_of(table)
+        new = wanted.rows_of(table)
         for name in sorted(new):
             if name not in old or old[name].row != new[name].row:
                 changes.append(_put(force, table, new[name].row))
@@ -78,10 +78,6 @@
     return tuple(changes)
 
 
-def _rows(tables: Tables, table: TableName) -> Mapping[str, Versioned[Any]]:
-    return tables.routes if table is TableName.ROUTES else tables.pools
-
-
 def _put(force: Tables, table: TableName, row: Row) -> Change:
     return Change(
         table=table,
--- a/agaterail/tables.py
+++ b/agaterail/tables.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Mapping
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import attrs
 
@@ -154,8 +154,11 @@
         """Return the pool that a valid route names."""
         return self.pools[route.pool].row
 
+    def rows_of(self, table: TableName) -> Mapping[str, Versioned[Any]]:
+        """Return the rows of one table by name."""
+        return self.routes if table is TableName.ROUTES else self.pools
+
     def version_of(self, table: TableName, name: str) -> int:
         """Return the version of a row, or -1 when there is no such row."""
-        rows = self.routes if table is TableName.ROUTES else self.pools
-        versioned = rows.get(name)
+        versioned = self.rows_of(table).get(name)
         return NO_VERSION if versioned is None else versioned.version
