Order candidates by a ring and measure index and decisions

Cause: weighing 600 engines for each new prefix took 0.6 ms, six times the time that a decision may cost.

Change: candidates and homes come from a consistent-hash ring.

--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,7 +11,7 @@
 from agaterail.heat import Heat
 from agaterail.policies import Decision, Placement, Policy
 from agaterail.policies.simple import placement_key
-from agaterail.util import mixing
+from agaterail.util.ring import NUMBER_BYTES, Ring
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -23,10 +22,8 @@
     from agaterail.targets import TargetState
 
 CANDIDATES = 4
-MAX_RANKED = 16
-MAX_CACHED_RANKINGS = 2048
 DOMAIN_PENALTY_MS = 2.0
-# Without an answer from its home, the first engine in rendezvous order holds
+# Without an answer from its home, the first engine in hash order holds
 # the prefix about every second time and the others hardly ever.
 UNKNOWN_FIRST_HIT = 0.5
 UNKNOWN_QUEUE_SHARE = 0.5
@@ -34,7 +31,7 @@
 # at one engine although none is told of the others yet. Each place further down
 # the order costs this part of the prefill, so that only a queue moves them.
 RANK_SHARE = 0.2
-LEAST_LOADED_PERIOD_S = 0.05
+LEAST_LOADED_PERIOD_S = 0.1
 KNOWN_FOR_S = 2.0
 
 
@@ -69,25 +66,17 @@
 
 
 class PoolRanking:
-    """Rendezvous order of one pool's targets, with the recent keys cached."""
+    """Hash order of one pool's targets."""
 
     def __init__(self, targets: tuple[TargetEntry, ...]) -> None:
         self.targets = targets
-        self.numbers = [mixing.number_of(entry.address.encode()) for entry in targets]
-        self.cached: OrderedDict[bytes, list[TargetEntry]] = OrderedDict()
+        self.by_address = {entry.address: entry for entry in targets}
+        self.ring = Ring([entry.address for entry in targets])
 
-    def ranked(self, key: bytes) -> list[TargetEntry]:
+    def ranked(self, key: bytes, count: int) -> list[TargetEntry]:
         """Return the leading targets for a key, best first."""
-        held = self.cached.get(key)
-        if held is not None:
-            self.cached.move_to_end(key)
-            return held
-        number = int.from_bytes(key[: mixing.NUMBER_BYTES], "little")
-        places = mixing.ranked(number, self.numbers, MAX_RANKED)
-        held = self.cached[key] = [self.targets[place] for place in places]
-        if len(self.cached) > MAX_CACHED_RANKINGS:
-            self.cached.popitem(last=False)
-        return held
+        number = int.from_bytes(key[:NUMBER_BYTES], "little")
+        return [self.targets[place] for place in self.ring.ranked(number, count)]
 
 
 class LeastLoaded:
@@ -132,7 +121,7 @@
     own_domain
         Failure domain of this host; other domains cost a little more.
     count
-        Candidates by rendezvous order, before hot prefixes widen the list.
+        Candidates by hash order, before hot prefixes widen the list.
     """
 
     name = "cost"
@@ -160,11 +149,10 @@
         key = placement_key(placement)
         ranking = self._ranking(placement.pool)
         count = self.count + self.heat.on_request(key, placement.now)
-        chosen = [entry for entry in ranking.ranked(key) if entry.address not in excluded][
-            :count
-        ]
+        ranked = ranking.ranked(key, count + len(excluded))
+        chosen = [entry for entry in ranked if entry.address not in excluded][:count]
         spare = self._spare(ranking, placement.now)
-        if spare is not None and spare not in chosen and spare.address not in excluded:
+        if spare not in chosen and spare.address not in excluded:
             chosen.append(spare)
         return chosen
 
@@ -245,16 +233,15 @@
 
     def _ranking(self, pool: Pool) -> PoolRanking:
         ranking = self.rankings.get(pool.name)
-        if ranking is None or ranking.targets is not pool.targets:
+        if ranking is None or (
+            ranking.targets is not pool.targets and ranking.targets != pool.targets
+        ):
             ranking = self.rankings[pool.name] = PoolRanking(pool.targets)
         return ranking
 
-    def _spare(self, ranking: PoolRanking, now: float) -> TargetEntry | None:
-        address = self.least_loaded.find(now)
-        for entry in ranking.targets if address else ():
-            if entry.address == address:
-                return entry
-        return self.random.choice(ranking.targets)
+    def _spare(self, ranking: PoolRanking, now: float) -> TargetEntry:
+        known = ranking.by_address.get(self.least_loaded.find(now))
+        return known or self.random.choice(ranking.targets)
 
 
 def setup(app: Application) -> None:
--- /dev/null
+++ b/tests/test_agaterail/test_policies/test_cost.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import collections
+import unittest
+
+from agaterail.candidates import CandidateState
+from agaterail.policies import Placement
+from agaterail.policies.cost import CANDIDATES, CostPolicy, PoolRanking
+from agaterail.prefix import Prefix
+from agaterail.targets import TargetBook
+from agaterail.util.ring import number_of
+from tests.support import chat_route, engine_pool
+
+ADDRESSES = tuple(f"10.0.1.{number}:80" for number in range(6))
+PROMPT_TOKENS = 100
+
+
+def place(key=b"k" * 16, views=(), **route):
+    return Placement(
+        pool=engine_pool(ADDRESSES, prefill_ms_per_token=1.0),
+        route=chat_route(**{"miss_weight": 3.0, **route}),
+        prefix=Prefix((key,), (1,), PROMPT_TOKENS, key),
+        deadline_ms=1e4,
+        now=10.0,
+        views={view.engine: view for view in views},
+    )
+
+
+def states(*addresses, **fields):
+    book = TargetBook()
+    pool = engine_pool(addresses or ADDRESSES)
+    found = book.usable(pool, 0.0)
+    for state in found:
+        for name, value in fields.items():
+            setattr(state, name, value)
+    return found
+
+
+class CostPolicyTest(unittest.TestCase):
+    def setUp(self):
+        self.policy = CostPolicy("a", seed=1)
+        self.one, self.two, self.three = ADDRESSES[:3]
+
+    def choose(self, *views, **route):
+        return self.policy.choose(place(views=views, **route), states(*ADDRESSES[:3]))
+
+    def test_a_hit_is_worth_the_weighted_prefill_in_queue(self):
+        # The engine with the prefix has a queue. Below three prefills of the
+        # missing tokens waiting is cheaper, above it recomputing is.
+        for queue_ms, expected in ((290.0, self.two), (420.0, self.one)):
+            cached = CandidateState(self.two, depth=10, queue_ms=queue_ms)
+            decision = self.choose(CandidateState(self.one), cached)
+            self.assertEqual(decision.address, expected)
+
+    def test_a_route_may_weigh_the_first_token_more(self):
+        cached = CandidateState(self.two, depth=10, queue_ms=200.0)
+        decision = self.choose(CandidateState(self.one), cached, miss_weight=1.0)
+        self.assertEqual(decision.address, self.one)
+        self.assertAlmostEqual(decision.expected_ms, 100.0)
+
+    def test_a_suspect_hit_counts_for_less(self):
+        suspect = CandidateState(self.one, depth=10, confidence=0.3)
+        sure = CandidateState(self.two, depth=8)
+        self.assertEqual(self.choose(suspect, sure).address, self.two)
+
+    def test_other_weights_and_leaving_engines_are_passed_over(self):
+        # The home knows it before the tables or the host list say so.
+        stale = CandidateState(self.one, depth=10, weights_version="v0")
+        leaving = CandidateState(self.two, depth=10, leaving=True)
+        self.assertEqual(self.choose(stale, leaving).address, self.three)
+
+    def test_another_domain_costs_little_but_something(self):
+        for state_domains, expected in ((("b", "a"), 1), (("a", "b"), 0)):
+            targets = states(*ADDRESSES[:2])
+            for state, domain in zip(targets, state_domains, strict=True):
+                state.domain = domain
+            views = [CandidateState(state.address, depth=10) for state in targets]
+            decision = self.policy.choose(place(views=views), targets)
+            self.assertEqual(decision.address, ADDRESSES[expected])
+
+    def test_without_answers_own_requests_bound_the_first_by_hash(self):
+        targets = states(*ADDRESSES[:3])
+        chosen = []
+        for _ in range(30):
+            decision = self.policy.choose(place(), targets)
+            state = next(item for item in targets if item.address == decision.address)
+            state.in_flight += 1
+            chosen.append(decision.address)
+        self.assertEqual(chosen[:3], [self.one] * 3)
+        self.assertEqual(set(chosen), set(ADDRESSES[:3]))
+
+    def test_every_decision_names_its_terms(self):
+        names = [name for name, _ in self.choose(CandidateState(self.one)).terms]
+        self.assertEqual(
+            names, ["queue_ms", "miss_ms", "domain_ms", "rank_ms", "transfer_ms", "views"]
+        )
+
+    def test_candidates_hold_the_least_loaded_known_engine(self):
+        ranked = self.policy.candidates(place(), ())
+        outside = next(
+            address
+            for address in ADDRESSES
+            if address not in {entry.address for entry in ranked[:CANDIDATES]}
+        )
+        self.choose(CandidateState(outside), CandidateState(self.one, queue_ms=5.0))
+        self.policy.least_loaded.found_at = 0.0
+        again = self.policy.candidates(place(), ())
+        self.assertEqual([entry.address for entry in again][CANDIDATES:], [outside])
+
+    def test_a_hot_prefix_gets_more_candidates(self):
+        for _ in range(200):
+            found = self.policy.candidates(place(), ())
+        self.assertEqual(len(found), len(ADDRESSES))
+
+    def test_an_excluded_target_is_no_candidate(self):
+        first = self.policy.candidates(place(), ())[0]
+        left = self.policy.candidates(place(), {first.address})
+        self.assertNotIn(first, left)
+
+
+class PoolRankingTest(unittest.TestCase):
+    def test_keys_are_spread_evenly_and_independently(self):
+        targets = engine_pool(tuple(f"10.0.1.{n}:80" for n in range(40))).targets
+        ranking = PoolRanking(targets)
+        pairs = collections.Counter()
+        for number in range(8000):
+            first, second = ranking.ranked(number_of(b"%d" % number).to_bytes(8, "big"), 2)
+            pairs[first.address] += 1
+            pairs[first.address, second.address] += 1
+        firsts = [count for name, count in pairs.items() if isinstance(name, str)]
+        self.assertEqual(len(firsts), 40)
+        # 96 points give a spread of a tenth: 200 each, plus or minus 40%.
+        self.assertLess(max(firsts), 280)
+        self.assertGreater(min(firsts), 120)
+        self.assertGreater(len(pairs) - 40, 1000)
+
+    def test_a_lost_target_leaves_the_order_of_the_others(self):
+        targets = engine_pool(ADDRESSES).targets
+        whole, fewer = PoolRanking(targets), PoolRanking(targets[1:])
+        for number in range(50):
+            key = number_of(b"%d" % number).to_bytes(8, "little")
+            kept = [entry for entry in whole.ranked(key, 6) if entry != targets[0]]
+            self.assertEqual(kept, fewer.ranked(key, 6))
--- /dev/null
+++ b/tools/bench_index.py
@@ -0,0 +1,226 @@
+"""Measure the home index and a decision; prints ``name size value`` lines."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from agaterail.candidates import CandidateAnswer, CandidateQuery, CandidateState, shorten
+from agaterail.candidates import split_keys as split
+from agaterail.codec import converter
+from agaterail.engines import CacheEvent, CacheEventKind, CacheEvents
+from agaterail.homes import HomeMap
+from agaterail.index import EngineIndex, short_key
+from agaterail.policies import Placement
+from agaterail.policies.cost import CostPolicy
+from agaterail.prefix import Prefix
+from agaterail.tables import Pool, PoolKind, Route, TargetEntry
+from agaterail.targets import TargetBook
+
+INDEX_SIZES = (1_000, 10_000, 57_000, 200_000)
+ENGINE_COUNTS = (5, 40, 600)
+MEMBER_COUNTS = (8, 40, 410)
+PROMPT_BLOCKS = 20
+DECISIONS = 3000
+REPEATS = 2000
+SEED = 11
+CHUNK = 1000
+
+
+def main() -> None:
+    """Run all measurements."""
+    _filled(INDEX_SIZES[0])
+    for size in INDEX_SIZES:
+        _index(size)
+    for count in ENGINE_COUNTS:
+        _decision(count, new_keys=False)
+        _decision(count, new_keys=True)
+    for count in MEMBER_COUNTS:
+        _homes(count)
+    _query_codec()
+
+
+def _print(name: str, size: int, value: float) -> None:
+    print(f"{name} {size} {value:.2f}")
+
+
+def _index(size: int) -> None:
+    choose = random.Random(SEED)
+    index = EngineIndex(0.0)
+    index.set_capacity(size)
+    keys = [choose.randbytes(16) for _ in range(size)]
+    _print("index_bytes_per_key", size, _bytes_per_key(size))
+    _print("index_resident_bytes_per_key", size, _resident_per_key(size))
+    numbers = itertools.count(1)
+    _apply(index, keys, CacheEventKind.STORED, numbers)
+    _print("index_churn_events_per_s", size, _churn(index, keys, numbers, choose))
+    prompts = [[choose.choice(keys) for _ in range(PROMPT_BLOCKS)] for _ in range(500)]
+    asked = [[short_key(key) for key in prompt] for prompt in prompts]
+    depths = range(1, PROMPT_BLOCKS + 1)
+    _print("index_lookup_20_blocks_us", size, _time_us(
+        lambda: [index.lookup(prompt, depths, 1.0) for prompt in asked], len(asked)
+    ))  # fmt: skip
+
+
+def _filled(size: int) -> EngineIndex:
+    choose = random.Random(SEED)
+    index = EngineIndex(0.0)
+    index.set_capacity(size)
+    numbers = itertools.count(1)
+    for start in range(0, size, CHUNK):
+        chunk = [choose.randbytes(16) for _ in range(min(CHUNK, size - start))]
+        _apply(index, chunk, CacheEventKind.STORED, numbers)
+    return index
+
+
+def _bytes_per_key(size: int) -> float:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    index = _filled(size)
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (after - before) / len(index.table)
+
+
+def _resident_per_key(size: int) -> float:
+    # Several at once, so that pages and arenas left over by others count little.
+    copies = max(1, 400_000 // size)
+    before = _resident_bytes()
+    held = [_filled(size) for _ in range(copies)]
+    return (_resident_bytes() - before) / sum(len(index.table) for index in held)
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _apply(
+    index: EngineIndex, keys: list[bytes], kind: CacheEventKind, numbers: itertools.count
+) -> None:
+    events = [CacheEvent(next(numbers), kind, (key,)) for key in keys]
+    answer = CacheEvents("a", events, events[-1].sequence)
+    if not index.incarnation:
+        index.on_incarnation("a", 1.0, 1.0)
+    index.on_events(answer, 1.0, 1.0)
+
+
+def _churn(
+    index: EngineIndex, keys: list[bytes], numbers: itertools.count, choose: random.Random
+) -> float:
+    """Evict and store in turn, as a full cache does; return events a second."""
+    batches = []
+    for _ in range(50):
+        gone = choose.sample(range(len(keys)), 100)
+        fresh = [choose.randbytes(16) for _ in gone]
+        batches.append(([keys[place] for place in gone], fresh))
+        for place, key in zip(gone, fresh, strict=True):
+            keys[place] = key
+    started = time.process_time()
+    for old, fresh in batches:
+        _apply(index, old, CacheEventKind.EVICTED, numbers)
+        _apply(index, fresh, CacheEventKind.STORED, numbers)
+    return 200 * len(batches) / (time.process_time() - started)
+
+
+def _decision(count: int, new_keys: bool) -> None:
+    choose = random.Random(SEED)
+    pool = _pool(count)
+    route = Route(name="chat", workspace="ws", callers=(), pool="assistant")
+    policy, book = CostPolicy("a", seed=SEED), TargetBook()
+    prefixes = [_prefix(choose) for _ in range(DECISIONS if new_keys else 50)]
+    times: list[float] = []
+    for number in range(DECISIONS):
+        prefix = prefixes[number % len(prefixes)]
+        started = time.process_time_ns()
+        _decide(policy, book, pool, route, prefix, number / 100.0)
+        times.append((time.process_time_ns() - started) / 1e3)
+    name = "decision_new_prefix" if new_keys else "decision_known_prefix"
+    _print(f"{name}_mean_us", count, statistics.fmean(times))
+    _print(f"{name}_p99_us", count, statistics.quantiles(times, n=100)[98])
+
+
+def _decide(
+    policy: CostPolicy, book: TargetBook, pool: Pool, route: Route, prefix: Prefix, now: float
+) -> None:
+    placement = Placement(pool=pool, route=route, prefix=prefix, deadline_ms=1e4, now=now)
+    entries = policy.candidates(placement, ()) or ()
+    targets = [book.state_of(entry) for entry in entries]
+    views = {
+        state.address: CandidateState(state.address, 5, 1.0, 20.0, 2, 100.0, 0.05, "v1")
+        for state in targets
+    }
+    asked = Placement(
+        pool=pool, route=route, prefix=prefix, deadline_ms=1e4, now=now, views=views
+    )
+    policy.choose(asked, targets)
+
+
+def _pool(count: int) -> Pool:
+    targets = tuple(
+        TargetEntry(
+            address=f"10.0.{number // 250}.{number % 250}:80", domain="abc"[number % 3]
+        )
+        for number in range(count)
+    )
+    return Pool(name="assistant", kind=PoolKind.ENGINE, targets=targets, model="atlas")
+
+
+def _prefix(choose: random.Random) -> Prefix:
+    keys = tuple(choose.randbytes(16) for _ in range(PROMPT_BLOCKS))
+    return Prefix(keys, (4, 18), 40_000, keys[17])
+
+
+def _homes(count: int) -> None:
+    members = [f"10.1.{number // 250}.{number % 250}:81" for number in range(count)]
+    engines = [f"10.0.{number // 250}.{number % 250}:80" for number in range(600)]
+    homes = HomeMap(members[0])
+    homes.set_members(members)
+    started = time.process_time()
+    for engine in engines:
+        homes.home_of(engine)
+    _print("homes_of_600_engines_first_ms", count, (time.process_time() - started) * 1e3)
+    started = time.process_time()
+    homes.set_members(members[:-1])
+    homes.set_members(members)
+    for engine in engines:
+        homes.home_of(engine)
+    _print("homes_one_member_restarts_ms", count, (time.process_time() - started) * 1e3)
+
+
+def _query_codec() -> None:
+    short = shorten(_prefix(random.Random(SEED)))
+    states = tuple(
+        CandidateState(f"10.0.0.{number}:80", 5, 1.0, 20.0, 2, 100.0, 0.05, "v1")
+        for number in range(2)
+    )
+    query = CandidateQuery(("10.0.0.1:80", "10.0.0.2:80"), short.keys)
+    answer = CandidateAnswer(states)
+
+    def round_trip() -> None:
+        converter.structure(converter.unstructure(query), CandidateQuery)
+        split(query.keys)
+        converter.structure(converter.unstructure(answer), CandidateAnswer)
+
+    round_trip()
+    _print("query_codec_us", len(states), _time_us(lambda: _repeat(round_trip), REPEATS))
+
+
+def _repeat(action: Callable[[], None]) -> None:
+    for _ in range(REPEATS):
+        action()
+
+
+def _time_us(action: Callable[[], object], count: int) -> float:
+    started = time.process_time()
+    action()
+    return (time.process_time() - started) / count * 1e6
+
+
+if __name__ == "__main__":
+    main()
