Measure the policies on real daemons with seeded traces

Cause: no command compared the routing policies on one trace.

Addresses are fixed so that every policy hashes over the same names. A setting, extensions, loads the probe and the oracle, which asks each engine stand-in for its exact depth and queue.

The stand-in engine stored what it was computing in the cache of its next incarnation when it crashed in mid-prefill, and answered a cut stream as ended; both are mended.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -97,7 +97,7 @@
         self.subscriptions: list[Subscription] = []
         self.draining = False
         self.in_flight = 0
-        for name in parts:
+        for name in (*parts, *settings.extensions):
             importlib.import_module(name).setup(self)
         self.chain = FilterChain(self.filters)
 
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import importlib.util
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -62,6 +63,21 @@
     return text
 
 
+def _modules(text: str) -> tuple[str, ...]:
+    names = tuple(name.strip() for name in text.split(",") if name.strip())
+    for name in names:
+        if not _module_exists(name):
+            raise ValueError(f"there is no module {name!r}")
+    return names
+
+
+def _module_exists(name: str) -> bool:
+    try:
+        return importlib.util.find_spec(name) is not None
+    except (ImportError, ValueError):
+        return False
+
+
 def _optional(parse: Callable[[str], Any]) -> Callable[[str], Any]:
     return lambda text: parse(text) if text else None
 
@@ -99,6 +115,9 @@
         120.0, _seconds, "seconds after which a drain ends in any case"
     )
     max_body_bytes: int = _setting(32 * 1024 * 1024, _count, "largest request body in bytes")
+    extensions: tuple[str, ...] = _setting(
+        (), _modules, "modules with a setup(app) function to load, comma-separated"
+    )
     max_in_flight: int = _setting(2000, _count, "most requests at a time on this daemon")
 
     @classmethod
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,7 +23,7 @@
 from standins.base import Answer, Call, StandIn, json_answer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Container, Iterator
 
 MAX_EVENTS = 200_000
 KEEP_JOB_S = 3.0
@@ -70,6 +70,8 @@
         Do nothing until switched off.
     broken_versions
         Weights versions, comma-separated, whose load fails.
+    prefill_factor
+        Factor on the prefill time; a small one warms the cache quickly.
     """
 
     refuse: bool = False
@@ -85,6 +87,7 @@
     slow_head_ms: int = 0
     paused: bool = False
     broken_versions: str = ""
+    prefill_factor: float = 1.0
 
 
 @attrs.define(order=True)
@@ -123,11 +126,7 @@
 
     def leading(self, keys: tuple[bytes, ...]) -> int:
         """Return how many leading keys are held, and mark them as used."""
-        count = 0
-        for key in keys:
-            if key not in self.keys:
-                break
-            count += 1
+        count = _leading(keys, self.keys)
         for key in reversed(keys[:count]):
             self.keys.move_to_end(key)
         return count
@@ -174,6 +173,7 @@
         self.cached_tokens = 0
         self.prompt_tokens = 0
         self.wasted_tokens = 0
+        self.computed_blocks: collections.Counter[str] = collections.Counter()
         self.adapters: list[str] = []
         self.role = "serve"
         self.model = config.model
@@ -194,6 +194,8 @@
                 "/kv/import": self._import,
                 "/kv/export": self._export,
                 "/journal": self._journal,
+                "/computed": self._computed,
+                "/exact": self._exact,
                 "/crash": self._crash,
             }
         )
@@ -218,6 +220,7 @@
         self.jobs: dict[str, Job] = {}
         self.waiting: list[Job] = []
         self.running: list[Job] = []
+        self.prefilling: tuple[tuple[bytes, ...], float] = ((), 0.0)
         self.arrived = Event()
         self.accepted = 0
         self.reports: collections.deque[tuple[float, dict[str, Any]]] = collections.deque(
@@ -248,6 +251,8 @@
             heads["content-type"] = "text/event-stream"
             return Answer(200, self._stream(job, 0), heads)
         while not job.done:
+            if job.cancelled:
+                raise ConnectionAbortedError
             job.changed.wait()
         return json_answer(self._whole(job), 200, **heads)
 
@@ -273,6 +278,7 @@
         return job
 
     def _stream(self, job: Job, position: int) -> Iterator[bytes]:
+        incarnation = self.incarnation
         cut_after = self.faults.cut_after_frames if position == 0 else 0
         if cut_after:
             self.faults.cut_after_frames = 0
@@ -282,9 +288,9 @@
         try:
             while True:
                 while sent >= len(job.frames):
-                    if job.cancelled:
-                        return
-                    if job.done:
+                    if self.incarnation != incarnation:
+                        raise ConnectionAbortedError
+                    if job.cancelled or job.done:
                         return
                     job.changed.wait()
                 frames = job.frames[sent:]
@@ -360,18 +366,32 @@
             job = heapq.heappop(self.waiting)
             if job.cancelled:
                 continue
-            hit = self.cache.leading(job.keys)
-            job.cached_tokens = hit * self.config.block_tokens
-            missing = max(1, job.prompt_tokens - job.cached_tokens)
-            gevent.sleep(missing * self.config.prefill_ms_per_token / 1e3)
-            while self.faults.paused:
-                gevent.sleep(0.01)
-            self.computed_tokens += missing
-            self.cached_tokens += job.cached_tokens
-            self.prompt_tokens += job.prompt_tokens
-            self.cache.store(job.keys)
-            if not job.cancelled:
-                self.running.append(job)
+            self._prefill(job)
+
+    def _prefill(self, job: Job) -> None:
+        incarnation = self.incarnation
+        hit = self.cache.leading(job.keys)
+        job.cached_tokens = hit * self.config.block_tokens
+        missing = max(1, job.prompt_tokens - job.cached_tokens)
+        seconds = missing * self._prefill_ms_per_token() / 1e3
+        self.prefilling = (job.keys, time.monotonic() + seconds)
+        gevent.sleep(seconds)
+        while self.faults.paused:
+            gevent.sleep(0.01)
+        self.prefilling = ((), 0.0)
+        self.computed_tokens += missing
+        self.cached_tokens += job.cached_tokens
+        self.prompt_tokens += job.prompt_tokens
+        self.computed_blocks.update(key.hex() for key in job.keys[hit:])
+        if incarnation != self.incarnation:
+            # The engine crashed meanwhile; what the job computed is gone.
+            return
+        self.cache.store(job.keys)
+        if not job.cancelled:
+            self.running.append(job)
+
+    def _prefill_ms_per_token(self) -> float:
+        return self.config.prefill_ms_per_token * self.faults.prefill_factor
 
     def _decode_loop(self) -> None:
         while True:
@@ -486,6 +506,30 @@
             }
         )
 
+    def _computed(self, _call: Call) -> Answer:
+        return json_answer({"blocks": self.computed_blocks})
+
+    def _exact(self, call: Call) -> Answer:
+        keys = tuple(bytes.fromhex(key) for key in call.json()["keys"])
+        held, queue_ms = self._foresee()
+        depth = _leading(keys, held)
+        return json_answer({"blocks": depth, "queue_ms": queue_ms})
+
+    def _foresee(self) -> tuple[collections.ChainMap[bytes, None], float]:
+        """Return what the cache will hold, but for evictions, and the time until then."""
+        added: dict[bytes, None] = {}
+        held = collections.ChainMap(added, self.cache.keys)
+        keys, ends_at = self.prefilling
+        queue_ms = max(0.0, (ends_at - time.monotonic()) * 1e3)
+        added.update(dict.fromkeys(keys))
+        for job in sorted(self.waiting):
+            if job.cancelled:
+                continue
+            cached = _leading(job.keys, held) * self.config.block_tokens
+            queue_ms += max(1, job.prompt_tokens - cached) * self._prefill_ms_per_token()
+            added.update(dict.fromkeys(job.keys))
+        return held, queue_ms
+
     # Orders
 
     def _order(self, call: Call) -> Answer:
@@ -565,3 +609,12 @@
             return False
         setattr(self.faults, fault, left - 1)
         return True
+
+
+def _leading(keys: tuple[bytes, ...], held: Container[bytes]) -> int:
+    count = 0
+    for key in keys:
+        if key not in held:
+            break
+        count += 1
+    return count
--- /dev/null
+++ b/tests/test_standins/test_engine.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import unittest
+
+import gevent
+from hypothesis import given
+from hypothesis import strategies as st
+
+from standins.engine import BlockCache, EngineConfig, EngineStandIn, Job
+
+CAPACITY = 6
+KEYS = [bytes([number]) for number in range(5)]
+
+
+class NaiveCache:
+    """List of keys, least recently used first."""
+
+    def __init__(self):
+        self.keys = []
+
+    def leading(self, keys):
+        count = next(
+            (index for index, key in enumerate(keys) if key not in self.keys), len(keys)
+        )
+        self._touch(keys[:count])
+        return count
+
+    def store(self, keys):
+        self._touch(keys)
+        self.keys = self.keys[-CAPACITY:]
+
+    def _touch(self, keys):
+        self.keys = [key for key in self.keys if key not in keys] + list(reversed(keys))
+
+
+def chain(branch, length):
+    return tuple(branch + bytes([number]) for number in range(length))
+
+
+class BlockCacheTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.booleans(), st.sampled_from(KEYS), st.integers(1, 5))))
+    def test_against_naive_cache(self, steps):
+        cache, naive = BlockCache(CAPACITY), NaiveCache()
+        for store, branch, length in steps:
+            keys = chain(branch, length)
+            if store:
+                cache.store(keys)
+                naive.store(keys)
+            else:
+                self.assertEqual(cache.leading(keys), naive.leading(keys))
+            self.assertEqual(list(cache.keys), naive.keys)
+
+    @given(st.lists(st.tuples(st.sampled_from(KEYS), st.integers(1, 5))))
+    def test_events_tell_the_contents(self, steps):
+        cache, told = BlockCache(CAPACITY), set()
+        for branch, length in steps:
+            cache.store(chain(branch, length))
+        for _, _, kind, keys in cache.events:
+            told = told | set(keys) if kind == "stored" else told - set(keys)
+        self.assertEqual(told, {key.hex() for key in cache.keys})
+
+
+def job(keys):
+    return Job((-5, 0), "id", keys, prompt_tokens=100, max_tokens=1, answer_id="a")
+
+
+class EngineTest(unittest.TestCase):
+    def test_exact_queue_counts_what_waiting_jobs_will_store(self):
+        engine = EngineStandIn(EngineConfig(block_tokens=50, prefill_ms_per_token=1.0))
+        engine.waiting = [job((b"a", b"b")), job((b"a", b"c"))]
+        held, queue_ms = engine._foresee()
+        self.assertEqual(queue_ms, 100 + 50)
+        self.assertIn(b"c", held)
+
+    def test_prefill_that_a_crash_overtakes_fills_no_cache(self):
+        # The caller's stream is cut. The engine crashes while it computes a
+        # prompt and comes back empty; if the old computation still filled the
+        # new cache, hits would be reported that no engine could give.
+        engine = EngineStandIn(EngineConfig(block_tokens=50, prefill_ms_per_token=0.1))
+        crashed = job((b"a", b"b"))
+        engine.jobs["id"] = crashed
+        prefill = gevent.spawn(engine._prefill, crashed)
+        gevent.sleep(0)
+        engine._crash(None)
+        prefill.join()
+        self.assertEqual(list(engine.cache.keys), [])
+        self.assertEqual(engine.running, [])
+        self.assertTrue(crashed.cancelled)
--- /dev/null
+++ b/tests/test_tools/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/tools/bench/cell.py
@@ -0,0 +1,355 @@
+"""One cell of the measurements: a fleet, one policy, one workload, one fault."""
+
+from __future__ import annotations
+
+import collections
+import json
+import os
+import signal
+import tempfile
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+import attrs
+import gevent
+from gevent.pool import Group
+
+from standins.load import Seen, StreamClient
+from tools.bench import figures, probe
+from tools.bench.figures import DaemonCounts, EngineCounts, Figures
+from tools.bench.workloads import (
+    BLOCK_PREFILL_MS,
+    BLOCK_TOKENS,
+    PROFILES,
+    WORKSPACES,
+    Arrival,
+    Trace,
+)
+from tools.fleet import (
+    MODEL,
+    Daemon,
+    Fleet,
+    api_key_of,
+    apply_tables,
+    call,
+    tables_toml,
+    wait_for,
+)
+
+ENGINES = 5
+DAEMONS = 3
+CAPACITY_BLOCKS = 60
+PREFILL_MS_PER_TOKEN = BLOCK_PREFILL_MS / BLOCK_TOKENS
+MAX_TOKENS = 8
+EVENT_DELAY_MS = 100
+LOAD_LAG_MS = 200
+WARM_UP_REQUESTS = 300
+WARM_UP_RATE = 100.0
+WARM_UP_FACTOR = 0.02
+SETTLE_S = 1.0
+END_MARGIN_S = 5.0
+BALANCER_LAG_S = 0.5
+DRAIN_LAG_S = 1.0
+FIRST_PORT = 7400
+ORACLE = "oracle"
+PROBE_EXTENSION = "tools.bench.probe"
+ORACLE_EXTENSION = "tools.oracle"
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+KIB_PER_MB = 1024
+
+
+@attrs.frozen(kw_only=True)
+class Cell:
+    """What is measured.
+
+    Attributes
+    ----------
+    fault
+        Name in ``FAULTS``.
+    pool, route
+        Fields of the table rows that differ from the usual ones.
+    flags
+        Further flags of the daemons.
+    slot
+        Number that sets the addresses apart from those of other fleets.
+    """
+
+    workload: str
+    policy: str
+    seed: int
+    seconds: float
+    fault: str = "none"
+    pool: Mapping[str, object] = attrs.field(factory=dict)
+    route: Mapping[str, object] = attrs.field(factory=dict)
+    flags: Sequence[str] = ()
+    slot: int = 0
+    label: str = ""
+
+
+class Runner:
+    """Brings a fleet up, sends the trace and takes the figures."""
+
+    def __init__(self, cell: Cell, fleet: Fleet) -> None:
+        self.cell = cell
+        self.fleet = fleet
+        self.profile = PROFILES[cell.workload]
+        self.clients: dict[tuple[str, int], StreamClient] = {}
+        self.resting: set[str] = set()
+        self.lateness: list[float] = []
+
+    def run(self) -> Figures:
+        """Measure the cell."""
+        self._start()
+        trace = Trace(self.profile, self.cell.seed)
+        self._warm_up(trace)
+        arrivals = trace.arrivals(self.cell.seconds)
+        engines, daemons = self._engine_counts(), self._daemon_counts()
+        timer = gevent.spawn_later(self.cell.seconds / 2, FAULTS[self.cell.fault], self)
+        started = time.monotonic()
+        seen = self._send(arrivals)
+        seconds = time.monotonic() - started
+        timer.join()
+        return self._figures(
+            seen, seconds, engines, self._engine_counts(), daemons, self._daemon_counts()
+        )
+
+    def _start(self) -> None:
+        self.fleet.start_platform()
+        engine = {
+            "block_tokens": BLOCK_TOKENS,
+            "capacity_blocks": CAPACITY_BLOCKS,
+            "prefill_ms_per_token": PREFILL_MS_PER_TOKEN,
+        }
+        self.fleet.start_engines(ENGINES, engine)
+        with tempfile.TemporaryDirectory() as folder:
+            apply_tables(self.fleet, self._tables(), folder)
+        self.fleet.start_daemons(DAEMONS, self.flags)
+        for engine_address in self.fleet.engines:
+            lags = {"event_delay_ms": EVENT_DELAY_MS, "load_lag_ms": LOAD_LAG_MS}
+            self.fleet.control(engine_address, **lags)
+
+    @property
+    def flags(self) -> list[str]:
+        """Return the flags of every daemon."""
+        names = [PROBE_EXTENSION]
+        if self.cell.policy == ORACLE:
+            names.append(ORACLE_EXTENSION)
+        lag = str(DRAIN_LAG_S)
+        return ["--extensions", ",".join(names), "--drain-lag-s", lag, *self.cell.flags]
+
+    def _tables(self) -> str:
+        policy = "cost" if self.cell.policy == ORACLE else self.cell.policy
+        pool = {
+            "block_tokens": BLOCK_TOKENS,
+            "prefill_ms_per_token": PREFILL_MS_PER_TOKEN,
+            "weights_version": "v1",
+            "policy": policy,
+            **self.cell.pool,
+        }
+        route = {
+            "deadline_ms": self.profile.deadline_ms,
+            "miss_weight": self.profile.miss_weight,
+            **self.cell.route,
+        }
+        return tables_toml(self.fleet.engines, WORKSPACES, pool, route)
+
+    def _warm_up(self, trace: Trace) -> None:
+        for engine in self.fleet.engines:
+            self.fleet.control(engine, prefill_factor=WARM_UP_FACTOR)
+        self._send(trace.warm_up(WARM_UP_REQUESTS, WARM_UP_RATE))
+        self.lateness.clear()
+        for engine in self.fleet.engines:
+            self.fleet.control(engine, prefill_factor=1.0)
+        if self.cell.fault in STANDING_FAULTS:
+            for engine in self.fleet.engines:
+                self.fleet.control(engine, **STANDING_FAULTS[self.cell.fault])
+        gevent.sleep(SETTLE_S)
+
+    def _send(self, arrivals: Sequence[Arrival]) -> list[Seen]:
+        started = time.monotonic()
+        group = Group()
+        asking = []
+        for arrival in arrivals:
+            gevent.sleep(max(0.0, started + arrival.at_s - time.monotonic()))
+            self.lateness.append((time.monotonic() - started - arrival.at_s) * 1e3)
+            asking.append(group.spawn(self._ask, arrival))
+        group.join(timeout=self.profile.deadline_ms / 1e3 + END_MARGIN_S)
+        return [
+            greenlet.value if greenlet.successful() else Seen(error="no answer in time")
+            for greenlet in asking
+        ]
+
+    def _ask(self, arrival: Arrival) -> Seen:
+        daemons = [
+            daemon.address
+            for daemon in self.fleet.daemons
+            if daemon.address not in self.resting
+        ]
+        address = daemons[arrival.entry % len(daemons)]
+        workspace = arrival.prompt.workspace
+        client = self.clients.get((address, workspace))
+        if client is None:
+            client = StreamClient(address, api_key_of(workspace), MODEL)
+            self.clients[address, workspace] = client
+        return client.ask(arrival.prompt, MAX_TOKENS)
+
+    def _engine_counts(self) -> list[EngineCounts]:
+        counts = []
+        for engine in self.fleet.engines:
+            journal = call(engine, "GET", "/journal")
+            counts.append(
+                EngineCounts(
+                    prompt_tokens=journal["prompt_tokens"],
+                    cached_tokens=journal["cached_tokens"],
+                    computed_tokens=journal["computed_tokens"],
+                    blocks=call(engine, "GET", "/computed")["blocks"],
+                )
+            )
+        return counts
+
+    def _daemon_counts(self) -> list[DaemonCounts]:
+        return [_daemon_counts(daemon) for daemon in self.fleet.daemons]
+
+    def _figures(
+        self,
+        seen: Sequence[Seen],
+        seconds: float,
+        before: Sequence[EngineCounts],
+        after: Sequence[EngineCounts],
+        daemons_before: Sequence[DaemonCounts],
+        daemons: Sequence[DaemonCounts],
+    ) -> Figures:
+        computed = [
+            new.computed_tokens - old.computed_tokens
+            for old, new in zip(before, after, strict=True)
+        ]
+        busy = [tokens * PREFILL_MS_PER_TOKEN / 1e3 / self.cell.seconds for tokens in computed]
+        deadline = float(self.profile.deadline_ms)
+        first = sorted(item.first_token_ms if item.whole else deadline for item in seen)
+        late = sorted(self.lateness)
+        return Figures(
+            requests=len(seen),
+            hit_rate=figures.hit_rate(before, after),
+            computed_tokens=sum(computed),
+            wasted_tokens=figures.wasted_tokens(before, after, BLOCK_TOKENS),
+            first_token_ms=tuple(round(value, 1) for value in first),
+            not_whole=sum(not item.whole for item in seen),
+            errors=collections.Counter(_error_of(item) for item in seen if not item.whole),
+            reasons=collections.Counter(item.reason for item in seen if item.whole),
+            busiest=max(busy),
+            mean_busy=sum(busy) / len(busy),
+            late_ms=(figures.percentile(late, 0.99), max(late)),
+            **_control_of(daemons_before, daemons, seconds),
+        )
+
+
+def measure(cell: Cell) -> Figures:
+    """Measure one cell on a fleet of its own."""
+    with Fleet(
+        log_level="error", host=f"127.77.0.{cell.slot + 1}", first_port=FIRST_PORT
+    ) as fleet:
+        return Runner(cell, fleet).run()
+
+
+def _control_of(
+    before: Sequence[DaemonCounts], after: Sequence[DaemonCounts], seconds: float
+) -> dict[str, float]:
+    # Counts of a daemon that was restarted begin anew and are left out.
+    pairs = [(old, new) for old, new in zip(before, after, strict=True) if old.pid == new.pid]
+    count = max(1, len(pairs))
+    return {
+        "sent_bytes_per_s": sum(new.sent_bytes - old.sent_bytes for old, new in pairs)
+        / seconds
+        / count,
+        "cpu_s": sum(new.cpu_s - old.cpu_s for old, new in pairs) / count,
+        "rss_mb": max(new.rss_mb for new in after),
+    }
+
+
+def _daemon_counts(daemon: Daemon) -> DaemonCounts:
+    pid = daemon.process.pid
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        resident = next(line for line in file if line.startswith("VmRSS"))
+    traffic = call(daemon.address, "GET", probe.PROBE_PATH)
+    return DaemonCounts(
+        pid=pid,
+        cpu_s=(int(fields[11]) + int(fields[12])) / CLOCK_TICKS,
+        rss_mb=int(resident.split()[1]) / KIB_PER_MB,
+        sent_bytes=traffic["sent_bytes"],
+        sent_messages=traffic["sent_messages"],
+    )
+
+
+def _error_of(seen: Seen) -> str:
+    try:
+        return str(json.loads(seen.error)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return seen.error[:60] or "incomplete"
+
+
+# Faults
+
+
+def _no_fault(_runner: Runner) -> None:
+    return
+
+
+def _crash_engine(runner: Runner) -> None:
+    call(runner.fleet.engines[0], "POST", "/crash")
+
+
+def _log_down(runner: Runner) -> None:
+    runner.fleet.control(runner.fleet.log, down=True)
+
+
+def _rolling_restart(runner: Runner) -> None:
+    for index in range(len(runner.fleet.daemons)):
+        _restart(runner, [index], signal.SIGTERM)
+
+
+def _restart_all(runner: Runner) -> None:
+    _restart(runner, range(len(runner.fleet.daemons)), signal.SIGKILL)
+
+
+def _restart(runner: Runner, indexes: Iterable[int], signal_number: int) -> None:
+    old = [runner.fleet.daemons[index] for index in indexes]
+    for daemon in old:
+        daemon.process.send_signal(signal_number)
+    if signal_number == signal.SIGTERM:
+        # The platform's balancer sends new connections until it has seen the
+        # readiness check fail.
+        gevent.sleep(BALANCER_LAG_S)
+        runner.resting.update(daemon.address for daemon in old)
+    for daemon in old:
+        while daemon.process.poll() is None:
+            gevent.sleep(0.05)
+        index = runner.fleet.daemons.index(daemon)
+        runner.fleet.daemons[index] = runner.fleet.start_daemon(
+            runner.flags, daemon.address, daemon.peer_address
+        )
+    for daemon in old:
+        wait_for(daemon.address, "/readyz")
+    runner.resting.difference_update(daemon.address for daemon in old)
+
+
+FAULTS: Mapping[str, Callable[[Runner], None]] = {
+    "none": _no_fault,
+    "crash": _crash_engine,
+    "log_down": _log_down,
+    "rolling_restart": _rolling_restart,
+    "restart_all": _restart_all,
+    "events_lost_1": _no_fault,
+    "events_lost_10": _no_fault,
+    "events_lost_30": _no_fault,
+    "load_lag_1": _no_fault,
+    "load_lag_5": _no_fault,
+}
+STANDING_FAULTS: Mapping[str, Mapping[str, float]] = {
+    "events_lost_1": {"event_loss": 0.01},
+    "events_lost_10": {"event_loss": 0.10},
+    "events_lost_30": {"event_loss": 0.30},
+    "load_lag_1": {"load_lag_ms": 1000},
+    "load_lag_5": {"load_lag_ms": 5000},
+}
--- /dev/null
+++ b/tools/bench/figures.py
@@ -0,0 +1,130 @@
+"""Arithmetic of the measurements."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+MILLISECONDS = 1e3
+
+
+@attrs.frozen(kw_only=True)
+class EngineCounts:
+    """Counts of one engine since it started.
+
+    Attributes
+    ----------
+    blocks
+        How often each block was computed, by key.
+    """
+
+    prompt_tokens: int
+    cached_tokens: int
+    computed_tokens: int
+    blocks: Mapping[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class DaemonCounts:
+    """Counts of one daemon process since it started."""
+
+    pid: int
+    cpu_s: float
+    rss_mb: float
+    sent_bytes: int
+    sent_messages: int
+
+
+@attrs.frozen(kw_only=True)
+class Figures:
+    """Figures of one cell.
+
+    Attributes
+    ----------
+    wasted_tokens
+        Tokens of full blocks that were computed again: some engine, this one
+        or another, had computed the same block earlier in the run, the
+        warm-up included. The first computation of a block is not waste.
+    first_token_ms
+        Times to the first token, sorted; a request without a whole answer
+        counts with its deadline.
+    busiest, mean_busy
+        Share of the time for which the busiest and the average engine
+        prefilled.
+    late_ms
+        Lateness of the load generator at the 99th percentile and at most.
+    sent_bytes_per_s, cpu_s, rss_mb
+        Per daemon: mean bytes sent to peers, mean processor time, most memory.
+    """
+
+    requests: int
+    hit_rate: float
+    computed_tokens: int
+    wasted_tokens: int
+    first_token_ms: tuple[float, ...]
+    not_whole: int
+    errors: Mapping[str, int]
+    reasons: Mapping[str, int]
+    busiest: float
+    mean_busy: float
+    late_ms: tuple[float, float]
+    sent_bytes_per_s: float
+    cpu_s: float
+    rss_mb: float
+
+    @property
+    def p50(self) -> float:
+        """Return the median time to the first token."""
+        return percentile(self.first_token_ms, 0.50)
+
+    @property
+    def p95(self) -> float:
+        """Return the 95th percentile of the time to the first token."""
+        return percentile(self.first_token_ms, 0.95)
+
+    @property
+    def p99(self) -> float:
+        """Return the 99th percentile of the time to the first token."""
+        return percentile(self.first_token_ms, 0.99)
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return the nearest-rank percentile of sorted values; 0 without any."""
+    if not ordered:
+        return 0.0
+    return ordered[max(0, math.ceil(len(ordered) * share) - 1)]
+
+
+def hit_rate(before: Sequence[EngineCounts], after: Sequence[EngineCounts]) -> float:
+    """Return cached over prompt tokens between two snapshots of all engines."""
+    prompt = sum(item.prompt_tokens for item in after) - sum(
+        item.prompt_tokens for item in before
+    )
+    cached = sum(item.cached_tokens for item in after) - sum(
+        item.cached_tokens for item in before
+    )
+    return cached / prompt if prompt else 0.0
+
+
+def wasted_tokens(
+    before: Sequence[EngineCounts], after: Sequence[EngineCounts], block_tokens: int
+) -> int:
+    """Return the tokens of blocks computed again between two snapshots."""
+    computed = _computations(after) - _computations(before)
+    new = _known(after) - _known(before)
+    return (computed - len(new)) * block_tokens
+
+
+def gap_closed(value: float, worst: float, best: float) -> float:
+    """Return the share of the gap from worst to best that a value closes."""
+    return (value - worst) / (best - worst) if best != worst else 1.0
+
+
+def _computations(counts: Sequence[EngineCounts]) -> int:
+    return sum(sum(item.blocks.values()) for item in counts)
+
+
+def _known(counts: Sequence[EngineCounts]) -> set[str]:
+    return {key for item in counts for key in item.blocks}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -45,9 +45,19 @@
 
 
 class Fleet:
-    """Processes that are ended together."""
-
-    def __init__(self, log_level: str = "warning") -> None:
+    """Processes that are ended together.
+
+    Parameters
+    ----------
+    host, first_port
+        Place of engines and daemons when their addresses must be the same
+        from run to run, since hashing looks at them; by default the kernel
+        chooses the ports.
+    """
+
+    def __init__(
+        self, log_level: str = "warning", host: str = "127.0.0.1", first_port: int = 0
+    ) -> None:
         self.processes: list[subprocess.Popen] = []
         self.log_level = log_level
         self.log = ""
@@ -56,7 +66,9 @@
         self.engines: list[str] = []
         self.services: list[str] = []
         self.daemons: list[Daemon] = []
-        self.port = free_port_base()
+        self.host = host
+        self.fixed = first_port > 0
+        self.port = first_port or free_port_base()
 
     def __enter__(self) -> Fleet:
         return self
@@ -81,9 +93,14 @@
                 process.kill()
                 process.wait()
 
-    def start_stand_in(self, kind: str, properties: Mapping[str, object] | None = None) -> str:
+    def start_stand_in(
+        self,
+        kind: str,
+        properties: Mapping[str, object] | None = None,
+        address: str = "127.0.0.1:0",
+    ) -> str:
         """Start one stand-in and return its address."""
-        command = [sys.executable, "-m", "standins", kind]
+        command = [sys.executable, "-m", "standins", kind, "--listen", address]
         for name, value in (properties or {}).items():
             command += ["--set", f"{name}={value}"]
         process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
@@ -100,7 +117,8 @@
     def start_engines(self, count: int, properties: Mapping[str, object]) -> None:
         """Start engines and put them on the host list."""
         for number in range(count):
-            address = self.start_stand_in("engine", properties)
+            wanted = self.next_address() if self.fixed else "127.0.0.1:0"
+            address = self.start_stand_in("engine", properties, wanted)
             self.engines.append(address)
             self.put_host(address, "engine", "live", DOMAINS[number % len(DOMAINS)])
 
@@ -111,11 +129,13 @@
         for daemon in self.daemons:
             wait_for(daemon.address, "/readyz")
 
-    def start_daemon(self, flags: Sequence[str] = (), address: str = "") -> Daemon:
+    def start_daemon(
+        self, flags: Sequence[str] = (), address: str = "", peer_address: str = ""
+    ) -> Daemon:
         """Start one daemon without waiting for it."""
         number = len(self.daemons)
         address = address or self.next_address()
-        peer_address = self.next_address()
+        peer_address = peer_address or self.next_address()
         command = [
             sys.executable, "-m", "agaterail", "serve",
             "--listen", address,
@@ -137,7 +157,7 @@
     def next_address(self) -> str:
         """Return a loopback address that no process of the fleet uses."""
         self.port += 1
-        return f"127.0.0.1:{self.port}"
+        return f"{self.host}:{self.port}"
 
     def put_host(self, address: str, role: str, state: str, domain: str) -> None:
         """Change the host list."""
--- /dev/null
+++ b/tools/oracle.py
@@ -0,0 +1,91 @@
+"""Extension of the daemon: the ``cost`` policy on exact caches and queues.
+
+It asks every engine stand-in at each choice, which no real engine could
+answer in time, and so bounds from above what better knowledge can bring.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+from returns.result import Success
+
+from agaterail.policies import Decision, Placement, Policy
+from agaterail.util import rendezvous
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.application import Application
+    from agaterail.targets import TargetState
+
+ASK_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class Exact:
+    """Exact state of an engine for one prompt."""
+
+    address: str
+    blocks: int
+    queue_ms: float
+
+
+class OraclePolicy(Policy):
+    """Takes the place of the ``cost`` policy."""
+
+    name = "cost"
+
+    def __init__(self) -> None:
+        self.connections: dict[str, HttpConnections] = {}
+
+    def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
+        """Return the target with the least exact cost."""
+        if placement.prefix is None:
+            return None
+        keys = [key.hex() for key in placement.prefix.keys]
+        # In hash order, so that equal costs do not all go to one engine.
+        addresses = [state.address for state in targets]
+        order = rendezvous.ranked(placement.prefix.placement_key, addresses, len(addresses))
+        asked = [gevent.spawn(self._ask, address, keys) for address in order]
+        gevent.joinall(asked)
+        known = [greenlet.value for greenlet in asked if greenlet.value is not None]
+        decisions = [_decision(placement, exact) for exact in known]
+        return min(decisions, key=lambda item: item[0], default=(0.0, None))[1]
+
+    def _ask(self, address: str, keys: list[str]) -> Exact | None:
+        connections = self.connections.get(address)
+        if connections is None:
+            connections = HttpConnections(Address.parse(address))
+            self.connections[address] = connections
+        body = json.dumps({"keys": keys}).encode()
+        answer = connections.call("POST", "/exact", body, timeout_s=ASK_TIMEOUT_S)
+        if not isinstance(answer, Success) or answer.unwrap()[0] != 200:
+            return None
+        fields = json.loads(answer.unwrap()[1])
+        return Exact(address, fields["blocks"], fields["queue_ms"])
+
+
+def _decision(placement: Placement, exact: Exact) -> tuple[float, Decision]:
+    assert placement.prefix is not None
+    pool = placement.pool
+    missing = placement.prefix.prompt_tokens - exact.blocks * pool.block_tokens
+    prefill_ms = max(0, missing) * pool.prefill_ms_per_token
+    decision = Decision(
+        address=exact.address,
+        reason="oracle",
+        hit_blocks=exact.blocks,
+        expected_ms=exact.queue_ms + prefill_ms,
+        terms=(("queue_ms", exact.queue_ms), ("prefill_ms", prefill_ms)),
+    )
+    return exact.queue_ms + placement.route.miss_weight * prefill_ms, decision
+
+
+def setup(app: Application) -> None:
+    """Replace the ``cost`` policy."""
+    app.add_policy(OraclePolicy())
