Report only the tokens that an engine must still prefill

Cause: the stand-in's load report counted the whole prompts of waiting requests, cached or not, and left out the one in prefill.

The report now holds what the field is defined as: tokens of waiting requests that must still be prefilled. The old form stays as a fault, load_counts_cached, since other engines may report so.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -70,6 +70,9 @@
         Do nothing until switched off.
     broken_versions
         Weights versions, comma-separated, whose load fails.
+    load_counts_cached
+        The load report counts the whole prompts of waiting requests, cached
+        or not, and leaves out the one in prefill.
     prefill_factor
         Factor on the prefill time; a small one warms the cache quickly.
     """
@@ -87,6 +90,7 @@
     slow_head_ms: int = 0
     paused: bool = False
     broken_versions: str = ""
+    load_counts_cached: bool = False
     prefill_factor: float = 1.0
 
 
@@ -442,7 +446,7 @@
             "model": self.model,
             "running": len(self.running),
             "waiting": len(self.waiting),
-            "waiting_prefill_tokens": sum(job.prompt_tokens for job in self.waiting),
+            "waiting_prefill_tokens": self._waiting_prefill_tokens(),
             "accepted": self.accepted,
             "cached_blocks": len(self.cache.keys),
             "capacity_blocks": self.config.capacity_blocks,
@@ -452,6 +456,11 @@
             "role": self.role,
         }
 
+    def _waiting_prefill_tokens(self) -> int:
+        if self.faults.load_counts_cached:
+            return sum(job.prompt_tokens for job in self.waiting)
+        return round(self._foresee()[1] / self._prefill_ms_per_token())
+
     def _load(self, _call: Call) -> Answer:
         shown_at = time.monotonic() - self.faults.load_lag_ms / 1e3
         if self.faults.load_frozen:
--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -345,6 +345,7 @@
     "events_lost_30": _no_fault,
     "load_lag_1": _no_fault,
     "load_lag_5": _no_fault,
+    "load_counts_cached": _no_fault,
 }
 STANDING_FAULTS: Mapping[str, Mapping[str, float]] = {
     "events_lost_1": {"event_loss": 0.01},
@@ -352,4 +353,5 @@
     "events_lost_30": {"event_loss": 0.30},
     "load_lag_1": {"load_lag_ms": 1000},
     "load_lag_5": {"load_lag_ms": 5000},
+    "load_counts_cached": {"load_counts_cached": True},
 }
