--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -7,7 +7,9 @@
 greenlets.patch()
 
 import argparse
+import functools
 import json
+import pathlib
 import subprocess
 import sys
 import time
@@ -16,15 +18,14 @@
 import attrs
 from gevent.pool import Pool as GreenletPool
 
-from tools.bench import report
-from tools.bench.cell import FAULTS, ORACLE, Cell, measure
+from tools.bench import cells, report
+from tools.bench.cell import Cell, measure
 from tools.bench.figures import Figures
 from tools.bench.workloads import PROFILES
 
-POLICIES = (
-    "random", "round_robin", "least_in_flight", "pure_hash", "bounded_load", "cost", ORACLE,
-)  # fmt: skip
 CELL_FLAG = "--one-cell"
+DEFAULT_SECONDS = 16.0
+DEFAULT_SEED = 7
 
 
 def main() -> None:
@@ -34,44 +35,51 @@
         return
     arguments = _parse()
     started = time.monotonic()
-    rows = GreenletPool(len(arguments.workloads))
-    measured = rows.map(lambda name: _row(name, arguments), arguments.workloads)
-    for workload, cells in zip(arguments.workloads, measured, strict=True):
-        _print(workload, cells, arguments)
+    measured = _measure_all(arguments) if not arguments.report else []
+    for file in arguments.report:
+        measured += _load(file)
+    if arguments.save:
+        _save(arguments.save, measured)
+    for workload in arguments.workloads:
+        _print(workload, [item for item in measured if item[0].workload == workload])
     print(f"took {time.monotonic() - started:.0f} s")
 
 
 def _parse() -> argparse.Namespace:
+    names = list(PROFILES)
     parser = argparse.ArgumentParser(prog="tools.bench", description=__doc__)
+    parser.add_argument("--workloads", nargs="+", choices=names, default=names)
+    parser.add_argument("--cells", nargs="+", choices=list(cells.GROUPS), default=["policies"])
+    parser.add_argument("--only", nargs="+", default=[], help="names of cells")
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[DEFAULT_SEED])
+    parser.add_argument("--save", help="file that the figures are added to")
     parser.add_argument(
-        "--workloads", nargs="+", choices=list(PROFILES), default=list(PROFILES)
+        "--report", nargs="+", default=[], help="print saved figures, measure nothing"
     )
-    parser.add_argument("--policies", nargs="+", choices=POLICIES, default=list(POLICIES))
-    parser.add_argument("--faults", nargs="+", choices=list(FAULTS), default=["none"])
-    parser.add_argument("--seconds", type=float, default=16.0)
-    parser.add_argument("--seed", type=int, default=7)
     return parser.parse_args()
 
 
-def _row(workload: str, arguments: argparse.Namespace) -> list[report.Measured]:
+def _measure_all(arguments: argparse.Namespace) -> list[report.Measured]:
+    rows = GreenletPool(len(arguments.workloads))
+    measure_row = functools.partial(_measure_row, arguments)
+    found = rows.map(measure_row, arguments.workloads)
+    return [item for row in found for item in row]
+
+
+def _measure_row(arguments: argparse.Namespace, workload: str) -> list[report.Measured]:
     slot = list(PROFILES).index(workload)
-    cells = [
-        Cell(
-            workload=workload,
-            policy=policy,
-            fault=fault,
-            seed=arguments.seed,
-            seconds=arguments.seconds,
-            slot=slot,
+    row = []
+    for seed in arguments.seeds:
+        make = functools.partial(
+            Cell, workload=workload, seed=seed, seconds=arguments.seconds, slot=slot
         )
-        for fault in arguments.faults
-        for policy in arguments.policies
-    ]
-    return [(cell, measure_apart(cell)) for cell in cells]
+        row += cells.selected(make, arguments.cells, arguments.only)
+    return [(cell, _measure_apart(cell)) for cell in row]
 
 
-def measure_apart(cell: Cell) -> Figures:
-    """Measure a cell in a process of its own, so that generators don't share one."""
+def _measure_apart(cell: Cell) -> Figures:
+    # In a process of its own, so that the load generators do not share one.
     fields = json.dumps(attrs.asdict(cell))
     done = subprocess.run(
         [sys.executable, "-m", "tools.bench", CELL_FLAG, fields],
@@ -87,15 +95,28 @@
     print(json.dumps(attrs.asdict(found)))
 
 
-def _print(
-    workload: str, cells: Sequence[report.Measured], arguments: argparse.Namespace
-) -> None:
-    print(f"\n## {workload}, seed {arguments.seed}, {arguments.seconds:.0f} s\n")
-    print(report.outcome_table(cells))
+def _save(file: str, measured: Sequence[report.Measured]) -> None:
+    with pathlib.Path(file).open("a", encoding="utf-8") as opened:
+        for cell, found in measured:
+            line = {"cell": attrs.asdict(cell), "figures": attrs.asdict(found)}
+            opened.write(json.dumps(line) + "\n")
+
+
+def _load(file: str) -> list[report.Measured]:
+    lines = map(json.loads, pathlib.Path(file).read_text(encoding="utf-8").splitlines())
+    return [(Cell(**line["cell"]), Figures(**line["figures"])) for line in lines]
+
+
+def _print(workload: str, measured: Sequence[report.Measured]) -> None:
+    seeds = sorted({cell.seed for cell, _ in measured})
+    seconds = sorted({cell.seconds for cell, _ in measured})
+    pooled = report.by_cell(measured)
+    print(f"\n## {workload}, seeds {seeds}, seconds {seconds}\n")
+    print(report.outcome_table(pooled))
     print("\nNot whole, by kind:\n")
-    print(report.error_lines(cells))
+    print(report.error_lines(pooled))
     print("\nPer daemon:\n")
-    print(report.control_table(cells))
+    print(report.control_table(pooled))
 
 
 if __name__ == "__main__":
--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -15,7 +15,7 @@
 from gevent.pool import Group
 
 from standins.load import Seen, StreamClient
-from tools.bench import figures, probe
+from tools.bench import figures, probe, tune
 from tools.bench.figures import DaemonCounts, EngineCounts, Figures
 from tools.bench.workloads import (
     BLOCK_PREFILL_MS,
@@ -53,6 +53,7 @@
 FIRST_PORT = 7400
 ORACLE = "oracle"
 PROBE_EXTENSION = "tools.bench.probe"
+TUNE_EXTENSION = "tools.bench.tune"
 ORACLE_EXTENSION = "tools.oracle"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 KIB_PER_MB = 1024
@@ -68,8 +69,8 @@
         Name in ``FAULTS``.
     pool, route
         Fields of the table rows that differ from the usual ones.
-    flags
-        Further flags of the daemons.
+    tune
+        Changes to the ``cost`` policy, see ``tools.bench.tune``.
     slot
         Number that sets the addresses apart from those of other fleets.
     """
@@ -81,10 +82,17 @@
     fault: str = "none"
     pool: Mapping[str, object] = attrs.field(factory=dict)
     route: Mapping[str, object] = attrs.field(factory=dict)
-    flags: Sequence[str] = ()
+    tune: Mapping[str, object] = attrs.field(factory=dict)
     slot: int = 0
     label: str = ""
 
+    @property
+    def name(self) -> str:
+        """Return the name of the cell in the tables."""
+        if self.label:
+            return self.label
+        return self.policy if self.fault == "none" else f"{self.policy}, {self.fault}"
+
 
 class Runner:
     """Brings a fleet up, sends the trace and takes the figures."""
@@ -132,10 +140,12 @@
     def flags(self) -> list[str]:
         """Return the flags of every daemon."""
         names = [PROBE_EXTENSION]
+        if self.cell.tune:
+            names.append(TUNE_EXTENSION)
         if self.cell.policy == ORACLE:
             names.append(ORACLE_EXTENSION)
         lag = str(DRAIN_LAG_S)
-        return ["--extensions", ",".join(names), "--drain-lag-s", lag, *self.cell.flags]
+        return ["--extensions", ",".join(names), "--drain-lag-s", lag]
 
     def _tables(self) -> str:
         policy = "cost" if self.cell.policy == ORACLE else self.cell.policy
@@ -245,6 +255,7 @@
 
 def measure(cell: Cell) -> Figures:
     """Measure one cell on a fleet of its own."""
+    os.environ[tune.VARIABLE] = json.dumps(dict(cell.tune))
     with Fleet(
         log_level="error", host=f"127.77.0.{cell.slot + 1}", first_port=FIRST_PORT
     ) as fleet:
--- /dev/null
+++ b/tools/bench/cells.py
@@ -0,0 +1,73 @@
+"""The groups of cells that can be measured."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+
+from tools.bench.cell import FAULTS, ORACLE, Cell
+
+POLICIES = (
+    "random", "round_robin", "least_in_flight", "pure_hash", "bounded_load", "cost", ORACLE,
+)  # fmt: skip
+# The baselines look at no report of an engine, so only these faults reach them.
+BASELINES = ("pure_hash", "bounded_load")
+BASELINE_FAULTS = ("crash", "log_down", "rolling_restart", "restart_all")
+MISS_WEIGHTS = (1.0, 2.0, 3.0, 5.0, 8.0)
+CANDIDATES = (1, 2, 3, 4, 5)
+QUERY_TIMEOUTS_MS = (2.0, 5.0, 20.0, 50.0)
+ABLATIONS: Mapping[str, Mapping[str, object]] = {
+    "no home query": {"query_timeout_ms": 0},
+    "no predicted entries": {"predict": False},
+    "no dispatch counts": {"count_dispatches": False},
+    "no widening": {"widen": False},
+}
+
+Maker = Callable[..., Cell]
+
+
+def policies(make: Maker) -> Iterator[Cell]:
+    """Yield each policy without a fault."""
+    for policy in POLICIES:
+        yield make(policy=policy)
+
+
+def faults(make: Maker) -> Iterator[Cell]:
+    """Yield ``cost`` under every fault, and the baselines where it matters."""
+    for fault in FAULTS:
+        yield make(policy="cost", fault=fault)
+        if fault in BASELINE_FAULTS:
+            for policy in BASELINES:
+                yield make(policy=policy, fault=fault)
+
+
+def sweep(make: Maker) -> Iterator[Cell]:
+    """Yield ``cost`` with other weights, candidate counts and query deadlines."""
+    for weight in MISS_WEIGHTS:
+        label = f"miss weight {weight:g}"
+        yield make(policy="cost", route={"miss_weight": weight}, label=label)
+    for count in CANDIDATES:
+        yield make(policy="cost", tune={"candidates": count}, label=f"{count} candidates")
+    for timeout in QUERY_TIMEOUTS_MS:
+        label = f"query deadline {timeout:g} ms"
+        yield make(policy="cost", tune={"query_timeout_ms": timeout}, label=label)
+
+
+def ablations(make: Maker) -> Iterator[Cell]:
+    """Yield ``cost`` whole, then without one mechanism at a time."""
+    yield make(policy="cost")
+    for label, tuning in ABLATIONS.items():
+        yield make(policy="cost", tune=tuning, label=label)
+
+
+GROUPS: Mapping[str, Callable[[Maker], Iterator[Cell]]] = {
+    "policies": policies,
+    "faults": faults,
+    "sweep": sweep,
+    "ablations": ablations,
+}
+
+
+def selected(make: Maker, groups: Sequence[str], names: Sequence[str]) -> list[Cell]:
+    """Return the cells of some groups, or of these only the named ones."""
+    found = [cell for group in groups for cell in GROUPS[group](make)]
+    return [cell for cell in found if not names or cell.name in names]
--- a/tools/bench/figures.py
+++ b/tools/bench/figures.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -90,6 +91,33 @@
         return percentile(self.first_token_ms, 0.99)
 
 
+def pooled(found: Sequence[Figures]) -> Figures:
+    """Return one set of figures for several seeds of a cell.
+
+    Times to the first token are pooled, counts added up, rates averaged.
+    """
+    count = len(found)
+    return Figures(
+        requests=sum(item.requests for item in found),
+        hit_rate=sum(item.hit_rate for item in found) / count,
+        computed_tokens=sum(item.computed_tokens for item in found),
+        wasted_tokens=sum(item.wasted_tokens for item in found),
+        first_token_ms=tuple(sorted(ms for item in found for ms in item.first_token_ms)),
+        not_whole=sum(item.not_whole for item in found),
+        errors=_added(item.errors for item in found),
+        reasons=_added(item.reasons for item in found),
+        busiest=max(item.busiest for item in found),
+        mean_busy=sum(item.mean_busy for item in found) / count,
+        late_ms=(
+            max(item.late_ms[0] for item in found),
+            max(item.late_ms[1] for item in found),
+        ),
+        sent_bytes_per_s=sum(item.sent_bytes_per_s for item in found) / count,
+        cpu_s=sum(item.cpu_s for item in found) / count,
+        rss_mb=max(item.rss_mb for item in found),
+    )
+
+
 def percentile(ordered: Sequence[float], share: float) -> float:
     """Return the nearest-rank percentile of sorted values; 0 without any."""
     if not ordered:
@@ -128,3 +156,10 @@
 
 def _known(counts: Sequence[EngineCounts]) -> set[str]:
     return {key for item in counts for key in item.blocks}
+
+
+def _added(counts: Iterable[Mapping[str, int]]) -> Mapping[str, int]:
+    total: collections.Counter[str] = collections.Counter()
+    for item in counts:
+        total.update(item)
+    return total
--- a/tools/bench/report.py
+++ b/tools/bench/report.py
@@ -16,9 +16,20 @@
 CONTROL_HEADS = ("cell", "peer bytes/s", "CPU s", "RSS MB", "late p99 ms", "late max ms")
 
 
+def by_cell(measured: Sequence[Measured]) -> list[Measured]:
+    """Return each cell once, with the figures of all its seeds."""
+    groups: dict[tuple[str, str], list[Measured]] = {}
+    for cell, found in measured:
+        groups.setdefault((cell.workload, cell.name), []).append((cell, found))
+    return [
+        (group[0][0], figures.pooled([found for _, found in group]))
+        for group in groups.values()
+    ]
+
+
 def outcome_table(measured: Sequence[Measured]) -> str:
     """Return what callers and engines saw, one cell a line."""
-    by_policy = {cell.policy: found for cell, found in measured if cell.fault == "none"}
+    by_policy = {cell.name: found for cell, found in measured}
     rows = [_outcome_row(cell, found, by_policy) for cell, found in measured]
     return _table(HEADS, rows)
 
@@ -27,7 +38,7 @@
     """Return what control cost per daemon, and the generator's lateness."""
     rows = [
         (
-            label_of(cell),
+            cell.name,
             f"{found.sent_bytes_per_s:.0f}",
             f"{found.cpu_s:.2f}",
             f"{found.rss_mb:.0f}",
@@ -44,17 +55,10 @@
     lines = []
     for cell, found in measured:
         kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(found.errors.items()))
-        lines.append(f"- {label_of(cell)}: {kinds or 'none'}")
+        lines.append(f"- {cell.name}: {kinds or 'none'}")
     return "\n".join(lines)
 
 
-def label_of(cell: Cell) -> str:
-    """Return the name of a cell in the tables."""
-    if cell.label:
-        return cell.label
-    return cell.policy if cell.fault == "none" else f"{cell.policy}, {cell.fault}"
-
-
 def _outcome_row(
     cell: Cell, found: Figures, by_policy: Mapping[str, Figures]
 ) -> Sequence[str]:
@@ -63,7 +67,7 @@
         worst, best = by_policy["random"].hit_rate, by_policy[ORACLE].hit_rate
         closed = f"{figures.gap_closed(found.hit_rate, worst, best):.2f}"
     return (
-        label_of(cell),
+        cell.name,
         str(found.requests),
         f"{found.hit_rate:.3f}",
         closed,
