--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import importlib.util
 import ipaddress
 import pathlib
 from typing import TYPE_CHECKING, Any
@@ -64,6 +65,21 @@
     return text
 
 
+def _modules(text: str) -> tuple[str, ...]:
+    names = tuple(name.strip() for name in text.split(",") if name.strip())
+    for name in names:
+        if not _module_exists(name):
+            raise ValueError(f"there is no module {name!r}")
+    return names
+
+
+def _module_exists(name: str) -> bool:
+    try:
+        return importlib.util.find_spec(name) is not None
+    except (ImportError, ValueError):
+        return False
+
+
 def _file(text: str) -> str:
     try:
         with pathlib.Path(text).open("rb"):
@@ -114,6 +130,9 @@
         120.0, _seconds, "seconds after which a drain ends in any case"
     )
     max_body_bytes: int = _setting(32 * 1024 * 1024, _count, "largest request body in bytes")
+    extensions: tuple[str, ...] = _setting(
+        (), _modules, "modules with a setup(app) function to load, comma-separated"
+    )
     max_in_flight: int = _setting(2000, _count, "most requests at a time on this daemon")
     max_header_bytes: int = _setting(
         32 * 1024, _count, "largest request line and headers of a request in bytes"
