Let only policies that ask homes tell them of dispatches

Cause: the baselines sent notices that nobody used, so that their control traffic in the measurements was not theirs.

Change: a policy says whether it asks homes.

Conclusion: baselines cost nothing between daemons.

--- a/agaterail/filters/choose.py
+++ b/agaterail/filters/choose.py
@@ -45,7 +45,9 @@
             now=now,
         )
         policy = self.app.policy_of(pool)
-        short = None if exchange.prefix is None else shorten(exchange.prefix)
+        short = None
+        if policy.asks_homes and exchange.prefix is not None:
+            short = shorten(exchange.prefix)
         chosen = self._choose(exchange, policy, placement, short)
         if not isinstance(chosen, Success):
             return Failure(chosen.failure())
@@ -72,8 +74,8 @@
         short: ShortPrefix | None,
     ) -> Result[Decision, errors.Failure]:
         targets = None
-        entries = policy.candidates(placement, exchange.excluded)
-        if entries is not None and short is not None:
+        if short is not None:
+            entries = policy.candidates(placement, exchange.excluded)
             states = [self.app.targets.state_of(entry) for entry in entries]
             targets = [state for state in states if state.usable(placement.now)]
             asked = [state.address for state in targets]
--- a/agaterail/policies/__init__.py
+++ b/agaterail/policies/__init__.py
@@ -62,18 +62,23 @@
 
 
 class Policy(abc.ABC):
-    """Chooses among the usable targets of a pool."""
+    """Chooses among the usable targets of a pool.
+
+    Attributes
+    ----------
+    asks_homes
+        The policy chooses among its own candidates, with what their homes
+        know of them; others see all usable targets and ask nothing.
+    """
 
     name: str
+    asks_homes = False
 
     def candidates(
         self, placement: Placement, excluded: Collection[str]
-    ) -> Sequence[TargetEntry] | None:
-        """Return the targets whose homes should be asked first, best first.
-
-        None means that the policy looks at all usable targets and asks nothing.
-        """
-        return None
+    ) -> Sequence[TargetEntry]:
+        """Return the targets whose homes should be asked, best first."""
+        return ()
 
     @abc.abstractmethod
     def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -125,6 +125,7 @@
     """
 
     name = "cost"
+    asks_homes = True
 
     def __init__(
         self,
@@ -142,10 +143,8 @@
 
     def candidates(
         self, placement: Placement, excluded: Collection[str]
-    ) -> Sequence[TargetEntry] | None:
+    ) -> Sequence[TargetEntry]:
         """Return the first targets by hash, and the least loaded one known."""
-        if placement.prefix is None:
-            return None
         key = placement_key(placement)
         ranking = self._ranking(placement.pool)
         count = self.count + self.heat.on_request(key, placement.now)
--- a/tools/bench_index.py
+++ b/tools/bench_index.py
@@ -149,7 +149,7 @@
     policy: CostPolicy, book: TargetBook, pool: Pool, route: Route, prefix: Prefix, now: float
 ) -> None:
     placement = Placement(pool=pool, route=route, prefix=prefix, deadline_ms=1e4, now=now)
-    entries = policy.candidates(placement, ()) or ()
+    entries = policy.candidates(placement, ())
     targets = [book.state_of(entry) for entry in entries]
     views = {
         state.address: CandidateState(state.address, 5, 1.0, 20.0, 2, 100.0, 0.05, "v1")
