--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -17,6 +17,7 @@
 from agaterail.homes import HomeMap
 from agaterail.hostlists.http import HttpHostList
 from agaterail.logstore.http import HttpLogStore
+from agaterail.members import MemberView
 from agaterail.metrics import MemoryMetrics, StatsdMetrics
 from agaterail.peers import Peers
 from agaterail.peers.memory import MemoryNetwork, MemoryTransport
@@ -53,12 +54,16 @@
     "agaterail.filters.identify",
     "agaterail.filters.match",
     "agaterail.filters.prefix",
+    "agaterail.controllers.claims",
+    "agaterail.filters.claim",
     "agaterail.filters.retry",
     "agaterail.filters.choose",
     "agaterail.filters.relay",
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
     "agaterail.controllers.hosts",
+    "agaterail.controllers.startup",
+    "agaterail.controllers.snapshots",
     "agaterail.controllers.leases",
     "agaterail.controllers.rollout",
     "agaterail.controllers.gauges",
@@ -96,6 +101,7 @@
         self.host_list = host_list or _host_list(settings)
         self.metrics = metrics or _metrics(settings)
         self.peers = peers or _lone_peers(settings)
+        self.members = MemberView(self.peers.own_address)
         self.events = EventBus()
         self.tables = Tables()
         self.targets = TargetBook()
@@ -109,7 +115,7 @@
         self.subscriptions: list[Subscription] = []
         self.draining = False
         self.in_flight = 0
-        for name in parts:
+        for name in (*parts, *settings.extensions):
             importlib.import_module(name).setup(self)
         self.chain = FilterChain(self.filters)
 
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import importlib.util
 import ipaddress
 import pathlib
 from typing import TYPE_CHECKING, Any
@@ -64,6 +65,21 @@
     return text
 
 
+def _modules(text: str) -> tuple[str, ...]:
+    names = tuple(name.strip() for name in text.split(",") if name.strip())
+    for name in names:
+        if not _module_exists(name):
+            raise ValueError(f"there is no module {name!r}")
+    return names
+
+
+def _module_exists(name: str) -> bool:
+    try:
+        return importlib.util.find_spec(name) is not None
+    except (ImportError, ValueError):
+        return False
+
+
 def _file(text: str) -> str:
     try:
         with pathlib.Path(text).open("rb"):
@@ -102,6 +118,11 @@
     peer_secret: str = _setting("", str, "shared secret of the daemons")
     log_level: str = _setting("info", _level, "lowest level of log lines")
     log_json: bool = _setting(False, _switch, "write log lines as JSON")
+    snapshot_interval_s: float = _setting(
+        3600.0,
+        _seconds,
+        "seconds between snapshots of the tables, at most a quarter of the log's retention",
+    )
     drain_lag_s: float = _setting(
         5.0, _seconds, "seconds for which new connections are served after SIGTERM"
     )
@@ -109,6 +130,9 @@
         120.0, _seconds, "seconds after which a drain ends in any case"
     )
     max_body_bytes: int = _setting(32 * 1024 * 1024, _count, "largest request body in bytes")
+    extensions: tuple[str, ...] = _setting(
+        (), _modules, "modules with a setup(app) function to load, comma-separated"
+    )
     max_in_flight: int = _setting(2000, _count, "most requests at a time on this daemon")
     max_header_bytes: int = _setting(
         32 * 1024, _count, "largest request line and headers of a request in bytes"
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import time
@@ -22,6 +23,9 @@
 DOMAINS = ("a", "b", "c")
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 5.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORTS_PER_FLEET = 40
 MODEL = "atlas"
 
 
@@ -45,18 +49,31 @@
 
 
 class Fleet:
-    """Processes that are ended together."""
-
-    def __init__(self, log_level: str = "warning") -> None:
+    """Processes that are ended together.
+
+    Parameters
+    ----------
+    host, first_port
+        Place of engines and daemons when their addresses must be the same
+        from run to run, since hashing looks at them; by default the kernel
+        chooses the ports.
+    """
+
+    def __init__(
+        self, log_level: str = "warning", host: str = "127.0.0.1", first_port: int = 0
+    ) -> None:
         self.processes: list[subprocess.Popen] = []
         self.log_level = log_level
+        self.daemon_output: int | None = None
         self.log = ""
         self.hosts = ""
         self.kv_store = ""
         self.engines: list[str] = []
         self.services: list[str] = []
         self.daemons: list[Daemon] = []
-        self.port = free_port_base()
+        self.host = host
+        self.fixed = first_port > 0
+        self.port = first_port or free_port_base()
 
     def __enter__(self) -> Fleet:
         return self
@@ -81,9 +98,14 @@
                 process.kill()
                 process.wait()
 
-    def start_stand_in(self, kind: str, properties: Mapping[str, object] | None = None) -> str:
+    def start_stand_in(
+        self,
+        kind: str,
+        properties: Mapping[str, object] | None = None,
+        address: str = "127.0.0.1:0",
+    ) -> str:
         """Start one stand-in and return its address."""
-        command = [sys.executable, "-m", "standins", kind]
+        command = [sys.executable, "-m", "standins", kind, "--listen", address]
         for name, value in (properties or {}).items():
             command += ["--set", f"{name}={value}"]
         process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
@@ -100,7 +122,8 @@
     def start_engines(self, count: int, properties: Mapping[str, object]) -> None:
         """Start engines and put them on the host list."""
         for number in range(count):
-            address = self.start_stand_in("engine", properties)
+            wanted = self.next_address() if self.fixed else "127.0.0.1:0"
+            address = self.start_stand_in("engine", properties, wanted)
             self.engines.append(address)
             self.put_host(address, "engine", "live", DOMAINS[number % len(DOMAINS)])
 
@@ -111,11 +134,13 @@
         for daemon in self.daemons:
             wait_for(daemon.address, "/readyz")
 
-    def start_daemon(self, flags: Sequence[str] = (), address: str = "") -> Daemon:
+    def start_daemon(
+        self, flags: Sequence[str] = (), address: str = "", peer_address: str = ""
+    ) -> Daemon:
         """Start one daemon without waiting for it."""
         number = len(self.daemons)
         address = address or self.next_address()
-        peer_address = self.next_address()
+        peer_address = peer_address or self.next_address()
         command = [
             sys.executable, "-m", "agaterail", "serve",
             "--listen", address,
@@ -129,7 +154,9 @@
             *flags,
         ]  # fmt: skip
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        process = subprocess.Popen(command, cwd=ROOT, env=environment)
+        process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stderr=self.daemon_output
+        )
         self.processes.append(process)
         self.put_host(peer_address, "router", "live", DOMAINS[number % len(DOMAINS)])
         return Daemon(address, peer_address, process)
@@ -137,7 +164,9 @@
     def next_address(self) -> str:
         """Return a loopback address that no process of the fleet uses."""
         self.port += 1
-        return f"127.0.0.1:{self.port}"
+        while not is_free(self.port):
+            self.port += 1
+        return f"{self.host}:{self.port}"
 
     def put_host(self, address: str, role: str, state: str, domain: str) -> None:
         """Change the host list."""
@@ -171,12 +200,23 @@
 
 
 def free_port_base() -> int:
-    """Return a port with free ones above it, as far as the kernel knows now."""
-    import socket
+    """Return a port from which to look for free ones.
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return min(probe.getsockname()[1], 64000)
+    It lies below the ports that the kernel gives to outgoing connections,
+    which would take a port between the look and the bind.
+    """
+    return FIRST_PORT + os.getpid() * PORTS_PER_FLEET % (LAST_PORT - FIRST_PORT)
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a loopback port can be bound for TCP and UDP now."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def tables_toml(
