Ask an engine for events and load in one question, in binary

Cause: a home asked for events as soon as there were any and for the load five times a second, with keys in hex: 17 KB/s and up to 50 questions a second for two engines at 72 events/s each, above the 5 KB/s that control may use.

Change: one question each 0.4 s brings the events with 8-byte keys and the load report, in MessagePack. The home has one timer for an engine instead of two.

--- a/agaterail/controllers/homes.py
+++ b/agaterail/controllers/homes.py
@@ -25,21 +25,21 @@
     from collections.abc import Sequence
 
     from agaterail.application import Application
-    from agaterail.engines import Engine
+    from agaterail.engines import Engine, LoadReport
     from agaterail.tables import Pool, Tables
     from agaterail.timers import Subscription, TimerService
 
 logger = logs.get_logger("homes")
 
-LOAD_PERIOD_S = 0.2
-EVENTS_WAIT_S = 1.0
-EVENTS_PAUSE_S = 0.02
+# One question brings events and load. Asking as soon as there is an event would
+# cost 50 questions a second for each busy engine, more than the events.
+POLL_PERIOD_S = 0.4
 # Events of a prefill come after it; a prediction must outlast the queue, the
 # prefill and this delay, or a second request would not see the first.
 PREDICTION_SLACK_S = 3.0
 # The contents of a large cache are megabytes. Fetching them after every lost
 # event would use far more of the network than the events themselves.
-CONTENTS_BYTES_PER_KEY = 36
+CONTENTS_BYTES_PER_KEY = 8
 CONTENTS_BYTES_PER_S = 2500.0
 MIN_CONTENTS_PERIOD_S = 1.0
 
@@ -60,44 +60,37 @@
 
     def start(self) -> None:
         """Begin to follow the engine."""
-        self.subscriptions = [
-            self.timers.every(EVENTS_PAUSE_S, self.fetch_events),
-            self.timers.every(LOAD_PERIOD_S, self.fetch_load),
-        ]
+        self.subscriptions = [self.timers.every(POLL_PERIOD_S, self.poll)]
 
     def stop(self) -> None:
         """Follow the engine no longer."""
         for subscription in self.subscriptions:
             subscription.cancel()
 
-    def fetch_events(self) -> None:
-        """Fetch the contents when they are needed and due, else the next events."""
+    def poll(self) -> None:
+        """Fetch the contents when they are needed and due, then events and load."""
         if self.index.needs_contents and self.timers.now() >= self.contents_due_at:
             self._fetch_contents()
         asked_at = self.timers.now()
-        fetched = self.engine.events(self.index.sequence, EVENTS_WAIT_S)
+        fetched = self.engine.events(self.index.sequence, 0.0)
         if isinstance(fetched, Success):
+            batch = fetched.unwrap()
             known = self.index.incarnation
-            self.index.on_events(fetched.unwrap(), asked_at, self.timers.now())
-            self._note_restart(known)
-
-    def fetch_load(self) -> None:
-        """Fetch the load report."""
-        asked_at = self.timers.now()
-        fetched = self.engine.load()
-        if isinstance(fetched, Success):
-            report = fetched.unwrap()
-            known = self.index.incarnation
-            # A report of a dead incarnation may still arrive, from before the
-            # crash; it must not bring the old queue back.
-            if self.index.on_incarnation(report.incarnation, asked_at, self.timers.now()):
-                self.index.on_weights(report.weights_version)
-                self.index.set_capacity(report.capacity_blocks)
-                self.load.on_report(report, asked_at)
+            self.index.on_events(batch, asked_at, self.timers.now())
+            if batch.load is not None:
+                self._on_load(batch.load, asked_at)
             self._note_restart(known)
         self.index.expire(self.timers.now())
         self.load.expire(self.timers.now())
 
+    def _on_load(self, report: LoadReport, asked_at: float) -> None:
+        # A report of a dead incarnation may still arrive, from before the
+        # crash; it must not bring the old queue back.
+        if self.index.on_incarnation(report.incarnation, asked_at, self.timers.now()):
+            self.index.on_weights(report.weights_version)
+            self.index.set_capacity(report.capacity_blocks)
+            self.load.on_report(report, asked_at)
+
     def on_dispatch(self, notice: DispatchNotice) -> None:
         """Count a dispatch and expect its blocks."""
         now = self.timers.now()
--- a/agaterail/engines/__init__.py
+++ b/agaterail/engines/__init__.py
@@ -120,11 +120,18 @@
 
 @attrs.frozen
 class CacheEvents:
-    """Events after a sequence number, of one incarnation of the engine."""
+    """Events after a sequence number, of one incarnation of the engine.
+
+    Attributes
+    ----------
+    load
+        Load report that came with the events, if any.
+    """
 
     incarnation: str
     events: Sequence[CacheEvent]
     last_sequence: int
+    load: LoadReport | None = None
 
 
 @attrs.frozen
@@ -192,7 +199,7 @@
 
     @abc.abstractmethod
     def events(self, after: int, wait_s: float) -> Result[CacheEvents, str]:
-        """Fetch the cache events after a sequence number."""
+        """Fetch the cache events after a sequence number, with the load."""
 
     @abc.abstractmethod
     def contents(self) -> Result[CacheContents, str]:
--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+import msgpack
 from returns.result import Failure, Result, Success
 
 from agaterail.engines import (
@@ -32,6 +33,9 @@
 ACCEPTED = 202
 CONTROL_TIMEOUT_S = 2.0
 TRANSFER_TIMEOUT_S = 5.0
+# Homes keep the leading bytes of a key; the rest of it would be most of what
+# an engine sends.
+SENT_BYTES = 8
 
 
 class HttpEngineReply(EngineReply):
@@ -83,15 +87,17 @@
         return self._call("GET", "/load").bind(_parse_load)
 
     def events(self, after: int, wait_s: float) -> Result[CacheEvents, str]:
-        """Fetch the cache events after a sequence number."""
-        path = f"/events?after={after}&wait_ms={int(wait_s * 1e3)}"
-        return self._call("GET", path, timeout_s=CONTROL_TIMEOUT_S + wait_s).bind(
-            _parse_events
+        """Fetch the cache events after a sequence number, with the load."""
+        path = (
+            f"/events?after={after}&wait_ms={int(wait_s * 1e3)}&load=1&key_bytes={SENT_BYTES}"
         )
+        fetched = self._fetch(path, CONTROL_TIMEOUT_S + wait_s)
+        return fetched.bind(_unpacked).bind(_parse_events)
 
     def contents(self) -> Result[CacheContents, str]:
         """Fetch all cached keys."""
-        return self._call("GET", "/cache", timeout_s=TRANSFER_TIMEOUT_S).bind(_parse_contents)
+        fetched = self._fetch(f"/cache?key_bytes={SENT_BYTES}", TRANSFER_TIMEOUT_S)
+        return fetched.bind(_unpacked).bind(_parse_contents)
 
     def order(self, order: EngineOrder) -> Result[OrderAnswer, str]:
         """Give an order; a failed call leaves open whether it was taken."""
@@ -152,19 +158,36 @@
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> Result[dict[str, Any], str]:
         body = b"" if fields is None else json.dumps(fields).encode()
+        return self._fetch(path, timeout_s, method, body).bind(_parsed)
+
+    def _fetch(
+        self, path: str, timeout_s: float, method: str = "GET", body: bytes = b""
+    ) -> Result[bytes, str]:
         answer = self.control.call(method, path, body, timeout_s=timeout_s)
         if not isinstance(answer, Success):
             return Failure(str(answer.failure()))
         status, data = answer.unwrap()
-        if status != OK:
-            return Failure(f"status {status}")
-        try:
-            parsed = json.loads(data)
-        except ValueError as error:
-            return Failure(f"malformed answer: {error}")
-        if not isinstance(parsed, dict):
-            return Failure("malformed answer: not an object")
-        return Success(parsed)
+        return Success(data) if status == OK else Failure(f"status {status}")
+
+
+def _parsed(data: bytes) -> Result[dict[str, Any], str]:
+    try:
+        return _object(json.loads(data))
+    except ValueError as error:
+        return Failure(f"malformed answer: {error}")
+
+
+def _unpacked(data: bytes) -> Result[dict[str, Any], str]:
+    try:
+        return _object(msgpack.unpackb(data))
+    except Exception as error:  # msgpack raises many unrelated types
+        return Failure(f"malformed answer: {error!r}")
+
+
+def _object(value: object) -> Result[dict[str, Any], str]:
+    if not isinstance(value, dict):
+        return Failure("malformed answer: not an object")
+    return Success(value)
 
 
 def _parse_load(fields: dict[str, Any]) -> Result[LoadReport, str]:
@@ -184,17 +207,24 @@
 def _parse_events(fields: dict[str, Any]) -> Result[CacheEvents, str]:
     try:
         events = [
-            CacheEvent(number, CacheEventKind(kind), tuple(bytes.fromhex(key) for key in keys))
+            CacheEvent(number, CacheEventKind(kind), _cut_keys(keys))
             for number, kind, keys in fields["events"]
         ]
-        return Success(CacheEvents(fields["incarnation"], events, fields["last"]))
+        load = LoadReport(**fields["load"]) if "load" in fields else None
+        return Success(CacheEvents(fields["incarnation"], events, fields["last"], load))
     except (TypeError, KeyError, ValueError) as error:
         return Failure(f"malformed events: {error}")
 
 
 def _parse_contents(fields: dict[str, Any]) -> Result[CacheContents, str]:
     try:
-        keys = tuple(bytes.fromhex(key) for key in fields["keys"])
+        keys = _cut_keys(fields["keys"])
         return Success(CacheContents(fields["incarnation"], fields["sequence"], keys))
     except (TypeError, KeyError, ValueError) as error:
         return Failure(f"malformed contents: {error}")
+
+
+def _cut_keys(joined: bytes) -> tuple[bytes, ...]:
+    return tuple(
+        joined[start : start + SENT_BYTES] for start in range(0, len(joined), SENT_BYTES)
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,10 +14,11 @@
 
 import attrs
 import gevent
+import msgpack
 from gevent.event import Event
 
 from agaterail import chat
-from agaterail.prefix import ByteTokenizer, block_keys
+from agaterail.prefix import KEY_BYTES, ByteTokenizer, block_keys
 from agaterail.util.address import Address
 from agaterail.util.httpconn import HttpConnections
 from standins.base import Answer, Call, StandIn, json_answer
@@ -29,6 +30,7 @@
 KEEP_JOB_S = 3.0
 DEFAULT_TOKENS = 16
 SALT_BYTES = 16
+MSGPACK = "application/msgpack"
 
 
 @attrs.frozen(kw_only=True)
@@ -466,6 +468,9 @@
         return round(self._foresee()[1] / self._prefill_ms_per_token())
 
     def _load(self, _call: Call) -> Answer:
+        return json_answer(self._shown_report())
+
+    def _shown_report(self) -> dict[str, Any]:
         shown_at = time.monotonic() - self.faults.load_lag_ms / 1e3
         if self.faults.load_frozen:
             at, report = self.reports[0]
@@ -474,7 +479,7 @@
                 (item for item in reversed(self.reports) if item[0] <= shown_at),
                 self.reports[0],
             )
-        return json_answer({**report, "age_ms": max(0.0, (time.monotonic() - at) * 1e3)})
+        return {**report, "age_ms": max(0.0, (time.monotonic() - at) * 1e3)}
 
     def _events(self, call: Call) -> Answer:
         after = int(call.query.get("after", "0"))
@@ -493,19 +498,30 @@
             gevent.sleep(0.005)
         last = fresh[-1][0] if fresh else after
         kept = [event for event in fresh if self.random.random() >= self.faults.event_loss]
-        return json_answer({"incarnation": self.incarnation, "events": kept, "last": last})
+        size = _key_bytes(call)
+        fields: dict[str, Any] = {
+            "incarnation": self.incarnation,
+            "events": [
+                (number, kind, b"".join(bytes.fromhex(key)[:size] for key in keys))
+                for number, kind, keys in kept
+            ],
+            "last": last,
+        }
+        if call.query.get("load") == "1":
+            fields["load"] = self._shown_report()
+        return Answer(200, msgpack.packb(fields), {"content-type": MSGPACK})
 
     def _first_sequence(self) -> int:
         return self.cache.events[0][1] if self.cache.events else 1
 
-    def _cache(self, _call: Call) -> Answer:
-        return json_answer(
-            {
-                "incarnation": self.incarnation,
-                "sequence": self.cache.sequence,
-                "keys": [key.hex() for key in self.cache.keys],
-            }
-        )
+    def _cache(self, call: Call) -> Answer:
+        size = _key_bytes(call)
+        fields = {
+            "incarnation": self.incarnation,
+            "sequence": self.cache.sequence,
+            "keys": b"".join(key[:size] for key in self.cache.keys),
+        }
+        return Answer(200, msgpack.packb(fields), {"content-type": MSGPACK})
 
     def _journal(self, _call: Call) -> Answer:
         return json_answer(
@@ -631,3 +647,7 @@
             break
         count += 1
     return count
+
+
+def _key_bytes(call: Call) -> int:
+    return min(KEY_BYTES, int(call.query.get("key_bytes", str(KEY_BYTES))))
--- a/tests/test_agaterail/test_controllers/test_homes.py
+++ b/tests/test_agaterail/test_controllers/test_homes.py
@@ -39,7 +39,8 @@
         if self.down:
             return Failure("no answer")
         fresh = [event for event in self.stored if event.sequence > after]
-        return Success(CacheEvents(self.incarnation, fresh, max(after, len(self.stored))))
+        last = max(after, len(self.stored))
+        return Success(CacheEvents(self.incarnation, fresh, last, self.report))
 
     def contents(self):
         if self.down:
@@ -47,9 +48,6 @@
         keys = tuple(key for event in self.stored for key in event.keys)
         return Success(CacheContents(self.incarnation, len(self.stored), keys))
 
-    def load(self):
-        return Failure("no answer") if self.down else Success(self.report)
-
     def store(self, prefix):
         event = CacheEvent(len(self.stored) + 1, CacheEventKind.STORED, prefix.keys)
         self.stored.append(event)
--- a/tools/slopes/home.py
+++ b/tools/slopes/home.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 from collections.abc import Iterator
 from hashlib import blake2b
 
@@ -93,21 +92,20 @@
     engine = EngineStandIn(EngineConfig(capacity_blocks=10 * count))
     for number in range(count):
         engine.cache.store((key_of(number),))
-    call = Call(method="GET", path="/events", query={"after": "0"}, headers={}, body=b"")
-    return Point(count, len(_body(engine.route(call))))
+    return Point(count, _answer_bytes(engine, "0", "0"))
 
 
 def _load_bytes(count: int) -> Point:
     engine = EngineStandIn(EngineConfig())
-    call = Call(method="GET", path="/load", query={}, headers={}, body=b"")
-    return Point(count, sum(len(_body(engine.route(call))) for _ in range(count)))
+    return Point(count, sum(_answer_bytes(engine, "0", "1") for _ in range(count)))
 
 
-def _body(answer: object) -> bytes:
-    body = getattr(answer, "body", b"")
+def _answer_bytes(engine: EngineStandIn, after: str, load: str) -> int:
+    query = {"after": after, "load": load, "key_bytes": "8"}
+    call = Call(method="GET", path="/events", query=query, headers={}, body=b"")
+    body = engine.route(call).body
     assert isinstance(body, bytes)
-    json.loads(body)
-    return body
+    return len(body)
 
 
 def _pair() -> tuple[Peers, Peers]:
