Fuzz daemons, operators and the log against one list of accepted edits

Change: a hypothesis state machine over operators (racing, repeated and late edits), a log with outages, lost answers, older reads and expiry, and four daemons that are killed, restarted, paused and resumed, on a manual clock. Its oracle is a model of the routes of its own. After each step each daemon serves exactly what was accepted at its offset and has not gone back; a restart never goes below what answering peers serve; at the end all serve the last state. The last daemon that knows what the log has lost is not killed: nobody could bring that back.

Named tests: a herd of 29 that starts with the log down finds the one old peer; no log and no peers; a log that answers from an older point; an outage past retention.

--- a/agaterail/controllers/startup.py
+++ b/agaterail/controllers/startup.py
@@ -18,6 +18,8 @@
 from agaterail.tables import NO_VERSION
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agaterail.application import Application
     from agaterail.snapshots import Snapshot
     from agaterail.tables import Tables
@@ -84,6 +86,7 @@
         self.app = app
         self.tables = tables_controller(app)
         self.random = random.Random()
+        self.spawn: Callable[..., object] = gevent.spawn
         self.plan: StartUp | None = None
         self.next_at = 0.0
         self.kept: Snapshot | None = None
@@ -115,7 +118,7 @@
             # Only after the decision: a new round forgets the answers of the
             # last one.
             for address in plan.next_round(self._peers(), now):
-                gevent.spawn(self._ask, plan, address)
+                self.spawn(self._ask, plan, address)
 
     def status(self) -> dict[str, Any]:
         """Return whether the start-up is over."""
--- /dev/null
+++ b/tests/test_agaterail/test_tables_stateful.py
@@ -0,0 +1,450 @@
+"""Operators, a faulty log and daemons that come and go, against one list of edits."""
+
+from __future__ import annotations
+
+import os
+import random
+import unittest
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from returns.result import Success
+
+from agaterail import codec, editing, tables_reader
+from agaterail.application import Application
+from agaterail.hostlists import Host, HostList, HostRole, HostState
+from agaterail.logstore.memory import MemoryLogStore
+from agaterail.peers import Peers
+from agaterail.peers.memory import MemoryNetwork, MemoryTransport
+from agaterail.records import (
+    SNAPSHOTS_STREAM,
+    TABLES_STREAM,
+    Action,
+    Edit,
+    SnapshotMark,
+    TablesRecord,
+)
+from agaterail.settings import Settings
+from agaterail.tables import MAX_PRIORITY, NO_VERSION, TableName
+from agaterail.tables_reader import TablesReader
+from agaterail.timers import ManualTimerService
+from agaterail.util.address import Address
+from tests.support import chat_route, delete, edit, engine_pool, put
+
+EXAMPLES = int(os.environ.get("AGATERAIL_FUZZ_EXAMPLES", "25"))
+STEPS = int(os.environ.get("AGATERAIL_FUZZ_STEPS", "40"))
+DAEMONS = 4
+PARTS = (
+    "agaterail.controllers.tables",
+    "agaterail.controllers.hosts",
+    "agaterail.controllers.startup",
+    "agaterail.controllers.snapshots",
+)
+numbers = st.integers(0, DAEMONS - 1)
+
+
+def address_of(number):
+    return f"10.0.0.{number}:1"
+
+
+def routes_of(tables):
+    return {name: (held.row.priority, held.version) for name, held in tables.routes.items()}
+
+
+def run_now(function, *arguments):
+    function(*arguments)
+
+
+class FixedHostList(HostList):
+    def __init__(self, count):
+        self.hosts = tuple(
+            Host(address_of(number), HostRole.ROUTER, HostState.LIVE, "a")
+            for number in range(count)
+        )
+
+    def fetch(self):
+        return Success(self.hosts)
+
+
+class RecordingLog(MemoryLogStore):
+    """Log with an oracle of its own for the routes after each record.
+
+    Attributes
+    ----------
+    after
+        Priority and version of each route, by offset of the last record.
+    racing
+        Records appended while the next snapshot is being written.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.after = {NO_VERSION: {}}
+        self.judged_ids = set()
+        self.racing = []
+
+    def append(self, stream, data):
+        before = self.next_offset.get(stream, 0)
+        result = super().append(stream, data)
+        if self.next_offset.get(stream, 0) == before:
+            return result
+        if stream == TABLES_STREAM:
+            self.after[before] = self.judge(dict(self.after[before - 1]), data, before)
+        elif self.racing:
+            super_lose, self.lose_answers = self.lose_answers, 0
+            self.append(TABLES_STREAM, self.racing.pop())
+            self.lose_answers = super_lose
+        return result
+
+    def judge(self, routes, data, offset):
+        record = codec.decode(data, TablesRecord).value_or(None)
+        if not isinstance(record, Edit) or record.edit_id in self.judged_ids:
+            return routes
+        self.judged_ids.add(record.edit_id)
+        changed = dict(routes)
+        for change in record.changes:
+            if change.table is TableName.POOLS:
+                continue
+            if changed.get(change.name, (0, NO_VERSION))[1] != change.expected_version:
+                return routes
+            if change.action is Action.DELETE:
+                changed.pop(change.name, None)
+            elif change.route.priority > MAX_PRIORITY:
+                return routes
+            else:
+                changed[change.name] = (change.route.priority, offset)
+        return changed
+
+
+class Cluster:
+    """Daemons in one process that share a log, a network and a manual clock."""
+
+    def __init__(self, count=DAEMONS, seed=0):
+        self.log = RecordingLog()
+        self.network = MemoryNetwork()
+        self.timers = ManualTimerService()
+        self.random = random.Random(seed)
+        self.count = count
+        self.apps = {}
+        self.paused = set()
+
+    def start(self, number):
+        own = address_of(number)
+        transport = MemoryTransport(self.network, own)
+        app = Application(
+            Settings(peer_listen=Address.parse(own), snapshot_interval_s=600.0),
+            timers=self.timers,
+            log_store=self.log,
+            host_list=FixedHostList(self.count),
+            peers=Peers(own, transport, MemoryTransport(self.network, own), "s"),
+            parts=PARTS,
+        )
+        app.controllers["startup"].spawn = run_now
+        for name in ("tables", "startup"):
+            app.controllers[name].random = random.Random(self.random.random())
+        app.controllers["snapshots"].schedule.random = random.Random(self.random.random())
+        transport.start()
+        self.apps[number] = app
+        self.paused.discard(number)
+        return app
+
+    def kill(self, number):
+        self.apps.pop(number).peers.calls.stop()
+        self.paused.discard(number)
+
+    def pause(self, number):
+        self.apps[number].peers.calls.stop()
+        self.paused.add(number)
+
+    def resume(self, number):
+        self.paused.discard(number)
+        self.apps[number].peers.calls.start()
+
+    def step(self, number):
+        if number in self.apps and number not in self.paused:
+            for name in ("tables", "hosts", "startup", "snapshots"):
+                self.apps[number].controllers[name].reconcile()
+
+    def run(self, seconds, pause_s=0.5):
+        for _ in range(int(seconds / pause_s)):
+            self.timers.advance(pause_s)
+            for number in sorted(self.apps):
+                self.step(number)
+
+    def floor_for(self, number):
+        """Newest offset that a peer serves which answers."""
+        return max(
+            (
+                app.tables.through
+                for other, app in self.apps.items()
+                if other != number and other not in self.paused
+            ),
+            default=NO_VERSION,
+        )
+
+    def log_has_a_way(self):
+        """Tell whether the log alone leads a new reader to the present."""
+        reader = TablesReader(self.log)
+        down, stale = self.log.down, self.log.stale_records
+        self.log.down, self.log.stale_records = False, 0
+        found = isinstance(editing.read_to_end(reader), Success)
+        self.log.down, self.log.stale_records = down, stale
+        return found
+
+    def end(self):
+        return self.log.next_offset.get(TABLES_STREAM, 0)
+
+    def first(self):
+        kept = self.log.streams.get(TABLES_STREAM, [])
+        return kept[0].offset if kept else self.end()
+
+    def holders(self):
+        """Daemons that can still go on without a hole."""
+        return {
+            number
+            for number, app in self.apps.items()
+            if app.controllers["tables"].reader.tables.through + 1 >= self.first()
+            and app.tables.through != NO_VERSION
+        }
+
+
+class TablesMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.log = self.cluster.log
+        self.served = {}
+        self.sent = []
+        self.edits = 0
+        self.log.append(
+            TABLES_STREAM, codec.encode(edit("e", put(engine_pool())), TablesRecord)
+        )
+        for number in range(DAEMONS):
+            self.cluster.start(number)
+
+    def send(self, change, answered=True):
+        if not answered:
+            self.log.lose_answers = 1
+        data = codec.encode(change, TablesRecord)
+        self.sent.append(data)
+        self.log.append(TABLES_STREAM, data)
+        self.log.lose_answers = 0
+
+    def seen_by_operator(self):
+        reader = TablesReader(self.log)
+        editing.read_to_end(reader)
+        return reader.tables
+
+    def next_edit(self, *changes):
+        self.edits += 1
+        return edit(f"e{self.edits}", *changes, author=f"operator-{self.edits % 3}")
+
+    @rule(route=st.integers(0, 2), priority=st.integers(0, 11), answered=st.booleans())
+    def put_route(self, route, priority, answered):
+        name = f"route-{route}"
+        version = self.seen_by_operator().version_of(TableName.ROUTES, name)
+        change = put(chat_route(name, priority=priority), version)
+        self.send(self.next_edit(change), answered)
+
+    @rule(route=st.integers(0, 2))
+    def delete_route(self, route):
+        name = f"route-{route}"
+        version = self.seen_by_operator().version_of(TableName.ROUTES, name)
+        self.send(self.next_edit(delete(TableName.ROUTES, name, version)))
+
+    @rule(route=st.integers(0, 2))
+    def race(self, route):
+        name = f"route-{route}"
+        version = self.seen_by_operator().version_of(TableName.ROUTES, name)
+        for priority in (1, 2):
+            self.send(self.next_edit(put(chat_route(name, priority=priority), version)))
+
+    @precondition(lambda self: self.sent)
+    @rule(data=st.data())
+    def late_copy(self, data):
+        self.log.append(TABLES_STREAM, data.draw(st.sampled_from(self.sent)))
+
+    @rule()
+    def malformed_record(self):
+        self.log.append(TABLES_STREAM, b"\xc1")
+
+    @rule(route=st.integers(0, 2), priority=st.integers(0, 11))
+    def race_with_a_snapshot(self, route, priority):
+        name = f"route-{route}"
+        version = self.seen_by_operator().version_of(TableName.ROUTES, name)
+        change = self.next_edit(put(chat_route(name, priority=priority), version))
+        self.log.racing = [codec.encode(change, TablesRecord)]
+
+    @rule(down=st.booleans())
+    def switch_log(self, down):
+        self.log.down = down
+
+    @rule(stale=st.integers(0, 4))
+    def serve_from_an_older_point(self, stale):
+        self.log.stale_records = stale
+
+    @rule(count=st.integers(0, 1))
+    def lose_answers(self, count):
+        self.log.lose_answers = count
+
+    @rule(number=numbers)
+    def step(self, number):
+        self.cluster.step(number)
+
+    @rule(seconds=st.sampled_from([1, 10, 70, 700]))
+    def run_all(self, seconds):
+        self.cluster.run(seconds, pause_s=seconds / 5)
+
+    @rule(part=st.floats(0, 1))
+    def expire(self, part):
+        # Records may expire once a daemon that lives has read them, whether or
+        # not it has written a snapshot: the outage past retention.
+        held = [
+            app.controllers["tables"].reader.tables.through
+            for number, app in self.cluster.apps.items()
+            if number in self.cluster.holders()
+        ]
+        limit = max(held, default=NO_VERSION) + 1
+        first = self.cluster.first()
+        if limit > first:
+            self.log.expire(TABLES_STREAM, first + round(part * (limit - first)))
+
+    @rule()
+    def expire_old_chunks(self):
+        if not self.cluster.holders():
+            return
+        end = self.log.next_offset.get(SNAPSHOTS_STREAM, 0)
+        self.log.expire(SNAPSHOTS_STREAM, end - 1)
+
+    @rule(number=numbers)
+    def kill(self, number):
+        # Not the last one that knows what the log has lost: nobody could
+        # bring that back.
+        others = self.cluster.holders() - {number}
+        if number in self.cluster.apps and (others or self.cluster.log_has_a_way()):
+            self.cluster.kill(number)
+
+    @rule(number=numbers)
+    def pause(self, number):
+        if number in self.cluster.apps:
+            self.cluster.pause(number)
+
+    @rule(number=numbers)
+    def resume(self, number):
+        if number in self.cluster.paused:
+            self.cluster.resume(number)
+
+    @rule(number=numbers)
+    def restart(self, number):
+        if number in self.cluster.apps:
+            self.kill(number)
+        if number in self.cluster.apps:
+            return
+        floor = self.cluster.floor_for(number)
+        app = self.cluster.start(number)
+        for _ in range(20):
+            self.cluster.timers.advance(0.1)
+            self.cluster.step(number)
+        if floor != NO_VERSION:
+            assert app.ready, "a peer answers and the daemon does not serve"
+        assert app.tables.through >= floor, "a restart went below what peers serve"
+        self.served[number] = app.tables.through
+
+    @invariant()
+    def serves_only_what_was_accepted_and_never_goes_back(self):
+        for number, app in self.cluster.apps.items():
+            tables = app.tables
+            assert routes_of(tables) == self.log.after[tables.through]
+            if app.ready:
+                assert tables.through >= self.served.get(number, NO_VERSION)
+                self.served[number] = tables.through
+        for number in set(self.served) - set(self.cluster.apps):
+            del self.served[number]
+
+    def teardown(self):
+        self.log.down, self.log.stale_records, self.log.lose_answers = False, 0, 0
+        for number in range(DAEMONS):
+            if number in self.cluster.paused:
+                self.cluster.resume(number)
+            elif number not in self.cluster.apps:
+                self.cluster.start(number)
+        self.cluster.run(200, pause_s=2.0)
+        self.serves_only_what_was_accepted_and_never_goes_back()
+        last = self.log.after[self.cluster.end() - 1]
+        for app in self.cluster.apps.values():
+            assert routes_of(app.tables) == last, "a daemon did not converge"
+            assert app.tables.through == self.cluster.end() - 1
+
+
+TablesMachine.TestCase.settings = settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
+TablesMachineTest = TablesMachine.TestCase
+
+
+class HerdTest(unittest.TestCase):
+    def test_a_herd_finds_the_one_old_peer_while_the_log_is_down(self):
+        # All daemons but one are killed at once and started again while the
+        # log is down. Most peers that they ask know nothing themselves; all
+        # must come to serve what the old one serves, and nothing older.
+        cluster = Cluster(count=30)
+        log = cluster.log
+        log.append(TABLES_STREAM, codec.encode(edit("e", put(engine_pool())), TablesRecord))
+        cluster.start(0)
+        cluster.run(2)
+        log.down = True
+        for number in range(1, 30):
+            cluster.start(number)
+        cluster.run(3, pause_s=0.1)
+        for app in cluster.apps.values():
+            self.assertTrue(app.ready)
+            self.assertEqual(app.tables.through, 0)
+
+    def test_without_log_and_peers_a_daemon_does_not_serve_and_keeps_trying(self):
+        cluster = Cluster()
+        cluster.log.append(
+            TABLES_STREAM, codec.encode(edit("e", put(engine_pool())), TablesRecord)
+        )
+        cluster.log.down = True
+        app = cluster.start(0)
+        cluster.run(60)
+        self.assertFalse(app.ready)
+        cluster.log.down = False
+        cluster.run(5)
+        self.assertTrue(app.ready)
+
+    def test_a_stale_log_does_not_take_a_restarted_daemon_back(self):
+        # The log answers from an older point; a peer has read the newest
+        # edit. The daemon served it before its restart.
+        cluster = Cluster()
+        log = cluster.log
+        log.append(TABLES_STREAM, codec.encode(edit("e", put(engine_pool())), TablesRecord))
+        change = put(engine_pool(["10.0.0.9:1"]), 0)
+        log.append(TABLES_STREAM, codec.encode(edit("e1", change), TablesRecord))
+        cluster.start(0)
+        cluster.run(2)
+        log.stale_records = 1
+        app = cluster.start(1)
+        cluster.run(2, pause_s=0.1)
+        self.assertEqual(app.tables.through, 1)
+
+    def test_daemons_bring_the_state_back_after_an_outage_past_retention(self):
+        cluster = Cluster()
+        log = cluster.log
+        log.append(TABLES_STREAM, codec.encode(edit("e", put(engine_pool())), TablesRecord))
+        for number in range(3):
+            cluster.start(number)
+        cluster.run(2)
+        log.down = True
+        cluster.run(100, pause_s=5)
+        log.expire(TABLES_STREAM, 1)
+        log.down = False
+        cluster.run(100, pause_s=1)
+        marks = [
+            codec.decode(record.data, TablesRecord).unwrap()
+            for record in log.streams[TABLES_STREAM]
+        ]
+        self.assertTrue(marks and all(isinstance(mark, SnapshotMark) for mark in marks))
+        reader = TablesReader(log)
+        editing.read_to_end(reader)
+        self.assertEqual(set(reader.tables.pools), {"assistant"})
+        self.assertIsInstance(tables_reader.load(log, marks[0]), Success)
