--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,123 @@
+"""Measure the routing policies: ``python -m tools.bench --help``."""
+
+from __future__ import annotations
+
+from agaterail.util import greenlets
+
+greenlets.patch()
+
+import argparse
+import functools
+import json
+import pathlib
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+
+import attrs
+from gevent.pool import Pool as GreenletPool
+
+from tools.bench import cells, report
+from tools.bench.cell import Cell, measure
+from tools.bench.figures import Figures
+from tools.bench.workloads import PROFILES
+
+CELL_FLAG = "--one-cell"
+DEFAULT_SECONDS = 16.0
+DEFAULT_SEED = 7
+
+
+def main() -> None:
+    """Measure every cell, at most one fleet for each workload at a time."""
+    if sys.argv[1:2] == [CELL_FLAG]:
+        _measure_here(sys.argv[2])
+        return
+    arguments = _parse()
+    started = time.monotonic()
+    measured = _measure_all(arguments) if not arguments.report else []
+    for file in arguments.report:
+        measured += _load(file)
+    if arguments.save:
+        _save(arguments.save, measured)
+    for workload in arguments.workloads:
+        _print(workload, [item for item in measured if item[0].workload == workload])
+    print(f"took {time.monotonic() - started:.0f} s")
+
+
+def _parse() -> argparse.Namespace:
+    names = list(PROFILES)
+    parser = argparse.ArgumentParser(prog="tools.bench", description=__doc__)
+    parser.add_argument("--workloads", nargs="+", choices=names, default=names)
+    parser.add_argument("--cells", nargs="+", choices=list(cells.GROUPS), default=["policies"])
+    parser.add_argument("--only", nargs="+", default=[], help="names of cells")
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[DEFAULT_SEED])
+    parser.add_argument("--save", help="file that the figures are added to")
+    parser.add_argument(
+        "--report", nargs="+", default=[], help="print saved figures, measure nothing"
+    )
+    return parser.parse_args()
+
+
+def _measure_all(arguments: argparse.Namespace) -> list[report.Measured]:
+    rows = GreenletPool(len(arguments.workloads))
+    measure_row = functools.partial(_measure_row, arguments)
+    found = rows.map(measure_row, arguments.workloads)
+    return [item for row in found for item in row]
+
+
+def _measure_row(arguments: argparse.Namespace, workload: str) -> list[report.Measured]:
+    slot = list(PROFILES).index(workload)
+    row = []
+    for seed in arguments.seeds:
+        make = functools.partial(
+            Cell, workload=workload, seed=seed, seconds=arguments.seconds, slot=slot
+        )
+        row += cells.selected(make, arguments.cells, arguments.only)
+    return [(cell, _measure_apart(cell)) for cell in row]
+
+
+def _measure_apart(cell: Cell) -> Figures:
+    # In a process of its own, so that the load generators do not share one.
+    fields = json.dumps(attrs.asdict(cell))
+    done = subprocess.run(
+        [sys.executable, "-m", "tools.bench", CELL_FLAG, fields],
+        check=True,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    return Figures(**json.loads(done.stdout.splitlines()[-1]))
+
+
+def _measure_here(fields: str) -> None:
+    found = measure(Cell(**json.loads(fields)))
+    print(json.dumps(attrs.asdict(found)))
+
+
+def _save(file: str, measured: Sequence[report.Measured]) -> None:
+    with pathlib.Path(file).open("a", encoding="utf-8") as opened:
+        for cell, found in measured:
+            line = {"cell": attrs.asdict(cell), "figures": attrs.asdict(found)}
+            opened.write(json.dumps(line) + "\n")
+
+
+def _load(file: str) -> list[report.Measured]:
+    lines = map(json.loads, pathlib.Path(file).read_text(encoding="utf-8").splitlines())
+    return [(Cell(**line["cell"]), Figures(**line["figures"])) for line in lines]
+
+
+def _print(workload: str, measured: Sequence[report.Measured]) -> None:
+    seeds = sorted({cell.seed for cell, _ in measured})
+    seconds = sorted({cell.seconds for cell, _ in measured})
+    pooled = report.by_cell(measured)
+    print(f"\n## {workload}, seeds {seeds}, seconds {seconds}\n")
+    print(report.outcome_table(pooled))
+    print("\nNot whole, by kind:\n")
+    print(report.error_lines(pooled))
+    print("\nPer daemon:\n")
+    print(report.control_table(pooled))
+
+
+if __name__ == "__main__":
+    main()
