--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -196,7 +196,8 @@
 
     def status(self) -> dict[str, Any]:
         """Return what the ``status`` command shows."""
-        parts = {name: item.status() for name, item in self.controllers.items()}
+        shown = ((name, item.status()) for name, item in self.controllers.items())
+        parts = {name: fields for name, fields in shown if fields}
         own = {"version": __version__, "ready": self.ready, "in_flight": self.in_flight}
         return {**own, **parts}
 
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable, Mapping
 
 ENVIRONMENT_PREFIX = "AGATERAIL_"
+OTHER_VARIABLES = ("AGATERAIL_AUTHOR",)
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -228,6 +229,7 @@
 def unknown_variables(environment: Mapping[str, str]) -> list[str]:
     """Return the variables with the prefix that are no setting."""
     known = {Settings.variable_of(name) for name in attrs.fields_dict(Settings)}
+    known.update(OTHER_VARIABLES)
     return sorted(
         name
         for name in environment
--- a/agaterail/status.py
+++ b/agaterail/status.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from agaterail.peers import peer_message
+from agaterail.tables import PoolKind
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -27,10 +28,21 @@
     report: str
 
 
+def report_of(app: Application) -> dict[str, Any]:
+    """Return what the parts say, and each engine with its home."""
+    homes = {
+        entry.address: app.homes.home_of(entry.address)
+        for held in app.tables.pools.values()
+        if held.row.kind is PoolKind.ENGINE
+        for entry in held.row.targets
+    }
+    return {**app.status(), "engine_homes": homes}
+
+
 def setup(app: Application) -> None:
     """Answer status queries."""
 
     def answer(_sender: str, _query: StatusQuery) -> StatusAnswer:
-        return StatusAnswer(json.dumps(app.status(), default=str))
+        return StatusAnswer(json.dumps(report_of(app), default=str))
 
     app.peers.handle(StatusQuery, answer)
