--- a/agaterail/cmd/arguments.py
+++ b/agaterail/cmd/arguments.py
@@ -3,9 +3,9 @@
 Fire takes what it is given: it drops the value of a flag that has none, passes
 unknown flags on where a command takes any, and goes on to attributes of the
 result with words that are left over. It also reads values as Python literals,
-so that ``007`` or ``10.0.0.1:80`` would not stay what they are. Here each word
-is checked against the command's signature, and fire gets each value as a
-literal of its text.
+so that ``1e3`` or ``None`` would not stay texts. Here each word is checked
+against the command's signature, and fire gets each value as a literal of its
+text.
 """
 
 from __future__ import annotations
