--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -23,6 +23,8 @@
 EXECUTABLE = 0o755
 DIGEST_BYTES = 12
 LEFT_OUT = ("tests", "testing", "__pycache__")
+# What pip wrote about the environment; it differs between two of them.
+LEFT_OUT_NAMES = ("RECORD", "INSTALLER", "REQUESTED", "direct_url.json")
 LEFT_OUT_SUFFIXES = (".pyc", ".pyi", ".c", ".h", ".pyx", ".pxd", ".pth")
 
 
@@ -111,6 +113,7 @@
     return not (
         parts[0] == ".."
         or any(part in LEFT_OUT for part in parts)
+        or file.name in LEFT_OUT_NAMES
         or file.suffix in LEFT_OUT_SUFFIXES
     )
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -22,6 +22,7 @@
 ENGINES = 5
 DAEMONS = 3
 WORKSPACES = 8
+DAEMON_FLAGS = ("--drain-lag-s", "0")
 SEED = 7
 ENGINE = {"block_tokens": 100, "capacity_blocks": 600, "prefill_ms_per_token": 0.05}
 POOL = {"block_tokens": 100, "prefill_ms_per_token": 0.05, "weights_version": "v1"}
@@ -34,7 +35,7 @@
         fleet.start_platform()
         fleet.start_engines(ENGINES, ENGINE)
         apply_tables(fleet, tables_toml(fleet.engines, WORKSPACES, POOL, {}), folder)
-        fleet.start_daemons(DAEMONS)
+        fleet.start_daemons(DAEMONS, DAEMON_FLAGS)
         seen = _send(fleet)
     _print(seen, time.monotonic() - started)
     sys.exit(0 if all(item.whole for item in seen) else 1)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -87,11 +87,16 @@
         self.stop()
 
     def stop(self) -> None:
-        """End all processes of the fleet."""
-        for process in self.processes:
+        """End all processes of the fleet, the daemons before the platform."""
+        daemons = [daemon.process for daemon in self.daemons]
+        self._end(daemons)
+        self._end([process for process in self.processes if process not in daemons])
+
+    def _end(self, processes: Sequence[subprocess.Popen]) -> None:
+        for process in processes:
             process.terminate()
         end = time.monotonic() + STOP_TIMEOUT_S
-        for process in self.processes:
+        for process in processes:
             try:
                 process.wait(max(0.1, end - time.monotonic()))
             except subprocess.TimeoutExpired:
