--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -118,6 +118,11 @@
     peer_secret: str = _setting("", str, "shared secret of the daemons")
     log_level: str = _setting("info", _level, "lowest level of log lines")
     log_json: bool = _setting(False, _switch, "write log lines as JSON")
+    snapshot_interval_s: float = _setting(
+        3600.0,
+        _seconds,
+        "seconds between snapshots of the tables, at most a quarter of the log's retention",
+    )
     drain_lag_s: float = _setting(
         5.0, _seconds, "seconds for which new connections are served after SIGTERM"
     )
@@ -135,6 +140,9 @@
     header_timeout_s: float = _setting(
         10.0, _seconds, "seconds in which the headers of a request must have arrived"
     )
+    body_timeout_s: float = _setting(
+        30.0, _seconds, "seconds in which the body of a request must have arrived"
+    )
     idle_timeout_s: float = _setting(
         300.0, _seconds, "seconds after which an idle connection of a caller is closed"
     )
--- a/agaterail/tables.py
+++ b/agaterail/tables.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Mapping
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import attrs
 
@@ -44,6 +44,18 @@
 
     Attributes
     ----------
+    kind
+        Whether the targets are model engines or plain services.
+    targets
+        Addresses of the form IP:port, each with its failure domain.
+    model
+        Model that the engines should have loaded.
+    adapters
+        Adapters that the engines should have loaded.
+    role
+        Role that the engines should be in.
+    policy
+        Policy that chooses among the targets.
     weights_version, also_serve
         Weights that engines should load, and older ones that may go on
         answering until they have.
@@ -85,6 +97,10 @@
 
     Attributes
     ----------
+    workspace
+        Workspace whose cached prefixes the requests may share.
+    pool
+        Name of the pool that serves the route.
     callers
         SHA-256 digests, in hex, of the API keys that may use the route.
     models
@@ -101,6 +117,11 @@
         Limits of the route over all hosts; 0 means no limit.
     miss_weight
         Cost of a missing token in units of its own prefill time.
+    hedge_after_ms
+        Time without a first token after which an idempotent request goes to a
+        second target as well; 0 means never.
+    resume_elsewhere
+        Whether a broken stream may be continued on another engine.
     """
 
     name: str
@@ -154,8 +175,11 @@
         """Return the pool that a valid route names."""
         return self.pools[route.pool].row
 
+    def rows_of(self, table: TableName) -> Mapping[str, Versioned[Any]]:
+        """Return the rows of one table by name."""
+        return self.routes if table is TableName.ROUTES else self.pools
+
     def version_of(self, table: TableName, name: str) -> int:
         """Return the version of a row, or -1 when there is no such row."""
-        rows = self.routes if table is TableName.ROUTES else self.pools
-        versioned = rows.get(name)
+        versioned = self.rows_of(table).get(name)
         return NO_VERSION if versioned is None else versioned.version
--- a/tests/support.py
+++ b/tests/support.py
@@ -12,10 +12,13 @@
 
 import gevent
 
+from agaterail import codec
 from agaterail.application import Application
+from agaterail.engines import LoadReport
 from agaterail.filters.identify import digest_of
+from agaterail.logstore.http import HttpLogStore
 from agaterail.logstore.memory import MemoryLogStore
-from agaterail.records import Action, Change, Edit
+from agaterail.records import TABLES_STREAM, Action, Change, Edit, TablesRecord
 from agaterail.server import make_server
 from agaterail.settings import Settings
 from agaterail.tables import NO_VERSION, Pool, PoolKind, Route, TableName, TargetEntry
@@ -78,8 +81,10 @@
 class LocalDaemon:
     """An application and its server on a port by the kernel, in this process."""
 
-    def __init__(self, log_store=None, start_controllers=True, **settings):
-        self.app = Application(Settings(**settings), log_store=log_store or MemoryLogStore())
+    def __init__(self, log_store=None, start_controllers=True, peers=None, **settings):
+        self.app = Application(
+            Settings(**settings), log_store=log_store or MemoryLogStore(), peers=peers
+        )
         self.server = make_server(self.app, Address("127.0.0.1", 0))
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
@@ -107,6 +112,18 @@
         return response, response.read()
 
 
+def append_edit(log_address, change):
+    """Append an edit to a log that is reached by HTTP."""
+    log = HttpLogStore(Address.parse(log_address))
+    log.append(TABLES_STREAM, codec.encode(change, TablesRecord)).unwrap()
+
+
+def status_of(address, method, path, body=b"", headers=None):
+    """Send one request and return the status of its answer, or 0 without one."""
+    connections = HttpConnections(Address.parse(address))
+    return connections.call(method, path, body, headers).value_or((0, b""))[0]
+
+
 def wait_until(condition, seconds=5.0):
     """Wait for a condition that greenlets bring about; the bound only ends a hang."""
     end = time.monotonic() + seconds
@@ -134,3 +151,21 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
+
+
+def load_report(**fields):
+    defaults = {
+        "incarnation": "a",
+        "weights_version": "v1",
+        "model": MODEL,
+        "running": 0,
+        "waiting": 0,
+        "waiting_prefill_tokens": 0,
+        "accepted": 0,
+        "cached_blocks": 0,
+        "capacity_blocks": 100,
+        "prefill_ms_per_token": 1.0,
+        "decode_ms_per_token": 10.0,
+        "age_ms": 0.0,
+    }
+    return LoadReport(**{**defaults, **fields})
