Export used prefixes to the kept store and import what is missing

Cause: a prefix that was evicted everywhere was always computed again.

Daemons export shared prefixes that were used twice and import what the chosen engine lacks, where that is cheaper than prefill. Ways weighed and measured in decision 0202; imports priced into the choice and imports from other engines made things worse or copied nothing and are not in.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -16,6 +16,7 @@
 from agaterail.filters import FilterChain
 from agaterail.homes import HomeMap
 from agaterail.hostlists.http import HttpHostList
+from agaterail.kvstores.http import HttpKvStore
 from agaterail.logstore.http import HttpLogStore
 from agaterail.members import MemberView
 from agaterail.metrics import MemoryMetrics, StatsdMetrics
@@ -25,6 +26,7 @@
 from agaterail.tables import NO_VERSION, Tables
 from agaterail.targets import TargetBook
 from agaterail.timers import GeventTimerService
+from agaterail.transfers import ExportQueue, ImportLimits
 from agaterail.util.address import Address
 
 if TYPE_CHECKING:
@@ -38,6 +40,7 @@
     from agaterail.exchange import Reply
     from agaterail.filters import Filter
     from agaterail.hostlists import HostList
+    from agaterail.kvstores import KvStore
     from agaterail.logstore import LogStore
     from agaterail.metrics import Metrics
     from agaterail.policies import Policy
@@ -58,6 +61,7 @@
     "agaterail.filters.claim",
     "agaterail.filters.retry",
     "agaterail.filters.choose",
+    "agaterail.filters.transfer",
     "agaterail.filters.relay",
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
@@ -69,6 +73,7 @@
     "agaterail.controllers.gauges",
     "agaterail.status",
     "agaterail.controllers.homes",
+    "agaterail.controllers.transfers",
 )
 REQUEST_ID_BYTES = 12
 DEFAULT_POLICY = "cost"
@@ -106,6 +111,9 @@
         self.tables = Tables()
         self.targets = TargetBook()
         self.homes = HomeMap(self.peers.own_address)
+        self.kv_store = _kv_store(settings)
+        self.imports = ImportLimits()
+        self.exports = ExportQueue()
         self.candidates = CandidateFinder(self.peers, self.homes, self.timers)
         self.filters: list[Filter] = []
         self.controllers: dict[str, Controller] = {}
@@ -237,5 +245,9 @@
     return None if settings.host_list is None else HttpHostList(settings.host_list)
 
 
+def _kv_store(settings: Settings) -> KvStore | None:
+    return None if settings.kv_store is None else HttpKvStore(settings.kv_store)
+
+
 def _metrics(settings: Settings) -> Metrics:
     return MemoryMetrics() if settings.statsd is None else StatsdMetrics(settings.statsd)
--- a/agaterail/engines/__init__.py
+++ b/agaterail/engines/__init__.py
@@ -207,9 +207,9 @@
         """Read the engine's state back."""
 
     @abc.abstractmethod
-    def export_blocks(self, keys: Sequence[bytes]) -> Result[int, str]:
-        """Have blocks copied to the KV store; returns how many were."""
+    def export_blocks(self, keys: Sequence[bytes], store: str) -> Result[int, str]:
+        """Have blocks copied to the KV store at ``store``; returns how many were."""
 
     @abc.abstractmethod
     def import_blocks(self, keys: Sequence[bytes], source: str) -> Result[int, str]:
-        """Have blocks copied in from the KV store or an engine at ``source``."""
+        """Have blocks copied in from the KV store at ``source``."""
--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -119,14 +119,14 @@
         """Read the engine's state back."""
         return self._call("GET", "/state").bind(_parse_state)
 
-    def export_blocks(self, keys: Sequence[bytes]) -> Result[int, str]:
-        """Have blocks copied to the KV store; returns how many were."""
-        fields = {"keys": [key.hex() for key in keys]}
+    def export_blocks(self, keys: Sequence[bytes], store: str) -> Result[int, str]:
+        """Have blocks copied to the KV store at ``store``; returns how many were."""
+        fields = {"keys": [key.hex() for key in keys], "store": store}
         answer = self._call("POST", "/kv/export", fields, TRANSFER_TIMEOUT_S)
         return answer.map(lambda body: int(body.get("blocks", 0)))
 
     def import_blocks(self, keys: Sequence[bytes], source: str) -> Result[int, str]:
-        """Have blocks copied in from the KV store or an engine at ``source``."""
+        """Have blocks copied in from the KV store at ``source``."""
         fields = {"keys": [key.hex() for key in keys], "source": source}
         answer = self._call("POST", "/kv/import", fields, TRANSFER_TIMEOUT_S)
         return answer.map(lambda body: int(body.get("blocks", 0)))
--- a/agaterail/filters/choose.py
+++ b/agaterail/filters/choose.py
@@ -7,11 +7,12 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from agaterail import errors, logs
+from agaterail import errors, logs, transfers
 from agaterail.candidates import ShortPrefix, shorten
 from agaterail.errors import ErrorKind, Outcome
 from agaterail.filters import Filter
 from agaterail.policies import Placement
+from agaterail.transfers import Source
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -21,6 +22,8 @@
 
 logger = logs.get_logger("choose")
 
+KEPT_TIMEOUT_S = 0.02
+
 
 class ChooseFilter(Filter):
     """Asks the pool's policy and writes the decision to the log."""
@@ -79,6 +82,7 @@
             asked = [state.address for state in targets]
             views = self.app.candidates.ask(asked, short) if asked else {}
             placement = attrs.evolve(placement, views=views)
+            placement = attrs.evolve(placement, kept=self._kept(placement))
         if not targets:
             targets = self.app.targets.usable(placement.pool, placement.now, exchange.excluded)
         if not targets:
@@ -88,6 +92,18 @@
             return Failure(errors.Failure(ErrorKind.OVERLOADED))
         return Success(decision)
 
+    def _kept(self, placement: Placement) -> Source | None:
+        """Ask the kept store when no candidate holds the whole shared prefix."""
+        store, prefix = self.app.kv_store, placement.prefix
+        if store is None or prefix is None or placement.pool.import_ms_per_block <= 0:
+            return None
+        shared = transfers.shared_blocks(prefix)
+        depth = max((view.depth for view in placement.views.values()), default=0)
+        if depth >= shared or not self.app.imports.usable(store.address, placement.now):
+            return None
+        kept = store.kept(prefix.keys[:shared], KEPT_TIMEOUT_S).value_or(0)
+        return Source(store.address, kept) if kept else None
+
     def _proceed_told(
         self, exchange: Exchange, proceed: Proceed, decision: Decision, short: ShortPrefix
     ) -> Result[Reply, errors.Failure]:
@@ -95,6 +111,9 @@
         address, dispatch_id = decision.address, exchange.attempt_id
         hit_tokens = decision.hit_blocks * exchange.pool.block_tokens
         missing = max(0, exchange.prefix.prompt_tokens - hit_tokens)
+        if decision.transfer is not None:
+            copied = decision.transfer.end - decision.transfer.start
+            missing = max(0, missing - copied * exchange.pool.block_tokens)
         finder = self.app.candidates
         finder.tell_dispatch(address, dispatch_id, missing, short.keys)
         result = proceed(exchange)
--- /dev/null
+++ b/agaterail/filters/transfer.py
@@ -0,0 +1,79 @@
+"""Import cached blocks where that is cheaper than computing them again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Result, Success
+
+from agaterail import logs, transfers
+from agaterail.filters import Filter
+
+if TYPE_CHECKING:
+    from agaterail import errors
+    from agaterail.application import Application
+    from agaterail.exchange import Exchange, Reply
+    from agaterail.filters import Proceed
+    from agaterail.transfers import Transfer
+
+logger = logs.get_logger("transfer")
+
+# An import that takes longer than twice its estimate is not waited for: the
+# engine computes the blocks as if there had been none.
+WAIT_FACTOR = 2.0
+
+
+class TransferFilter(Filter):
+    """Starts the planned import and sends the request when it can be of use."""
+
+    order = 600
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Import when the decision says so, then proceed in any case."""
+        decision, prefix, pool = exchange.decision, exchange.prefix, exchange.pool
+        if decision is None or prefix is None or pool is None:
+            return proceed(exchange)
+        if pool.import_ms_per_block <= 0:
+            return proceed(exchange)
+        if decision.transfer is not None:
+            self._import(exchange, decision.address, decision.transfer)
+        result = proceed(exchange)
+        if isinstance(result, Success):
+            keys = prefix.keys[: transfers.shared_blocks(prefix)]
+            exchange.on_finish(
+                lambda _: self.app.exports.note(decision.address, keys, self.app.timers.now())
+            )
+        return result
+
+    def _import(self, exchange: Exchange, engine: str, transfer: Transfer) -> None:
+        if not self.app.imports.begin(engine, transfer.source, self.app.timers.now()):
+            return
+        assert exchange.prefix is not None and exchange.decision is not None
+        keys = exchange.prefix.keys[transfer.start : transfer.end]
+        copying = gevent.spawn(self._copy, engine, keys, transfer)
+        # While the request waits in the engine's queue the import goes on.
+        queue_ms = max(0.0, exchange.decision.queue_ms)
+        wait_ms = transfer.transfer_ms * WAIT_FACTOR - queue_ms
+        copying.join(timeout=max(0.0, wait_ms) / 1e3)
+
+    def _copy(self, engine: str, keys: tuple[bytes, ...], transfer: Transfer) -> None:
+        copied = self.app.engine_at(engine).import_blocks(keys, transfer.source)
+        blocks = copied.value_or(0)
+        self.app.imports.end(engine, transfer.source, blocks > 0, self.app.timers.now())
+        self.app.metrics.count("transfers.imported_blocks", blocks)
+        logger.info(
+            "Imported blocks.",
+            engine=engine,
+            source=transfer.source,
+            wanted=len(keys),
+            blocks=blocks,
+        )
+
+
+def setup(app: Application) -> None:
+    """Register the filter."""
+    app.add_filter(TransferFilter(app))
--- /dev/null
+++ b/agaterail/kvstores/http.py
@@ -0,0 +1,40 @@
+"""Store of kept KV cache over its HTTP protocol."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from agaterail.kvstores import KvStore
+from agaterail.util.httpconn import HttpConnections
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.util.address import Address
+
+OK = 200
+
+
+class HttpKvStore(KvStore):
+    """Store reached by HTTP."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = str(address)
+        self.connections = HttpConnections(address)
+
+    def kept(self, keys: Sequence[bytes], timeout_s: float) -> Result[int, str]:
+        """Return how many of the leading keys the store holds."""
+        body = json.dumps({"keys": [key.hex() for key in keys]}).encode()
+        answer = self.connections.call("POST", "/blocks/has", body, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Failure(str(answer.failure()))
+        status, data = answer.unwrap()
+        if status != OK:
+            return Failure(f"status {status}")
+        try:
+            return Success(int(json.loads(data)["blocks"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return Failure(f"malformed answer: {error}")
--- a/agaterail/policies/__init__.py
+++ b/agaterail/policies/__init__.py
@@ -14,6 +14,7 @@
     from agaterail.prefix import Prefix
     from agaterail.tables import Pool, Route, TargetEntry
     from agaterail.targets import TargetState
+    from agaterail.transfers import Source, Transfer
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +31,8 @@
         Second of the timer service.
     views
         What homes said of the candidates; empty for policies that ask nothing.
+    kept
+        The kept store, when blocks of the prompt can be imported from it.
     """
 
     pool: Pool
@@ -38,6 +41,7 @@
     deadline_ms: float
     now: float = 0.0
     views: Mapping[str, CandidateState] = attrs.field(factory=dict)
+    kept: Source | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -50,6 +54,10 @@
         Leading blocks expected in the target's cache.
     expected_ms
         Expected time to the first token, or None when it was not estimated.
+    queue_ms
+        Expected wait in the target's queue.
+    transfer
+        Blocks to import before the target prefills.
     terms
         Terms of the cost in milliseconds, by name, for the log line.
     """
@@ -58,6 +66,8 @@
     reason: str
     hit_blocks: int = 0
     expected_ms: float | None = None
+    queue_ms: float = 0.0
+    transfer: Transfer | None = None
     terms: tuple[tuple[str, float], ...] = ()
 
 
--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -11,6 +11,7 @@
 from agaterail.heat import Heat
 from agaterail.policies import Decision, Placement, Policy
 from agaterail.policies.simple import placement_key
+from agaterail.transfers import plan
 from agaterail.util.ring import NUMBER_BYTES, Ring
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     from agaterail.candidates import CandidateState
     from agaterail.tables import Pool, TargetEntry
     from agaterail.targets import TargetState
+    from agaterail.transfers import Transfer
 
 CANDIDATES = 4
 DOMAIN_PENALTY_MS = 2.0
@@ -166,7 +168,12 @@
         fitting = [state for state in targets if self._fits(placement, state)] or targets
         costs = [self._terms(placement, state, rank) for rank, state in enumerate(fitting)]
         place = min(range(len(costs)), key=lambda index: costs[index].total)
-        return self._decision(placement, fitting[place], costs[place])
+        state, terms = fitting[place], costs[place]
+        transfer = self._import(placement, state)
+        if transfer is not None:
+            left = max(0.0, terms.prefill - transfer.saved_ms)
+            terms = attrs.evolve(terms, prefill=left, transfer=transfer.transfer_ms)
+        return attrs.evolve(self._decision(placement, state, terms), transfer=transfer)
 
     def _choose_service(self, targets: Sequence[TargetState]) -> Decision:
         least = min(
@@ -199,6 +206,23 @@
             rank=prefill * RANK_SHARE * rank,
         )
 
+    def _import(self, placement: Placement, state: TargetState) -> Transfer | None:
+        """Plan an import for the chosen engine; imports do not sway the choice.
+
+        Priced into the cost, cheap imports spread prefixes over the engines,
+        and the copies evict what other requests need (decision 0202).
+        """
+        pool, view = placement.pool, placement.views.get(state.address)
+        if placement.kept is None or view is None:
+            return None
+        prefill_ms_per_token = view.prefill_ms_per_token or pool.prefill_ms_per_token
+        return plan(
+            placement.kept,
+            held=view.depth,
+            import_ms_per_block=pool.import_ms_per_block,
+            prefill_ms_per_block=prefill_ms_per_token * pool.block_tokens,
+        )
+
     def _unknown_terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
         assert placement.prefix is not None
         whole = placement.prefix.prompt_tokens * placement.pool.prefill_ms_per_token
@@ -221,6 +245,7 @@
             reason="unknown" if view is None else f"cost_{'hit' if view.depth else 'cold'}",
             hit_blocks=0 if view is None else view.depth,
             expected_ms=terms.expected_ms,
+            queue_ms=terms.queue,
             terms=(
                 ("queue_ms", terms.queue),
                 ("miss_ms", terms.miss),
--- /dev/null
+++ b/agaterail/transfers.py
@@ -0,0 +1,166 @@
+"""When to copy cached blocks to and from the kept store.
+
+Block keys name workspace, model, adapter and weights version, so a copy can
+never serve another scope. Which blocks a source holds is a hint: a source that
+holds fewer copies fewer, and the engine computes the rest.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from agaterail.prefix import Prefix
+
+MIN_SAVED_MS = 20.0
+MAX_IMPORTS_PER_ENGINE = 2
+# Waiting for an import that fails delays the answer by the whole wait. The
+# pause bounds how often that can happen with a source that is down.
+FAILURE_PAUSE_S = 5.0
+MIN_EXPORT_BLOCKS = 2
+MIN_EXPORT_USES = 2
+MIN_EXPORT_AGE_S = 0.5
+MAX_EXPORT_AGE_S = 20.0
+KEPT_FOR_S = 120.0
+MAX_USES = 4096
+
+
+@attrs.frozen
+class Source:
+    """Place that holds leading blocks of a prompt."""
+
+    address: str
+    depth: int
+
+
+@attrs.frozen(kw_only=True)
+class Transfer:
+    """Blocks to copy to an engine before it prefills.
+
+    Attributes
+    ----------
+    start, end
+        First block to copy and the one after the last.
+    saved_ms
+        Prefill time of the copied blocks.
+    """
+
+    source: str
+    start: int
+    end: int
+    transfer_ms: float
+    saved_ms: float
+
+
+def shared_blocks(prefix: Prefix) -> int:
+    """Return the leading blocks that other prompts can share."""
+    return min(len(prefix.keys), prefix.level_blocks[-1] if prefix.level_blocks else 0)
+
+
+def plan(
+    source: Source, held: int, import_ms_per_block: float, prefill_ms_per_block: float
+) -> Transfer | None:
+    """Return what to copy, or None when computing it again is about as cheap.
+
+    Parameters
+    ----------
+    held
+        Leading blocks that the engine holds already.
+    """
+    if import_ms_per_block <= 0:
+        return None
+    blocks = source.depth - held
+    saved_ms = blocks * prefill_ms_per_block
+    transfer_ms = blocks * import_ms_per_block
+    if saved_ms - transfer_ms < MIN_SAVED_MS:
+        return None
+    return Transfer(
+        source=source.address,
+        start=held,
+        end=source.depth,
+        transfer_ms=transfer_ms,
+        saved_ms=saved_ms,
+    )
+
+
+class ImportLimits:
+    """Bounds the imports of each engine and leaves out sources that failed."""
+
+    def __init__(self, most: int = MAX_IMPORTS_PER_ENGINE) -> None:
+        self.most = most
+        self.running: dict[str, int] = {}
+        self.paused_until: dict[str, float] = {}
+
+    def usable(self, source: str, now: float) -> bool:
+        """Tell whether a source may be planned with."""
+        return self.paused_until.get(source, 0.0) <= now
+
+    def begin(self, engine: str, source: str, now: float) -> bool:
+        """Count an import in, or refuse it."""
+        if not self.usable(source, now) or self.running.get(engine, 0) >= self.most:
+            return False
+        self.running[engine] = self.running.get(engine, 0) + 1
+        return True
+
+    def end(self, engine: str, source: str, copied: bool, now: float) -> None:
+        """Count an import out."""
+        left = self.running.get(engine, 0) - 1
+        if left > 0:
+            self.running[engine] = left
+        else:
+            self.running.pop(engine, None)
+        if copied:
+            self.paused_until.pop(source, None)
+        else:
+            self.paused_until[source] = now + FAILURE_PAUSE_S
+
+
+@attrs.define
+class PrefixUse:
+    """Use of one shared prefix as this process saw it."""
+
+    engine: str
+    keys: tuple[bytes, ...]
+    uses: int = 0
+    used_at: float = 0.0
+    kept_until: float = 0.0
+
+
+class ExportQueue:
+    """Prefixes that were used again and are not kept yet, oldest use first.
+
+    The one whose last use is longest ago is the next to be evicted.
+    """
+
+    def __init__(self, most: int = MAX_USES) -> None:
+        self.most = most
+        self.uses: OrderedDict[bytes, PrefixUse] = OrderedDict()
+
+    def note(self, engine: str, keys: tuple[bytes, ...], now: float) -> None:
+        """Count a use of a shared prefix at an engine."""
+        if len(keys) < MIN_EXPORT_BLOCKS:
+            return
+        use = self.uses.setdefault(keys[-1], PrefixUse(engine, keys))
+        use.engine = engine
+        use.uses += 1
+        use.used_at = now
+        self.uses.move_to_end(keys[-1])
+        if len(self.uses) > self.most:
+            self.uses.popitem(last=False)
+
+    def due(self, now: float) -> list[PrefixUse]:
+        """Return the next export of each engine."""
+        found: dict[str, PrefixUse] = {}
+        for use in self.uses.values():
+            age = now - use.used_at
+            fitting = MIN_EXPORT_AGE_S <= age <= MAX_EXPORT_AGE_S
+            if fitting and use.uses >= MIN_EXPORT_USES and now >= use.kept_until:
+                found.setdefault(use.engine, use)
+        return list(found.values())
+
+    def mark_kept(self, use: PrefixUse, now: float) -> None:
+        """Do not export a prefix again for a while."""
+        use.kept_until = now + KEPT_FOR_S
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import errno
 import heapq
 import itertools
 import json
@@ -15,6 +16,7 @@
 import attrs
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 from agaterail import chat
 from agaterail.prefix import ByteTokenizer, block_keys
@@ -177,6 +179,8 @@
         self.cached_tokens = 0
         self.prompt_tokens = 0
         self.wasted_tokens = 0
+        self.imported_blocks = 0
+        self.transferring = BoundedSemaphore(1)
         self.computed_blocks: collections.Counter[str] = collections.Counter()
         self.adapters: list[str] = []
         self.role = "serve"
@@ -293,7 +297,7 @@
             while True:
                 while sent >= len(job.frames):
                     if self.incarnation != incarnation:
-                        raise ConnectionAbortedError
+                        raise ConnectionResetError(errno.ECONNRESET, "the engine crashed")
                     if job.cancelled or job.done:
                         return
                     job.changed.wait()
@@ -511,6 +515,7 @@
                 "cached_tokens": self.cached_tokens,
                 "prompt_tokens": self.prompt_tokens,
                 "wasted_tokens": self.wasted_tokens,
+                "imported_blocks": self.imported_blocks,
                 "orders": self.orders,
             }
         )
@@ -589,20 +594,28 @@
 
     def _import(self, call: Call) -> Answer:
         fields = call.json()
+        incarnation = self.incarnation
         source = HttpConnections(Address.parse(fields["source"]))
         body = json.dumps({"keys": fields["keys"]}).encode()
-        answer = source.call("POST", "/blocks/get", body, timeout_s=10.0).value_or((0, b""))
-        if answer[0] != 200:
+        # One transfer at a time: they share the engine's network.
+        with self.transferring:
+            answer = source.call("POST", "/blocks/get", body, timeout_s=10.0)
+        status, data = answer.value_or((0, b""))
+        if status != 200 or incarnation != self.incarnation:
             return json_answer({"blocks": 0})
-        found = json.loads(answer[1])["keys"]
+        found = json.loads(data)["keys"]
         self.cache.store(tuple(bytes.fromhex(key) for key in found))
+        self.imported_blocks += len(found)
         return json_answer({"blocks": len(found)})
 
     def _export(self, call: Call) -> Answer:
-        keys = [key for key in call.json()["keys"] if bytes.fromhex(key) in self.cache.keys]
-        store = HttpConnections(Address.parse(call.json()["store"]))
-        store.call("POST", "/blocks/put", json.dumps({"keys": keys}).encode())
-        return json_answer({"blocks": len(keys)})
+        fields = call.json()
+        keys = [key for key in fields["keys"] if bytes.fromhex(key) in self.cache.keys]
+        store = HttpConnections(Address.parse(fields["store"]))
+        body = json.dumps({"keys": keys}).encode()
+        answer = store.call("POST", "/blocks/put", body)
+        copied = answer.value_or((0, b""))[0] == 200
+        return json_answer({"blocks": len(keys) if copied else 0})
 
     # Faults
 
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -33,6 +33,7 @@
     def _put(self, call: Call) -> Answer:
         if self.faults.down:
             return Answer(503)
+        gevent.sleep(len(call.json()["keys"]) * self.faults.ms_per_block / 1e3)
         for key in call.json()["keys"]:
             self.keys[key] = None
             self.keys.move_to_end(key)
--- a/tests/test_tools/test_bench.py
+++ b/tests/test_tools/test_bench.py
@@ -8,7 +8,11 @@
 
 def counts(prompt=0, cached=0, **blocks):
     return EngineCounts(
-        prompt_tokens=prompt, cached_tokens=cached, computed_tokens=0, blocks=blocks
+        prompt_tokens=prompt,
+        cached_tokens=cached,
+        computed_tokens=0,
+        imported_blocks=0,
+        blocks=blocks,
     )
 
 
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -53,6 +53,9 @@
     parser.add_argument("--only", nargs="+", default=[], help="names of cells")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
     parser.add_argument("--seeds", type=int, nargs="+", default=[DEFAULT_SEED])
+    parser.add_argument(
+        "--slot", type=int, default=0, help="number that sets two runs at a time apart"
+    )
     parser.add_argument("--save", help="file that the figures are added to")
     parser.add_argument(
         "--report", nargs="+", default=[], help="print saved figures, measure nothing"
@@ -68,7 +71,7 @@
 
 
 def _measure_row(arguments: argparse.Namespace, workload: str) -> list[report.Measured]:
-    slot = list(PROFILES).index(workload)
+    slot = arguments.slot + list(PROFILES).index(workload)
     row = []
     for seed in arguments.seeds:
         make = functools.partial(
--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -40,6 +40,8 @@
 DAEMONS = 3
 CAPACITY_BLOCKS = 60
 PREFILL_MS_PER_TOKEN = BLOCK_PREFILL_MS / BLOCK_TOKENS
+# A fifth of the prefill of a block, as for about 300 MB over a fast network.
+TRANSFER_MS_PER_BLOCK = 10.0
 MAX_TOKENS = 8
 EVENT_DELAY_MS = 100
 LOAD_LAG_MS = 200
@@ -128,6 +130,7 @@
             "capacity_blocks": CAPACITY_BLOCKS,
             "prefill_ms_per_token": PREFILL_MS_PER_TOKEN,
         }
+        self.fleet.control(self.fleet.kv_store, ms_per_block=TRANSFER_MS_PER_BLOCK)
         self.fleet.start_engines(ENGINES, engine)
         with tempfile.TemporaryDirectory() as folder:
             apply_tables(self.fleet, self._tables(), folder)
@@ -212,6 +215,7 @@
                     prompt_tokens=journal["prompt_tokens"],
                     cached_tokens=journal["cached_tokens"],
                     computed_tokens=journal["computed_tokens"],
+                    imported_blocks=journal["imported_blocks"],
                     blocks=call(engine, "GET", "/computed")["blocks"],
                 )
             )
@@ -242,6 +246,10 @@
             hit_rate=figures.hit_rate(before, after),
             computed_tokens=sum(computed),
             wasted_tokens=figures.wasted_tokens(before, after, BLOCK_TOKENS),
+            imported_blocks=sum(
+                new.imported_blocks - old.imported_blocks
+                for old, new in zip(before, after, strict=True)
+            ),
             first_token_ms=tuple(round(value, 1) for value in first),
             not_whole=sum(not item.whole for item in seen),
             errors=collections.Counter(_error_of(item) for item in seen if not item.whole),
--- a/tools/bench/cells.py
+++ b/tools/bench/cells.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
-from tools.bench.cell import FAULTS, ORACLE, Cell
+from tools.bench.cell import FAULTS, ORACLE, TRANSFER_MS_PER_BLOCK, Cell
 
 POLICIES = (
     "random", "round_robin", "least_in_flight", "pure_hash", "bounded_load", "cost", ORACLE,
@@ -53,8 +53,10 @@
 
 
 def ablations(make: Maker) -> Iterator[Cell]:
-    """Yield ``cost`` whole, then without one mechanism at a time."""
+    """Yield ``cost`` whole, with KV transfers, and without one mechanism at a time."""
     yield make(policy="cost")
+    pool = {"import_ms_per_block": TRANSFER_MS_PER_BLOCK}
+    yield make(policy="cost", pool=pool, label="with KV transfers")
     for label, tuning in ABLATIONS.items():
         yield make(policy="cost", tune=tuning, label=label)
 
--- a/tools/bench/figures.py
+++ b/tools/bench/figures.py
@@ -24,6 +24,7 @@
     prompt_tokens: int
     cached_tokens: int
     computed_tokens: int
+    imported_blocks: int
     blocks: Mapping[str, int]
 
 
@@ -64,6 +65,7 @@
     hit_rate: float
     computed_tokens: int
     wasted_tokens: int
+    imported_blocks: int
     first_token_ms: tuple[float, ...]
     not_whole: int
     errors: Mapping[str, int]
@@ -102,6 +104,7 @@
         hit_rate=sum(item.hit_rate for item in found) / count,
         computed_tokens=sum(item.computed_tokens for item in found),
         wasted_tokens=sum(item.wasted_tokens for item in found),
+        imported_blocks=sum(item.imported_blocks for item in found),
         first_token_ms=tuple(sorted(ms for item in found for ms in item.first_token_ms)),
         not_whole=sum(item.not_whole for item in found),
         errors=_added(item.errors for item in found),
--- a/tools/bench/report.py
+++ b/tools/bench/report.py
@@ -10,7 +10,8 @@
 
 Measured = tuple[Cell, Figures]
 HEADS = (
-    "cell", "n", "hit rate", "gap closed", "wasted tokens", "p50 ms", "p95 ms", "p99 ms",
+    "cell", "n", "hit rate", "gap closed", "wasted tokens", "imported blocks",
+    "p50 ms", "p95 ms", "p99 ms",
     "not whole", "busiest", "mean busy",
 )  # fmt: skip
 CONTROL_HEADS = ("cell", "peer bytes/s", "CPU s", "RSS MB", "late p99 ms", "late max ms")
@@ -72,6 +73,7 @@
         f"{found.hit_rate:.3f}",
         closed,
         str(found.wasted_tokens),
+        str(found.imported_blocks),
         f"{found.p50:.0f}",
         f"{found.p95:.0f}",
         f"{found.p99:.0f}",
