--- a/agaterail/metrics.py
+++ b/agaterail/metrics.py
@@ -61,6 +61,9 @@
     Metric(
         "expected_hit_tokens", _COUNTER, "tokens", "Of these, expected in the engine's cache."
     ),
+    Metric(
+        "transfers.imported_blocks", _COUNTER, "blocks", "Blocks imported from the kept store."
+    ),
     Metric("first_part", _TIMING, "ms", "From arrival to the first part of the answer."),
     Metric("request", _TIMING, "ms", "From arrival to the end of the answer."),
     Metric("in_flight", _GAUGE, "requests", "Requests in flight on this daemon."),
