Save each cell as it is measured, show the hit rate of the last quarter

Cause: a bench that was cut short lost all its cells, and the recovery after a fault at half time did not show.

--- /dev/null
+++ b/tests/test_tools/test_oracle.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import unittest
+
+from agaterail.policies import Placement
+from agaterail.prefix import Prefix
+from agaterail.targets import TargetState
+from standins.engine import EngineConfig, EngineStandIn
+from tests.support import chat_route, engine_pool
+from tools.oracle import OraclePolicy
+
+KEYS = tuple(bytes([number]) * 16 for number in range(4))
+
+
+class OracleTest(unittest.TestCase):
+    def setUp(self):
+        config = EngineConfig(block_tokens=10, prefill_ms_per_token=1.0)
+        self.engines = [EngineStandIn(config) for _ in range(2)]
+        self.addresses = [engine.start() for engine in self.engines]
+        for engine in self.engines:
+            self.addCleanup(engine.stop)
+
+    def choose(self, miss_weight):
+        placement = Placement(
+            pool=engine_pool(self.addresses, prefill_ms_per_token=1.0),
+            route=chat_route(miss_weight=miss_weight),
+            prefix=Prefix(KEYS, (3,), 45, KEYS[2]),
+            deadline_ms=1e4,
+        )
+        targets = [TargetState(address) for address in self.addresses]
+        return OraclePolicy().choose(placement, targets)
+
+    def test_it_weighs_exact_queues_against_exact_caches(self):
+        # The second engine holds the prefix and has 100 ms of work before it;
+        # the first is idle and would compute 45 tokens, 40 of them again.
+        self.engines[1].cache.store(KEYS)
+        self.engines[1]._foresee = lambda: (self.engines[1].cache.keys, 100.0)
+        for weight, expected in ((2.0, self.addresses[0]), (3.0, self.addresses[1])):
+            self.assertEqual(self.choose(weight).address, expected)
+
+    def test_an_engine_that_does_not_answer_is_left_out(self):
+        self.engines[0].stop()
+        self.assertEqual(self.choose(3.0).address, self.addresses[1])
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -38,8 +38,6 @@
     measured = _measure_all(arguments) if not arguments.report else []
     for file in arguments.report:
         measured += _load(file)
-    if arguments.save:
-        _save(arguments.save, measured)
     for workload in arguments.workloads:
         _print(workload, [item for item in measured if item[0].workload == workload])
     print(f"took {time.monotonic() - started:.0f} s")
@@ -78,7 +76,12 @@
             Cell, workload=workload, seed=seed, seconds=arguments.seconds, slot=slot
         )
         row += cells.selected(make, arguments.cells, arguments.only)
-    return [(cell, _measure_apart(cell)) for cell in row]
+    measured = []
+    for cell in row:
+        measured.append((cell, _measure_apart(cell)))
+        if arguments.save:
+            _save(arguments.save, *measured[-1])
+    return measured
 
 
 def _measure_apart(cell: Cell) -> Figures:
@@ -98,11 +101,10 @@
     print(json.dumps(attrs.asdict(found)))
 
 
-def _save(file: str, measured: Sequence[report.Measured]) -> None:
+def _save(file: str, cell: Cell, found: Figures) -> None:
+    line = {"cell": attrs.asdict(cell), "figures": attrs.asdict(found)}
     with pathlib.Path(file).open("a", encoding="utf-8") as opened:
-        for cell, found in measured:
-            line = {"cell": attrs.asdict(cell), "figures": attrs.asdict(found)}
-            opened.write(json.dumps(line) + "\n")
+        opened.write(json.dumps(line) + "\n")
 
 
 def _load(file: str) -> list[report.Measured]:
--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -49,6 +49,7 @@
 WARM_UP_RATE = 100.0
 WARM_UP_FACTOR = 0.02
 SETTLE_S = 1.0
+LATE_SHARE = 0.75
 END_MARGIN_S = 5.0
 BALANCER_LAG_S = 0.5
 DRAIN_LAG_S = 1.0
@@ -119,9 +120,16 @@
         seen = self._send(arrivals)
         seconds = time.monotonic() - started
         timer.join()
-        return self._figures(
+        found = self._figures(
             seen, seconds, engines, self._engine_counts(), daemons, self._daemon_counts()
         )
+        late_from = self.cell.seconds * LATE_SHARE
+        late = [
+            item
+            for arrival, item in zip(arrivals, seen, strict=True)
+            if arrival.at_s >= late_from
+        ]
+        return attrs.evolve(found, late_hit_rate=_hit_rate_of(late))
 
     def _start(self) -> None:
         self.fleet.start_platform()
@@ -254,6 +262,7 @@
             not_whole=sum(not item.whole for item in seen),
             errors=collections.Counter(_error_of(item) for item in seen if not item.whole),
             reasons=collections.Counter(item.reason for item in seen if item.whole),
+            late_hit_rate=0.0,
             busiest=max(busy),
             mean_busy=sum(busy) / len(busy),
             late_ms=(figures.percentile(late, 0.99), max(late)),
@@ -301,6 +310,11 @@
     )
 
 
+def _hit_rate_of(seen: Sequence[Seen]) -> float:
+    prompt = sum(item.prompt_tokens for item in seen if item.whole)
+    return sum(item.cached_tokens for item in seen if item.whole) / max(1, prompt)
+
+
 def _error_of(seen: Seen) -> str:
     try:
         return str(json.loads(seen.error)["error"]["code"])
--- a/tools/bench/figures.py
+++ b/tools/bench/figures.py
@@ -52,6 +52,9 @@
     first_token_ms
         Times to the first token, sorted; a request without a whole answer
         counts with its deadline.
+    late_hit_rate
+        Hit rate of whole answers to requests of the last quarter; a fault at
+        half time is then a quarter of the run ago.
     busiest, mean_busy
         Share of the time for which the busiest and the average engine
         prefilled.
@@ -70,6 +73,7 @@
     not_whole: int
     errors: Mapping[str, int]
     reasons: Mapping[str, int]
+    late_hit_rate: float
     busiest: float
     mean_busy: float
     late_ms: tuple[float, float]
@@ -109,6 +113,7 @@
         not_whole=sum(item.not_whole for item in found),
         errors=_added(item.errors for item in found),
         reasons=_added(item.reasons for item in found),
+        late_hit_rate=sum(item.late_hit_rate for item in found) / count,
         busiest=max(item.busiest for item in found),
         mean_busy=sum(item.mean_busy for item in found) / count,
         late_ms=(
--- a/tools/bench/report.py
+++ b/tools/bench/report.py
@@ -10,7 +10,7 @@
 
 Measured = tuple[Cell, Figures]
 HEADS = (
-    "cell", "n", "hit rate", "gap closed", "wasted tokens", "imported blocks",
+    "cell", "n", "hit rate", "late hit rate", "gap closed", "wasted tokens", "imported blocks",
     "p50 ms", "p95 ms", "p99 ms",
     "not whole", "busiest", "mean busy",
 )  # fmt: skip
@@ -71,6 +71,7 @@
         cell.name,
         str(found.requests),
         f"{found.hit_rate:.3f}",
+        f"{found.late_hit_rate:.3f}",
         closed,
         str(found.wasted_tokens),
         str(found.imported_blocks),
