--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -40,6 +40,8 @@
 DAEMONS = 3
 CAPACITY_BLOCKS = 60
 PREFILL_MS_PER_TOKEN = BLOCK_PREFILL_MS / BLOCK_TOKENS
+# A fifth of the prefill of a block, as for about 300 MB over a fast network.
+TRANSFER_MS_PER_BLOCK = 10.0
 MAX_TOKENS = 8
 EVENT_DELAY_MS = 100
 LOAD_LAG_MS = 200
@@ -47,6 +49,7 @@
 WARM_UP_RATE = 100.0
 WARM_UP_FACTOR = 0.02
 SETTLE_S = 1.0
+LATE_SHARE = 0.75
 END_MARGIN_S = 5.0
 BALANCER_LAG_S = 0.5
 DRAIN_LAG_S = 1.0
@@ -117,9 +120,16 @@
         seen = self._send(arrivals)
         seconds = time.monotonic() - started
         timer.join()
-        return self._figures(
+        found = self._figures(
             seen, seconds, engines, self._engine_counts(), daemons, self._daemon_counts()
         )
+        late_from = self.cell.seconds * LATE_SHARE
+        late = [
+            item
+            for arrival, item in zip(arrivals, seen, strict=True)
+            if arrival.at_s >= late_from
+        ]
+        return attrs.evolve(found, late_hit_rate=_hit_rate_of(late))
 
     def _start(self) -> None:
         self.fleet.start_platform()
@@ -128,6 +138,7 @@
             "capacity_blocks": CAPACITY_BLOCKS,
             "prefill_ms_per_token": PREFILL_MS_PER_TOKEN,
         }
+        self.fleet.control(self.fleet.kv_store, ms_per_block=TRANSFER_MS_PER_BLOCK)
         self.fleet.start_engines(ENGINES, engine)
         with tempfile.TemporaryDirectory() as folder:
             apply_tables(self.fleet, self._tables(), folder)
@@ -212,6 +223,7 @@
                     prompt_tokens=journal["prompt_tokens"],
                     cached_tokens=journal["cached_tokens"],
                     computed_tokens=journal["computed_tokens"],
+                    imported_blocks=journal["imported_blocks"],
                     blocks=call(engine, "GET", "/computed")["blocks"],
                 )
             )
@@ -242,10 +254,15 @@
             hit_rate=figures.hit_rate(before, after),
             computed_tokens=sum(computed),
             wasted_tokens=figures.wasted_tokens(before, after, BLOCK_TOKENS),
+            imported_blocks=sum(
+                new.imported_blocks - old.imported_blocks
+                for old, new in zip(before, after, strict=True)
+            ),
             first_token_ms=tuple(round(value, 1) for value in first),
             not_whole=sum(not item.whole for item in seen),
             errors=collections.Counter(_error_of(item) for item in seen if not item.whole),
             reasons=collections.Counter(item.reason for item in seen if item.whole),
+            late_hit_rate=0.0,
             busiest=max(busy),
             mean_busy=sum(busy) / len(busy),
             late_ms=(figures.percentile(late, 0.99), max(late)),
@@ -293,6 +310,11 @@
     )
 
 
+def _hit_rate_of(seen: Sequence[Seen]) -> float:
+    prompt = sum(item.prompt_tokens for item in seen if item.whole)
+    return sum(item.cached_tokens for item in seen if item.whole) / max(1, prompt)
+
+
 def _error_of(seen: Seen) -> str:
     try:
         return str(json.loads(seen.error)["error"]["code"])
--- a/tools/bench/figures.py
+++ b/tools/bench/figures.py
@@ -24,6 +24,7 @@
     prompt_tokens: int
     cached_tokens: int
     computed_tokens: int
+    imported_blocks: int
     blocks: Mapping[str, int]
 
 
@@ -51,6 +52,9 @@
     first_token_ms
         Times to the first token, sorted; a request without a whole answer
         counts with its deadline.
+    late_hit_rate
+        Hit rate of whole answers to requests of the last quarter; a fault at
+        half time is then a quarter of the run ago.
     busiest, mean_busy
         Share of the time for which the busiest and the average engine
         prefilled.
@@ -64,10 +68,12 @@
     hit_rate: float
     computed_tokens: int
     wasted_tokens: int
+    imported_blocks: int
     first_token_ms: tuple[float, ...]
     not_whole: int
     errors: Mapping[str, int]
     reasons: Mapping[str, int]
+    late_hit_rate: float
     busiest: float
     mean_busy: float
     late_ms: tuple[float, float]
@@ -102,10 +108,12 @@
         hit_rate=sum(item.hit_rate for item in found) / count,
         computed_tokens=sum(item.computed_tokens for item in found),
         wasted_tokens=sum(item.wasted_tokens for item in found),
+        imported_blocks=sum(item.imported_blocks for item in found),
         first_token_ms=tuple(sorted(ms for item in found for ms in item.first_token_ms)),
         not_whole=sum(item.not_whole for item in found),
         errors=_added(item.errors for item in found),
         reasons=_added(item.reasons for item in found),
+        late_hit_rate=sum(item.late_hit_rate for item in found) / count,
         busiest=max(item.busiest for item in found),
         mean_busy=sum(item.mean_busy for item in found) / count,
         late_ms=(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -164,7 +164,7 @@
     def next_address(self) -> str:
         """Return a loopback address that no process of the fleet uses."""
         self.port += 1
-        while not is_free(self.port):
+        while not self.fixed and not is_free(self.port):
             self.port += 1
         return f"{self.host}:{self.port}"
 
