Break ties of cold prefixes by a smaller part of the prefill

Cause: 0.2 of the prefill for each place further down the order pushed cold prefixes to engines that were already busy.

Change: 0.02, which only breaks ties.

Conclusion: a tie-breaker is enough for requests that are told to homes.

--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -30,7 +30,7 @@
 # Requests for one cold prefix that arrive at several daemons at once must meet
 # at one engine although none is told of the others yet. Each place further down
 # the order costs this part of the prefill, so that only a queue moves them.
-RANK_SHARE = 0.2
+RANK_SHARE = 0.02
 LEAST_LOADED_PERIOD_S = 0.1
 KNOWN_FOR_S = 2.0
 
