Remember where a prefix was sent when its homes are silent

Cause: on a busy machine homes miss their 20 ms, and the first engine by hash was taken for the holder although the cost function had sent the prefix elsewhere. The crude estimate for such engines also counted as the expected time of a request, by which it could be refused.

Change: a daemon remembers its last engine for 4096 prefixes, counts it as the probable holder when its home is silent, and always asks about it. A decision without an answer has no expected time.

--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -25,9 +26,10 @@
 
 CANDIDATES = 4
 DOMAIN_PENALTY_MS = 2.0
-# Without an answer from its home, the first engine in hash order holds
-# the prefix about every second time and the others hardly ever.
-UNKNOWN_FIRST_HIT = 0.5
+# Without answers from the homes, the engine that this daemon sent the prefix to
+# last, or else the first by hash, holds it about every second time.
+UNKNOWN_HIT = 0.5
+MAX_REMEMBERED = 4096
 UNKNOWN_QUEUE_SHARE = 0.5
 # Requests for one cold prefix that arrive at several daemons at once must meet
 # at one engine although none is told of the others yet. Each place further down
@@ -115,6 +117,24 @@
         return self.queues[address][0]
 
 
+class LastSent:
+    """Where this daemon sent each of the latest prefixes."""
+
+    def __init__(self) -> None:
+        self.addresses: OrderedDict[bytes, str] = OrderedDict()
+
+    def note(self, key: bytes, address: str) -> None:
+        """Remember the engine of a prefix."""
+        self.addresses[key] = address
+        self.addresses.move_to_end(key)
+        if len(self.addresses) > MAX_REMEMBERED:
+            self.addresses.popitem(last=False)
+
+    def find(self, key: bytes) -> str:
+        """Return the engine of a prefix, or nothing."""
+        return self.addresses.get(key, "")
+
+
 class CostPolicy(Policy):
     """Expected queue plus weighted expected recomputation.
 
@@ -142,19 +162,21 @@
         self.random = random.Random(seed)
         self.rankings: dict[str, PoolRanking] = {}
         self.least_loaded = LeastLoaded()
+        self.last_sent = LastSent()
 
     def candidates(
         self, placement: Placement, excluded: Collection[str]
     ) -> Sequence[TargetEntry]:
-        """Return the first targets by hash, and the least loaded one known."""
+        """Return the first targets by hash, the last used and the least loaded one."""
         key = placement_key(placement)
         ranking = self._ranking(placement.pool)
         count = self.count + self.heat.on_request(key, placement.now)
         ranked = ranking.ranked(key, count + len(excluded))
         chosen = [entry for entry in ranked if entry.address not in excluded][:count]
-        spare = self._spare(ranking, placement.now)
-        if spare not in chosen and spare.address not in excluded:
-            chosen.append(spare)
+        last = ranking.by_address.get(self.last_sent.find(key))
+        for other in (last, self._spare(ranking, placement.now)):
+            if other and other not in chosen and other.address not in excluded:
+                chosen.append(other)
         return chosen
 
     def choose(self, placement: Placement, targets: Sequence[TargetState]) -> Decision | None:
@@ -165,9 +187,15 @@
             return self._choose_service(targets)
         self.least_loaded.learn(placement.views.values(), placement.now)
         fitting = [state for state in targets if self._fits(placement, state)] or targets
-        costs = [self._terms(placement, state, rank) for rank, state in enumerate(fitting)]
+        key = placement_key(placement)
+        holder = self._probable_holder(key, fitting)
+        costs = [
+            self._terms(placement, state, rank, state is holder)
+            for rank, state in enumerate(fitting)
+        ]
         place = min(range(len(costs)), key=lambda index: costs[index].total)
         state, terms = fitting[place], costs[place]
+        self.last_sent.note(key, state.address)
         transfer = self._import(placement, state)
         if transfer is not None:
             left = max(0.0, terms.prefill - transfer.saved_ms)
@@ -188,11 +216,17 @@
         other = wanted and view.weights_version and view.weights_version != wanted
         return not view.leaving and not other
 
-    def _terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
+    def _probable_holder(self, key: bytes, targets: Sequence[TargetState]) -> TargetState:
+        last = self.last_sent.find(key)
+        return next((state for state in targets if state.address == last), targets[0])
+
+    def _terms(
+        self, placement: Placement, state: TargetState, rank: int, holder: bool
+    ) -> Terms:
         assert placement.prefix is not None
         view = placement.views.get(state.address)
         if view is None:
-            return self._unknown_terms(placement, state, rank)
+            return self._unknown_terms(placement, state, rank, holder)
         tokens = placement.prefix.prompt_tokens
         cached = view.depth * view.confidence * placement.pool.block_tokens
         each = view.prefill_ms_per_token or placement.pool.prefill_ms_per_token
@@ -222,10 +256,12 @@
             prefill_ms_per_block=prefill_ms_per_token * pool.block_tokens,
         )
 
-    def _unknown_terms(self, placement: Placement, state: TargetState, rank: int) -> Terms:
+    def _unknown_terms(
+        self, placement: Placement, state: TargetState, rank: int, holder: bool
+    ) -> Terms:
         assert placement.prefix is not None
         whole = placement.prefix.prompt_tokens * placement.pool.prefill_ms_per_token
-        prefill = whole * (1.0 - UNKNOWN_FIRST_HIT) if rank == 0 else whole
+        prefill = whole * (1.0 - UNKNOWN_HIT) if holder else whole
         return Terms(
             queue=state.in_flight * whole * UNKNOWN_QUEUE_SHARE,
             miss=prefill * placement.route.miss_weight,
@@ -243,7 +279,8 @@
             address=state.address,
             reason="unknown" if view is None else f"cost_{'hit' if view.depth else 'cold'}",
             hit_blocks=0 if view is None else view.depth,
-            expected_ms=terms.expected_ms,
+            # Own requests say too little of a queue to refuse a request by it.
+            expected_ms=None if view is None else terms.expected_ms,
             queue_ms=terms.queue,
             terms=(
                 ("queue_ms", terms.queue),
--- a/tests/test_agaterail/test_policies/test_cost.py
+++ b/tests/test_agaterail/test_policies/test_cost.py
@@ -89,6 +89,17 @@
         self.assertEqual(chosen[:3], [self.one] * 3)
         self.assertEqual(set(chosen), set(ADDRESSES[:3]))
 
+    def test_without_answers_a_prefix_stays_where_it_was_sent_last(self):
+        # All homes fall silent on a busy machine. The first by hash need not be
+        # the engine that holds the prefix; going there would compute it again.
+        cached = CandidateState(self.three, depth=10)
+        self.choose(CandidateState(self.one, queue_ms=900.0), cached)
+        decision = self.choose()
+        self.assertEqual(decision.address, self.three)
+        self.assertIsNone(decision.expected_ms)
+        place_again = [entry.address for entry in self.policy.candidates(place(), ())]
+        self.assertIn(self.three, place_again)
+
     def test_every_decision_names_its_terms(self):
         names = [name for name, _ in self.choose(CandidateState(self.one)).terms]
         self.assertEqual(
