Resume broken streams, stop engines whose caller left

Cause: a stream that lost its engine or a frame ended with an error at once; an engine went on computing for a caller that had closed its connection; the last bytes of a slow reader were waited for without end. Change: a stream is taken up at its next position on the same engine, else run anew on another one, whose first frames must equal those already sent (running digest, one completion id shown); the caller's socket is watched from the end of the body on, and its closing ends the request's greenlet and cancels the run at the engine; a reader that takes nothing for 30 s is cut, with 128 KiB of buffer. A connection is kept only if its answer was read to its end. Conclusion: a lost frame, a cut and a dead engine give a whole stream or an error event.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -11,9 +11,11 @@
 from agaterail import __version__, logs
 from agaterail.candidates import CandidateFinder
 from agaterail.engines.http import HttpEngine
+from agaterail.errors import Outcome
 from agaterail.events import EventBus
 from agaterail.exchange import Exchange
 from agaterail.filters import FilterChain
+from agaterail.filters.retry import RetryBudget
 from agaterail.homes import HomeMap
 from agaterail.hostlists.http import HttpHostList
 from agaterail.logstore.http import HttpLogStore
@@ -32,6 +34,7 @@
     from returns.result import Result
 
     from agaterail import errors
+    from agaterail.callerwatch import CallerWatch
     from agaterail.controllers import Controller
     from agaterail.engines import Engine
     from agaterail.exchange import Reply
@@ -109,6 +112,7 @@
         self.engines: dict[str, Engine] = {}
         self.services: dict[str, Service] = {}
         self.subscriptions: list[Subscription] = []
+        self.retry_budget = RetryBudget()
         self.draining = False
         self.in_flight = 0
         for name in parts:
@@ -153,7 +157,13 @@
         self.peers.stop()
 
     def handle(
-        self, method: str, path: str, query: str, headers: dict[str, str], body: bytes
+        self,
+        method: str,
+        path: str,
+        query: str,
+        headers: dict[str, str],
+        body: bytes,
+        watch: CallerWatch | None = None,
     ) -> tuple[Exchange, Result[Reply, errors.Failure]]:
         """Pass one request through the filters."""
         exchange = Exchange(
@@ -165,10 +175,17 @@
             body=body,
             received_at=self.timers.now(),
             tables=self.tables,
+            watch=watch,
         )
         self.in_flight += 1
         exchange.on_finish(lambda outcome: self._on_finish(exchange, outcome))
-        result = self.chain.run(exchange)
+        try:
+            result = self.chain.run(exchange)
+        except BaseException:
+            # The caller left or a filter raised. What the filters hold for the
+            # request would otherwise be held for good, and a drain never end.
+            exchange.finish(Outcome.UNKNOWN)
+            raise
         self._measure(exchange, result)
         return exchange, result
 
--- a/agaterail/errors.py
+++ b/agaterail/errors.py
@@ -20,6 +20,15 @@
     UNKNOWN = "unknown"
 
 
+class Waste(enum.Enum):
+    """Why work of an engine was of no use to a caller."""
+
+    LEFT = "left"
+    TIMED_OUT = "timed_out"
+    REPLAYED = "replayed"
+    HEDGED = "hedged"
+
+
 class ErrorKind(enum.Enum):
     """Each reason for which a request can end without a target's full answer."""
 
--- a/agaterail/exchange.py
+++ b/agaterail/exchange.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
+    from agaterail.callerwatch import CallerWatch
     from agaterail.chat import ChatRequest
     from agaterail.engines import EngineReply
     from agaterail.policies import Decision
@@ -32,6 +33,10 @@
         Targets that this request must not be sent to again.
     attempt
         Number of targets asked so far.
+    resuming
+        A broken stream is being started anew at another target.
+    watch
+        Watch on the caller's connection while the caller's leaving counts.
     answer_headers
         Headers of the answer, whether it is a reply or an error.
     """
@@ -55,6 +60,8 @@
     excluded: set[str] = attrs.field(factory=set)
     attempt: int = 0
     outcome: Outcome | None = None
+    resuming: bool = False
+    watch: CallerWatch | None = None
     answer_headers: dict[str, str] = attrs.field(factory=dict)
     finishers: list[Callable[[Outcome], None]] = attrs.field(factory=list)
 
--- a/agaterail/filters/__init__.py
+++ b/agaterail/filters/__init__.py
@@ -43,6 +43,14 @@
         """Pass a request through all filters."""
         return self._step(0, exchange)
 
+    def run_from(self, order: int, exchange: Exchange) -> Result[Reply, errors.Failure]:
+        """Pass a request through the filters from a place on, to start it anew."""
+        index = next(
+            (place for place, item in enumerate(self.filters) if item.order >= order),
+            len(self.filters),
+        )
+        return self._step(index, exchange)
+
     def _step(self, index: int, exchange: Exchange) -> Result[Reply, errors.Failure]:
         if index == len(self.filters):
             return Failure(errors.Failure(errors.ErrorKind.INTERNAL, "No filter answered."))
--- a/agaterail/filters/claim.py
+++ b/agaterail/filters/claim.py
@@ -49,6 +49,10 @@
         """Run the request if its claim is the first, else tell what is known."""
         if not exchange.at_most_once:
             return proceed(exchange)
+        if exchange.watch is not None:
+            # The call goes on when its caller has left: stopping it half-way
+            # would leave the key without an outcome for the repeat.
+            exchange.watch.stop()
         key = exchange.headers.get(KEY_HEADER, "").strip()
         if not key:
             exchange.answer_headers[SCOPE_HEADER] = "host"
--- a/agaterail/filters/retry.py
+++ b/agaterail/filters/retry.py
@@ -61,9 +61,9 @@
 
     order = 450
 
-    def __init__(self, timers: TimerService) -> None:
+    def __init__(self, timers: TimerService, budget: RetryBudget) -> None:
         self.timers = timers
-        self.budget = RetryBudget()
+        self.budget = budget
 
     def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
         """Try targets until one answers or trying again is not allowed."""
@@ -103,4 +103,4 @@
 
 def setup(app: Application) -> None:
     """Register the filter."""
-    app.add_filter(RetryFilter(app.timers))
+    app.add_filter(RetryFilter(app.timers, app.retry_budget))
--- a/agaterail/metrics.py
+++ b/agaterail/metrics.py
@@ -9,7 +9,7 @@
 import attrs
 import statsd
 
-from agaterail.errors import ErrorKind, Outcome
+from agaterail.errors import ErrorKind, Outcome, Waste
 from agaterail.fold import Verdict
 
 if TYPE_CHECKING:
@@ -57,6 +57,12 @@
     Metric("requests.{}", _COUNTER, "requests", "Requests by what became of them.", Outcome),
     Metric("errors.{}", _COUNTER, "requests", "Requests that got an error.", ErrorKind),
     Metric("attempts", _COUNTER, "attempts", "Targets asked, retries included."),
+    Metric("wasted.{}", _COUNTER, "runs", "Runs at engines of no use to a caller.", Waste),
+    Metric("wasted_events", _COUNTER, "events", "Token events of such runs."),
+    Metric("cancels", _COUNTER, "runs", "Runs that engines were told to stop."),
+    Metric("cancels_failed", _COUNTER, "runs", "Of these, without an answer."),
+    Metric("resumes.same", _COUNTER, "streams", "Streams resumed on their engine."),
+    Metric("resumes.elsewhere", _COUNTER, "streams", "Streams run anew on another engine."),
     Metric("prompt_tokens", _COUNTER, "tokens", "Prompt tokens of routed completions."),
     Metric(
         "expected_hit_tokens", _COUNTER, "tokens", "Of these, expected in the engine's cache."
--- a/agaterail/server.py
+++ b/agaterail/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from socket import SO_SNDBUF, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
 
 import falcon
@@ -10,12 +11,13 @@
 from returns.result import Success
 
 from agaterail import errors, logs
+from agaterail.callerwatch import CallerWatch
 from agaterail.errors import ErrorKind, Outcome
 from agaterail.filters.identify import caller_of
 from agaterail.filters.match import CallerIndex
 from agaterail.filters.relay import error_object
 from agaterail.tables import NO_VERSION
-from agaterail.wsgi import BoundedServer
+from agaterail.wsgi import SOCKET_KEY, BoundedServer
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -26,6 +28,8 @@
 
 NOT_READY = 503
 ERROR_STATUS_FROM = 400
+SEND_TIMEOUT_S = 30.0
+SEND_BUFFER_BYTES = 128 * 1024
 
 
 class CallerResource:
@@ -42,12 +46,24 @@
             response.set_header("connection", "close")
             return
         headers = {name.lower(): value for name, value in request.headers.items()}
-        exchange, result = self.app.handle(
-            request.method, request.path, request.query_string, headers, body
-        )
+        sock = request.env[SOCKET_KEY]
+        watch = CallerWatch(sock)
+        try:
+            exchange, result = self.app.handle(
+                request.method, request.path, request.query_string, headers, body, watch
+            )
+        except BaseException:
+            watch.stop()
+            raise
         if isinstance(result, Success):
-            _send_reply(response, exchange, result.unwrap())
+            reply = result.unwrap()
+            if isinstance(reply.body, bytes):
+                watch.stop()
+            else:
+                _guard_stream(exchange, sock, watch)
+            _send_reply(response, exchange, reply)
             return
+        watch.stop()
         failure = result.failure()
         exchange.finish(failure.outcome)
         logger.info(
@@ -172,6 +188,19 @@
     return BoundedServer(address, make_wsgi(app), app.settings)
 
 
+def _guard_stream(exchange: Exchange, sock: Any, watch: CallerWatch) -> None:
+    # A reader that takes nothing for so long is cut; until then its engine's
+    # stream waits in the kernel's bounded buffers and no other is touched.
+    sock.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
+    sock.settimeout(SEND_TIMEOUT_S)
+
+    def release(_outcome: Outcome) -> None:
+        watch.stop()
+        sock.settimeout(None)
+
+    exchange.on_finish(release)
+
+
 def _send_reply(response: falcon.Response, exchange: Exchange, reply: Reply) -> None:
     response.status = reply.status
     for name, value in reply.headers.items():
--- a/agaterail/sse.py
+++ b/agaterail/sse.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 import attrs
 
 SEPARATOR = b"\n\n"
 ID_PREFIX = b"id: "
 FINAL_DATA = b"data: [DONE]"
+DIGEST_BYTES = 16
+MAX_REST_BYTES = 1024 * 1024
+
+
+def _new_hash() -> blake2b:
+    return blake2b(digest_size=DIGEST_BYTES)
 
 
 @attrs.define
@@ -20,13 +28,28 @@
     finished
         The engine's final frame was seen.
     broken
-        A frame was missing or had no position.
+        A frame was missing or had no position, or the runs differ.
+    differs
+        Another run did not begin with the frames that were sent before.
+    own_id, shown_id
+        Id of the engine's run in its frames, and the one that the caller saw
+        first; after a run elsewhere the caller still sees one completion.
+    replay_until
+        Position below which frames were sent before and are only compared.
+    replay_digest
+        Digest of the frames sent before; None when there is nothing to compare.
     """
 
     position: int = 0
     finished: bool = False
     broken: bool = False
+    differs: bool = False
     rest: bytes = b""
+    own_id: bytes = b""
+    shown_id: bytes = b""
+    replay_until: int = 0
+    replay_digest: bytes | None = None
+    seen: blake2b = attrs.field(factory=_new_hash)
 
     def accept(self, data: bytes) -> bytes:
         """Return the new whole frames in the data, repeats dropped.
@@ -35,17 +58,51 @@
         a stream with a hole in it.
         """
         whole, separator, self.rest = (self.rest + data).rpartition(SEPARATOR)
+        # A frame without an end would be kept in memory for as long as it comes.
+        self.broken = self.broken or len(self.rest) > MAX_REST_BYTES
         if not separator:
             return b""
-        frames: list[bytes] = []
+        old: list[bytes] = []
+        new: list[bytes] = []
         for frame in whole.split(SEPARATOR):
             if self._accept_frame(frame):
-                frames.append(frame)
+                (old if self.position <= self.replay_until else new).append(frame)
             if self.broken:
                 break
-        if not frames:
+        if old:
+            self._note(old)
+        if self._differs():
+            self.broken = self.differs = True
             return b""
-        return SEPARATOR.join(frames) + SEPARATOR
+        return self._note(new) if new else b""
+
+    def continued(self) -> FrameCheck:
+        """Return the check of the same run, read on from the next position."""
+        return attrs.evolve(self, rest=b"", broken=False)
+
+    def replayed(self, own_id: bytes) -> FrameCheck:
+        """Return the check of another run, whose first frames must be the same."""
+        return FrameCheck(
+            own_id=own_id,
+            shown_id=self.shown_id,
+            replay_until=self.position,
+            replay_digest=self.seen.digest(),
+        )
+
+    def _note(self, frames: list[bytes]) -> bytes:
+        joined = SEPARATOR.join(frames) + SEPARATOR
+        if self.own_id != self.shown_id:
+            joined = joined.replace(self.own_id, self.shown_id)
+        self.seen.update(joined)
+        return joined
+
+    def _differs(self) -> bool:
+        # Another run may sample other tokens. Its rest appended to the first
+        # run's beginning would read as one answer that no engine gave.
+        if self.replay_digest is None or self.position < self.replay_until:
+            return False
+        wanted, self.replay_digest = self.replay_digest, None
+        return self.seen.digest() != wanted
 
     def _accept_frame(self, frame: bytes) -> bool:
         line, _, data = frame.partition(b"\n")
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -69,6 +69,13 @@
 class Response(HTTPSocketPoolResponse):
     """Response whose body can be read as it arrives."""
 
+    def should_close(self) -> bool:
+        """Keep only a connection whose answer was read to its end.
+
+        The rest of a cut or late answer would be read as the next one's.
+        """
+        return not self.message_complete or super().should_close()
+
     def read_available(self) -> bytes:
         """Return the next bytes of the body, or nothing at its end."""
         while not self._body_buffer and not self.message_complete:
--- a/agaterail/wsgi.py
+++ b/agaterail/wsgi.py
@@ -19,6 +19,7 @@
 logger = logs.get_logger("server")
 
 BACKLOG = 1024
+SOCKET_KEY = "agaterail.socket"
 TIMEOUT_ANSWER = ("408", b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
 TOO_LARGE_ANSWER = (
     "431",
@@ -94,6 +95,19 @@
         """Leave out what the library would quote of the request: it may hold keys."""
         logger.info("Refused a malformed request.", caller=str(self.client_address))
 
+    def get_environ(self) -> dict[str, Any]:
+        """Add the caller's socket, which is watched for the caller's leaving."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """Close without a word when the caller left or reads too slowly."""
+        if issubclass(kind, (gevent.GreenletExit, TimeoutError)):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, trace)
+
     def _handle_client_error(self, ex: Exception) -> Any:
         if isinstance(ex, HeadTooLargeError):
             logger.info("Refused a request head.", reason="too large")
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import errno
 import heapq
 import itertools
 import json
@@ -64,6 +65,8 @@
         Age of the events and of the load that are shown.
     skip_frame, repeat_frame
         Coming streams with a missing or a repeated frame.
+    no_resume
+        Answer 404 to every resume.
     crossed
         Coming answers that carry the id of another request.
     paused
@@ -81,6 +84,7 @@
     load_frozen: bool = False
     skip_frame: int = 0
     repeat_frame: int = 0
+    no_resume: bool = False
     crossed: int = 0
     slow_head_ms: int = 0
     paused: bool = False
@@ -295,7 +299,7 @@
                 frames = job.frames[sent:]
                 if cut_after and sent + len(frames) >= cut_after:
                     yield b"".join(frames[: cut_after - sent])
-                    raise ConnectionAbortedError
+                    raise ConnectionAbortedError(errno.ECONNABORTED, "cut")
                 if skip and sent > 0:
                     frames, skip, sent = frames[1:], False, sent + 1
                 if repeat:
@@ -311,7 +315,7 @@
         request_id = call.headers.get("x-request-id", "")
         job = self.jobs.get(request_id)
         heads = {"x-request-id": request_id, "x-weights-version": self.weights_version}
-        if job is None or job.cancelled:
+        if job is None or job.cancelled or self.faults.no_resume:
             return json_answer({"error": "unknown request"}, 404, **heads)
         heads["content-type"] = "text/event-stream"
         return Answer(200, self._stream(job, int(call.headers.get("x-position", "0"))), heads)
--- a/tests/test_agaterail/test_logs.py
+++ b/tests/test_agaterail/test_logs.py
@@ -109,6 +109,7 @@
         for body, headers in ((whole, key), (stream, key), (whole[:-2], key), (whole, wrong)):
             status_of(listen, "POST", path, body, headers)
         self.engine.faults.skip_frame = 1
+        self.engine.faults.no_resume = True
         status_of(listen, "POST", path, stream, key)
         self.engine.faults.crossed = 1
         status_of(listen, "POST", path, whole, key)
--- a/tests/test_agaterail/test_openai_client.py
+++ b/tests/test_agaterail/test_openai_client.py
@@ -88,9 +88,10 @@
         self.assertEqual(caught.exception.body["outcome"], "not_run")
 
     def test_a_broken_stream_raises(self):
-        # The engine's stream loses a frame on its way. The client must raise:
+        # The stream loses a frame and cannot be resumed. The client must raise:
         # a loop over chunks that just ends would pass for a whole answer.
         self.engine.faults.skip_frame = 1
+        self.engine.faults.no_resume = True
         with self.assertRaises(openai.APIError):
             list(self.ask(stream=True))
 
