Limit routes and share the engines' queues between workspaces

Cause: nothing bounded what one workspace sends; what an engine could not serve in time waited there until its deadline. Change: shares of a route's concurrency and tokens rate over the live daemons; dynamic thresholds on the prefill that waits for a first token; admission by the policy's expected time to the first token, lowest priority first; retry hints spread by a hash of the request id.

--- /dev/null
+++ b/agaterail/admission.py
@@ -0,0 +1,103 @@
+"""Admission to a pool: fair between workspaces, and only what can be in time."""
+
+from __future__ import annotations
+
+import attrs
+
+# Work that one daemon keeps waiting for a first token, for each engine that is
+# its part of the pool. More would only wait at the engines.
+QUEUE_MS = 1000.0
+# Above this part of the queue a workspace's requests go behind the others'.
+LIGHT_SHARE = 0.125
+MAX_PRIORITY = 9
+LOWEST_HEADROOM = 0.5
+ROUNDING_MS = 1e-6
+
+
+class FairGate:
+    """Outstanding work for one pool, by workspace.
+
+    A workspace may hold at most as much as is left free, times its weight
+    (dynamic thresholds). One flooding workspace so ends with half of the queue
+    and the rest stays open, without any count of who is active.
+
+    Attributes
+    ----------
+    held
+        Milliseconds of prefill sent and without a first token, by workspace.
+    """
+
+    def __init__(self) -> None:
+        self.held: dict[str, float] = {}
+        self.total = 0.0
+
+    def admit(self, workspace: str, cost_ms: float, capacity_ms: float, weight: float) -> bool:
+        """Take a request in, if its workspace holds less than its threshold."""
+        held = self.held.get(workspace, 0.0)
+        if held > 0.0 and held + cost_ms > weight * (capacity_ms - self.total):
+            return False
+        self.held[workspace] = held + cost_ms
+        self.total += cost_ms
+        return True
+
+    def leave(self, workspace: str, cost_ms: float) -> None:
+        """Let a request go that has its first token or failed."""
+        self.total = max(0.0, self.total - cost_ms)
+        left = self.held[workspace] - cost_ms
+        self.held[workspace] = left
+        if left <= ROUNDING_MS:
+            del self.held[workspace]
+
+    def is_light(self, workspace: str, capacity_ms: float) -> bool:
+        """Tell whether a workspace holds little of the queue."""
+        return self.held.get(workspace, 0.0) <= capacity_ms * LIGHT_SHARE
+
+
+@attrs.frozen
+class Load:
+    """One request as admission sees it.
+
+    Attributes
+    ----------
+    cost_ms
+        Prefill that it adds.
+    expected_ms
+        Expected time to its first token; None when it is not known.
+    left_ms
+        Time to its deadline.
+    """
+
+    workspace: str
+    priority: int
+    cost_ms: float
+    expected_ms: float | None
+    left_ms: float
+
+
+def weight_of(priority: int) -> float:
+    """Return the part of the free queue that a priority may use.
+
+    The lowest priority is refused first, when half of the queue is in use; the
+    highest may use nearly all that is left.
+    """
+    return 0.5 * 4.0 ** (priority / MAX_PRIORITY)
+
+
+def in_time(load: Load) -> bool:
+    """Tell whether the first token can be expected before the deadline.
+
+    Lower priorities keep a distance to it, so that under load they go first.
+    """
+    if load.expected_ms is None:
+        return True
+    headroom = LOWEST_HEADROOM + (1.0 - LOWEST_HEADROOM) * load.priority / MAX_PRIORITY
+    return load.expected_ms <= load.left_ms * headroom
+
+
+def capacity_of(targets: int, members: int) -> float:
+    """Return the queue that one daemon may keep at a pool, in milliseconds.
+
+    Never below one engine's: a daemon that shares few engines with many others
+    must still be able to send.
+    """
+    return QUEUE_MS * max(1.0, targets / max(1, members))
--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -56,6 +56,7 @@
     "agaterail.filters.identify",
     "agaterail.filters.match",
     "agaterail.filters.prefix",
+    "agaterail.filters.limits",
     "agaterail.controllers.claims",
     "agaterail.filters.claim",
     "agaterail.filters.retry",
--- a/agaterail/exchange.py
+++ b/agaterail/exchange.py
@@ -33,6 +33,8 @@
         Targets that this request must not be sent to again.
     attempt
         Number of targets asked so far.
+    priority
+        Priority at the engine; the route's own when None.
     resuming
         A broken stream is being started anew at another target.
     watch
@@ -60,6 +62,7 @@
     excluded: set[str] = attrs.field(factory=set)
     attempt: int = 0
     outcome: Outcome | None = None
+    priority: int | None = None
     resuming: bool = False
     watch: CallerWatch | None = None
     answer_headers: dict[str, str] = attrs.field(factory=dict)
--- a/agaterail/filters/forward.py
+++ b/agaterail/filters/forward.py
@@ -56,7 +56,9 @@
                 request_id=exchange.attempt_id,
                 body=exchange.body,
                 cache_salt=exchange.scope.salt,
-                priority=exchange.route.priority,
+                priority=exchange.route.priority
+                if exchange.priority is None
+                else exchange.priority,
                 deadline_ms=self._left_ms(exchange),
                 stream=exchange.chat.stream,
             )
--- /dev/null
+++ b/agaterail/filters/limits.py
@@ -0,0 +1,158 @@
+"""Refuse what is above a limit or cannot be answered in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result
+
+from agaterail import admission, errors
+from agaterail.admission import FairGate, Load
+from agaterail.errors import ErrorKind, Outcome
+from agaterail.events import MembersChanged
+from agaterail.filters import Filter
+from agaterail.limits import TokenBucket, concurrency_share, rate_share
+from agaterail.util.spread import spread
+
+if TYPE_CHECKING:
+    from agaterail.application import Application
+    from agaterail.exchange import Exchange, Reply
+    from agaterail.filters import Proceed
+    from agaterail.tables import Route
+
+DEFAULT_MAX_TOKENS = 256
+BASE_COST_MS = 1.0
+
+
+class RouteUse:
+    """What one route uses on this daemon."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.bucket: TokenBucket | None = None
+
+
+class LimitsFilter(Filter):
+    """Concurrency and token rate of a route, and the daemon's own bound."""
+
+    order = 410
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        self.members: tuple[str, ...] = ()
+        self.routes: dict[str, RouteUse] = {}
+        app.events.subscribe(MembersChanged, self._on_members)
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Refuse at once what is above a limit."""
+        route = exchange.route
+        assert route is not None
+        if self.app.in_flight > self.app.settings.max_in_flight:
+            return Failure(_refusal(ErrorKind.OVERLOADED, exchange))
+        use = self.routes.get(route.name)
+        if use is None:
+            use = self.routes[route.name] = RouteUse()
+        if use.in_flight >= self._share(route):
+            return Failure(_refusal(ErrorKind.RATE_LIMITED, exchange))
+        wait_s, tokens = self._take_tokens(exchange, route, use)
+        if wait_s > 0.0:
+            return Failure(_refusal(ErrorKind.RATE_LIMITED, exchange, wait_s))
+        use.in_flight += 1
+
+        def release(outcome: Outcome) -> None:
+            use.in_flight -= 1
+            if outcome is Outcome.NOT_RUN and use.bucket is not None:
+                use.bucket.give_back(tokens)
+
+        exchange.on_finish(release)
+        return proceed(exchange)
+
+    def _share(self, route: Route) -> float:
+        if not route.max_concurrency:
+            return float("inf")
+        own = self.app.peers.own_address
+        return concurrency_share(route.max_concurrency, route.name.encode(), own, self.members)
+
+    def _take_tokens(
+        self, exchange: Exchange, route: Route, use: RouteUse
+    ) -> tuple[float, float]:
+        if not route.tokens_per_s or exchange.chat is None or exchange.prefix is None:
+            return 0.0, 0.0
+        now = self.app.timers.now()
+        rate = rate_share(route.tokens_per_s, self.app.peers.own_address, self.members)
+        if use.bucket is None:
+            use.bucket = TokenBucket(rate, now)
+        if use.bucket.rate != rate:
+            use.bucket.set_rate(rate, now)
+        answer_tokens = exchange.chat.max_tokens or DEFAULT_MAX_TOKENS
+        tokens = float(exchange.prefix.prompt_tokens + answer_tokens)
+        return use.bucket.take(tokens, now), tokens
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = event.members
+
+
+class AdmissionFilter(Filter):
+    """Keeps the engines' queues short and the workspaces' parts of them fair."""
+
+    order = 510
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        self.members = 1
+        self.gates: dict[str, FairGate] = {}
+        app.events.subscribe(MembersChanged, self._on_members)
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Refuse what would wait too long; hold the place until the first token."""
+        pool, load = exchange.pool, self._load_of(exchange)
+        assert pool is not None
+        if load is None:
+            return proceed(exchange)
+        gate = self.gates.get(pool.name)
+        if gate is None:
+            gate = self.gates[pool.name] = FairGate()
+        capacity_ms = admission.capacity_of(len(pool.targets), self.members)
+        weight = admission.weight_of(load.priority)
+        light = gate.is_light(load.workspace, capacity_ms)
+        if not admission.in_time(load) or not gate.admit(
+            load.workspace, load.cost_ms, capacity_ms, weight
+        ):
+            hint_s = (load.expected_ms or 0.0) / 1e3
+            return Failure(_refusal(ErrorKind.OVERLOADED, exchange, hint_s))
+        # The engine takes urgent requests first: those of a workspace that
+        # holds much of the queue wait behind those of the others.
+        exchange.priority = load.priority if light else max(0, load.priority - 1)
+        try:
+            return proceed(exchange)
+        finally:
+            gate.leave(load.workspace, load.cost_ms)
+
+    def _load_of(self, exchange: Exchange) -> Load | None:
+        route, pool, decision = exchange.route, exchange.pool, exchange.decision
+        assert route is not None and pool is not None and decision is not None
+        if exchange.prefix is None:
+            return None
+        cached = decision.hit_blocks * pool.block_tokens
+        missing = max(0, exchange.prefix.prompt_tokens - cached)
+        return Load(
+            workspace=route.workspace,
+            priority=route.priority,
+            cost_ms=BASE_COST_MS + missing * pool.prefill_ms_per_token,
+            expected_ms=decision.expected_ms,
+            left_ms=(exchange.deadline_at - self.app.timers.now()) * 1e3,
+        )
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = max(1, len(event.members))
+
+
+def _refusal(kind: ErrorKind, exchange: Exchange, wait_s: float = 0.0) -> errors.Failure:
+    hint_s = spread(errors.ANSWERS[kind], exchange.request_id)
+    return errors.Failure(kind, retry_after_s=wait_s + hint_s)
+
+
+def setup(app: Application) -> None:
+    """Register the filters."""
+    app.add_filter(LimitsFilter(app))
+    app.add_filter(AdmissionFilter(app))
--- /dev/null
+++ b/tests/test_agaterail/test_admission.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from agaterail import admission
+from agaterail.admission import FairGate, Load
+
+
+class FairGateTest(unittest.TestCase):
+    def fill(self, gate, workspace, cost=10.0, weight=1.0):
+        count = 0
+        while gate.admit(workspace, cost, 1000.0, weight):
+            count += 1
+        return count
+
+    def test_a_flood_leaves_half_of_the_queue_open(self):
+        gate = FairGate()
+        self.assertEqual(self.fill(gate, "large"), 50)
+        self.assertTrue(gate.admit("small", 10.0, 1000.0, 1.0))
+        self.assertTrue(gate.is_light("small", 1000.0))
+        self.assertFalse(gate.is_light("large", 1000.0))
+
+    def test_many_floods_share_evenly_and_a_newcomer_is_still_admitted(self):
+        gate = FairGate()
+        for number in range(20):
+            self.fill(gate, f"large-{number}")
+        self.assertTrue(gate.admit("small", 10.0, 1000.0, 1.0))
+
+    def test_the_lowest_priority_is_refused_first(self):
+        counts = []
+        for priority in (0, 5, 9):
+            gate = FairGate()
+            gate.admit("others", 400.0, 1000.0, 1.0)
+            counts.append(self.fill(gate, "w", weight=admission.weight_of(priority)))
+        self.assertEqual(counts, sorted(counts))
+        self.assertGreater(counts[2], counts[0])
+
+    def test_nothing_is_left_behind(self):
+        gate, rng, held = FairGate(), random.Random(3), []
+        for _ in range(2000):
+            if held and rng.random() < 0.5:
+                gate.leave(*held.pop(rng.randrange(len(held))))
+            else:
+                item = (f"w{rng.randrange(5)}", rng.uniform(0.1, 99.0))
+                if gate.admit(*item, 1000.0, 1.0):
+                    held.append(item)
+        for item in held:
+            gate.leave(*item)
+        self.assertAlmostEqual(gate.total, 0.0, places=6)
+        self.assertEqual(dict(gate.held), {})
+
+
+class InTimeTest(unittest.TestCase):
+    def test_what_cannot_make_its_deadline_is_refused_lowest_priority_first(self):
+        def load(priority, expected_ms):
+            return Load("w", priority, 1.0, expected_ms, 1000.0)
+
+        self.assertFalse(admission.in_time(load(9, 1001.0)))
+        self.assertTrue(admission.in_time(load(9, 990.0)))
+        self.assertFalse(admission.in_time(load(0, 600.0)))
+        self.assertTrue(admission.in_time(load(0, None)))
