Drain by steps, and believe a target's refusal for a while only

Cause: the drain stopped serving after the lag without telling peers or waiting for claim records; the host list's poll took a target's refusal back. Change: a drain controller (lag, then close and tell peers, then in-flight and claim records end, bounded); refusals and peers' word mark a target for 1 to 8 s, the host list for as long as it says so.

--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -59,6 +59,7 @@
     "agaterail.filters.limits",
     "agaterail.controllers.claims",
     "agaterail.filters.claim",
+    "agaterail.controllers.drain",
     "agaterail.filters.retry",
     "agaterail.filters.choose",
     "agaterail.filters.relay",
--- a/agaterail/cmd/serve.py
+++ b/agaterail/cmd/serve.py
@@ -20,7 +20,6 @@
     from agaterail.settings import Settings
 
 EXIT_USAGE = 2
-DRAIN_STEP_S = 0.05
 
 
 def serve(flags: Mapping[str, str], print_only: bool = False) -> int:
@@ -73,6 +72,7 @@
     import gevent.event
 
     from agaterail.application import Application
+    from agaterail.controllers.drain import DrainController
     from agaterail.server import make_server
 
     app = Application(chosen, peers=_peers(chosen))
@@ -91,11 +91,11 @@
         return _complain("peer_listen", f"{chosen.peer_listen} cannot be bound: {error}")
     server.start()
     stopping.wait()
-    app.draining = True
-    gevent.sleep(chosen.drain_lag_s)
-    deadline = app.timers.now() + chosen.drain_limit_s
-    while app.in_flight and app.timers.now() < deadline:
-        gevent.sleep(DRAIN_STEP_S)
+    drain = app.controllers[DrainController.name]
+    assert isinstance(drain, DrainController)
+    drain.closers.append(server.stop_accepting)
+    drain.begin()
+    drain.done.wait()
     app.stop()
     server.stop(timeout=1)
     return 0
--- a/agaterail/controllers/claims.py
+++ b/agaterail/controllers/claims.py
@@ -286,6 +286,12 @@
             "running": len(self.running),
         }
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether all outcomes and releases have been written."""
+        links = all(not (item.releases or item.finishes) for item in self.links.values())
+        return links and not any(item.queue.has_work for item in self.workers.values())
+
     def claim(self, claim: Claim, timeout_s: float) -> Verdict | None:
         """Claim a key and wait for the verdict; None when it did not come in time.
 
--- /dev/null
+++ b/agaterail/controllers/drain.py
@@ -0,0 +1,189 @@
+"""Leave without cutting a request, and notice which targets and peers leave."""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from gevent.event import Event
+from returns.result import Failure, Result
+
+from agaterail import errors, logs
+from agaterail.controllers import Controller
+from agaterail.controllers.claims import ClaimsController
+from agaterail.errors import ErrorKind
+from agaterail.events import MembersChanged, ShutdownStarted, TargetLeaving
+from agaterail.filters import Filter
+from agaterail.peers import peer_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.application import Application
+    from agaterail.exchange import Exchange, Reply
+    from agaterail.filters import Proceed
+
+logger = logs.get_logger("drain")
+
+RECORDS_LIMIT_S = 5.0
+TOLD_PEERS = 16
+
+
+class DrainState(enum.Enum):
+    """How far the process is on its way out."""
+
+    SERVING = "serving"
+    LAGGING = "lagging"
+    FINISHING = "finishing"
+    DONE = "done"
+
+
+@peer_message
+@attrs.frozen
+class DrainNotice:
+    """The sender leaves and wants no more of its peers' messages."""
+
+
+@peer_message
+@attrs.frozen
+class TargetLeavingNotice:
+    """A target refused new work of the sender."""
+
+    address: str
+
+
+class DrainController(Controller):
+    """Drains this process after SIGTERM.
+
+    Readiness fails first; new connections are served until the balancer must
+    have seen that; then peers are told, requests in flight end, and the outcomes
+    of claimed requests reach the log.
+
+    Attributes
+    ----------
+    done
+        Set when the process may exit.
+    closers
+        Called when new connections are no longer wanted.
+    """
+
+    name = "drain"
+    period_s = 0.1
+
+    def __init__(self, app: Application) -> None:
+        self.app = app
+        self.state = DrainState.SERVING
+        self.started_at = 0.0
+        self.finished_at: float | None = None
+        self.done = Event()
+        self.closers: list[Callable[[], None]] = []
+        self.members: tuple[str, ...] = ()
+        app.events.subscribe(MembersChanged, self._on_members)
+
+    def begin(self) -> None:
+        """Start to drain."""
+        if self.state is not DrainState.SERVING:
+            return
+        self.app.draining = True
+        self.started_at = self.app.timers.now()
+        self.state = DrainState.LAGGING
+        logger.info("Drains.", in_flight=self.app.in_flight)
+        self.app.events.publish(ShutdownStarted())
+
+    def reconcile(self) -> None:
+        """Take the next step when its time has come."""
+        settings, now = self.app.settings, self.app.timers.now()
+        lag_over_at = self.started_at + settings.drain_lag_s
+        if self.state is DrainState.LAGGING and now >= lag_over_at:
+            self._close()
+        if self.state is DrainState.FINISHING:
+            limit_at = lag_over_at + settings.drain_limit_s
+            if now >= limit_at or self._finished(now):
+                self._end()
+
+    def status(self) -> dict[str, Any]:
+        """Return the state."""
+        return {"state": self.state.value}
+
+    def _close(self) -> None:
+        self.state = DrainState.FINISHING
+        for closer in self.closers:
+            closer()
+        for member in self.members:
+            if member != self.app.peers.own_address:
+                self.app.peers.notify(member, DrainNotice())
+
+    def _finished(self, now: float) -> bool:
+        if self.app.in_flight:
+            return False
+        if self.finished_at is None:
+            self.finished_at = now
+        # Without its outcome on the log, a repeat of a claimed request would
+        # be told "unknown" for as long as the key is remembered.
+        claims = self.app.controllers[ClaimsController.name]
+        assert isinstance(claims, ClaimsController)
+        return claims.idle or now >= self.finished_at + RECORDS_LIMIT_S
+
+    def _end(self) -> None:
+        self.state = DrainState.DONE
+        logger.info("Drained.", in_flight=self.app.in_flight)
+        self.done.set()
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = event.members
+
+
+class ShutdownFilter(Filter):
+    """Asks callers to connect anew while draining, and refuses after that."""
+
+    order = 50
+
+    def __init__(self, controller: DrainController) -> None:
+        self.controller = controller
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Serve until new connections are no longer wanted."""
+        state = self.controller.state
+        if state is not DrainState.SERVING:
+            exchange.answer_headers["connection"] = "close"
+        if state in (DrainState.FINISHING, DrainState.DONE):
+            return Failure(errors.Failure(ErrorKind.SHUTTING_DOWN))
+        return proceed(exchange)
+
+
+class LeavingTargets:
+    """Takes a target's refusal and the peers' word as signs that it leaves."""
+
+    def __init__(self, app: Application, seed: int | None = None) -> None:
+        self.app = app
+        self.random = random.Random(seed)
+        self.members: tuple[str, ...] = ()
+        app.events.subscribe(MembersChanged, self._on_members)
+        app.events.subscribe(TargetLeaving, self._on_leaving)
+        app.peers.handle(TargetLeavingNotice, self._on_notice)
+
+    def _on_leaving(self, event: TargetLeaving) -> None:
+        now = self.app.timers.now()
+        if not self.app.targets.mark_refusing(event.address, now):
+            return
+        logger.info("Target refuses.", target=event.address, source=event.source)
+        others = [item for item in self.members if item != self.app.peers.own_address]
+        told = self.random.sample(others, min(TOLD_PEERS, len(others)))
+        for member in told:
+            self.app.peers.notify(member, TargetLeavingNotice(event.address))
+
+    def _on_notice(self, _sender: str, notice: TargetLeavingNotice) -> None:
+        self.app.targets.mark_refusing(notice.address, self.app.timers.now())
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self.members = event.members
+
+
+def setup(app: Application) -> None:
+    """Register the controller and the filter."""
+    controller = DrainController(app)
+    app.add_controller(controller)
+    app.add_filter(ShutdownFilter(controller))
+    LeavingTargets(app)
--- a/agaterail/controllers/hosts.py
+++ b/agaterail/controllers/hosts.py
@@ -8,12 +8,15 @@
 
 from agaterail import logs
 from agaterail.controllers import Controller
+from agaterail.controllers.drain import DrainNotice
 from agaterail.events import MembersChanged
 from agaterail.hostlists import Host, HostRole, HostState
 
 if TYPE_CHECKING:
     from agaterail.application import Application
 
+NOTICE_S = 30.0
+
 logger = logs.get_logger("hosts")
 
 
@@ -26,6 +29,8 @@
     def __init__(self, app: Application) -> None:
         self.app = app
         self.members: tuple[str, ...] = ()
+        self.drained_until: dict[str, float] = {}
+        app.peers.handle(DrainNotice, self._on_notice)
 
     def reconcile(self) -> None:
         """Fetch the list; a failed fetch keeps what was known."""
@@ -44,14 +49,25 @@
         """Return the live routers."""
         return {"members": list(self.members)}
 
+    def _on_notice(self, sender: str, _notice: DrainNotice) -> None:
+        # The list lags: until it says so too, the peer would go on to own
+        # partitions and engines that it no longer serves.
+        self.drained_until[sender] = self.app.timers.now() + NOTICE_S
+        self._set_members(tuple(item for item in self.members if item != sender))
+
     def _update_members(self, hosts: tuple[Host, ...]) -> None:
-        members = tuple(
-            sorted(
-                host.address
-                for host in hosts
-                if host.role is HostRole.ROUTER and host.state is HostState.LIVE
-            )
+        now = self.app.timers.now()
+        told = self.drained_until.items()
+        self.drained_until = {address: until for address, until in told if until > now}
+        live = (
+            host.address
+            for host in hosts
+            if host.role is HostRole.ROUTER and host.state is HostState.LIVE
         )
+        members = sorted(item for item in live if item not in self.drained_until)
+        self._set_members(tuple(members))
+
+    def _set_members(self, members: tuple[str, ...]) -> None:
         if members != self.members:
             self.members = members
             logger.info("Members changed.", count=len(members))
--- a/agaterail/filters/forward.py
+++ b/agaterail/filters/forward.py
@@ -70,6 +70,7 @@
         if failure is not None:
             reply.discard()
             return Failure(failure)
+        self.app.targets.mark_serving(address)
         headers = {"x-weights-version": reply.weights_version}
         return Success(Reply(status=reply.status, headers=headers, source=reply))
 
--- a/agaterail/targets.py
+++ b/agaterail/targets.py
@@ -13,6 +13,8 @@
     from agaterail.tables import Pool, TargetEntry
 
 UNREACHABLE_S = 1.0
+FIRST_REFUSAL_S = 1.0
+MAX_REFUSAL_S = 8.0
 
 
 @attrs.define
@@ -25,8 +27,12 @@
         Requests of this process at the target.
     load
         Last load report, with the monotonic second at which it came.
-    unreachable_until
-        Monotonic second until which the target is not chosen.
+    leaving
+        The host list says that the target leaves.
+    unreachable_until, refusing_until
+        Monotonic seconds until which the target is not chosen.
+    refusals
+        Refusals in a row; each doubles the time for which it is left out.
     """
 
     address: str
@@ -34,12 +40,14 @@
     in_flight: int = 0
     leaving: bool = False
     unreachable_until: float = 0.0
+    refusing_until: float = 0.0
+    refusals: int = 0
     load: LoadReport | None = None
     load_at: float = 0.0
 
     def usable(self, now: float) -> bool:
         """Tell whether new work may go to the target."""
-        return not self.leaving and now >= self.unreachable_until
+        return not self.leaving and now >= max(self.unreachable_until, self.refusing_until)
 
 
 class TargetBook:
@@ -71,6 +79,26 @@
         if state is not None:
             state.unreachable_until = now + UNREACHABLE_S
 
+    def mark_refusing(self, address: str, now: float) -> bool:
+        """Leave a target out that refused work; False when it already is.
+
+        One refusal may have another cause than leaving, so it counts for a
+        while only; the host list alone marks a target for good.
+        """
+        state = self.states.get(address)
+        if state is None or now < state.refusing_until:
+            return False
+        span_s = min(MAX_REFUSAL_S, FIRST_REFUSAL_S * 2.0**state.refusals)
+        state.refusals += 1
+        state.refusing_until = now + span_s
+        return True
+
+    def mark_serving(self, address: str) -> None:
+        """Forget the refusals of a target that took work."""
+        state = self.states.get(address)
+        if state is not None:
+            state.refusals = 0
+
     def set_leaving(self, addresses: set[str]) -> list[str]:
         """Mark exactly these targets as leaving and return the newly marked."""
         newly: list[str] = []
