--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -19,6 +19,7 @@
 from agaterail.homes import HomeMap
 from agaterail.hostlists.http import HttpHostList
 from agaterail.logstore.http import HttpLogStore
+from agaterail.members import MemberView
 from agaterail.metrics import MemoryMetrics, StatsdMetrics
 from agaterail.peers import Peers
 from agaterail.peers.memory import MemoryNetwork, MemoryTransport
@@ -66,6 +67,8 @@
     "agaterail.filters.forward",
     "agaterail.controllers.tables",
     "agaterail.controllers.hosts",
+    "agaterail.controllers.startup",
+    "agaterail.controllers.snapshots",
     "agaterail.controllers.leases",
     "agaterail.controllers.rollout",
     "agaterail.controllers.gauges",
@@ -103,6 +106,7 @@
         self.host_list = host_list or _host_list(settings)
         self.metrics = metrics or _metrics(settings)
         self.peers = peers or _lone_peers(settings)
+        self.members = MemberView(self.peers.own_address)
         self.events = EventBus()
         self.tables = Tables()
         self.targets = TargetBook()
@@ -117,7 +121,7 @@
         self.retry_budget = RetryBudget()
         self.draining = False
         self.in_flight = 0
-        for name in parts:
+        for name in (*parts, *settings.extensions):
             importlib.import_module(name).setup(self)
         self.chain = FilterChain(self.filters)
 
--- a/agaterail/controllers/drain.py
+++ b/agaterail/controllers/drain.py
@@ -29,6 +29,7 @@
 
 RECORDS_LIMIT_S = 5.0
 TOLD_PEERS = 16
+REFUSAL = "refusal"
 
 
 class DrainState(enum.Enum):
@@ -40,12 +41,6 @@
     DONE = "done"
 
 
-@peer_message
-@attrs.frozen
-class DrainNotice:
-    """The sender leaves and wants no more of its peers' messages."""
-
-
 @peer_message
 @attrs.frozen
 class TargetLeavingNotice:
@@ -57,9 +52,9 @@
 class DrainController(Controller):
     """Drains this process after SIGTERM.
 
-    Readiness fails first; new connections are served until the balancer must
-    have seen that; then peers are told, requests in flight end, and the outcomes
-    of claimed requests reach the log.
+    Readiness fails and peers are told first; new connections are served until
+    the balancer must have seen that; then requests in flight end, and the
+    outcomes of claimed requests reach the log.
 
     Attributes
     ----------
@@ -79,8 +74,6 @@
         self.finished_at: float | None = None
         self.done = Event()
         self.closers: list[Callable[[], None]] = []
-        self.members: tuple[str, ...] = ()
-        app.events.subscribe(MembersChanged, self._on_members)
 
     def begin(self) -> None:
         """Start to drain."""
@@ -111,9 +104,6 @@
         self.state = DrainState.FINISHING
         for closer in self.closers:
             closer()
-        for member in self.members:
-            if member != self.app.peers.own_address:
-                self.app.peers.notify(member, DrainNotice())
 
     def _finished(self, now: float) -> bool:
         if self.app.in_flight:
@@ -131,9 +121,6 @@
         logger.info("Drained.", in_flight=self.app.in_flight)
         self.done.set()
 
-    def _on_members(self, event: MembersChanged) -> None:
-        self.members = event.members
-
 
 class ShutdownFilter(Filter):
     """Asks callers to connect anew while draining, and refuses after that."""
@@ -165,6 +152,8 @@
         app.peers.handle(TargetLeavingNotice, self._on_notice)
 
     def _on_leaving(self, event: TargetLeaving) -> None:
+        if event.source != REFUSAL:
+            return
         now = self.app.timers.now()
         if not self.app.targets.mark_refusing(event.address, now):
             return
--- a/agaterail/filters/limits.py
+++ b/agaterail/filters/limits.py
@@ -89,7 +89,8 @@
         return use.bucket.take(tokens, now), tokens
 
     def _on_members(self, event: MembersChanged) -> None:
-        self.members = event.members
+        # A daemon that drains is no member any more but still serves.
+        self.members = tuple(sorted({*event.members, self.app.peers.own_address}))
 
 
 class AdmissionFilter(Filter):
--- a/agaterail/wsgi.py
+++ b/agaterail/wsgi.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import ssl
 from typing import TYPE_CHECKING, Any
 
@@ -88,6 +89,25 @@
             if self.close_connection:
                 self.wsgi_input = Input(self.rfile, 0)
 
+    def _sendall(self, data: bytes) -> None:
+        # One system call for what fits into the socket's buffer, as an event
+        # nearly always does; the library's sendall asks for its size first.
+        sent = self.socket.send(data)
+        if sent < len(data):
+            super()._sendall(memoryview(data)[sent:])
+        self.response_length += sent
+
+    def _write_with_headers(self, data: bytes) -> None:
+        # The library sends head and first part in two calls and two segments.
+        self.headers_sent = True
+        self.finalize_headers()
+        head = [b"HTTP/1.1 " + self.status]
+        head += [name + b": " + value for name, value in self.response_headers]
+        start = b"\r\n".join(head) + b"\r\n\r\n"
+        if data and self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(start + data)
+
     def log_request(self) -> None:
         """Leave the log to the filters."""
 
@@ -130,6 +150,9 @@
         listener = _tcp_listener(
             (address.host, address.port), backlog=BACKLOG, reuse_addr=True
         )
+        # Accepted connections inherit this. With Nagle's algorithm an event
+        # waits for the caller's delayed acknowledgement, about 40 ms.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         tls: dict[str, Any] = {}
         if settings.tls_certificate and settings.tls_key:
             tls["ssl_context"] = _tls_context(settings.tls_certificate, settings.tls_key)
--- a/standins/base.py
+++ b/standins/base.py
@@ -89,6 +89,7 @@
     def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the address as IP:port."""
         listener = _tcp_listener((host, port), backlog=BACKLOG, reuse_addr=True)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server = WSGIServer(
             listener, self._serve, log=None, error_log=None, handler_class=_Handler
         )
