--- a/agaterail/admission.py
+++ b/agaterail/admission.py
@@ -6,9 +6,9 @@
 
 # Work that one daemon keeps waiting for a first token, for each engine that is
 # its part of the pool. More would only wait at the engines.
-QUEUE_MS = 1000.0
-# Above this part of the queue a workspace's requests go behind the others'.
-LIGHT_SHARE = 0.125
+QUEUE_MS = 500.0
+# Above this part of the free queue a workspace's requests go behind the others'.
+LIGHT_SHARE = 0.25
 MAX_PRIORITY = 9
 LOWEST_HEADROOM = 0.5
 ROUNDING_MS = 1e-6
@@ -33,13 +33,19 @@
 
     def admit(self, workspace: str, cost_ms: float, capacity_ms: float, weight: float) -> bool:
         """Take a request in, if its workspace holds less than its threshold."""
-        held = self.held.get(workspace, 0.0)
-        if held > 0.0 and held + cost_ms > weight * (capacity_ms - self.total):
+        if self.is_full(workspace, cost_ms, capacity_ms, weight):
             return False
-        self.held[workspace] = held + cost_ms
+        self.held[workspace] = self.held.get(workspace, 0.0) + cost_ms
         self.total += cost_ms
         return True
 
+    def is_full(
+        self, workspace: str, cost_ms: float, capacity_ms: float, weight: float
+    ) -> bool:
+        """Tell whether a workspace holds its threshold already."""
+        held = self.held.get(workspace, 0.0)
+        return held > 0.0 and held + cost_ms > weight * (capacity_ms - self.total)
+
     def leave(self, workspace: str, cost_ms: float) -> None:
         """Let a request go that has its first token or failed."""
         self.total = max(0.0, self.total - cost_ms)
@@ -48,9 +54,15 @@
         if left <= ROUNDING_MS:
             del self.held[workspace]
 
-    def is_light(self, workspace: str, capacity_ms: float) -> bool:
-        """Tell whether a workspace holds little of the queue."""
-        return self.held.get(workspace, 0.0) <= capacity_ms * LIGHT_SHARE
+    def is_light(self, workspace: str, cost_ms: float, capacity_ms: float) -> bool:
+        """Tell whether a workspace holds little even with one more request.
+
+        Measured by what is free: when many small workspaces fill the queue
+        together, none is light. Together they could else keep the engines busy
+        and the requests behind them would wait until their deadlines.
+        """
+        held = self.held.get(workspace, 0.0) + cost_ms
+        return held <= LIGHT_SHARE * (capacity_ms - self.total)
 
 
 @attrs.frozen
--- a/agaterail/filters/limits.py
+++ b/agaterail/filters/limits.py
@@ -12,13 +12,14 @@
 from agaterail.events import MembersChanged
 from agaterail.filters import Filter
 from agaterail.limits import TokenBucket, concurrency_share, rate_share
+from agaterail.tables import PoolKind
 from agaterail.util.spread import spread
 
 if TYPE_CHECKING:
     from agaterail.application import Application
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
-    from agaterail.tables import Route
+    from agaterail.tables import Pool, Route
 
 DEFAULT_MAX_TOKENS = 256
 BASE_COST_MS = 1.0
@@ -110,12 +111,9 @@
         assert pool is not None
         if load is None:
             return proceed(exchange)
-        gate = self.gates.get(pool.name)
-        if gate is None:
-            gate = self.gates[pool.name] = FairGate()
-        capacity_ms = admission.capacity_of(len(pool.targets), self.members)
+        gate, capacity_ms = self.gate_of(pool), self.capacity_ms(pool)
         weight = admission.weight_of(load.priority)
-        light = gate.is_light(load.workspace, capacity_ms)
+        light = gate.is_light(load.workspace, load.cost_ms, capacity_ms)
         if not admission.in_time(load) or not gate.admit(
             load.workspace, load.cost_ms, capacity_ms, weight
         ):
@@ -129,6 +127,17 @@
         finally:
             gate.leave(load.workspace, load.cost_ms)
 
+    def gate_of(self, pool: Pool) -> FairGate:
+        """Return the gate of a pool, made on first use."""
+        gate = self.gates.get(pool.name)
+        if gate is None:
+            gate = self.gates[pool.name] = FairGate()
+        return gate
+
+    def capacity_ms(self, pool: Pool) -> float:
+        """Return the queue that this daemon may keep at a pool."""
+        return admission.capacity_of(len(pool.targets), self.members)
+
     def _load_of(self, exchange: Exchange) -> Load | None:
         route, pool, decision = exchange.route, exchange.pool, exchange.decision
         assert route is not None and pool is not None and decision is not None
@@ -148,6 +157,31 @@
         self.members = max(1, len(event.members))
 
 
+class FullFilter(Filter):
+    """Refuses a flood before any work is spent on its placement."""
+
+    order = 395
+
+    def __init__(self, admission_filter: AdmissionFilter) -> None:
+        self.admission_filter = admission_filter
+
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
+        """Refuse what even with a fully cached prompt would not be admitted."""
+        route, pool = exchange.route, exchange.pool
+        assert route is not None and pool is not None
+        if pool.kind is not PoolKind.ENGINE:
+            return proceed(exchange)
+        full = self.admission_filter.gate_of(pool).is_full(
+            route.workspace,
+            BASE_COST_MS,
+            self.admission_filter.capacity_ms(pool),
+            admission.weight_of(route.priority),
+        )
+        if full:
+            return Failure(_refusal(ErrorKind.OVERLOADED, exchange))
+        return proceed(exchange)
+
+
 def _refusal(kind: ErrorKind, exchange: Exchange, wait_s: float = 0.0) -> errors.Failure:
     hint_s = spread(errors.ANSWERS[kind], exchange.request_id)
     return errors.Failure(kind, retry_after_s=wait_s + hint_s)
@@ -156,4 +190,6 @@
 def setup(app: Application) -> None:
     """Register the filters."""
     app.add_filter(LimitsFilter(app))
-    app.add_filter(AdmissionFilter(app))
+    admission_filter = AdmissionFilter(app)
+    app.add_filter(admission_filter)
+    app.add_filter(FullFilter(admission_filter))
--- a/standins/load.py
+++ b/standins/load.py
@@ -42,6 +42,7 @@
     total_ms: float = 0.0
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    request_id: str = ""
     reason: str = ""
     target: str = ""
     outcome: str = ""
@@ -133,6 +134,7 @@
             return seen
         response = sent.unwrap()
         seen.status = response.status_code
+        seen.request_id = str(response.get("x-request-id", ""))
         seen.reason = str(response.get("x-agaterail-reason", ""))
         seen.target = str(response.get("x-agaterail-target", ""))
         seen.outcome = str(response.get("x-agaterail-outcome", ""))
--- a/tests/test_agaterail/test_admission.py
+++ b/tests/test_agaterail/test_admission.py
@@ -17,9 +17,20 @@
     def test_a_flood_leaves_half_of_the_queue_open(self):
         gate = FairGate()
         self.assertEqual(self.fill(gate, "large"), 50)
+        self.assertTrue(gate.is_light("small", 10.0, 1000.0))
+        self.assertFalse(gate.is_light("large", 10.0, 1000.0))
         self.assertTrue(gate.admit("small", 10.0, 1000.0, 1.0))
-        self.assertTrue(gate.is_light("small", 1000.0))
-        self.assertFalse(gate.is_light("large", 1000.0))
+
+    def test_small_workspaces_together_do_not_starve_a_larger_one(self):
+        # Found by tools.overload at four times the capacity: seven small
+        # workspaces were all put before the large one and kept the engines
+        # busy, so that what was admitted of the large one ran into its deadline.
+        gate = FairGate()
+        self.fill(gate, "large")
+        for number in range(7):
+            self.fill(gate, f"small-{number}")
+        self.assertFalse(gate.is_light("small-0", 10.0, 1000.0))
+        self.assertFalse(gate.is_light("another", 10.0, 1000.0))
 
     def test_many_floods_share_evenly_and_a_newcomer_is_still_admitted(self):
         gate = FairGate()
