Name the flag when TLS files cannot be used together

Peer files that gRPC could not read were reported as a port that cannot be bound. All TLS files are now loaded once when the settings are checked.

--- a/agaterail/cmd/serve.py
+++ b/agaterail/cmd/serve.py
@@ -4,14 +4,13 @@
 
 import os
 import signal
-import ssl
 import sys
 from typing import TYPE_CHECKING
 
 import attrs
 from returns.result import Success
 
-from agaterail import logs, settings
+from agaterail import logs, settings, settings_rules
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -25,7 +24,7 @@
 
 def serve(flags: Mapping[str, str], print_only: bool = False) -> int:
     """Run the daemon until it has drained; returns the exit status."""
-    loaded = settings.load(flags, os.environ)
+    loaded = settings_rules.load(flags, os.environ)
     if not isinstance(loaded, Success):
         for problem in loaded.failure():
             print(problem, file=sys.stderr)
@@ -41,10 +40,7 @@
 
 
 def _complain(name: str, reason: str) -> int:
-    problem = settings.SettingsProblem(
-        settings.Settings.flag_of(name), settings.Settings.variable_of(name), reason
-    )
-    print(problem, file=sys.stderr)
+    print(settings.SettingsProblem.of(name, reason), file=sys.stderr)
     return EXIT_USAGE
 
 
@@ -79,8 +75,6 @@
     app = Application(chosen, peers=_peers(chosen))
     try:
         server = make_server(app, chosen.listen)
-    except ssl.SSLError as error:
-        return _complain("tls_certificate", f"the files cannot be used: {error}")
     except OSError as error:
         return _complain("listen", f"{chosen.listen} cannot be bound: {error.strerror}")
     stopping = gevent.event.Event()
--- a/agaterail/cmd/status.py
+++ b/agaterail/cmd/status.py
@@ -9,7 +9,7 @@
 
 from returns.result import Result, Success
 
-from agaterail import settings
+from agaterail import settings_rules
 from agaterail.status import StatusQuery
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 def status(peer: str, as_json: bool, flags: Mapping[str, str]) -> int:
     """Print the status of the daemon at ``peer``; returns the exit status."""
     given = {**flags, "peer_listen": peer} if peer else dict(flags)
-    loaded = settings.load(given, os.environ)
+    loaded = settings_rules.load(given, os.environ)
     if not isinstance(loaded, Success):
         for problem in loaded.failure():
             print(problem, file=sys.stderr)
--- a/agaterail/settings.py
+++ b/agaterail/settings.py
@@ -4,7 +4,6 @@
 
 import difflib
 import importlib.util
-import ipaddress
 import pathlib
 from typing import TYPE_CHECKING, Any
 
@@ -185,6 +184,11 @@
     def __str__(self) -> str:
         return f"{self.flag} ({self.variable}): {self.reason}"
 
+    @classmethod
+    def of(cls, name: str, reason: str) -> SettingsProblem:
+        """Return a problem of the setting with this name."""
+        return cls(Settings.flag_of(name), Settings.variable_of(name), reason)
+
 
 def load(
     flags: Mapping[str, str], environment: Mapping[str, str]
@@ -194,7 +198,7 @@
     Returns
     -------
     Result
-        The settings, or all problems found.
+        The settings, or all problems of single settings.
     """
     fields = attrs.fields_dict(Settings)
     problems = [_unknown(flag, fields) for flag in flags if flag not in fields]
@@ -207,9 +211,7 @@
             problems.append(loaded.failure())
     if problems:
         return Failure(problems)
-    settings = Settings(**values)
-    joined = _joined_problems(settings)
-    return Failure(joined) if joined else Success(settings)
+    return Success(Settings(**values))
 
 
 def load_one(
@@ -223,7 +225,7 @@
     try:
         return Success(field.metadata["parse"](text))
     except ValueError as error:
-        return Failure(_problem(name, str(error)))
+        return Failure(SettingsProblem.of(name, str(error)))
 
 
 def unknown_variables(environment: Mapping[str, str]) -> list[str]:
@@ -244,33 +246,9 @@
     return f"{flag} ({variable}): {field.metadata['description']}; default {default}"
 
 
-def _joined_problems(settings: Settings) -> list[SettingsProblem]:
-    problems: list[SettingsProblem] = []
-    for certificate, key in (
-        ("tls_certificate", "tls_key"),
-        ("peer_tls_certificate", "peer_tls_key"),
-        ("peer_tls_certificate", "peer_tls_authority"),
-    ):
-        for given, missing in ((certificate, key), (key, certificate)):
-            if getattr(settings, given) and not getattr(settings, missing):
-                reason = f"needed together with {Settings.flag_of(given)}"
-                problems.append(_problem(missing, reason))
-    loopback = ipaddress.ip_address(settings.peer_listen.host).is_loopback
-    if not settings.peer_secret and not loopback:
-        # Without a secret anyone who reaches the port could answer hints and
-        # calls as a daemon; on loopback only this host's processes reach it.
-        reason = f"needed unless {Settings.flag_of('peer_listen')} is a loopback address"
-        problems.append(_problem("peer_secret", reason))
-    return problems
-
-
-def _problem(name: str, reason: str) -> SettingsProblem:
-    return SettingsProblem(Settings.flag_of(name), Settings.variable_of(name), reason)
-
-
 def _unknown(name: str, fields: Mapping[str, Any]) -> SettingsProblem:
     near = difflib.get_close_matches(name, fields, n=1)
     reason = "there is no such setting"
     if near:
         reason = f"{reason}; did you mean {Settings.flag_of(near[0])}?"
-    return _problem(name, reason)
+    return SettingsProblem.of(name, reason)
--- /dev/null
+++ b/agaterail/settings_rules.py
@@ -0,0 +1,83 @@
+"""Rules that join several settings."""
+
+from __future__ import annotations
+
+import ipaddress
+import ssl
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from agaterail import settings
+from agaterail.settings import Settings, SettingsProblem
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+NEEDED_TOGETHER = (
+    ("tls_certificate", "tls_key"),
+    ("peer_tls_certificate", "peer_tls_key"),
+    ("peer_tls_certificate", "peer_tls_authority"),
+)
+
+
+def load(
+    flags: Mapping[str, str], environment: Mapping[str, str]
+) -> Result[Settings, list[SettingsProblem]]:
+    """Read settings and check them, each by itself and then together.
+
+    Returns
+    -------
+    Result
+        The settings, or the problems found.
+    """
+    return settings.load(flags, environment).bind(_checked)
+
+
+def _checked(chosen: Settings) -> Result[Settings, list[SettingsProblem]]:
+    problems = [*_missing(chosen), *_unusable_files(chosen), *_missing_secret(chosen)]
+    return Failure(problems) if problems else Success(chosen)
+
+
+def _missing(chosen: Settings) -> list[SettingsProblem]:
+    problems: list[SettingsProblem] = []
+    for one, other in NEEDED_TOGETHER:
+        for given, missing in ((one, other), (other, one)):
+            if getattr(chosen, given) and not getattr(chosen, missing):
+                reason = f"needed together with {Settings.flag_of(given)}"
+                problems.append(SettingsProblem.of(missing, reason))
+    return problems
+
+
+def _unusable_files(chosen: Settings) -> list[SettingsProblem]:
+    problems: list[SettingsProblem] = []
+    for name, certificate, key, authority in (
+        ("tls_certificate", chosen.tls_certificate, chosen.tls_key, None),
+        (
+            "peer_tls_certificate",
+            chosen.peer_tls_certificate,
+            chosen.peer_tls_key,
+            chosen.peer_tls_authority,
+        ),
+    ):
+        if not certificate or not key:
+            continue
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            context.load_cert_chain(certificate, key)
+            if authority:
+                context.load_verify_locations(authority)
+        except (OSError, ValueError) as error:
+            reason = f"the TLS files cannot be used: {error}"
+            problems.append(SettingsProblem.of(name, reason))
+    return problems
+
+
+def _missing_secret(chosen: Settings) -> list[SettingsProblem]:
+    loopback = ipaddress.ip_address(chosen.peer_listen.host).is_loopback
+    if chosen.peer_secret or loopback:
+        return []
+    # Without a secret anyone who reaches the port could answer hints and
+    # calls as a daemon; on loopback only this host's processes reach it.
+    reason = f"needed unless {Settings.flag_of('peer_listen')} is a loopback address"
+    return [SettingsProblem.of("peer_secret", reason)]
--- a/tests/test_agaterail/test_cmd/test_main.py
+++ b/tests/test_agaterail/test_cmd/test_main.py
@@ -9,6 +9,7 @@
 
 from agaterail.cmd import main
 from tests.support import free_port, run_command
+from tests.tls import make_tls_files
 
 
 def run_here(*words, environment=None):
@@ -73,6 +74,14 @@
     def test_a_certificate_without_its_key(self):
         self.assert_refused(["serve", "--tls-certificate", __file__], "AGATERAIL_TLS_KEY")
 
+    def test_tls_files_that_do_not_fit(self):
+        files, others = (make_tls_files(self, ["127.0.0.1"]) for _ in range(2))
+        words = ["serve", "--tls-certificate", files.certificate, "--tls-key", others.key]
+        self.assert_refused(words, "AGATERAIL_TLS_CERTIFICATE", "cannot be used")
+        flags = ("certificate", "key", "authority")
+        words = [word for name in flags for word in (f"--peer-tls-{name}", __file__)]
+        self.assert_refused(["serve", *words], "AGATERAIL_PEER_TLS_CERTIFICATE")
+
     def test_an_unknown_command(self):
         self.assert_refused(["serv"], "'serv'", "did you mean serve?")
 
