--- a/agaterail/logs.py
+++ b/agaterail/logs.py
@@ -65,6 +65,7 @@
 
 def _quote(value: Any) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    if " " in text or not text:
+    # A line break in a value would let a caller write lines of its own.
+    if " " in text or not text.isprintable() or not text:
         return repr(text)
     return text
--- a/tests/test_agaterail/test_logs.py
+++ b/tests/test_agaterail/test_logs.py
@@ -40,11 +40,11 @@
     def setUp(self):
         self.addCleanup(logs.configure, "error")
 
-    def written(self, json_lines):
+    def written(self, json_lines, target="10.0.0.1:80"):
         out = io.StringIO()
         with contextlib.redirect_stderr(out):
             logs.configure("info", json_lines)
-            structlog.get_logger(part="choose").info("Chose target.", target="10.0.0.1:80")
+            structlog.get_logger(part="choose").info("Chose target.", target=target)
         return out.getvalue()
 
     def test_key_value_lines_start_with_the_part(self):
@@ -54,6 +54,11 @@
         fields = json.loads(self.written(True))
         self.assertEqual((fields["part"], fields["target"]), ("choose", "10.0.0.1:80"))
 
+    def test_a_value_cannot_start_a_line_of_its_own(self):
+        for json_lines in (False, True):
+            text = self.written(json_lines, target="x\n2026-01-01 info main: All well.")
+            self.assertEqual(text.count("\n"), 1)
+
 
 class NothingPrivateTest(unittest.TestCase):
     def setUp(self):
