--- a/agaterail/filters/relay.py
+++ b/agaterail/filters/relay.py
@@ -26,6 +26,7 @@
 logger = logs.get_logger("relay")
 
 OK = 200
+CUT_SHORT = errors.Failure(ErrorKind.TARGET_LOST, "The stream was cut short.")
 TOKEN_GAP_TIMEOUT_S = 10.0
 RESUME_TIMEOUT_S = 1.0
 MAX_RESUMES = 3
@@ -138,9 +139,9 @@
         if self.ended:
             raise StopIteration
         while True:
+            failure = None
             try:
                 part = self.next_part()
-                failure = errors.Failure(ErrorKind.TARGET_LOST, "The stream was cut short.")
             except OSError as error:
                 part, failure = b"", _read_failure(error)
             if part:
@@ -149,6 +150,7 @@
                 self.ended = True
                 self.exchange.finish(Outcome.COMPLETED)
                 raise StopIteration
+            failure = failure or CUT_SHORT
             if not self._resume(failure):
                 return self._fail(failure)
 
--- a/agaterail/sse.py
+++ b/agaterail/sse.py
@@ -105,6 +105,14 @@
         return self.seen.digest() != wanted
 
     def _accept_frame(self, frame: bytes) -> bool:
+        start = b"id: %d\n" % self.position
+        if frame.startswith(start) and not self.finished:
+            self.position += 1
+            self.finished = frame[len(start) :] == FINAL_DATA
+            return True
+        return self._judge_other(frame)
+
+    def _judge_other(self, frame: bytes) -> bool:
         line, _, data = frame.partition(b"\n")
         number = line[len(ID_PREFIX) :]
         if not line.startswith(ID_PREFIX) or not number.isdigit():
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -12,6 +12,8 @@
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 from returns.result import Failure, Result, Success
 
+from agaterail.util.readguard import ReadGuard
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -69,6 +71,8 @@
 class Response(HTTPSocketPoolResponse):
     """Response whose body can be read as it arrives."""
 
+    guard: ReadGuard | None = None
+
     def should_close(self) -> bool:
         """Keep only a connection whose answer was read to its end.
 
@@ -82,7 +86,8 @@
             sock = self._sock
             if sock is None:
                 raise ConnectionResetError(errno.ECONNRESET, "connection closed")
-            data = sock.recv(READ_SIZE)
+            guard = self.guard
+            data = sock.recv(READ_SIZE) if guard is None else guard.read(READ_SIZE)
             if not data:
                 self.release()
                 raise ConnectionResetError(errno.ECONNRESET, "body cut short")
@@ -97,16 +102,32 @@
 
     def set_read_timeout(self, seconds: float) -> None:
         """Bound the wait of each later read."""
+        self._stop_guard()
         if self._sock is not None:
-            self._sock.settimeout(seconds)
+            self.guard = ReadGuard(self._sock, seconds)
+
+    def release(self) -> None:
+        """Give the connection back after a whole answer, else close it."""
+        self._stop_guard()
+        super().release()
 
     def discard(self) -> None:
         """Close the connection, so that nothing late is read as another answer."""
+        self._stop_guard()
         pool, sock = self._pool, self._sock
         self._pool = self._sock = None
         if pool is not None and sock is not None:
             pool.release_socket(sock)
 
+    def __del__(self) -> None:
+        self._stop_guard()
+        super().__del__()
+
+    def _stop_guard(self) -> None:
+        guard, self.guard = self.guard, None
+        if guard is not None:
+            guard.stop()
+
 
 class HttpConnections:
     """Kept connections to one address, without the library's own resends.
--- /dev/null
+++ b/tests/test_agaterail/test_util/test_readguard.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import socket
+import unittest
+
+import gevent
+
+from agaterail.util.readguard import TICKS, ReadGuard
+
+NEVER_S = 1000.0
+
+
+class ReadGuardTest(unittest.TestCase):
+    def setUp(self):
+        self.near, self.far = socket.socketpair()
+        self.addCleanup(self.near.close)
+        self.addCleanup(self.far.close)
+        self.guard = ReadGuard(self.near, NEVER_S)
+        self.addCleanup(self.guard.stop)
+
+    def start_read(self):
+        reader = gevent.spawn(self.guard.read, 100)
+        gevent.sleep(0)
+        return reader
+
+    def test_a_read_without_data_times_out(self):
+        # The engine goes silent in the middle of a stream. The caller must
+        # not wait for good: the read ends once a whole bound has passed.
+        reader = self.start_read()
+        for _ in range(TICKS):
+            self.guard.tick()
+        self.assertFalse(reader.ready())
+        self.guard.tick()
+        with self.assertRaises(TimeoutError):
+            reader.get(timeout=5)
+
+    def test_each_read_has_the_whole_bound(self):
+        for _ in range(3):
+            reader = self.start_read()
+            for _ in range(TICKS):
+                self.guard.tick()
+            self.far.sendall(b"event")
+            self.assertEqual(reader.get(timeout=5), b"event")
+
+    def test_time_between_reads_does_not_count(self):
+        for _ in range(3 * TICKS):
+            self.guard.tick()
+        self.far.sendall(b"event")
+        self.assertEqual(self.start_read().get(timeout=5), b"event")
+
+    def test_the_end_of_the_connection_is_no_timeout(self):
+        reader = self.start_read()
+        self.far.close()
+        self.assertEqual(reader.get(timeout=5), b"")
