Refuse a key that comes again with another request

Cause: a caller that gave two swaps one key got the first one's answer for the second, as if that had been booked. Change: a claim carries a hash of method, path, query and body; another request under the same key is refused as malformed, not run. Conclusion: a recorded answer is only given to its own request.

--- a/agaterail/claims.py
+++ b/agaterail/claims.py
@@ -23,6 +23,7 @@
 PARTITIONS = 16
 KEY_BYTES = 16
 KEY_PERSON = b"agaterail-claim"
+REQUEST_PERSON = b"agaterail-req"
 # A key is remembered until so many newer keys of its partition were claimed,
 # or until the log drops its record, whichever comes first.
 MAX_KEYS = 20_000
@@ -53,11 +54,15 @@
         Peer address of the daemon that wants to run it.
     attempt
         Unique id of this wish; a repeated append of it changes nothing.
+    request
+        Hash of what is asked, so that a key is not answered with the answer to
+        another request.
     """
 
     key: bytes
     claimer: str
     attempt: str
+    request: bytes = b""
 
 
 @attrs.frozen
@@ -115,6 +120,8 @@
     ----------
     holder, holding
         Claimer and attempt that hold the key when another attempt does.
+    request
+        Hash of the request that holds the key.
     finish
         Recorded outcome of the attempt that holds the key.
     """
@@ -123,6 +130,7 @@
     kind: VerdictKind
     holder: str = ""
     holding: str = ""
+    request: bytes = b""
     finish: Finish | None = None
 
 
@@ -132,6 +140,7 @@
 
     attempt: str
     claimer: str
+    request: bytes = b""
     finish: Finish | None = None
 
 
@@ -142,6 +151,14 @@
     return blake2b(text, digest_size=KEY_BYTES, key=scope).digest()
 
 
+def request_hash(*parts: bytes) -> bytes:
+    """Hash what a request asks for; the parts' lengths keep them apart."""
+    digest = blake2b(digest_size=KEY_BYTES, person=REQUEST_PERSON)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.digest()
+
+
 def partition_of(key: bytes) -> int:
     """Return the partition that a key belongs to."""
     return key[0] % PARTITIONS
@@ -201,7 +218,7 @@
     def _claim(self, claim: Claim) -> Verdict:
         entry = self.entries.get(claim.key)
         if entry is None and claim.attempt not in self.dead:
-            self.entries[claim.key] = Entry(claim.attempt, claim.claimer)
+            self.entries[claim.key] = Entry(claim.attempt, claim.claimer, claim.request)
             return Verdict(attempt=claim.attempt, kind=VerdictKind.WON)
         if entry is not None and entry.attempt == claim.attempt:
             return Verdict(attempt=claim.attempt, kind=VerdictKind.WON)
@@ -214,6 +231,7 @@
             kind=kind,
             holder=entry.claimer,
             holding=entry.attempt,
+            request=entry.request,
             finish=entry.finish,
         )
 
--- a/agaterail/filters/claim.py
+++ b/agaterail/filters/claim.py
@@ -66,6 +66,7 @@
             claims.key_hash(exchange.route.workspace, key),
             self.app.peers.own_address,
             exchange.request_id,
+            _request_hash(exchange),
         )
         left_s = exchange.deadline_at - self.app.timers.now()
         verdict = self.controller.claim(claim, max(0.0, min(CLAIM_WAIT_S, left_s)))
@@ -80,6 +81,11 @@
         if verdict.kind is VerdictKind.WON:
             exchange.answer_headers[SCOPE_HEADER] = "key"
             return self._run(exchange, claim, proceed)
+        if verdict.request != claim.request:
+            # The record answers another request; its answer, or the news that
+            # it runs, would be taken for this one's.
+            detail = "The idempotency key was used for another request."
+            return Failure(errors.Failure(ErrorKind.BAD_REQUEST, detail))
         return self._tell(verdict)
 
     def _run(
@@ -145,6 +151,13 @@
         return Failure(errors.Failure(kind, detail))
 
 
+def _request_hash(exchange: Exchange) -> bytes:
+    words = (exchange.method, exchange.path, exchange.query)
+    return claims.request_hash(
+        *(word.encode("utf-8", "surrogateescape") for word in words), exchange.body
+    )
+
+
 def setup(app: Application) -> None:
     """Register the filter."""
     controller = app.controllers[ClaimsController.name]
--- a/tests/test_agaterail/test_filters/test_claim.py
+++ b/tests/test_agaterail/test_filters/test_claim.py
@@ -79,7 +79,8 @@
 
     def put_claim(self, attempt="gone", claimer=ADDRESSES[0]):
         key = claims.key_hash("ws", "k1")
-        batch = ClaimBatch(claims=(Claim(key, claimer, attempt),))
+        asked = claims.request_hash(b"POST", b"/booking/swap", b"", b"two bottles")
+        batch = ClaimBatch(claims=(Claim(key, claimer, attempt, asked),))
         stream = claims.stream_of(claims.partition_of(key))
         self.log.append(stream, codec.encode(batch))
 
@@ -98,9 +99,14 @@
 
     def test_a_large_answer_is_told_by_its_digest(self):
         key = {"idempotency-key": "k1"}
-        self.daemons[0].post("/booking/swap", b"x" * 4000, key)
-        wait_until(lambda: any(batch.finishes for batch in self.batches()))
-        self.assertEqual(self.refusal(1), ("duplicate_completed", "completed"))
+        for _ in range(2):
+            response, body = self.daemons[0].post("/booking/swap", b"x" * 4000, key)
+            wait_until(lambda: any(batch.finishes for batch in self.batches()))
+        error = json.loads(body)["error"]
+        self.assertEqual(response.status_code, 409)
+        self.assertEqual(
+            (error["code"], error["outcome"]), ("duplicate_completed", "completed")
+        )
 
     def test_the_same_key_through_two_daemons_at_once_runs_once(self):
         # The balancer brings one top-up through two daemons in the same moment.
@@ -145,6 +151,18 @@
         self.assertEqual(response["x-agaterail-at-most-once"], "host")
         self.assertEqual(self.batches(), [])
 
+    def test_a_key_used_for_another_request_does_not_get_its_answer(self):
+        # A caller's bug gives two swaps one key. The recorded answer to the
+        # first must not pass for the second's, which was not run.
+        self.swap(0)
+        wait_until(lambda: any(batch.finishes for batch in self.batches()))
+        response, body = self.daemons[1].post(
+            "/booking/swap", b"three bottles", {"idempotency-key": "k1"}
+        )
+        self.assertEqual(response.status_code, 400)
+        self.assertEqual(json.loads(body)["error"]["outcome"], "not_run")
+        self.assertEqual(self.service.journal, ["k1"])
+
     def test_an_endless_key_is_refused(self):
         self.assertEqual(self.refusal(key="k" * 256), ("bad_request", "not_run"))
 
