Share the words that claim records repeat

Cause: each decoded record brought its own copies of claimer, attempt and content type into the fold's memory.

--- a/agaterail/claims.py
+++ b/agaterail/claims.py
@@ -9,6 +9,7 @@
 
 import collections
 import enum
+import sys
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -218,7 +219,8 @@
     def _claim(self, claim: Claim) -> Verdict:
         entry = self.entries.get(claim.key)
         if entry is None and claim.attempt not in self.dead:
-            self.entries[claim.key] = Entry(claim.attempt, claim.claimer, claim.request)
+            claimer = sys.intern(claim.claimer)
+            self.entries[claim.key] = Entry(claim.attempt, claimer, claim.request)
             return Verdict(attempt=claim.attempt, kind=VerdictKind.WON)
         if entry is not None and entry.attempt == claim.attempt:
             return Verdict(attempt=claim.attempt, kind=VerdictKind.WON)
@@ -245,7 +247,10 @@
         entry = self.entries.get(finish.key)
         if entry is None or entry.attempt != finish.attempt or entry.finish is not None:
             return
-        entry.finish = finish
+        # Each decoded record brings its own copies of the same few words.
+        entry.finish = attrs.evolve(
+            finish, attempt=entry.attempt, content_type=sys.intern(finish.content_type)
+        )
         if finish.body:
             self.bodies.append(entry)
             self.body_bytes += len(finish.body)
