--- a/tools/bench/cell.py
+++ b/tools/bench/cell.py
@@ -50,6 +50,7 @@
 WARM_UP_FACTOR = 0.02
 SETTLE_S = 1.0
 LATE_SHARE = 0.75
+STORE_SLOW_FACTOR = 50.0
 END_MARGIN_S = 5.0
 BALANCER_LAG_S = 0.5
 DRAIN_LAG_S = 1.0
@@ -337,6 +338,15 @@
     runner.fleet.control(runner.fleet.log, down=True)
 
 
+def _store_down(runner: Runner) -> None:
+    runner.fleet.control(runner.fleet.kv_store, down=True)
+
+
+def _store_slow(runner: Runner) -> None:
+    slow = TRANSFER_MS_PER_BLOCK * STORE_SLOW_FACTOR
+    runner.fleet.control(runner.fleet.kv_store, ms_per_block=slow)
+
+
 def _rolling_restart(runner: Runner) -> None:
     for index in range(len(runner.fleet.daemons)):
         _restart(runner, [index], signal.SIGTERM)
@@ -371,6 +381,8 @@
     "none": _no_fault,
     "crash": _crash_engine,
     "log_down": _log_down,
+    "store_down": _store_down,
+    "store_slow": _store_slow,
     "rolling_restart": _rolling_restart,
     "restart_all": _restart_all,
     "events_lost_1": _no_fault,
--- a/tools/bench/cells.py
+++ b/tools/bench/cells.py
@@ -15,6 +15,8 @@
 MISS_WEIGHTS = (1.0, 2.0, 3.0, 5.0, 8.0)
 CANDIDATES = (1, 2, 3, 4, 5)
 QUERY_TIMEOUTS_MS = (2.0, 5.0, 20.0, 50.0)
+STORE_FAULTS = ("store_down", "store_slow")
+WITH_TRANSFERS: Mapping[str, object] = {"import_ms_per_block": TRANSFER_MS_PER_BLOCK}
 ABLATIONS: Mapping[str, Mapping[str, object]] = {
     "no home query": {"query_timeout_ms": 0},
     "no predicted entries": {"predict": False},
@@ -33,7 +35,12 @@
 
 def faults(make: Maker) -> Iterator[Cell]:
     """Yield ``cost`` under every fault, and the baselines where it matters."""
+    for fault in STORE_FAULTS:
+        label = f"with KV transfers, {fault}"
+        yield make(policy="cost", fault=fault, pool=WITH_TRANSFERS, label=label)
     for fault in FAULTS:
+        if fault in STORE_FAULTS:
+            continue
         yield make(policy="cost", fault=fault)
         if fault in BASELINE_FAULTS:
             for policy in BASELINES:
@@ -55,8 +62,7 @@
 def ablations(make: Maker) -> Iterator[Cell]:
     """Yield ``cost`` whole, with KV transfers, and without one mechanism at a time."""
     yield make(policy="cost")
-    pool = {"import_ms_per_block": TRANSFER_MS_PER_BLOCK}
-    yield make(policy="cost", pool=pool, label="with KV transfers")
+    yield make(policy="cost", pool=WITH_TRANSFERS, label="with KV transfers")
     for label, tuning in ABLATIONS.items():
         yield make(policy="cost", tune=tuning, label=label)
 
