--- a/agaterail/filters/forward.py
+++ b/agaterail/filters/forward.py
@@ -56,7 +56,9 @@
                 request_id=exchange.attempt_id,
                 body=exchange.body,
                 cache_salt=exchange.scope.salt,
-                priority=exchange.route.priority,
+                priority=exchange.route.priority
+                if exchange.priority is None
+                else exchange.priority,
                 deadline_ms=self._left_ms(exchange),
                 stream=exchange.chat.stream,
             )
@@ -68,6 +70,7 @@
         if failure is not None:
             reply.discard()
             return Failure(failure)
+        self.app.targets.mark_serving(address)
         headers = {"x-weights-version": reply.weights_version}
         return Success(Reply(status=reply.status, headers=headers, source=reply))
 
