--- a/standins/load.py
+++ b/standins/load.py
@@ -157,6 +157,10 @@
 
 def _judge(seen: Seen, body: bytes, max_tokens: int) -> None:
     lines = [line for line in body.split(b"\n") if line.startswith(b"data: ")]
+    errors = [line for line in lines if line.startswith(b'data: {"error"')]
+    if errors:
+        seen.error = errors[0].removeprefix(b"data: ").decode()
+        return
     if not lines or lines[-1] != b"data: [DONE]":
         seen.error = seen.error or "no final frame"
         return
@@ -164,9 +168,6 @@
     answer_ids: set[str] = set()
     for line in lines[:-1]:
         fields = json.loads(line[len(b"data: ") :])
-        if "error" in fields:
-            seen.error = str(fields["error"])
-            return
         usage = fields.get("usage")
         if usage:
             seen.prompt_tokens = usage["prompt_tokens"]
