End a reading when the log returns nothing

Cause: a log that names a later end and returns no record kept the commands reading without a pause; found while taking safeguards out on scratch copies.

Change: no records end the reading, with a named test.

--- a/agaterail/tables_reader.py
+++ b/agaterail/tables_reader.py
@@ -119,7 +119,10 @@
         if kept.first > offset:
             return self._bridge(kept)
         judged = tuple(self._fold(record.offset, record.data) for record in kept.records)
-        return Success(Step(judged, at_end=self.tables.through + 1 >= kept.end))
+        # A log that names a later end and returns nothing would keep the
+        # commands reading for ever.
+        at_end = not kept.records or self.tables.through + 1 >= kept.end
+        return Success(Step(judged, at_end=at_end))
 
     def _fold(self, offset: int, data: bytes) -> Judged:
         record, folded = fold_bytes(self.tables, data, offset)
--- a/tests/test_agaterail/test_tables_reader.py
+++ b/tests/test_agaterail/test_tables_reader.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from agaterail import codec, snapshots, tables_reader
+from agaterail.logstore import LogSlice
 from agaterail.logstore.memory import MemoryLogStore
 from agaterail.records import SNAPSHOTS_STREAM, TABLES_STREAM, TablesRecord
 from agaterail.snapshots import SnapshotSchedule, StreamView
@@ -147,6 +148,14 @@
         read_all(self.reader)
         self.assertEqual(self.priority_of(self.reader), 1)
 
+    def test_a_log_that_names_an_end_and_returns_nothing_ends_the_reading(self):
+        # The commands would otherwise ask it again and again without a pause.
+        class EmptyLog(MemoryLogStore):
+            def read(self, *arguments, **named):
+                return Success(LogSlice([], 0, 9))
+
+        self.assertTrue(TablesReader(EmptyLog()).step().unwrap().at_end)
+
     def test_tables_adopted_during_a_waiting_read_are_not_taken_back(self):
         # A peer's newer tables arrive while the read of older records is
         # still waiting; folding these on the new tables would be wrong.
