Name prompts by the weights of the engine that gets them

Cause: while a pool rolls from v1 to v2, prompts sent to engines that still had v1 were named in the scope of v2. Such an engine would keep blocks computed by v1 under v2's keys and could find them after its load; and its warm v1 blocks were missed. Engines of an also_serve version were not asked at all.

Change: the scope is that of the target's weights, learnt from its home or its last answer. A request says which weights it expects; an engine with others refuses it before running (412, not run), and the router asks again in the right scope. Rollouts take the cached blocks from the engine's state: the book of targets held a load report that nothing filled, so all engines counted as empty.

--- a/agaterail/controllers/rollout.py
+++ b/agaterail/controllers/rollout.py
@@ -126,9 +126,6 @@
         for address, read in zip(due, reads, strict=True):
             view = self.engines[address]
             take_in(view, read.value_or(None), self.app.timers.now())
-            known = self.app.targets.states.get(address)
-            if known is not None and known.load is not None:
-                view.cached_blocks = known.load.cached_blocks
 
     def _due(self, pools: list[Versioned[Pool]]) -> list[str]:
         # Engines that are not where they should be are read at each step; the
--- a/agaterail/engines/__init__.py
+++ b/agaterail/engines/__init__.py
@@ -26,6 +26,8 @@
         Id of this attempt; the engine repeats it in its answer.
     cache_salt
         Scope of the cached blocks: requests with other salts share none.
+    weights_version
+        Weights that must answer; an engine with others refuses. Empty for any.
     position
         First event wanted; larger than 0 only to resume a stream.
     """
@@ -35,6 +37,7 @@
     cache_salt: str
     priority: int
     deadline_ms: int
+    weights_version: str = ""
     position: int = 0
     stream: bool = True
 
@@ -176,6 +179,7 @@
     loading: bool
     fencing: int
     healthy: bool = True
+    cached_blocks: int = 0
 
 
 class Engine(abc.ABC):
--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -144,6 +144,7 @@
             "x-cache-salt": request.cache_salt,
             "x-priority": str(request.priority),
             "x-position": str(request.position),
+            "x-expect-weights": request.weights_version,
         }
         sent = self.requests.send(
             "POST", path, request.body, headers, timeout_s=request.deadline_ms / 1e3
--- a/agaterail/filters/choose.py
+++ b/agaterail/filters/choose.py
@@ -11,11 +11,15 @@
 from agaterail.candidates import ShortPrefix, shorten
 from agaterail.errors import ErrorKind, Outcome
 from agaterail.filters import Filter
+from agaterail.filters.prefix import name, prefix_in
 from agaterail.policies import Placement
 from agaterail.transfers import Source
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from agaterail.application import Application
+    from agaterail.candidates import CandidateState
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
     from agaterail.policies import Decision, Policy
@@ -40,6 +44,9 @@
         now = self.app.timers.now()
         if now >= exchange.deadline_at:
             return Failure(errors.Failure(ErrorKind.DEADLINE_EXCEEDED_BEFORE_RUN))
+        scope = exchange.scope
+        if scope is not None and scope.weights_version != pool.weights_version:
+            name(exchange, pool.weights_version)
         placement = Placement(
             pool=pool,
             route=route,
@@ -66,6 +73,7 @@
             **dict(decision.terms),
         )
         if short is None:
+            self._rename(exchange, decision)
             return proceed(exchange)
         return self._proceed_told(exchange, proceed, decision, short)
 
@@ -82,7 +90,7 @@
             states = [self.app.targets.state_of(entry) for entry in entries]
             targets = [state for state in states if state.usable(placement.now)]
             asked = [state.address for state in targets]
-            views = self.app.candidates.ask(asked, short) if asked else {}
+            views = self._ask(exchange, asked, short) if asked else {}
             placement = attrs.evolve(placement, views=views)
             placement = attrs.evolve(placement, kept=self._kept(placement))
         if not targets:
@@ -94,6 +102,36 @@
             return Failure(errors.Failure(ErrorKind.OVERLOADED))
         return Success(decision)
 
+    def _ask(
+        self, exchange: Exchange, asked: list[str], short: ShortPrefix
+    ) -> dict[str, CandidateState]:
+        assert exchange.pool is not None and exchange.scope is not None
+        views = dict(self.app.candidates.ask(asked, short))
+        for version in exchange.pool.also_serve:
+            older = [address for address in asked if _version(views, address) == version]
+            if older and version != exchange.scope.weights_version:
+                # Blocks of the older weights have keys of their own.
+                scope = attrs.evolve(exchange.scope, weights_version=version)
+                named = shorten(prefix_in(exchange, scope))
+                views.update(self.app.candidates.ask(older, named))
+        for address, view in views.items():
+            # A home's report lags; what the target itself answered goes first.
+            state = self.app.targets.states[address]
+            state.weights_version = state.weights_version or view.weights_version
+        return views
+
+    def _rename(self, exchange: Exchange, decision: Decision) -> bool:
+        """Name the prompt anew when the target serves other weights of the pool."""
+        pool, scope = exchange.pool, exchange.scope
+        if pool is None or scope is None:
+            return False
+        version = self.app.targets.states[decision.address].weights_version
+        version = version if version and pool.serves(version) else pool.weights_version
+        if not pool.weights_version or version == scope.weights_version:
+            return False
+        name(exchange, version)
+        return True
+
     def _kept(self, placement: Placement) -> Source | None:
         """Ask the kept store when no candidate holds the whole shared prefix."""
         store, prefix = self.app.kv_store, placement.prefix
@@ -109,6 +147,9 @@
     def _proceed_told(
         self, exchange: Exchange, proceed: Proceed, decision: Decision, short: ShortPrefix
     ) -> Result[Reply, errors.Failure]:
+        if self._rename(exchange, decision):
+            assert exchange.prefix is not None
+            short = shorten(exchange.prefix)
         assert exchange.prefix is not None and exchange.pool is not None
         address, dispatch_id = decision.address, exchange.attempt_id
         hit_tokens = decision.hit_blocks * exchange.pool.block_tokens
@@ -127,6 +168,11 @@
         return result
 
 
+def _version(views: Mapping[str, CandidateState], address: str) -> str:
+    view = views.get(address)
+    return "" if view is None else view.weights_version
+
+
 def setup(app: Application) -> None:
     """Register the filter."""
     app.add_filter(ChooseFilter(app))
--- a/agaterail/filters/forward.py
+++ b/agaterail/filters/forward.py
@@ -60,6 +60,7 @@
                 if exchange.priority is None
                 else exchange.priority,
                 deadline_ms=self._left_ms(exchange),
+                weights_version=exchange.scope.weights_version,
                 stream=exchange.chat.stream,
             )
         )
@@ -79,16 +80,24 @@
             # A late answer to an earlier request on this connection would
             # reach the wrong caller; the connection is dropped with it.
             return errors.Failure(ErrorKind.TARGET_LOST, "The answer was for another request.")
+        if self._has_other_weights(exchange, reply):
+            return errors.Failure(ErrorKind.WRONG_WEIGHTS)
         if reply.refused:
             return self._refusal(exchange, reply.retry_after_s)
         if reply.status >= SERVER_ERROR:
             return errors.Failure(ErrorKind.TARGET_FAILED, f"Status {reply.status}.")
-        assert exchange.pool is not None
-        wanted = exchange.pool.weights_version
-        if reply.status == OK and wanted and reply.weights_version != wanted:
-            return errors.Failure(ErrorKind.WRONG_WEIGHTS)
         return None
 
+    def _has_other_weights(self, exchange: Exchange, reply: EngineReply) -> bool:
+        assert exchange.decision is not None and exchange.scope is not None
+        wanted = exchange.scope.weights_version
+        told = reply.weights_version if reply.refused else reply.status == OK
+        if not (wanted and told):
+            return False
+        state = self.app.targets.states[exchange.decision.address]
+        state.weights_version = reply.weights_version
+        return reply.weights_version != wanted
+
     def _ask_service(self, exchange: Exchange) -> Result[Reply, errors.Failure]:
         assert exchange.decision is not None and exchange.route is not None
         path = exchange.path + (f"?{exchange.query}" if exchange.query else "")
--- a/agaterail/filters/prefix.py
+++ b/agaterail/filters/prefix.py
@@ -14,6 +14,7 @@
     from agaterail.application import Application
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
+    from agaterail.prefix import Prefix
 
 
 class PrefixFilter(Filter):
@@ -28,22 +29,34 @@
             and exchange.route is not None
             and exchange.pool is not None
         ):
-            pool = exchange.pool
-            exchange.scope = Scope(
-                exchange.route.workspace,
-                pool.model,
-                exchange.chat.adapter,
-                pool.weights_version,
-            )
-            exchange.prefix = name_prefix(
-                exchange.scope,
-                exchange.chat.messages,
-                ByteTokenizer(pool.token_bytes),
-                pool.block_tokens,
-            )
+            name(exchange, exchange.pool.weights_version)
         return proceed(exchange)
 
 
+def name(exchange: Exchange, weights_version: str) -> None:
+    """Name the prompt in the scope of some weights.
+
+    While a rollout runs, engines of one pool serve two versions. Blocks that
+    the older weights computed must not be found under the newer ones' keys, so
+    the scope is that of the target, not of the pool's row.
+    """
+    assert exchange.route is not None and exchange.pool is not None
+    assert exchange.chat is not None
+    exchange.scope = Scope(
+        exchange.route.workspace, exchange.pool.model, exchange.chat.adapter, weights_version
+    )
+    exchange.prefix = prefix_in(exchange, exchange.scope)
+
+
+def prefix_in(exchange: Exchange, scope: Scope) -> Prefix:
+    """Return the prompt's prefix as it is named in a scope."""
+    assert exchange.pool is not None and exchange.chat is not None
+    pool = exchange.pool
+    return name_prefix(
+        scope, exchange.chat.messages, ByteTokenizer(pool.token_bytes), pool.block_tokens
+    )
+
+
 def setup(app: Application) -> None:
     """Register the filter."""
     app.add_filter(PrefixFilter())
--- a/agaterail/filters/retry.py
+++ b/agaterail/filters/retry.py
@@ -14,6 +14,7 @@
     from agaterail.application import Application
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
+    from agaterail.targets import TargetBook
     from agaterail.timers import TimerService
 
 logger = logs.get_logger("retry")
@@ -61,7 +62,8 @@
 
     order = 450
 
-    def __init__(self, timers: TimerService, budget: RetryBudget) -> None:
+    def __init__(self, targets: TargetBook, timers: TimerService, budget: RetryBudget) -> None:
+        self.targets = targets
         self.timers = timers
         self.budget = budget
 
@@ -85,10 +87,20 @@
                 # An earlier target may have run the request although the last
                 # one did not: "not run" would then be false.
                 return Failure(started or failure)
-            if exchange.decision is not None:
-                exchange.excluded.add(exchange.decision.address)
+            self._exclude(exchange, failure)
             logger.info("Retries.", request=exchange.request_id, after=failure.kind.value)
 
+    def _exclude(self, exchange: Exchange, failure: errors.Failure) -> None:
+        if exchange.decision is None or exchange.pool is None:
+            return
+        address = exchange.decision.address
+        # The answer told which weights the target has. Asked again in their scope
+        # it serves; left out, a pool in a rollout could run dry.
+        known = self.targets.states[address].weights_version
+        if failure.kind is ErrorKind.WRONG_WEIGHTS and exchange.pool.serves(known):
+            return
+        exchange.excluded.add(address)
+
     def _may_retry(self, exchange: Exchange, failure: errors.Failure) -> bool:
         if failure.kind not in RETRYABLE or exchange.attempt >= MAX_ATTEMPTS:
             return False
@@ -103,4 +115,4 @@
 
 def setup(app: Application) -> None:
     """Register the filter."""
-    app.add_filter(RetryFilter(app.timers, app.retry_budget))
+    app.add_filter(RetryFilter(app.targets, app.timers, app.retry_budget))
--- a/agaterail/policies/cost.py
+++ b/agaterail/policies/cost.py
@@ -218,9 +218,9 @@
         view = placement.views.get(state.address)
         if view is None:
             return True
-        wanted = placement.pool.weights_version
-        other = wanted and view.weights_version and view.weights_version != wanted
-        return not view.leaving and not other
+        if view.leaving:
+            return False
+        return not view.weights_version or placement.pool.serves(view.weights_version)
 
     def _probable_holder(self, key: bytes, targets: Sequence[TargetState]) -> TargetState:
         last = self.last_sent.find(key)
--- a/agaterail/rollout.py
+++ b/agaterail/rollout.py
@@ -84,8 +84,6 @@
         Revision whose order the engine failed.
     probed
         State that passed the check, with the engine's incarnation.
-    cached_blocks
-        Blocks that would be lost by a load.
     """
 
     state: EngineState | None = None
@@ -95,7 +93,11 @@
     ordered_for: Revision | None = None
     failed: Revision | None = None
     probed: tuple[str, DesiredState] | None = None
-    cached_blocks: int = 0
+
+    @property
+    def cached_blocks(self) -> int:
+        """Return the blocks that a load would drop."""
+        return 0 if self.state is None else self.state.cached_blocks
 
     def busy(self, now: float) -> bool:
         """Tell whether the engine loads, or may load for all that is known."""
--- a/agaterail/tables.py
+++ b/agaterail/tables.py
@@ -92,6 +92,12 @@
     import_ms_per_block: float = 0.0
     policy: str = "cost"
 
+    def serves(self, weights_version: str) -> bool:
+        """Tell whether answers of these weights may reach callers."""
+        if not self.weights_version:
+            return True
+        return weights_version in (self.weights_version, *self.also_serve)
+
 
 @attrs.frozen(kw_only=True)
 class Route:
--- a/agaterail/targets.py
+++ b/agaterail/targets.py
@@ -9,7 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from agaterail.engines import LoadReport
     from agaterail.tables import Pool, TargetEntry
 
 UNREACHABLE_S = 1.0
@@ -25,8 +24,8 @@
     ----------
     in_flight
         Requests of this process at the target.
-    load
-        Last load report, with the monotonic second at which it came.
+    weights_version
+        Weights that its last answer or its home named; empty when not known.
     leaving
         The host list says that the target leaves.
     unreachable_until, refusing_until
@@ -42,8 +41,7 @@
     unreachable_until: float = 0.0
     refusing_until: float = 0.0
     refusals: int = 0
-    load: LoadReport | None = None
-    load_at: float = 0.0
+    weights_version: str = ""
 
     def usable(self, now: float) -> bool:
         """Tell whether new work may go to the target."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -249,6 +249,9 @@
         if self.faults.refuse or self.loading:
             refusal = {**heads, "x-not-run": "true", "retry-after": "1"}
             return json_answer({"error": {"message": "not run"}}, 503, **refusal)
+        if call.headers.get("x-expect-weights", "") not in ("", self.weights_version):
+            refusal = {**heads, "x-not-run": "true"}
+            return json_answer({"error": "other weights"}, 412, **refusal)
         if self._spend("cut_before_head"):
             raise ConnectionAbortedError
         parsed = chat.parse(call.body).value_or(None)
@@ -606,6 +609,7 @@
                 "loading": self.loading,
                 "fencing": self.fencing_number,
                 "healthy": not self.faults.paused,
+                "cached_blocks": len(self.cache.keys),
             }
         )
 
