Let work wait for a fifth of its deadline, not a fixed 500 ms

Cause: make demo ended with 296 of 300 streams whole: bursts of one workspace were refused although their deadline was 30 s. Change: the queue of the fair gate follows the route's deadline.

--- a/agaterail/admission.py
+++ b/agaterail/admission.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-# Work that one daemon keeps waiting for a first token, for each engine that is
-# its part of the pool. More would only wait at the engines.
-QUEUE_MS = 500.0
+# Part of the deadline for which one daemon's work may wait for a first token, for
+# each engine that is its part of the pool. More would come too late at the end.
+QUEUE_SHARE = 0.2
 # Above this part of the free queue a workspace's requests go behind the others'.
 LIGHT_SHARE = 0.25
 MAX_PRIORITY = 9
@@ -106,10 +106,10 @@
     return load.expected_ms <= load.left_ms * headroom
 
 
-def capacity_of(targets: int, members: int) -> float:
+def capacity_of(targets: int, members: int, deadline_ms: float) -> float:
     """Return the queue that one daemon may keep at a pool, in milliseconds.
 
     Never below one engine's: a daemon that shares few engines with many others
     must still be able to send.
     """
-    return QUEUE_MS * max(1.0, targets / max(1, members))
+    return QUEUE_SHARE * deadline_ms * max(1.0, targets / max(1, members))
--- a/agaterail/filters/limits.py
+++ b/agaterail/filters/limits.py
@@ -111,7 +111,7 @@
         assert pool is not None
         if load is None:
             return proceed(exchange)
-        gate, capacity_ms = self.gate_of(pool), self.capacity_ms(pool)
+        gate, capacity_ms = self.gate_of(pool), self.capacity_ms(exchange)
         weight = admission.weight_of(load.priority)
         light = gate.is_light(load.workspace, load.cost_ms, capacity_ms)
         if not admission.in_time(load) or not gate.admit(
@@ -134,9 +134,11 @@
             gate = self.gates[pool.name] = FairGate()
         return gate
 
-    def capacity_ms(self, pool: Pool) -> float:
-        """Return the queue that this daemon may keep at a pool."""
-        return admission.capacity_of(len(pool.targets), self.members)
+    def capacity_ms(self, exchange: Exchange) -> float:
+        """Return the queue that this daemon may keep at the request's pool."""
+        pool, route = exchange.pool, exchange.route
+        assert pool is not None and route is not None
+        return admission.capacity_of(len(pool.targets), self.members, route.deadline_ms)
 
     def _load_of(self, exchange: Exchange) -> Load | None:
         route, pool, decision = exchange.route, exchange.pool, exchange.decision
@@ -174,7 +176,7 @@
         full = self.admission_filter.gate_of(pool).is_full(
             route.workspace,
             BASE_COST_MS,
-            self.admission_filter.capacity_ms(pool),
+            self.admission_filter.capacity_ms(exchange),
             admission.weight_of(route.priority),
         )
         if full:
