--- a/agaterail/admission.py
+++ b/agaterail/admission.py
@@ -4,9 +4,12 @@
 
 import attrs
 
-# Part of the deadline for which one daemon's work may wait for a first token, for
-# each engine that is its part of the pool. More would come too late at the end.
-QUEUE_SHARE = 0.2
+# Work that one daemon keeps waiting for a first token, for each engine that is
+# its part of the pool: a part of the deadline, but never less than QUEUE_MS.
+# More would only wait at the engines; less would refuse a short burst of cold
+# prompts that all of them could still answer long before their deadline.
+QUEUE_MS = 500.0
+QUEUE_PART = 1 / 6
 # Above this part of the free queue a workspace's requests go behind the others'.
 LIGHT_SHARE = 0.25
 MAX_PRIORITY = 9
@@ -112,4 +115,4 @@
     Never below one engine's: a daemon that shares few engines with many others
     must still be able to send.
     """
-    return QUEUE_SHARE * deadline_ms * max(1.0, targets / max(1, members))
+    return max(QUEUE_MS, QUEUE_PART * deadline_ms) * max(1.0, targets / max(1, members))
