State the deadline in the test of one workspace's burst

It sent 4 s of work to one engine with the default deadline of 30 s and expected refusals, which is what made the demo fail: that work can be answered in time. With 3 s, the queue is bounded as before (500 ms) and the checks are the same.

--- a/tests/test_agaterail/test_filters/test_limits.py
+++ b/tests/test_agaterail/test_filters/test_limits.py
@@ -65,7 +65,8 @@
         self.assert_refusals_are_true(self.ask_at_once(8), {"overloaded"})
 
     def test_one_workspace_does_not_fill_the_queue_of_an_engine(self):
-        # Forty prompts of 100 ms each arrive at once at one engine. What would
-        # only wait there is refused at once instead of near its deadline.
-        self.start({})
+        # Forty prompts of 100 ms each arrive at once at one engine, due in 3 s.
+        # What would only wait there is refused at once instead of near its
+        # deadline.
+        self.start({"deadline_ms": 3_000})
         self.assert_refusals_are_true(self.ask_at_once(40, "x" * 400), {"overloaded"})
