--- a/agaterail/application.py
+++ b/agaterail/application.py
@@ -65,6 +65,7 @@
     "agaterail.filters.claim",
     "agaterail.controllers.drain",
     "agaterail.filters.retry",
+    "agaterail.filters.hedge",
     "agaterail.filters.choose",
     "agaterail.filters.transfer",
     "agaterail.filters.relay",
