--- a/standins/base.py
+++ b/standins/base.py
@@ -115,6 +115,13 @@
             handler = self.paths[max(fitting, key=len)]
         return handler(call)
 
+    def _spend(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        if left <= 0:
+            return False
+        setattr(self.faults, fault, left - 1)
+        return True
+
     def _control(self, call: Call) -> Answer:
         if call.method == "POST":
             for name, value in call.json().items():
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -648,13 +648,6 @@
         self._reset()
         return json_answer({})
 
-    def _spend(self, fault: str) -> bool:
-        left = getattr(self.faults, fault)
-        if left <= 0:
-            return False
-        setattr(self.faults, fault, left - 1)
-        return True
-
 
 def _leading(keys: tuple[bytes, ...], held: Container[bytes]) -> int:
     count = 0
--- a/standins/service.py
+++ b/standins/service.py
@@ -61,10 +61,3 @@
             "echo": call.body.decode("utf-8", "replace"),
         }
         return json_answer(answer, status, **{"x-request-id": request_id})
-
-    def _spend(self, fault: str) -> bool:
-        left = getattr(self.faults, fault)
-        if left <= 0:
-            return False
-        setattr(self.faults, fault, left - 1)
-        return True
--- a/tools/slopes/home.py
+++ b/tools/slopes/home.py
@@ -125,21 +125,21 @@
 
 
 def _answer(query: CandidateQuery) -> CandidateAnswer:
-    return CandidateAnswer(
-        tuple(
-            CandidateState(
-                engine=engine,
-                depth=4,
-                confidence=0.9,
-                queue_ms=12.5,
-                in_flight=3,
-                age_ms=200.0,
-                prefill_ms_per_token=0.05,
-                weights_version="v1",
-                leaving=False,
-            )
-            for engine in query.engines
-        )
+    return CandidateAnswer(tuple(view_of(engine) for engine in query.engines))
+
+
+def view_of(engine: str) -> CandidateState:
+    """Return what a home might answer of an engine."""
+    return CandidateState(
+        engine=engine,
+        depth=4,
+        confidence=0.9,
+        queue_ms=12.5,
+        in_flight=3,
+        age_ms=200.0,
+        prefill_ms_per_token=0.05,
+        weights_version="v1",
+        leaving=False,
     )
 
 
--- a/tools/slopes/receiver.py
+++ b/tools/slopes/receiver.py
@@ -4,14 +4,13 @@
 
 from collections.abc import Iterator
 
-from agaterail.candidates import CandidateState
 from agaterail.policies import Placement
 from agaterail.policies.cost import CostPolicy
 from agaterail.prefix import Prefix
 from agaterail.tables import Pool, PoolKind, Route, TargetEntry
 from agaterail.targets import TargetBook
 from tools.slopes.fit import Point, Slope, cpu_s, fit
-from tools.slopes.home import key_of
+from tools.slopes.home import key_of, view_of
 
 ENGINES = 600
 DECISIONS = 1000
@@ -40,7 +39,7 @@
             )
             entries = policy.candidates(placement, ()) or ()
             states = [book.state_of(entry) for entry in entries]
-            views = {state.address: _view(state.address) for state in states}
+            views = {state.address: view_of(state.address) for state in states}
             policy.choose(
                 Placement(
                     pool=pool,
@@ -63,17 +62,3 @@
         for n in range(engines)
     )
     return Pool(name="p", kind=PoolKind.ENGINE, targets=targets, model="atlas")
-
-
-def _view(address: str) -> CandidateState:
-    return CandidateState(
-        engine=address,
-        depth=4,
-        confidence=0.9,
-        queue_ms=10.0,
-        in_flight=2,
-        age_ms=200.0,
-        prefill_ms_per_token=0.05,
-        weights_version="",
-        leaving=False,
-    )
