Weigh a request of unknown hit by what is usually missing

Cause: when the homes of an engine do not answer, or a policy asks none, admission counted the whole prompt as prefill.

Change: admission learns the missing part of prompts from decisions whose hit is known and takes that for the others, one half before it has learnt any, as the cost policy does.

Pools with a policy that asks no homes learn nothing and still refuse more than they must.

--- a/agaterail/admission.py
+++ b/agaterail/admission.py
@@ -13,6 +13,10 @@
 # Above this part of the free queue a workspace's requests go behind the others'.
 LIGHT_SHARE = 0.25
 MAX_PRIORITY = 9
+SHARE_STEP = 0.05
+# As the cost policy takes it: an engine of which nothing is known holds a prefix
+# about every second time.
+FIRST_SHARE = 0.5
 LOWEST_HEADROOM = 0.5
 ROUNDING_MS = 1e-6
 
@@ -68,6 +72,23 @@
         return held <= LIGHT_SHARE * (capacity_ms - self.total)
 
 
+class MissShare:
+    """Part of a prompt that usually must be computed, learnt from known hits.
+
+    Without an answer from the engines' homes the hit is not known. Counted as a
+    miss of the whole prompt, requests that the engines hold would be refused as
+    soon as homes fall silent.
+    """
+
+    def __init__(self) -> None:
+        self.value = FIRST_SHARE
+
+    def learn(self, missing_tokens: int, prompt_tokens: int) -> None:
+        """Take in one request whose hit was known."""
+        share = missing_tokens / max(1, prompt_tokens)
+        self.value += SHARE_STEP * (share - self.value)
+
+
 @attrs.frozen
 class Load:
     """One request as admission sees it.
--- a/agaterail/filters/limits.py
+++ b/agaterail/filters/limits.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result
 
 from agaterail import admission, errors
-from agaterail.admission import FairGate, Load
+from agaterail.admission import FairGate, Load, MissShare
 from agaterail.errors import ErrorKind, Outcome
 from agaterail.events import MembersChanged
 from agaterail.filters import Filter
@@ -19,6 +19,7 @@
     from agaterail.application import Application
     from agaterail.exchange import Exchange, Reply
     from agaterail.filters import Proceed
+    from agaterail.policies import Decision
     from agaterail.tables import Pool, Route
 
 DEFAULT_MAX_TOKENS = 256
@@ -103,6 +104,7 @@
         self.app = app
         self.members = 1
         self.gates: dict[str, FairGate] = {}
+        self.shares: dict[str, MissShare] = {}
         app.events.subscribe(MembersChanged, self._on_members)
 
     def handle(self, exchange: Exchange, proceed: Proceed) -> Result[Reply, errors.Failure]:
@@ -143,8 +145,7 @@
         assert route is not None and pool is not None and decision is not None
         if exchange.prefix is None:
             return None
-        cached = decision.hit_blocks * pool.block_tokens
-        missing = max(0, exchange.prefix.prompt_tokens - cached)
+        missing = self._missing_tokens(pool, exchange.prefix.prompt_tokens, decision)
         return Load(
             workspace=route.workspace,
             priority=route.priority,
@@ -153,6 +154,14 @@
             left_ms=(exchange.deadline_at - self.app.timers.now()) * 1e3,
         )
 
+    def _missing_tokens(self, pool: Pool, prompt_tokens: int, decision: Decision) -> int:
+        share = self.shares.setdefault(pool.name, MissShare())
+        if decision.expected_ms is None:
+            return round(prompt_tokens * share.value)
+        missing = max(0, prompt_tokens - decision.hit_blocks * pool.block_tokens)
+        share.learn(missing, prompt_tokens)
+        return missing
+
     def _on_members(self, event: MembersChanged) -> None:
         self.members = max(1, len(event.members))
 
--- a/tests/test_agaterail/test_admission.py
+++ b/tests/test_agaterail/test_admission.py
@@ -62,6 +62,18 @@
         self.assertEqual(dict(gate.held), {})
 
 
+class MissShareTest(unittest.TestCase):
+    def test_silent_homes_do_not_make_every_prompt_a_cold_one(self):
+        # Nine tenths of the prompts are cached. Then the homes fall silent and
+        # hits are not known: counted as cold, each request would weigh ten
+        # times what it costs and most would be refused.
+        share = admission.MissShare()
+        self.assertEqual(share.value, admission.FIRST_SHARE)
+        for _ in range(100):
+            share.learn(100, 1000)
+        self.assertAlmostEqual(share.value, 0.1, delta=0.01)
+
+
 class InTimeTest(unittest.TestCase):
     def test_what_cannot_make_its_deadline_is_refused_lowest_priority_first(self):
         def load(priority, expected_ms):
