--- a/agaterail/weightstores/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Weight stores, behind one interface."""
-
-from __future__ import annotations
