Warm the codec that peer messages use, drop what has no caller

Cause: found in the read-through. Since peer messages go by place they have a converter of their own, but candidates still warmed the former one, so the first questions after a start paid for its first use. Engine.load had lost its last caller when load reports came with the events.

The stand-in keeps GET /load, which its protocol page lists.

The warming's effect on a start was not measured.

--- a/agaterail/candidates.py
+++ b/agaterail/candidates.py
@@ -8,9 +8,8 @@
 import gevent
 from returns.result import Success
 
-from agaterail import codec
 from agaterail.index import SHORT_KEY_BYTES, short_key
-from agaterail.peers import peer_message
+from agaterail.peers import fields_of, message_of, peer_message
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
@@ -214,8 +213,7 @@
     query = CandidateQuery(("",), b"", (1,))
     answer = CandidateAnswer((CandidateState("", 1, 0.5, 1.0, 1, 1.0, 1.0, "v", True),))
     for message in (query, answer, DispatchNotice("", "", 1, b""), FinishNotice("", "")):
-        fields = codec.converter.unstructure(message)
-        codec.converter.structure(fields, type(message))
+        message_of(type(message), fields_of(message))
 
 
 def _ladder(count: int) -> Iterator[int]:
--- a/agaterail/controllers/claims.py
+++ b/agaterail/controllers/claims.py
@@ -44,8 +44,6 @@
 STATUS_TIMEOUT_S = 0.2
 IDLE_STEPS = 60
 
-OnVerdict = "Callable[[Verdict], None]"
-
 
 @peer_message
 @attrs.frozen
--- a/agaterail/engines/__init__.py
+++ b/agaterail/engines/__init__.py
@@ -197,10 +197,6 @@
     def cancel(self, request_id: str) -> Result[None, str]:
         """Stop a request."""
 
-    @abc.abstractmethod
-    def load(self) -> Result[LoadReport, str]:
-        """Fetch the load report."""
-
     @abc.abstractmethod
     def events(self, after: int, wait_s: float) -> Result[CacheEvents, str]:
         """Fetch the cache events after a sequence number, with the load."""
--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -82,10 +82,6 @@
         """Stop a request."""
         return self._call("POST", "/cancel", {"request_id": request_id}).map(lambda _: None)
 
-    def load(self) -> Result[LoadReport, str]:
-        """Fetch the load report."""
-        return self._call("GET", "/load").bind(_parse_load)
-
     def events(self, after: int, wait_s: float) -> Result[CacheEvents, str]:
         """Fetch the cache events after a sequence number, with the load."""
         path = (
@@ -191,13 +187,6 @@
     return Success(value)
 
 
-def _parse_load(fields: dict[str, Any]) -> Result[LoadReport, str]:
-    try:
-        return Success(LoadReport(**fields))
-    except TypeError as error:
-        return Failure(f"malformed load report: {error}")
-
-
 def _parse_state(fields: dict[str, Any]) -> Result[EngineState, str]:
     try:
         return Success(EngineState(**{**fields, "adapters": tuple(fields["adapters"])}))
--- a/agaterail/peers/__init__.py
+++ b/agaterail/peers/__init__.py
@@ -53,6 +53,16 @@
     return kind
 
 
+def fields_of(message: Any) -> Any:
+    """Return the fields of a message by place."""
+    return converter.unstructure(message, resolved(type(message)))  # type: ignore[arg-type]
+
+
+def message_of(kind: Any, fields: Any) -> Any:
+    """Return the message of fields; raises what cattrs raises."""
+    return converter.structure(fields, resolved(kind))
+
+
 def _resolve(kind: Any) -> None:
     if attrs.has(kind):
         attrs.resolve_types(kind)
@@ -169,7 +179,7 @@
         return None if handler is None else handler(sender, message)
 
     def _seal(self, message: Any) -> bytes:
-        fields = converter.unstructure(message, resolved(type(message)))  # type: ignore[arg-type]
+        fields = fields_of(message)
         body = msgpack.packb([self.own_address, type(message).__name__, fields])
         sealed = envelope.seal(self.key, body)
         self.sent_messages += 1
@@ -182,6 +192,6 @@
             return Failure("wrong secret or damaged")
         try:
             sender, name, fields = msgpack.unpackb(body)
-            return Success((sender, converter.structure(fields, resolved(MESSAGES[name]))))
+            return Success((sender, message_of(MESSAGES[name], fields)))
         except Exception as error:  # msgpack and cattrs raise many unrelated types
             return Failure(f"{type(error).__name__}: {error}")
--- a/tests/test_agaterail/test_rollout.py
+++ b/tests/test_agaterail/test_rollout.py
@@ -113,9 +113,6 @@
     def cancel(self, request_id):
         raise NotImplementedError
 
-    def load(self):
-        raise NotImplementedError
-
     def events(self, after, wait_s):
         raise NotImplementedError
 
