--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -33,7 +33,17 @@
 USAGE_ERROR = 2
 INTERRUPTED = 130
 HELP_WORDS = ("--help", "-h", "help")
-COMMANDS = ("serve", "check", "diff", "apply", "show", "history", "status", "version")
+COMMANDS = (
+    "serve",
+    "gateway",
+    "check",
+    "diff",
+    "apply",
+    "show",
+    "history",
+    "status",
+    "version",
+)
 
 
 class Commands:
@@ -56,6 +66,18 @@
         """
         return serve(flags, print_only=print_settings != "false")
 
+    def gateway(self, settings_file: str = "") -> int:
+        """Run the daemon on the hosts' platform until SIGTERM.
+
+        Parameters
+        ----------
+        settings_file
+            File that the platform gives to each process; its variable names it.
+        """
+        from agaterail.cmd.gateway import gateway
+
+        return gateway(settings_file)
+
     def check(self, *paths: str) -> int:
         """Check table files (TOML) by themselves; the log is not asked.
 
--- /dev/null
+++ b/agaterail/gateway/controlstore.py
@@ -0,0 +1,155 @@
+"""What the gateway reads from and writes to the platform's store."""
+
+from __future__ import annotations
+
+import abc
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from agaterail.gateway.desired import DesiredState
+    from agaterail.gateway.targets import Registration
+
+
+class Feed(enum.Enum):
+    """A sequence of changes that others write and every daemon follows."""
+
+    OPERATORS = "operators"
+    TARGETS = "targets"
+
+
+@attrs.frozen
+class DesiredPublished:
+    """Operators published a desired state."""
+
+    offset: int
+    state: DesiredState
+
+
+@attrs.frozen
+class WeightsNamed:
+    """Operators named the weights version that a model should have."""
+
+    offset: int
+    model: str
+    version: int
+
+
+@attrs.frozen
+class TargetChanged:
+    """A target's registration changed; None if it vanished or names no target."""
+
+    offset: int
+    instance: str
+    entry: Registration | None
+
+
+Change = DesiredPublished | WeightsNamed | TargetChanged
+
+
+@attrs.frozen
+class FeedSlice:
+    """Changes of a feed and the offset to read on from."""
+
+    changes: Sequence[Change]
+    next_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class LeaseEntry:
+    """Record of who gives orders to engines.
+
+    Attributes
+    ----------
+    host
+        Host that acquired the lease; the name survives a restart.
+    boot
+        Start of the process on that host.
+    """
+
+    host: str
+    boot: str
+
+
+@attrs.frozen
+class LeaseLog:
+    """Newest record of the lease's log and the offset at which the next will stand."""
+
+    newest: LeaseEntry | None
+    end: int
+
+
+@attrs.frozen
+class Membership:
+    """Part of the fleet's partitions that the platform dealt to this daemon.
+
+    Attributes
+    ----------
+    share
+        Partitions held of all, from 0 to 1.
+    leads
+        Whether the first partition is among them.
+    """
+
+    generation: int
+    share: float
+    leads: bool
+
+
+class StoreErrorKind(enum.Enum):
+    """Why a call to the store gave no result."""
+
+    UNREACHABLE = "unreachable"  # not connected, nothing was done
+    REFUSED = "refused"  # the store answered that nothing was done
+    UNANSWERED = "unanswered"  # may be done, now or later
+    EXPIRED = "expired"  # the records asked for are gone
+    CONFLICT = "conflict"  # a condition did not hold
+    MALFORMED = "malformed"  # an answer that cannot be read
+
+
+@attrs.frozen
+class StoreError:
+    """A failed call to the store."""
+
+    kind: StoreErrorKind
+    reason: str = ""
+
+
+class ControlStore(abc.ABC):
+    """The platform's store as the controllers use it.
+
+    Every call is bounded in time and sent once. Reads are linearizable: an
+    answer shows all that was acknowledged before the call was sent.
+    """
+
+    @abc.abstractmethod
+    def listing(self, feed: Feed) -> Result[FeedSlice, StoreError]:
+        """Read the newest state of everything on a feed."""
+
+    @abc.abstractmethod
+    def follow(self, feed: Feed, offset: int, wait_s: float) -> Result[FeedSlice, StoreError]:
+        """Read the changes from an offset on, waiting for the first."""
+
+    @abc.abstractmethod
+    def read_lease(self) -> Result[LeaseLog, StoreError]:
+        """Read the newest record of the lease's log."""
+
+    @abc.abstractmethod
+    def append_lease(self, entry: LeaseEntry, at: int) -> Result[int, StoreError]:
+        """Append a record iff the log ends at an offset; returns that offset."""
+
+    @abc.abstractmethod
+    def join(
+        self, member: str, ttl_s: float, generation: int
+    ) -> Result[Membership, StoreError]:
+        """Join the fleet or stay in it."""
+
+    @abc.abstractmethod
+    def leave(self, member: str) -> Result[None, StoreError]:
+        """Leave the fleet, so that the others need not wait for the time to live."""
--- /dev/null
+++ b/agaterail/gateway/forwarder.py
@@ -0,0 +1,329 @@
+"""Send a request to targets until one answers, and pass the answer on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail import logs
+from agaterail.errors import ErrorKind, Failure
+from agaterail.gateway.attempts import Attempts, Fate
+from agaterail.gateway.desired import RequestKind
+from agaterail.gateway.eventstream import EventCutter
+from agaterail.gateway.inbound import AttemptHead
+
+if TYPE_CHECKING:
+    from agaterail.gateway.channel import Channel
+    from agaterail.gateway.daemon import Daemon
+    from agaterail.gateway.desired import Route, Workspace
+    from agaterail.gateway.front import CallerConnection
+    from agaterail.gateway.inbound import AnswerHead, Inbound
+    from agaterail.gateway.placement import Choice
+
+logger = logs.get_logger("forward")
+
+# A host that does not answer a connection at all is without power, frozen or
+# cut off; hosts are some milliseconds apart.
+CONNECT_TIMEOUT_S = 0.3
+CONNECT_PART = 0.25
+# The answer needs its time back to the caller: a few milliseconds of network,
+# and the event loop's pauses on a busy host.
+WAY_BACK_S = 0.02
+# Statuses that promise to callers that the request did not run. A target that
+# sends one without saying so in its protocol's form may have run it.
+PROMISES = (408, 421, 429, 503)
+SERVER_ERRORS_FROM = 500
+OK_STATUSES = range(200, 300)
+
+
+@attrs.define(kw_only=True)
+class Job:
+    """One request with all that was decided before it is sent.
+
+    Attributes
+    ----------
+    answer_by
+        Time at which the last byte of the answer is due.
+    """
+
+    inbound: Inbound
+    route: Route
+    service: str
+    workspace: Workspace | None
+    answer_by: float
+    caller: CallerConnection
+    attempts: Attempts
+    first_byte_at: float | None = None
+    events: int = 0
+    resumed: int = 0
+    target: str = ""
+
+
+class Forwarder:
+    """The attempts of one request, one after the other."""
+
+    def __init__(self, daemon: Daemon, job: Job) -> None:
+        self.daemon = daemon
+        self.job = job
+        self.attempts = job.attempts
+        self.choice: Choice | None = None
+        self.channel: Channel | None = None
+        self.cutter: EventCutter | None = None
+        self.answered = False
+        self.waits_first = False
+
+    def run(self) -> Failure | None:
+        """Answer the request; returns why it failed if nothing was sent yet."""
+        last_event = self.job.inbound.last_event
+        first = int(last_event) if last_event.isdigit() else None
+        self.cutter = EventCutter(last_id=first)
+        try:
+            while True:
+                failure = self._open()
+                if failure is not None:
+                    return self._fail(failure)
+                fate = self._attempt()
+                if fate is None:
+                    return None
+                self._settle(fate)
+        finally:
+            self._release(whole=False)
+
+    def _fail(self, failure: Failure) -> Failure | None:
+        if not self.answered:
+            return failure
+        # Part of a stream is with the caller; without its end it is plainly cut.
+        self.job.caller.abort()
+        self._log("Stream cut.", kind=failure.kind.value)
+        return None
+
+    def _open(self) -> Failure | None:
+        """Connect to the next target, or tell why there is none."""
+        while True:
+            now = self.daemon.now()
+            left = self.job.answer_by - now
+            if not self.attempts.may_go_on(left):
+                return self._given_up(now)
+            choice = self.daemon.choose(self.job, now)
+            if choice is None:
+                return self._given_up(now)
+            self.choice = choice
+            self.job.target = choice.target.instance
+            try:
+                self.channel = self.daemon.channels.take(
+                    choice.target,
+                    self.job.route.idempotent,
+                    min(CONNECT_TIMEOUT_S, left * CONNECT_PART),
+                )
+            except OSError as error:
+                choice.target.note_failure(now)
+                self.attempts.note(choice.target.instance, Fate.NOT_CONNECTED)
+                self._log("No connection.", error=str(error))
+                continue
+            if self.attempts.sends and not self.daemon.budget.take(self.job.service, now):
+                self.daemon.channels.give_back_unused(choice.target, self.channel)
+                self.channel = None
+                self._log("No repeat left in the budget.")
+                return self._given_up(now)
+            return None
+
+    def _attempt(self) -> Fate | None:
+        """Send the request once; returns how it failed, or nothing when answered."""
+        assert self.choice is not None and self.channel is not None
+        now = self.daemon.now()
+        left = self.job.answer_by - now
+        target = self.choice.target
+        self.attempts.sends += 1
+        target.in_flight += 1
+        self._begin_prefill()
+        try:
+            self.channel.send(*self._encoded(left), timeout_s=max(0.001, left))
+            head = self._read_head(now, left)
+            return self._answer(head)
+        except TimeoutError:
+            return Fate.SILENT
+        except OSError as error:
+            self._log("Attempt broke.", error=str(error))
+            return Fate.BROKEN
+        finally:
+            target.in_flight -= 1
+            self._end_prefill()
+
+    def _read_head(self, now: float, left: float) -> AnswerHead:
+        assert self.channel is not None
+        patience = self.attempts.patience_s(left)
+        return self.channel.read_head(self.job.inbound.request_id, now + patience)
+
+    def _answer(self, head: AnswerHead) -> Fate | None:
+        if head.not_run:
+            return self._refused(head)
+        streamed = self.job.route.kind is RequestKind.STREAM and head.status in OK_STATUSES
+        if streamed and head.signed:
+            self._note_weights(head)
+            return self._relay(head)
+        if self.answered:
+            # A continued stream can only go on with events.
+            return Fate.FAILED
+        return self._pass_on(head)
+
+    def _refused(self, head: AnswerHead) -> Fate:
+        assert self.choice is not None
+        target = self.choice.target
+        now = self.daemon.now()
+        if head.weights_version is not None:
+            target.note_weights(self.job.inbound.model, head.weights_version)
+        target.note_refusal(now)
+        self._log("Refused by the target.", status=head.status, instance=head.instance or None)
+        self._discard_answer()
+        return Fate.REFUSED
+
+    def _discard_answer(self) -> None:
+        assert self.channel is not None
+        try:
+            while self.channel.read_body(self.daemon.now() + CONNECT_TIMEOUT_S):
+                continue
+        except OSError as error:
+            self._log("Refusal was cut short.", error=str(error))
+            return
+        self._release(whole=True)
+
+    def _pass_on(self, head: AnswerHead) -> Fate | None:
+        """Read a whole answer, then send it; half an answer is never passed on."""
+        assert self.channel is not None
+        pieces = []
+        while piece := self.channel.read_body(self.job.answer_by):
+            pieces.append(piece)
+        failed = head.status >= SERVER_ERRORS_FROM
+        last = self.attempts.runs + 1 >= self.job.route.max_attempts
+        if failed and self.job.route.idempotent and not last and self._may_repeat():
+            self._release(whole=True)
+            return Fate.FAILED
+        if not head.signed or head.status in PROMISES:
+            return Fate.FAILED
+        self._release(whole=True, failed=failed)
+        self._answered_now()
+        lines = [name + b": " + value for name, value in head.headers]
+        self.job.caller.send_answer(head.status, lines, b"".join(pieces))
+        self._log("Answered.", status=head.status)
+        return None
+
+    def _may_repeat(self) -> bool:
+        return self.daemon.budget.left(self.job.service, self.daemon.now()) >= 1.0
+
+    def _relay(self, head: AnswerHead) -> Fate | None:
+        """Pass events on as they come."""
+        assert self.channel is not None and self.cutter is not None
+        self.cutter.restart()
+        first = True
+        while True:
+            now = self.daemon.now()
+            left = self.job.answer_by - now
+            patience = (
+                self.attempts.patience_s(left) if first else self.attempts.gap_patience_s(left)
+            )
+            data = self.channel.read_body(now + patience)
+            if not data:
+                break
+            events = self.cutter.feed(data)
+            if events:
+                self._send_events(head, events)
+                if first:
+                    self._end_prefill()
+                    first = False
+        if self.cutter.rest.strip() or self.cutter.broken:
+            return Fate.BROKEN
+        self._release(whole=True)
+        if not self.answered:
+            self._send_events(head, b"")
+        self.job.caller.end_stream()
+        self._log("Stream complete.", events=self.cutter.passed)
+        return None
+
+    def _send_events(self, head: AnswerHead, events: bytes) -> None:
+        if self.answered:
+            self.job.caller.send_chunk(events)
+            return
+        self._answered_now()
+        lines = [name + b": " + value for name, value in head.headers]
+        self.job.caller.start_stream(head.status, lines, events)
+
+    def _answered_now(self) -> None:
+        self.answered = True
+        self.job.first_byte_at = self.daemon.now()
+
+    def _settle(self, fate: Fate) -> None:
+        """Take in a failed attempt and let go of its channel."""
+        assert self.choice is not None
+        target = self.choice.target
+        self.attempts.note(target.instance, fate)
+        self._release(whole=False)
+        if fate is not Fate.REFUSED:
+            target.note_failure(self.daemon.now())
+            self._log("Attempt failed.", fate=fate.value)
+        if self.answered:
+            self.job.resumed += 1
+
+    def _given_up(self, now: float) -> Failure:
+        kind = self.attempts.error_kind()
+        if kind is ErrorKind.NO_TARGET and self.job.answer_by - now <= 0.0:
+            kind = ErrorKind.OVERLOADED
+        return Failure(kind, retry_after_s=self.daemon.retry_after_s(self.job, now))
+
+    def _encoded(self, left: float) -> tuple[bytes, bytes]:
+        job, choice = self.job, self.choice
+        assert choice is not None and self.cutter is not None
+        last_event = job.inbound.last_event
+        if self.cutter.last_id is not None:
+            last_event = str(self.cutter.last_id)
+        head = AttemptHead(
+            time_left_s=max(0.001, left - WAY_BACK_S),
+            instance=choice.target.instance,
+            workspace="" if job.workspace is None else job.workspace.name,
+            last_event=last_event,
+            **self.daemon.cache_terms(job, choice),
+        )
+        return self.daemon.encode(job.inbound, head), job.inbound.body
+
+    def _release(self, whole: bool, failed: bool = False) -> None:
+        channel, self.channel = self.channel, None
+        if channel is None or self.choice is None:
+            return
+        if not whole:
+            channel.close()
+            return
+        if not failed:
+            self.choice.target.note_success()
+        self.daemon.channels.give_back(self.choice.target, channel)
+
+    def _begin_prefill(self) -> None:
+        assert self.choice is not None
+        if self.job.route.prompted:
+            self.waits_first = True
+            self.choice.target.prefill_tokens += self.job.inbound.prompt_tokens
+
+    def _end_prefill(self) -> None:
+        assert self.choice is not None
+        if self.waits_first:
+            self.waits_first = False
+            self.choice.target.prefill_tokens -= self.job.inbound.prompt_tokens
+
+    def _note_weights(self, head: AnswerHead) -> None:
+        assert self.choice is not None
+        if head.weights_version is not None:
+            self.choice.target.note_weights(self.job.inbound.model, head.weights_version)
+
+    def _log(self, sentence: str, **fields: object) -> None:
+        choice = self.choice
+        logger.info(
+            sentence,
+            request=self.job.inbound.request_id,
+            route=self.job.route.name,
+            target=self.job.target,
+            age_s=round(self.daemon.now() - self.job.inbound.received_at, 4),
+            sends=self.attempts.sends,
+            cost_ms=None if choice is None else round(choice.cost_ms, 1),
+            rank=None if choice is None else choice.rank,
+            weights=None if choice is None else choice.weights_version,
+            **fields,
+        )
--- /dev/null
+++ b/agaterail/gateway/placement.py
@@ -0,0 +1,188 @@
+"""Choose the target of a request by the cost that it would have there."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from agaterail.gateway.inbound import Inbound
+    from agaterail.gateway.targets import Target
+
+# Weights that are older than the newest named ones lose worth from this age of
+# the name on; before it an engine with the older ones is as good as any.
+OLD_WEIGHTS_AFTER_S = 1.5
+# A request on older weights loses a fifth of its worth, as one that comes about
+# as late as its objective is long does. So the cost of older weights is that
+# part of the objective.
+OLD_WEIGHTS_PART = 1.0
+# Milliseconds to prefill a token, as long as nothing was measured: within a
+# factor of two for the engines in use, and only the order of costs matters.
+PREFILL_MS_PER_TOKEN = 0.014
+# One request in decode slows each step of the others a little.
+RUNNING_MS = 1.0
+# A target in another failure domain is a millisecond away and bytes between
+# domains are paid for; this only breaks ties.
+OTHER_DOMAIN_MS = 2.0
+HASH_BYTES = 8
+
+
+@attrs.frozen(kw_only=True)
+class NewestWeights:
+    """Newest weights version named of a model and how long this is known."""
+
+    version: int
+    known_for_s: float
+
+
+@attrs.frozen(kw_only=True)
+class PlacementRules:
+    """What bounds a choice beside its cost.
+
+    Attributes
+    ----------
+    domain
+        Failure domain of this daemon's host.
+    version_s
+        Seconds after which older weights must not begin a request.
+    daemons
+        Daemons that send to the same targets, this one included.
+    """
+
+    domain: str
+    version_s: float
+    daemons: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """The chosen target and what decided.
+
+    Attributes
+    ----------
+    rank
+        Place of the target in the hash order of the prompt's shared part.
+    home
+        First target of that order; it probably holds the part.
+    """
+
+    target: Target
+    cost_ms: float
+    queue_ms: float = 0.0
+    rank: int = 0
+    home: Target | None = None
+    weights_version: int | None = None
+    candidates: int = 0
+
+
+def hash_order(key: str, targets: Sequence[Target]) -> list[Target]:
+    """Return targets by rendezvous hashing, the same order on every daemon."""
+    return sorted(targets, key=lambda target: _weight(key, target.instance), reverse=True)
+
+
+def choose_plain(
+    targets: Sequence[Target], excluded: Collection[str], rules: PlacementRules, now: float
+) -> Choice | None:
+    """Return the usable target with the least of this daemon's requests."""
+    usable = [
+        target
+        for target in targets
+        if target.instance not in excluded and target.is_usable(now)
+    ]
+    if not usable:
+        return None
+    best = min(usable, key=lambda target: _plain_cost(target, rules.domain))
+    return Choice(
+        target=best, cost_ms=_plain_cost(best, rules.domain)[0], candidates=len(usable)
+    )
+
+
+def choose_engine(
+    inbound: Inbound,
+    targets: Sequence[Target],
+    excluded: Collection[str],
+    rules: PlacementRules,
+    newest: NewestWeights | None,
+    objective_s: float,
+    now: float,
+) -> Choice | None:
+    """Return the engine with the lowest expected cost for a prompt.
+
+    Engines are ranked by a hash of the deepest shared part, so that requests
+    with one prefix meet at one engine from every daemon without a word between
+    them. The first holds the prefix; another must read it again, or fetch it.
+    """
+    usable = [
+        target
+        for target in targets
+        if target.instance not in excluded
+        and target.is_usable(now)
+        and _may_begin(target, inbound.model, newest, rules)
+    ]
+    if not usable:
+        return None
+    shared = inbound.shared_parts
+    ordered = hash_order(shared[-1].name, usable) if shared else usable
+    shared_tokens = sum(part.tokens for part in shared)
+    best: tuple[float, int, float] | None = None
+    for rank, target in enumerate(ordered):
+        queue_ms = _queue_ms(target, rules.daemons)
+        cost = queue_ms + _domain_ms(target, rules.domain)
+        if shared and rank:
+            cost += shared_tokens * PREFILL_MS_PER_TOKEN
+        if _is_old(target, inbound.model, newest):
+            cost += OLD_WEIGHTS_PART * objective_s * 1e3
+        if best is None or cost < best[0]:
+            best = (cost, rank, queue_ms)
+    assert best is not None
+    cost, rank, queue_ms = best
+    target = ordered[rank]
+    return Choice(
+        target=target,
+        cost_ms=cost,
+        queue_ms=queue_ms,
+        rank=rank,
+        home=ordered[0],
+        weights_version=target.weights_of(inbound.model),
+        candidates=len(usable),
+    )
+
+
+def _may_begin(
+    target: Target, model: str, newest: NewestWeights | None, rules: PlacementRules
+) -> bool:
+    held = target.weights_of(model)
+    if model and held is None:
+        return False
+    if newest is None or held is None or held >= newest.version:
+        return True
+    return newest.known_for_s < rules.version_s
+
+
+def _is_old(target: Target, model: str, newest: NewestWeights | None) -> bool:
+    if newest is None or newest.known_for_s < OLD_WEIGHTS_AFTER_S:
+        return False
+    held = target.weights_of(model)
+    return held is not None and held < newest.version
+
+
+def _queue_ms(target: Target, daemons: float) -> float:
+    # The other daemons send about as much as this one does.
+    prefill = target.prefill_tokens * PREFILL_MS_PER_TOKEN
+    return (prefill + target.in_flight * RUNNING_MS) * daemons
+
+
+def _domain_ms(target: Target, domain: str) -> float:
+    return 0.0 if target.entry.domain == domain else OTHER_DOMAIN_MS
+
+
+def _plain_cost(target: Target, domain: str) -> tuple[float, float]:
+    return target.in_flight + 0.5 * (target.entry.domain != domain), target.failures
+
+
+def _weight(key: str, instance: str) -> bytes:
+    return blake2b(f"{key} {instance}".encode(), digest_size=HASH_BYTES).digest()
--- /dev/null
+++ b/agaterail/gateway/readiness.py
@@ -0,0 +1,39 @@
+"""Answers the balancer's question whether to send new connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agaterail.gateway.desired import CallerLimits
+from agaterail.gateway.front import Front
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.gateway.front import CallerConnection
+    from agaterail.gateway.inbound import Inbound
+    from agaterail.util.address import Address
+
+READY = 200
+NOT_READY = 503
+NOT_FOUND = 404
+
+
+def make_readiness(
+    address: Address, path: bytes, ready: Callable[[], bool], now: Callable[[], float]
+) -> Front:
+    """Return a server that answers one path; bound, not started.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+
+    def handle(inbound: Inbound, caller: CallerConnection) -> None:
+        if inbound.path != path:
+            caller.send_answer(NOT_FOUND, [], b"")
+            return
+        caller.send_answer(READY if ready() else NOT_READY, [], b"")
+
+    return Front(address, handle, CallerLimits, now)
--- /dev/null
+++ b/agaterail/gateway/state.py
@@ -0,0 +1,115 @@
+"""What this daemon believes of the world, changed only by its controllers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail import logs
+from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
+from agaterail.gateway.placement import NewestWeights
+from agaterail.gateway.targets import TargetBook
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from agaterail.gateway.controlstore import Change
+    from agaterail.gateway.desired import DesiredState
+    from agaterail.gateway.freshness import Freshness
+
+logger = logs.get_logger("state")
+
+
+@attrs.frozen
+class NamedVersion:
+    """A weights version with the time at which this daemon read its name."""
+
+    version: int
+    known_at: float
+
+
+class GatewayState:
+    """Desired state, named weights and targets in force on this daemon.
+
+    Versions only move forward: a slow read that was overtaken by a newer one
+    must not bring back a route or a key that is gone.
+    """
+
+    def __init__(self, freshness: Freshness, book: TargetBook) -> None:
+        self.freshness = freshness
+        self.book = book
+        self.desired: DesiredState | None = None
+        self.weights: dict[str, NamedVersion] = {}
+        self.target_offsets: dict[str, int] = {}
+
+    def apply(self, changes: Iterable[Change], now: float) -> None:
+        """Take in changes in the order of their offsets."""
+        for change in changes:
+            if isinstance(change, DesiredPublished):
+                self._apply_desired(change, now)
+            elif isinstance(change, WeightsNamed):
+                self._apply_weights(change, now)
+            else:
+                self._apply_target(change, now)
+
+    def newest_weights(self, model: str, now: float) -> NewestWeights | None:
+        """Return the newest weights named of a model."""
+        named = self.weights.get(model)
+        if named is None:
+            return None
+        return NewestWeights(version=named.version, known_for_s=now - named.known_at)
+
+    def _apply_desired(self, change: DesiredPublished, now: float) -> None:
+        if self.desired is not None and change.state.version <= self.desired.version:
+            return
+        former = self.desired
+        self.desired = change.state
+        logger.info(
+            "Desired state in force.",
+            version=change.state.version,
+            former=None if former is None else former.version,
+            offset=change.offset,
+            reading_age_s=self.freshness.age_s(now),
+            routes=len(change.state.routes),
+            keys=len(change.state.workspace_by_key),
+        )
+
+    def _apply_weights(self, change: WeightsNamed, now: float) -> None:
+        known = self.weights.get(change.model)
+        if known is not None and change.version <= known.version:
+            return
+        self.weights[change.model] = NamedVersion(change.version, now)
+        logger.info(
+            "Weights named.", model=change.model, version=change.version, offset=change.offset
+        )
+
+    def _apply_target(self, change: TargetChanged, now: float) -> None:
+        if change.offset < self.target_offsets.get(change.instance, -1):
+            return
+        self.target_offsets[change.instance] = change.offset
+        known = self.book.targets.get(change.instance)
+        if change.entry is None:
+            self.book.remove(change.instance, now)
+            if known is not None:
+                logger.info(
+                    "Target vanished.",
+                    target=change.instance,
+                    kept=change.instance in self.book.targets,
+                    offset=change.offset,
+                )
+            del self.target_offsets[change.instance]
+            return
+        changed = known is None or known.entry != change.entry
+        self.book.put(change.entry)
+        if changed:
+            logger.info(
+                "Target registered.",
+                target=change.instance,
+                service=change.entry.service,
+                address=change.entry.address,
+                ready=change.entry.ready,
+                born=change.entry.born,
+                weights=change.entry.weights,
+                offset=change.offset,
+            )
--- /dev/null
+++ b/agaterail/gateway/targets.py
@@ -0,0 +1,194 @@
+"""Targets that registered themselves, and what this daemon saw of each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+# A target that failed is left alone for this long, doubled at each further
+# failure in a row. 250 ms is half of the shortest objective of a stream: one
+# request tries it again soon, the others go elsewhere meanwhile.
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 4.0
+# A target that refused because it is full or changes its weights recovers
+# within tens of milliseconds to 2 s; its pause grows from a shorter start.
+FIRST_REFUSAL_PAUSE_S = 0.1
+LONGEST_REFUSAL_PAUSE_S = 0.8
+
+
+@attrs.frozen(kw_only=True)
+class Registration:
+    """What a target says of itself in the platform's store.
+
+    Attributes
+    ----------
+    born
+        Unix millisecond of its start; a restart under the same id has another.
+    weights
+        Weights version of each model that it serves.
+    """
+
+    instance: str
+    service: str
+    address: str
+    domain: str
+    ready: bool
+    slots: int = 0
+    born: int = 0
+    weights: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class Target:
+    """One target with this daemon's own observations.
+
+    Attributes
+    ----------
+    in_flight
+        Requests of this daemon that are at the target now.
+    prefill_tokens
+        Prompt tokens sent there whose first event has not come yet.
+    lapsed_at
+        Time at which its registration vanished while the store was away.
+    """
+
+    entry: Registration
+    in_flight: int = 0
+    prefill_tokens: int = 0
+    failures: int = 0
+    refusals: int = 0
+    paused_until: float = 0.0
+    lapsed_at: float | None = None
+    gone: bool = False
+    versions_seen: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def instance(self) -> str:
+        """Return the id."""
+        return self.entry.instance
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        return self.entry.address
+
+    def weights_of(self, model: str) -> int | None:
+        """Return the newest weights version known of a model."""
+        known = self.entry.weights.get(model)
+        seen = self.versions_seen.get(model)
+        if known is None:
+            return None
+        return known if seen is None else max(known, seen)
+
+    def note_weights(self, model: str, version: int) -> None:
+        """Take in the weights that an answer named, ahead of the registration."""
+        if version > self.versions_seen.get(model, 0):
+            self.versions_seen[model] = version
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether a new request may be sent there."""
+        return self.entry.ready and not self.gone and now >= self.paused_until
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = self.refusals = 0
+        self.paused_until = 0.0
+
+    def note_failure(self, now: float) -> None:
+        """Leave the target alone for a while, longer after each failure in a row."""
+        self.failures += 1
+        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (self.failures - 1))
+        self.paused_until = max(self.paused_until, now + pause)
+
+    def note_refusal(self, now: float) -> None:
+        """Leave a full or loading target alone for a moment."""
+        self.refusals += 1
+        pause = FIRST_REFUSAL_PAUSE_S * 2 ** (self.refusals - 1)
+        self.paused_until = max(self.paused_until, now + min(LONGEST_REFUSAL_PAUSE_S, pause))
+
+
+class TargetBook:
+    """All registered targets, by id.
+
+    Registrations also lapse while the platform's store is away although the
+    targets live; these are back soon after the store's return. So what vanishes
+    in an outage, or is found to have vanished right after it, is kept for
+    ``lapse_grace_s`` after the return and only then taken as gone.
+    """
+
+    def __init__(self, lapse_grace_s: float) -> None:
+        self.lapse_grace_s = lapse_grace_s
+        self.targets: dict[str, Target] = {}
+        self.by_service: dict[str, list[Target]] = {}
+        self.returned_at: float | None = None
+        self.on_gone: Callable[[Target], None] = lambda _target: None
+
+    def put(self, entry: Registration) -> Target:
+        """Take in a registration; a new start forgets what was seen of the old."""
+        known = self.targets.get(entry.instance)
+        if known is not None and known.entry.born == entry.born:
+            known.entry = entry
+            known.lapsed_at = None
+            self._index()
+            return known
+        if known is not None:
+            self._drop(known)
+        target = Target(entry=entry)
+        self.targets[entry.instance] = target
+        self._index()
+        return target
+
+    def remove(self, instance: str, now: float) -> None:
+        """Take in that a registration vanished."""
+        target = self.targets.get(instance)
+        if target is None:
+            return
+        if self._in_grace(now):
+            target.lapsed_at = now
+            return
+        self._drop(target)
+        self._index()
+
+    def replace_all(self, entries: Iterable[Registration], now: float) -> None:
+        """Take in a whole listing; targets that it leaves out have vanished."""
+        listed = {entry.instance: entry for entry in entries}
+        for instance in [name for name in self.targets if name not in listed]:
+            self.remove(instance, now)
+        for entry in listed.values():
+            self.put(entry)
+
+    def store_returned(self, now: float) -> None:
+        """Note that the store answers again after an outage."""
+        self.returned_at = now
+
+    def expire(self, now: float) -> list[Target]:
+        """Drop the lapsed targets whose grace has passed; returns them."""
+        if self._in_grace(now):
+            return []
+        gone = [item for item in self.targets.values() if item.lapsed_at is not None]
+        for target in gone:
+            self._drop(target)
+        if gone:
+            self._index()
+        return gone
+
+    def of_service(self, service: str) -> list[Target]:
+        """Return the targets of a service."""
+        return self.by_service.get(service, [])
+
+    def _in_grace(self, now: float) -> bool:
+        return self.returned_at is not None and now - self.returned_at < self.lapse_grace_s
+
+    def _drop(self, target: Target) -> None:
+        target.gone = True
+        self.targets.pop(target.instance, None)
+        self.on_gone(target)
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for target in self.targets.values():
+            self.by_service.setdefault(target.entry.service, []).append(target)
--- a/agaterail/logs.py
+++ b/agaterail/logs.py
@@ -20,7 +20,9 @@
     return structlog.get_logger(part=part)
 
 
-def configure(level: str = "info", json_lines: bool = False) -> None:
+def configure(
+    level: str = "info", json_lines: bool = False, stream: Any | None = None
+) -> None:
     """Set the level and form of all log lines of this process.
 
     Parameters
@@ -29,6 +31,8 @@
         Name of the lowest level shown.
     json_lines
         Write one JSON object a line instead of ``key=value`` pairs.
+    stream
+        File-like object for the lines; standard error by default.
     """
     renderer: Any = _render_line
     if json_lines:
@@ -43,7 +47,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelName(level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
 
--- /dev/null
+++ b/agaterail/platform/names.py
@@ -0,0 +1,101 @@
+"""Names that the platform uses in headers, calls and topics."""
+
+from __future__ import annotations
+
+# Headers, lower case as the parsers deliver them.
+REQUEST_ID = b"request-id"
+DEADLINE = b"deadline-ms"  # milliseconds that the caller waits, not a point in time
+AUTHORIZATION = b"authorization"
+BEARER = "Bearer "
+LAST_EVENT_ID = b"last-event-id"
+MODEL = b"model"
+TOKEN_USAGE = b"token-usage"  # an announcement of the caller, not what was used
+PROMPT_PREFIX = b"prompt-prefix"  # the whole prompt in parts, not only a prefix
+WORKSPACE = b"tenant"
+EXPECT_INSTANCE = b"expect-instance"
+EXPECT_VERSION = b"expect-version"
+CACHE_SCOPE = b"cache-salt"
+FETCH_FROM = b"kv-fetch"
+SAVE_TO = b"kv-save"
+PRIORITY = b"request-priority"
+PIN = b"pin-ms"
+HOLD = b"hold"
+BACKUP = b"kv-backup"
+MOVED_FROM = b"kv-from"
+NOT_RUN = b"not-run"
+SIGNATURE = b"server-stamp"
+INSTANCE = b"instance-id"
+WEIGHTS_VERSION = b"weight-versions"  # one integer in spite of the plural
+RETRY_AFTER = b"retry-after"
+KEEP_ALIVE = b"keep-alive"
+CONNECTION = b"connection"
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+
+HOP_BY_HOP = frozenset(
+    {
+        CONNECTION,
+        KEEP_ALIVE,
+        TRANSFER_ENCODING,
+        CONTENT_LENGTH,
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"expect",
+    }
+)
+# What the router alone may set. A caller's value is dropped: with it a caller
+# could read another workspace's cache or keep memory of engines for itself.
+SET_BY_ROUTER = frozenset(
+    {
+        DEADLINE,
+        AUTHORIZATION,
+        LAST_EVENT_ID,
+        WORKSPACE,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        CACHE_SCOPE,
+        FETCH_FROM,
+        SAVE_TO,
+        PRIORITY,
+        PIN,
+        HOLD,
+        BACKUP,
+        MOVED_FROM,
+    }
+)
+# Headers that decide something here; two of them would leave open which counts.
+SINGLE = frozenset(
+    {
+        b"host",
+        REQUEST_ID,
+        DEADLINE,
+        AUTHORIZATION,
+        LAST_EVENT_ID,
+        MODEL,
+        TOKEN_USAGE,
+        PROMPT_PREFIX,
+        CONTENT_LENGTH,
+    }
+)
+
+READY_PATH = b"/agaterail/readiness"
+ORDER_PATH = "/agaterail/order"
+REPORT_PATH = "/agaterail/report"
+EVENTS_PATH = "/agaterail/kv-events"
+LOG_APPEND_PATH = "/agaterail/log-append"
+LOG_READ_PATH = "/agaterail/log-read"
+LOG_NEWEST_PATH = "/agaterail/log-newest"
+LOG_JOIN_PATH = "/agaterail/log-join"
+LOG_LEAVE_PATH = "/agaterail/log-leave"
+
+OPERATOR_TOPIC = "keyed.op"
+TARGETS_TOPIC = "keyed.servers"
+CONFIG_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+KEYED_PREFIX = "keyed."
+
+SETTINGS_VARIABLE = "AGATERAIL_NODE_FILE"
--- /dev/null
+++ b/agaterail/platform/requests.py
@@ -0,0 +1,144 @@
+"""Decode callers' requests and targets' answers; encode what is sent to targets."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from agaterail.gateway.inbound import AnswerHead, PromptPart
+from agaterail.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from agaterail.gateway.inbound import AttemptHead, Inbound
+
+PART = re.compile(r"([0-9A-Fa-f]+):(\d{1,12})")
+WHOLE = re.compile(rb"\d{1,15}")
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
+MS = 1e-3
+
+
+def decode_request(inbound: Inbound) -> Result[Inbound, str]:
+    """Fill in what the headers of a caller's request say.
+
+    A header that decides something and comes twice, or cannot be read, makes
+    the request malformed: router and target might read it differently.
+    """
+    seen: dict[bytes, bytes] = {}
+    for name, value in inbound.headers:
+        lower = name.lower()
+        if lower in names.SINGLE and lower in seen:
+            return Failure(f"The header {lower.decode('latin-1')} comes twice.")
+        seen[lower] = value
+    host = seen.get(b"host", b"").decode("latin-1").lower()
+    inbound.host = host.rsplit(":", 1)[0] if host.rpartition(":")[2].isdigit() else host
+    inbound.request_id = seen.get(names.REQUEST_ID, b"").decode("latin-1")
+    inbound.model = seen.get(names.MODEL, b"").decode("latin-1")
+    inbound.last_event = seen.get(names.LAST_EVENT_ID, b"").decode("latin-1")
+    authorization = seen.get(names.AUTHORIZATION, b"").decode("latin-1")
+    if authorization.startswith(names.BEARER):
+        inbound.api_key = authorization[len(names.BEARER) :].strip()
+    limit = seen.get(names.DEADLINE)
+    if limit is not None:
+        if not WHOLE.fullmatch(limit):
+            return Failure("The time limit is no whole number of milliseconds.")
+        inbound.time_limit_s = int(limit) * MS
+    return _decode_prompt(inbound, seen)
+
+
+def encode_attempt(inbound: Inbound, head: AttemptHead) -> bytes:
+    """Return the bytes of the request for a target, up to its body."""
+    lines = [inbound.method + b" " + inbound.target + b" HTTP/1.1"]
+    named_by_caller = _connection_options(inbound.headers)
+    for name, value in inbound.headers:
+        lower = name.lower()
+        if lower in names.HOP_BY_HOP or lower in names.SET_BY_ROUTER:
+            continue
+        if lower not in named_by_caller or lower in names.SINGLE:
+            lines.append(name + b": " + value)
+    own = [
+        (b"Deadline-Ms", str(max(1, int(head.time_left_s / MS)))),
+        (b"Expect-Instance", head.instance),
+        (b"Tenant", head.workspace),
+        (b"Last-Event-Id", head.last_event),
+        (b"Cache-Salt", head.cache_scope),
+        (b"Kv-Fetch", head.fetch_from),
+        (b"Kv-Save", head.save_to),
+        (b"Expect-Version", "" if head.weights_version is None else str(head.weights_version)),
+        (b"Request-Priority", "" if head.priority is None else str(head.priority)),
+    ]
+    lines.extend(name + b": " + value.encode("latin-1") for name, value in own if value)
+    if inbound.body or inbound.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(inbound.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def decode_answer_head(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
+    """Return what a target's status and headers say."""
+    seen = {name.lower(): value for name, value in headers}
+    passed_on = tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in names.HOP_BY_HOP and name.lower() != names.INSTANCE
+    )
+    keep_alive = KEEP_ALIVE_TIMEOUT.search(seen.get(names.KEEP_ALIVE, b"").lower())
+    version = seen.get(names.WEIGHTS_VERSION, b"").strip()
+    return AnswerHead(
+        status=status,
+        not_run=names.NOT_RUN in seen or status == 421,
+        request_id=seen.get(names.REQUEST_ID, b"").decode("latin-1"),
+        headers=passed_on,
+        signed=names.SIGNATURE in seen,
+        keep_alive_s=None if keep_alive is None else float(keep_alive.group(1)),
+        retry_after_s=_seconds(seen.get(names.RETRY_AFTER)),
+        weights_version=int(version) if WHOLE.fullmatch(version) else None,
+        instance=seen.get(names.INSTANCE, b"").decode("latin-1"),
+    )
+
+
+def encode_failure_headers(request_id: str, retry_after_s: float | None) -> list[bytes]:
+    """Return the header lines of an answer of our own."""
+    lines = []
+    if request_id:
+        lines.append(b"Request-Id: " + request_id.encode("latin-1"))
+    if retry_after_s is not None:
+        lines.append(b"Retry-After: %.3f" % max(0.0, retry_after_s))
+    return lines
+
+
+def _connection_options(headers: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == names.CONNECTION:
+            named.update(option.strip().lower() for option in value.split(b","))
+    return frozenset(named)
+
+
+def _decode_prompt(inbound: Inbound, seen: dict[bytes, bytes]) -> Result[Inbound, str]:
+    usage = seen.get(names.TOKEN_USAGE)
+    if usage is not None:
+        read, comma, made = usage.partition(b",")
+        if not comma or not WHOLE.fullmatch(read) or not WHOLE.fullmatch(made):
+            return Failure("The announced tokens are no pair of numbers.")
+        inbound.prompt_tokens, inbound.output_tokens = int(read), int(made)
+    listed = seen.get(names.PROMPT_PREFIX)
+    if listed is None:
+        return Success(inbound)
+    parts = []
+    for entry in listed.decode("latin-1").split(","):
+        found = PART.fullmatch(entry.strip())
+        if found is None:
+            return Failure("The parts of the prompt cannot be read.")
+        parts.append(PromptPart(found.group(1), int(found.group(2))))
+    inbound.prompt = tuple(parts)
+    return Success(inbound)
+
+
+def _seconds(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None  # a date or nonsense: no hint, which the caller of this treats as absent
--- /dev/null
+++ b/agaterail/platform/store.py
@@ -0,0 +1,334 @@
+"""Client of the platform's store, the only one."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import struct
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlencode
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from agaterail import logs
+from agaterail.gateway.controlstore import (
+    Change,
+    ControlStore,
+    DesiredPublished,
+    Feed,
+    FeedSlice,
+    LeaseEntry,
+    LeaseLog,
+    Membership,
+    StoreError,
+    StoreErrorKind,
+    TargetChanged,
+    WeightsNamed,
+)
+from agaterail.platform import fields, names
+from agaterail.platform.desired import decode_desired, decode_weights
+from agaterail.platform.registrations import decode_registration
+from agaterail.util.httpconn import ConnectFailed, HttpConnections
+
+if TYPE_CHECKING:
+    from agaterail.util.address import Address
+
+logger = logs.get_logger("store")
+
+TOPIC_OF = {Feed.OPERATORS: names.OPERATOR_TOPIC, Feed.TARGETS: names.TARGETS_TOPIC}
+PART = 0  # keyed records of operators and targets have one partition only
+LEASE_TOPIC = "agaterail-lease"
+FLEET_GROUP = "agaterail"
+# Partitions over all topics bound how finely the fleet's shares are dealt: 8 x
+# 16 gives each of 100 daemons one at least.
+FLEET_TOPICS = tuple(f"agaterail-fleet-{number}" for number in range(8))
+
+# The store answers in some 4 ms and in 250 ms when slow. A channel can also go
+# silent for good; a call that has had no answer for so long is given up, and
+# the next one goes over a new channel.
+ANSWER_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.6
+
+OK = 200
+GONE = 410
+CONFLICTS = (409, 412)
+REFUSALS = (429, 503, 507)
+LENGTH = struct.Struct(">I")
+ENDS = struct.Struct(">QQ")
+
+
+@attrs.frozen
+class _Record:
+    """One record of a keyed topic; without a value its key is dropped."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+class PlatformStore(ControlStore):
+    """The store over its HTTP calls."""
+
+    def __init__(self, address: Address, parts: int) -> None:
+        self.connections = HttpConnections(address, CONNECT_TIMEOUT_S)
+        self.parts = parts
+        self.fresh = False
+        self.calls = 0
+
+    def listing(self, feed: Feed) -> Result[FeedSlice, StoreError]:
+        """Read the newest record of each key, page by page.
+
+        Pages are no snapshot, so reading goes on from the end that the first
+        page named: whatever changed meanwhile comes once more.
+        """
+        records: list[_Record] = []
+        after, next_offset = "", None
+        while True:
+            query = {"topic": TOPIC_OF[feed], "part": PART}
+            if after:
+                query["after"] = after
+            answer = self._call_json("GET", names.LOG_NEWEST_PATH, query)
+            if not isinstance(answer, Success):
+                return Failure(answer.failure())
+            try:
+                page = answer.unwrap()
+                records.extend(_newest_records(page))
+                if next_offset is None:
+                    next_offset = fields.whole(page, "end")
+                more = fields.flag(page, "has_more") and records
+            except ValueError as error:
+                return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
+            if not more:
+                return Success(FeedSlice(_changes(feed, records), next_offset))
+            after = records[-1].key
+
+    def follow(self, feed: Feed, offset: int, wait_s: float) -> Result[FeedSlice, StoreError]:
+        """Read the records from an offset on."""
+        read = self._read(TOPIC_OF[feed], offset, wait_s)
+        if not isinstance(read, Success):
+            return Failure(read.failure())
+        next_offset, raw = read.unwrap()
+        return Success(FeedSlice(_changes(feed, _keyed_records(raw)), next_offset))
+
+    def read_lease(self) -> Result[LeaseLog, StoreError]:
+        """Read the whole log of the lease, which the store keeps short."""
+        offset, newest = 0, None
+        while True:
+            read = self._read(LEASE_TOPIC, offset, 0.0)
+            if isinstance(read, Success):
+                next_offset, raw = read.unwrap()
+                for _, content in raw:
+                    newest = _lease_entry(content)
+                if not raw:
+                    return Success(LeaseLog(newest, next_offset))
+                offset = next_offset
+                continue
+            error = read.failure()
+            if error.kind is not StoreErrorKind.EXPIRED or not error.reason.isdigit():
+                return Failure(error)
+            if int(error.reason) <= offset:
+                return Failure(StoreError(StoreErrorKind.MALFORMED, "no first offset"))
+            offset = int(error.reason)
+
+    def append_lease(self, entry: LeaseEntry, at: int) -> Result[int, StoreError]:
+        """Append a record iff the log ends at an offset."""
+        content = json.dumps({"host": entry.host, "boot": entry.boot}).encode()
+        query = {"topic": LEASE_TOPIC, "part": PART, "at": at}
+        answer = self._call_json(
+            "POST", names.LOG_APPEND_PATH, query, LENGTH.pack(len(content)) + content
+        )
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        try:
+            return Success(fields.whole(answer.unwrap(), "offset"))
+        except ValueError as error:
+            return Failure(StoreError(StoreErrorKind.UNANSWERED, str(error)))
+
+    def join(
+        self, member: str, ttl_s: float, generation: int
+    ) -> Result[Membership, StoreError]:
+        """Join the group whose partitions stand for the fleet's shares."""
+        body = {
+            "group": FLEET_GROUP,
+            "member": member,
+            "topics": list(FLEET_TOPICS),
+            "ttl_ms": int(ttl_s * 1e3),
+            "generation": generation,
+        }
+        answer = self._call_json("POST", names.LOG_JOIN_PATH, None, json.dumps(body).encode())
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        try:
+            found = answer.unwrap()
+            held = [tuple(row[:2]) for row in fields.rows(found, "parts")]
+            total = len(FLEET_TOPICS) * self.parts
+            return Success(
+                Membership(
+                    generation=fields.whole(found, "generation"),
+                    share=min(1.0, len(held) / total),
+                    leads=(FLEET_TOPICS[0], PART) in held,
+                )
+            )
+        except (ValueError, TypeError) as error:
+            return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
+
+    def leave(self, member: str) -> Result[None, StoreError]:
+        """Leave the group."""
+        body = json.dumps({"group": FLEET_GROUP, "member": member}).encode()
+        answer = self._call("POST", names.LOG_LEAVE_PATH, None, body)
+        return answer.map(lambda _: None)
+
+    def _read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Result[tuple[int, list[tuple[int, bytes]]], StoreError]:
+        query = {"topic": topic, "part": PART, "from": offset, "wait_ms": int(wait_s * 1e3)}
+        answer = self._call("GET", names.LOG_READ_PATH, query, wait_s=wait_s)
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        body = answer.unwrap()
+        if len(body) < ENDS.size:
+            return Failure(StoreError(StoreErrorKind.MALFORMED, "a short answer"))
+        raw = _split(body[ENDS.size :], offset)
+        if raw is None:
+            return Failure(StoreError(StoreErrorKind.MALFORMED, "a cut record"))
+        return Success((offset + len(raw), raw))
+
+    def _call_json(
+        self, method: str, path: str, query: dict[str, Any] | None, body: bytes = b""
+    ) -> Result[dict[str, Any], StoreError]:
+        answer = self._call(method, path, query, body)
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        try:
+            return Success(fields.table(json.loads(answer.unwrap()), "the answer"))
+        except ValueError as error:
+            return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any] | None,
+        body: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> Result[bytes, StoreError]:
+        whole = path if query is None else f"{path}?{urlencode(query)}"
+        fresh, self.fresh = self.fresh, False
+        self.calls += 1
+        answer = self.connections.call(
+            method, whole, body, timeout_s=ANSWER_TIMEOUT_S + wait_s, fresh=fresh
+        )
+        if isinstance(answer, Success):
+            status, content = answer.unwrap()
+            return Success(content) if status == OK else Failure(_refusal(status, content))
+        # The other kept channels may be as dead as this one.
+        self.fresh = True
+        error = answer.failure()
+        kind = (
+            StoreErrorKind.UNREACHABLE
+            if isinstance(error, ConnectFailed)
+            else StoreErrorKind.UNANSWERED
+        )
+        return Failure(StoreError(kind, error.reason))
+
+
+def _refusal(status: int, content: bytes) -> StoreError:
+    if status == GONE:
+        try:
+            first = fields.whole(fields.table(json.loads(content), "the answer"), "first")
+        except ValueError as error:
+            return StoreError(StoreErrorKind.MALFORMED, str(error))
+        return StoreError(StoreErrorKind.EXPIRED, str(first))
+    if status in CONFLICTS:
+        return StoreError(StoreErrorKind.CONFLICT, f"status {status}")
+    if status in REFUSALS:
+        return StoreError(StoreErrorKind.REFUSED, f"status {status}")
+    return StoreError(StoreErrorKind.MALFORMED, f"status {status}")
+
+
+def _split(data: bytes, offset: int) -> list[tuple[int, bytes]] | None:
+    found: list[tuple[int, bytes]] = []
+    place = 0
+    while place < len(data):
+        if place + LENGTH.size > len(data):
+            return None
+        (length,) = LENGTH.unpack_from(data, place)
+        place += LENGTH.size
+        if place + length > len(data):
+            return None
+        found.append((offset + len(found), data[place : place + length]))
+        place += length
+    return found
+
+
+def _keyed_records(raw: list[tuple[int, bytes]]) -> list[_Record]:
+    records = []
+    for offset, content in raw:
+        if not content or len(content) < 1 + content[0]:
+            logger.warning("Left out a record.", offset=offset, reason="no key")
+            continue
+        key = content[1 : 1 + content[0]].decode("utf-8", "replace")
+        records.append(_Record(offset, key, content[1 + content[0] :]))
+    return records
+
+
+def _newest_records(page: dict[str, Any]) -> list[_Record]:
+    records = []
+    for item in fields.rows(page, "items"):
+        row = fields.table(item, "an item")
+        try:
+            value = base64.b64decode(fields.text(row, "value"), validate=True)
+        except binascii.Error as error:
+            raise fields.MalformedError(str(error)) from error
+        records.append(_Record(fields.whole(row, "offset"), fields.text(row, "key"), value))
+    return records
+
+
+def _changes(feed: Feed, records: list[_Record]) -> list[Change]:
+    decode = _operator_change if feed is Feed.OPERATORS else _target_change
+    changes = (decode(record) for record in records)
+    return [change for change in changes if change is not None]
+
+
+def _operator_change(record: _Record) -> Change | None:
+    if not record.value:
+        return None
+    if record.key == names.CONFIG_KEY:
+        desired = decode_desired(record.value)
+        if isinstance(desired, Success):
+            return DesiredPublished(record.offset, desired.unwrap())
+        _left_out(record, desired.failure())
+        return None
+    if not record.key.startswith(names.VERSION_KEY_PREFIX):
+        return None
+    weights = decode_weights(record.value)
+    if isinstance(weights, Success):
+        named = weights.unwrap()
+        return WeightsNamed(record.offset, named.model, named.version)
+    _left_out(record, weights.failure())
+    return None
+
+
+def _target_change(record: _Record) -> Change | None:
+    if not record.value:
+        return TargetChanged(record.offset, record.key, None)
+    entry = decode_registration(record.key, record.value)
+    if isinstance(entry, Success):
+        return TargetChanged(record.offset, record.key, entry.unwrap())
+    _left_out(record, entry.failure())
+    return None
+
+
+def _left_out(record: _Record, reason: str) -> None:
+    logger.warning("Left out a record.", key=record.key, offset=record.offset, reason=reason)
+
+
+def _lease_entry(content: bytes) -> LeaseEntry | None:
+    try:
+        found = fields.table(json.loads(content), "the lease")
+        return LeaseEntry(host=fields.text(found, "host"), boot=fields.text(found, "boot"))
+    except ValueError as error:
+        logger.warning("Left out a record.", key="lease", reason=str(error))
+        return None
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -201,6 +201,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float = 5.0,
+        fresh: bool = False,
     ) -> Result[tuple[int, bytes], SendError]:
         """Send one request and read its whole answer.
 
@@ -209,7 +210,7 @@
         Result
             Status code and body.
         """
-        sent = self.send(method, path, body, headers, timeout_s)
+        sent = self.send(method, path, body, headers, timeout_s, fresh)
         if not isinstance(sent, Success):
             return Failure(sent.failure())
         response = sent.unwrap()
