Order new weights from one host under a lease on the store

Change: a lease by conditional appends (the offset is the fencing number), a plan of loads bounded to two fifths of the engines, and a cordon of the engines that load next, in one order that every daemon computes alike.

--- a/agaterail/cmd/gateway.py
+++ b/agaterail/cmd/gateway.py
@@ -16,6 +16,7 @@
 from agaterail.gateway.logsink import LogSink
 from agaterail.gateway.stopping import Stopper
 from agaterail.platform import names
+from agaterail.platform.engines import PlatformEngines
 from agaterail.platform.settings import read_settings
 from agaterail.platform.store import PlatformStore
 
@@ -42,7 +43,7 @@
     logs.configure("info", json_lines=True, stream=LogSink(STANDARD_OUTPUT))
     store = PlatformStore(chosen.store.address, chosen.store.parts)
     try:
-        daemon = Daemon(chosen, store)
+        daemon = Daemon(chosen, store, PlatformEngines())
     except OSError as error:
         print(f"{chosen.caller_listen} cannot be bound: {error}", file=sys.stderr)
         return EXIT_USAGE
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -29,12 +29,14 @@
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.targets import TargetBook
+from agaterail.gateway.weightscontroller import WeightsController
 from agaterail.platform import names, requests
 from agaterail.timers import GeventTimerService
 
 if TYPE_CHECKING:
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.desired import DesiredState, Route, Workspace
+    from agaterail.gateway.enginecontrol import EngineControl
     from agaterail.gateway.front import CallerConnection
     from agaterail.gateway.hostsettings import HostSettings
     from agaterail.gateway.inbound import Inbound
@@ -65,9 +67,12 @@
 class Daemon:
     """Parts of one daemon and the state that they share."""
 
-    def __init__(self, settings: HostSettings, store: ControlStore) -> None:
+    def __init__(
+        self, settings: HostSettings, store: ControlStore, engine_control: EngineControl
+    ) -> None:
         self.settings = settings
         self.store = store
+        self.engine_control = engine_control
         self.now = boot_now
         self.boot = secrets.token_hex(BOOT_BYTES)
         self.random = random.Random()
@@ -84,6 +89,7 @@
         self.encode = requests.encode_attempt
         self.stopping = False
         self.membership = MembershipController(self)
+        self.weights = WeightsController(self)
         self.followers = [FeedFollower(self, feed) for feed in Feed]
         self.readiness = make_readiness(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
@@ -101,6 +107,7 @@
         for follower in self.followers:
             gevent.spawn(follower.run)
         self.timers.every(self.membership.period_s, self.membership.step)
+        self.timers.every(self.weights.period_s, self.weights.step)
         self.timers.every(HOUSEKEEPING_PERIOD_S, self.tidy)
         self.readiness.start()
         self.front.start()
--- /dev/null
+++ b/agaterail/gateway/enginecontrol.py
@@ -0,0 +1,74 @@
+"""What the gateway asks of engines beside requests: their state, and orders."""
+
+from __future__ import annotations
+
+import abc
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from agaterail.gateway.targets import Target
+
+
+@attrs.frozen(kw_only=True)
+class EngineReport:
+    """State of an engine as it was some hundred milliseconds ago.
+
+    Attributes
+    ----------
+    loading
+        An order is being carried out.
+    orders_accepted
+        Orders that the engine accepted since its start.
+    """
+
+    loading: bool
+    orders_accepted: int
+    waiting: int
+    running: int
+    weights: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class WeightsOrder:
+    """Order to load a version of a model.
+
+    Attributes
+    ----------
+    after_orders
+        The order holds only while the engine has accepted so many.
+    """
+
+    model: str
+    version: int
+    host: str
+    fencing: int
+    after_orders: int
+
+
+class OrderOutcome(enum.Enum):
+    """How an engine answered an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    BUSY = "busy"  # another order is in progress or was accepted meanwhile
+    FENCED = "fenced"  # a higher fencing number was used
+    UNKNOWN_VERSION = "unknown_version"
+    OTHER_TARGET = "other_target"
+    UNANSWERED = "unanswered"  # may be accepted now or later
+
+
+class EngineControl(abc.ABC):
+    """Calls to engines; each is sent once."""
+
+    @abc.abstractmethod
+    def report(self, target: Target) -> Result[EngineReport, str]:
+        """Read an engine's state."""
+
+    @abc.abstractmethod
+    def order(self, target: Target, order: WeightsOrder) -> OrderOutcome:
+        """Give an order."""
--- /dev/null
+++ b/agaterail/gateway/orderlease.py
@@ -0,0 +1,120 @@
+"""The lease of who gives orders to engines, by conditional appends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from agaterail.gateway.controlstore import LeaseEntry, LeaseLog
+
+# Long enough to give a round of orders between two renewals, short enough that
+# after the death of a holder another one orders within half of the time in
+# which new weights must be everywhere.
+TERM_S = 3.0
+RENEW_LEFT_S = 1.5
+# An order must have arrived before the lease ends.
+ORDER_MARGIN_S = 0.5
+
+
+@attrs.define
+class OrderLease:
+    """One host's side of the lease; free of I/O.
+
+    A record stands in the log iff its writer knew the log's end, so of two
+    writers one fails. The offset of the record is the fencing number and only
+    grows; a renewal is one more record. A host that finds another's record
+    waits for its term, counted from when it first saw that record, and then
+    for ``gap_s`` more, so that the orders of two hosts never alternate within
+    that time.
+
+    Times are of a clock that counts suspension. The holder counts its term
+    from before the append was sent, the others from after it was done.
+
+    Attributes
+    ----------
+    host
+        Own name; survives a restart, whose orders count as the same holder's.
+    boot
+        Names this process among those that ran on the host.
+    gap_s
+        Time that must lie between the orders of two hosts.
+    fencing
+        Number of the lease held; None without one.
+    """
+
+    host: str
+    boot: str
+    gap_s: float
+    fencing: int | None = None
+    held_until: float = float("-inf")
+    end: int | None = None
+    rival: LeaseEntry | None = None
+    rival_end: int = -1
+    rival_seen_at: float = 0.0
+    sent: dict[int, float] = attrs.field(factory=dict)
+
+    def remaining_s(self, now: float) -> float:
+        """Return the seconds for which orders may still be sent."""
+        if self.fencing is None:
+            return 0.0
+        return max(0.0, self.held_until - ORDER_MARGIN_S - now)
+
+    def needs_renewal(self, now: float) -> bool:
+        """Tell whether a record should be appended to go on giving orders."""
+        return self.held_until - now < RENEW_LEFT_S
+
+    def observe(self, log: LeaseLog, now: float) -> None:
+        """Take in the newest record of the log."""
+        self.end = log.end
+        newest = log.newest
+        if newest is None:
+            # Records expire long after a term; whoever wrote them is out.
+            self.rival = None
+            return
+        if newest.host != self.host:
+            self._note_rival(newest, log.end, now)
+            return
+        self.rival = None
+        sent_at = self.sent.get(log.end - 1)
+        if newest.boot == self.boot and sent_at is not None:
+            # An append that was never answered has been done after all.
+            self._hold(log.end - 1, sent_at)
+
+    def wait_s(self, now: float) -> float:
+        """Return the seconds until this host may append; 0 if it may now."""
+        if self.rival is None:
+            return 0.0
+        free_at = self.rival_seen_at + TERM_S + self.gap_s
+        return max(0.0, free_at - now)
+
+    def sending(self, at: int, now: float) -> None:
+        """Note the time before a record is sent."""
+        self.sent = {at: now}
+
+    def appended(self, offset: int) -> None:
+        """Take in that the record sent for an offset stands there."""
+        sent_at = self.sent.get(offset)
+        if sent_at is not None:
+            self._hold(offset, sent_at)
+
+    def lost(self) -> None:
+        """Give the lease up: another one holds a higher number."""
+        self.fencing = None
+        self.held_until = float("-inf")
+        self.end = None
+
+    def _hold(self, offset: int, sent_at: float) -> None:
+        self.fencing = offset
+        self.held_until = sent_at + TERM_S
+        self.end = offset + 1
+        self.sent = {}
+
+    def _note_rival(self, newest: LeaseEntry, end: int, now: float) -> None:
+        if self.rival is None or self.rival_end != end:
+            self.rival_seen_at = now
+        self.rival = newest
+        self.rival_end = end
+        self.fencing = None
+        self.held_until = float("-inf")
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from agaterail.gateway.weightsplan import LONGEST_CORDON_S
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
@@ -23,6 +25,9 @@
 # Milliseconds to prefill a token, as long as nothing was measured: within a
 # factor of two for the engines in use, and only the order of costs matters.
 PREFILL_MS_PER_TOKEN = 0.014
+# An engine that is next to load weights refuses or soon will; it is asked only
+# when all others would take this much longer.
+CORDON_OBJECTIVES = 4.0
 # One request in decode slows each step of the others a little.
 RUNNING_MS = 1.0
 # A target in another failure domain is a millisecond away and bytes between
@@ -134,6 +139,8 @@
         cost = queue_ms + _domain_ms(target, rules.domain)
         if shared and rank:
             cost += shared_tokens * PREFILL_MS_PER_TOKEN
+        if _is_cordoned(target, now):
+            cost += CORDON_OBJECTIVES * objective_s * 1e3
         if _is_old(target, inbound.model, newest):
             cost += OLD_WEIGHTS_PART * objective_s * 1e3
         if best is None or cost < best[0]:
@@ -163,6 +170,10 @@
     return newest.known_for_s < rules.version_s
 
 
+def _is_cordoned(target: Target, now: float) -> bool:
+    return target.cordoned_at is not None and now - target.cordoned_at < LONGEST_CORDON_S
+
+
 def _is_old(target: Target, model: str, newest: NewestWeights | None) -> bool:
     if newest is None or newest.known_for_s < OLD_WEIGHTS_AFTER_S:
         return False
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -52,6 +52,8 @@
         Requests of this daemon that are at the target now.
     prefill_tokens
         Prompt tokens sent there whose first event has not come yet.
+    cordoned_at
+        Time since which it is next to load weights; None if it is not.
     lapsed_at
         Time at which its registration vanished while the store was away.
     """
@@ -63,6 +65,7 @@
     refusals: int = 0
     paused_until: float = 0.0
     lapsed_at: float | None = None
+    cordoned_at: float | None = None
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
--- /dev/null
+++ b/agaterail/gateway/weightscontroller.py
@@ -0,0 +1,178 @@
+"""Brings the engines to the weights that operators named."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.gateway.controlstore import LeaseEntry, StoreErrorKind
+from agaterail.gateway.enginecontrol import OrderOutcome, WeightsOrder
+from agaterail.gateway.orderlease import OrderLease
+from agaterail.gateway.weightsplan import (
+    FIRST_LOOK_S,
+    LOOK_AGAIN_S,
+    REFUSED_LOOK_AGAIN_S,
+    UNANSWERED_LOOK_AGAIN_S,
+    WantedLoad,
+    WeightsPlan,
+    cordon,
+    outdated,
+)
+
+if TYPE_CHECKING:
+    from agaterail.gateway.daemon import Daemon
+    from agaterail.gateway.targets import Target
+
+logger = logs.get_logger("weights")
+
+PERIOD_S = 0.1
+
+
+class WeightsController:
+    """Gives orders while this daemon leads the fleet and holds the lease."""
+
+    period_s = PERIOD_S
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+        bounds = daemon.settings.bounds
+        self.lease = OrderLease(daemon.settings.host, daemon.boot, gap_s=bounds.lease_s)
+        self.plan = WeightsPlan()
+        self.led = False
+        self.calling: set[str] = set()
+        self.store_retry_at = 0.0
+
+    def step(self) -> None:
+        """Give the orders that are due, if it is on this daemon to give them."""
+        now = self.daemon.now()
+        engines = self._engines()
+        named = {model: item.version for model, item in self.daemon.state.weights.items()}
+        cordon(engines, named, now)
+        leads = self.daemon.membership.leads and not self.daemon.stopping
+        if leads and not self.led:
+            self._look(now)
+        self.led = leads
+        holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
+        if not (leads or holds) or not outdated(engines, named):
+            return
+        if self.lease.needs_renewal(now) and not self._acquire(now):
+            return
+        for load in self.plan.next_loads(engines, named, now):
+            if load.target.instance not in self.calling:
+                self.calling.add(load.target.instance)
+                self.plan.ordered(load, now, REFUSED_LOOK_AGAIN_S, counts=True)
+                gevent.spawn(self._order, load)
+
+    def _engines(self) -> list[Target]:
+        desired = self.daemon.state.desired
+        if desired is None:
+            return []
+        return [
+            target
+            for service in desired.services.values()
+            if service.engine is not None
+            for target in self.daemon.book.of_service(service.name)
+        ]
+
+    def _look(self, now: float) -> bool:
+        read = self.daemon.store.read_lease()
+        if not isinstance(read, Success):
+            self.store_retry_at = now + REFUSED_LOOK_AGAIN_S
+            return False
+        self.lease.observe(read.unwrap(), self.daemon.now())
+        return True
+
+    def _acquire(self, now: float) -> bool:
+        """Append a record for the lease; tells whether it is held now."""
+        if now < self.store_retry_at:
+            return False
+        if self.lease.fencing is None and not self._look(now):
+            return False
+        now = self.daemon.now()
+        wait_s = self.lease.wait_s(now)
+        if wait_s > 0.0 or self.lease.end is None:
+            self.store_retry_at = now + min(1.0, max(REFUSED_LOOK_AGAIN_S, wait_s))
+            return False
+        if not self.lease.needs_renewal(now):
+            return True
+        at = self.lease.end
+        self.lease.sending(at, now)
+        entry = LeaseEntry(host=self.lease.host, boot=self.lease.boot)
+        answer = self.daemon.store.append_lease(entry, at)
+        if isinstance(answer, Success):
+            renewed = self.lease.fencing is not None
+            self.lease.appended(answer.unwrap())
+            if not renewed:
+                self.plan.forget()
+                logger.info("Lease acquired.", fencing=self.lease.fencing)
+            return self.lease.remaining_s(self.daemon.now()) > 0.0
+        kind = answer.failure().kind
+        logger.info("Lease not acquired.", reason=kind.value, at=at)
+        if kind is StoreErrorKind.CONFLICT:
+            self.lease.lost()
+        elif self.lease.remaining_s(self.daemon.now()) <= 0.0:
+            self.lease.fencing = None
+        self.store_retry_at = self.daemon.now() + REFUSED_LOOK_AGAIN_S
+        return False
+
+    def _order(self, load: WantedLoad) -> None:
+        try:
+            self._order_checked(load)
+        finally:
+            self.calling.discard(load.target.instance)
+
+    def _order_checked(self, load: WantedLoad) -> None:
+        target, plan = load.target, self.plan
+        found = self.daemon.engine_control.report(target)
+        now = self.daemon.now()
+        if not isinstance(found, Success):
+            plan.ordered(load, now, UNANSWERED_LOOK_AGAIN_S, counts=False)
+            logger.info("No report.", target=target.instance, reason=found.failure())
+            return
+        report = found.unwrap()
+        held = report.weights.get(load.model)
+        if held is not None:
+            target.note_weights(load.model, held)
+        if report.loading:
+            plan.ordered(load, now, LOOK_AGAIN_S, counts=True)
+            return
+        if held is not None and held >= load.version:
+            return
+        fencing = self.lease.fencing
+        if fencing is None or self.lease.remaining_s(now) <= 0.0:
+            return
+        plan.ordered(load, now, FIRST_LOOK_S, counts=True)
+        outcome = self.daemon.engine_control.order(
+            target,
+            WeightsOrder(
+                model=load.model,
+                version=load.version,
+                host=self.lease.host,
+                fencing=fencing,
+                after_orders=report.orders_accepted,
+            ),
+        )
+        self._settle(load, outcome, fencing)
+
+    def _settle(self, load: WantedLoad, outcome: OrderOutcome, fencing: int) -> None:
+        now = self.daemon.now()
+        logger.info(
+            "Order given.",
+            target=load.target.instance,
+            model=load.model,
+            version=load.version,
+            fencing=fencing,
+            outcome=outcome.value,
+        )
+        if outcome is OrderOutcome.HOLDS:
+            load.target.note_weights(load.model, load.version)
+        elif outcome is OrderOutcome.FENCED:
+            self.lease.lost()
+            self.plan.forget()
+        elif outcome is OrderOutcome.UNANSWERED:
+            self.plan.ordered(load, now, UNANSWERED_LOOK_AGAIN_S, counts=True)
+        elif outcome is not OrderOutcome.ACCEPTED:
+            self.plan.ordered(load, now, REFUSED_LOOK_AGAIN_S, counts=False)
--- /dev/null
+++ b/agaterail/gateway/weightsplan.py
@@ -0,0 +1,142 @@
+"""Which engines are to load new weights next."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from agaterail.gateway.targets import Target
+
+# Loads at once, over all daemons: more of them slow each other down, and what
+# is loading serves nobody. Two of five engines leave three to serve.
+LEAST_LOADS = 2
+LOADS_PART = 0.4
+# A load takes some 2 s after the runs on the engine have ended. The engine is
+# asked how it stands first after this time and then now and then: its
+# registration says it too, but only with its next heartbeat.
+FIRST_LOOK_S = 1.6
+LOOK_AGAIN_S = 0.3
+# An order without an answer may have been taken or not, or be taken later.
+UNANSWERED_LOOK_AGAIN_S = 0.6
+REFUSED_LOOK_AGAIN_S = 0.4
+# An engine that is next to load gets nothing new, so that its runs end soon and
+# the load begins at once. Should nobody order it, because the giver of orders
+# has died, it takes part again after this time.
+LONGEST_CORDON_S = 6.0
+HASH_BYTES = 8
+
+
+@attrs.define
+class PendingOrder:
+    """An order whose effect was not seen yet.
+
+    Attributes
+    ----------
+    counts
+        Whether the engine may be loading, for all that is known.
+    """
+
+    target: Target
+    model: str
+    version: int
+    look_again_at: float
+    counts: bool = True
+
+
+@attrs.frozen
+class WantedLoad:
+    """An engine that should load a version of a model now."""
+
+    target: Target
+    model: str
+    version: int
+
+
+def most_loads(engines: int) -> int:
+    """Return how many of so many engines may load at once."""
+    return max(LEAST_LOADS, int(engines * LOADS_PART))
+
+
+def outdated(engines: Iterable[Target], named: Mapping[str, int]) -> list[WantedLoad]:
+    """Return the ready engines whose weights are older than the named ones.
+
+    The order is the same on every daemon, without a word between them.
+    """
+    wanted = []
+    for target in engines:
+        if not target.entry.ready or target.gone:
+            continue
+        for model, version in named.items():
+            held = target.weights_of(model)
+            if held is not None and held < version:
+                wanted.append(WantedLoad(target, model, version))
+    return sorted(wanted, key=_turn)
+
+
+def cordon(engines: Sequence[Target], named: Mapping[str, int], now: float) -> None:
+    """Mark the engines that are next to load.
+
+    Every daemon marks the same ones, so none sends them requests that they
+    would refuse.
+    """
+    wanted = outdated(engines, named)
+    chosen = {load.target.instance for load in wanted[: most_loads(len(engines))]}
+    for target in engines:
+        if target.instance not in chosen:
+            target.cordoned_at = None
+        elif target.cordoned_at is None:
+            target.cordoned_at = now
+
+
+class WeightsPlan:
+    """Orders given and the next ones to give."""
+
+    def __init__(self) -> None:
+        self.pending: dict[str, PendingOrder] = {}
+
+    def next_loads(
+        self, engines: Sequence[Target], named: Mapping[str, int], now: float
+    ) -> list[WantedLoad]:
+        """Return the engines to be ordered now."""
+        wanted = outdated(engines, named)
+        self._settle(wanted)
+        free = most_loads(len(engines)) - sum(order.counts for order in self.pending.values())
+        due = [load for load in wanted if self._is_due(load, now)]
+        # An engine already counted as loading takes no place of its own.
+        again = [load for load in due if self._counts(load)]
+        fresh = [load for load in due if not self._counts(load)]
+        return again + fresh[: max(0, free)]
+
+    def ordered(self, load: WantedLoad, now: float, wait_s: float, counts: bool) -> None:
+        """Note an order and when to look again whether it was done."""
+        self.pending[load.target.instance] = PendingOrder(
+            load.target, load.model, load.version, now + wait_s, counts
+        )
+
+    def forget(self) -> None:
+        """Drop what is known, as when another host gives the orders."""
+        self.pending.clear()
+
+    def _settle(self, wanted: list[WantedLoad]) -> None:
+        open_loads = {load.target.instance for load in wanted}
+        for instance, order in list(self.pending.items()):
+            if instance not in open_loads or order.target.gone:
+                del self.pending[instance]
+
+    def _is_due(self, load: WantedLoad, now: float) -> bool:
+        order = self.pending.get(load.target.instance)
+        return order is None or now >= order.look_again_at
+
+    def _counts(self, load: WantedLoad) -> bool:
+        order = self.pending.get(load.target.instance)
+        return order is not None and order.counts
+
+
+def _turn(load: WantedLoad) -> bytes:
+    name = f"{load.model} {load.version} {load.target.instance}"
+    return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
--- /dev/null
+++ b/agaterail/platform/engines.py
@@ -0,0 +1,99 @@
+"""Calls to model engines beside requests."""
+
+from __future__ import annotations
+
+import json
+
+from returns.result import Failure, Result, Success
+
+from agaterail.gateway.enginecontrol import (
+    EngineControl,
+    EngineReport,
+    OrderOutcome,
+    WeightsOrder,
+)
+from agaterail.gateway.targets import Target
+from agaterail.platform import fields, names
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+
+# Engines are milliseconds away; one that is silent for so long is cut off.
+CONNECT_TIMEOUT_S = 0.3
+ANSWER_TIMEOUT_S = 0.6
+OK = 200
+OUTCOMES = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.ACCEPTED,
+    400: OrderOutcome.UNKNOWN_VERSION,
+    409: OrderOutcome.BUSY,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.OTHER_TARGET,
+}
+# Runs end before the weights change: their callers get whole answers, and none
+# of them is made on two versions.
+MODE = "wait"
+
+
+class PlatformEngines(EngineControl):
+    """The calls over HTTP, each on a new connection.
+
+    They are rare, and on a kept connection an order could be lost in the moment
+    in which the engine closes it.
+    """
+
+    def report(self, target: Target) -> Result[EngineReport, str]:
+        """Read an engine's state."""
+        answer = self._call(target, "GET", names.REPORT_PATH, b"")
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        status, body = answer.unwrap()
+        if status != OK:
+            return Failure(f"status {status}")
+        try:
+            return Success(_decode_report(body))
+        except ValueError as error:
+            return Failure(str(error))
+
+    def order(self, target: Target, order: WeightsOrder) -> OrderOutcome:
+        """Give an order to load weights."""
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": MODE,
+            "holder": order.host,
+            "fence": order.fencing,
+            # The wire's "expect" is a count of orders, not an instance.
+            "expect": order.after_orders,
+        }
+        answer = self._call(target, "POST", names.ORDER_PATH, json.dumps(body).encode())
+        if not isinstance(answer, Success):
+            return OrderOutcome.UNANSWERED
+        status, _ = answer.unwrap()
+        return OUTCOMES.get(status, OrderOutcome.UNANSWERED)
+
+    def _call(
+        self, target: Target, method: str, path: str, body: bytes
+    ) -> Result[tuple[int, bytes], str]:
+        connections = HttpConnections(Address.parse(target.address), CONNECT_TIMEOUT_S)
+        headers = {names.EXPECT_INSTANCE.decode(): target.instance}
+        if body:
+            headers["content-type"] = "application/json"
+        try:
+            answer = connections.call(method, path, body, headers, ANSWER_TIMEOUT_S)
+        finally:
+            connections.close()
+        return answer.alt(lambda error: error.reason)
+
+
+def _decode_report(body: bytes) -> EngineReport:
+    found = fields.table(json.loads(body), "the report")
+    models = (fields.table(item, "a model") for item in fields.rows(found, "models"))
+    return EngineReport(
+        loading=fields.flag(found, "busy"),
+        # On the wire this is called a sequence number; it counts orders.
+        orders_accepted=fields.whole(found, "seq_no"),
+        waiting=fields.whole(found, "waiting", 0),
+        running=fields.whole(found, "running", 0),
+        weights={fields.text(item, "name"): fields.whole(item, "version") for item in models},
+    )
