Pace loads of weights by the engines to spare

Change: as many load as the offered prompts leave to spare, at least as many as are needed to be done in time; cordoned engines are asked last of all; the route's priority reaches the engine; kept connections only to targets heard of.

--- a/agaterail/gateway/channel.py
+++ b/agaterail/gateway/channel.py
@@ -62,6 +62,8 @@
         Whether a byte of the current request may have reached the target.
     reusable
         Whether another request may follow.
+    on_data
+        Called whenever bytes arrive.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.sock = sock
         self.decode = decode
         self.now = now
+        self.on_data: Callable[[], None] = _ignore
         self.parser = httptools.HttpResponseParser(self)
         self.messages: list[_Message] = []
         self.current: _Message | None = None
@@ -287,6 +290,7 @@
         if not data:
             self.reusable = False
             return False
+        self.on_data()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -302,3 +306,7 @@
         except OSError:
             # The reading side sees the broken connection and reports it.
             self.reusable = False
+
+
+def _ignore() -> None:
+    return
--- a/agaterail/gateway/channels.py
+++ b/agaterail/gateway/channels.py
@@ -19,6 +19,12 @@
 MARGIN_ONCE = 0.5
 # Targets that announce no time close idle connections after seconds as a rule.
 UNANNOUNCED_IDLE_S = 2.0
+# A target without power answers nothing, and a request on a kept connection to
+# it waits in vain; one that must not run twice is lost with that. So a kept
+# connection is used only if the target was heard of lately. A new one proves
+# by its handshake, a millisecond, that somebody is there.
+HEARD_REPEATABLE_S = 1.0
+HEARD_ONCE_S = 0.25
 
 
 class ChannelPool:
@@ -39,14 +45,19 @@
             If no connection was made; nothing was sent then.
         """
         margin = MARGIN_REPEATABLE if idempotent else MARGIN_ONCE
+        heard_s = HEARD_REPEATABLE_S if idempotent else HEARD_ONCE_S
+        heard = self.now() - target.heard_at < heard_s
         kept = self.idle.get(target.instance, [])
-        while kept:
+        while kept and heard:
             channel = kept.pop()
             if self._is_young(channel, margin) and not channel.is_stale(margin):
                 return channel
             channel.close()
         self.opened += 1
-        return Channel.connect(target.address, connect_timeout_s, self.decode, self.now)
+        channel = Channel.connect(target.address, connect_timeout_s, self.decode, self.now)
+        channel.on_data = lambda: self._note_heard(target)
+        self._note_heard(target)
+        return channel
 
     def give_back(self, target: Target, channel: Channel) -> None:
         """Keep a connection whose answer was read whole."""
@@ -81,6 +92,9 @@
             if not sound:
                 del self.idle[instance]
 
+    def _note_heard(self, target: Target) -> None:
+        target.heard_at = self.now()
+
     def _is_young(self, channel: Channel, margin: float) -> bool:
         if channel.keep_alive_s is not None:
             return True
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -18,6 +18,7 @@
 from agaterail.gateway.attempts import Attempts
 from agaterail.gateway.channels import ChannelPool
 from agaterail.gateway.controlstore import Feed
+from agaterail.gateway.demand import Demand
 from agaterail.gateway.desired import CallerLimits, pick_service
 from agaterail.gateway.follower import FeedFollower
 from agaterail.gateway.forwarder import Forwarder, Job
@@ -56,6 +57,7 @@
 RETRY_SPREAD = 0.5
 DEFAULT_TIME_LIMIT_S = 60.0
 BOOT_BYTES = 4
+LEAST_URGENT = 9
 HOUSEKEEPING_PERIOD_S = 0.5
 
 
@@ -83,6 +85,7 @@
         self.book = TargetBook(LAPSE_GRACE_S)
         self.state = GatewayState(self.freshness, self.book)
         self.budget = RetryBudget(bounds.retries)
+        self.demand = Demand()
         self.channels = ChannelPool(requests.decode_answer_head, self.now)
         self.book.on_gone = self.channels.drop
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
@@ -157,10 +160,13 @@
         workspace = job.workspace
         isolated = workspace is not None and workspace.isolated
         version = choice.weights_version
+        own = job.route.priority if workspace is None else workspace.priority
+        priority = job.route.priority if own is None else own
         scope = "" if version is None else f"v{version}"
         if isolated and workspace is not None:
             scope += f".{workspace.name}"
         terms: dict[str, Any] = {"cache_scope": scope, "weights_version": version}
+        terms["priority"] = max(0, min(LEAST_URGENT, priority))
         desired = self.state.desired
         if desired is not None and desired.kv_stores and version is not None:
             address = desired.kv_stores[0].address
@@ -192,6 +198,7 @@
         answer_by = inbound.received_at + min(route.timeout_s, limit) - ANSWER_MARGIN_S
         service = pick_service(route, self.random.random())
         self.budget.note_request(service, self.now())
+        self.demand.note(inbound.prompt_tokens, self.now())
         return Job(
             inbound=inbound,
             route=route,
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -18,16 +18,13 @@
 # Weights that are older than the newest named ones lose worth from this age of
 # the name on; before it an engine with the older ones is as good as any.
 OLD_WEIGHTS_AFTER_S = 1.5
-# A request on older weights loses a fifth of its worth, as one that comes about
-# as late as its objective is long does. So the cost of older weights is that
-# part of the objective.
-OLD_WEIGHTS_PART = 1.0
+# A request on older weights loses a fifth of its worth, one that comes later
+# than its objective two thirds. So a newer engine is worth some queueing, but
+# not so much that the objective is missed.
+OLD_WEIGHTS_PART = 0.25
 # Milliseconds to prefill a token, as long as nothing was measured: within a
 # factor of two for the engines in use, and only the order of costs matters.
-PREFILL_MS_PER_TOKEN = 0.014
-# An engine that is next to load weights refuses or soon will; it is asked only
-# when all others would take this much longer.
-CORDON_OBJECTIVES = 4.0
+PREFILL_MS_PER_TOKEN = 0.016
 # A request may wait so long at an engine before it begins there.
 QUEUED_S = 1.5
 # One request in decode slows each step of the others a little.
@@ -130,6 +127,8 @@
         and target.is_usable(now)
         and _may_begin(target, inbound.model, newest, rules)
     ]
+    # An engine that is next to load weights refuses or soon will.
+    usable = [item for item in usable if not _is_cordoned(item, now)] or usable
     if not usable:
         return None
     shared = inbound.shared_parts
@@ -141,8 +140,6 @@
         cost = queue_ms + _domain_ms(target, rules.domain)
         if shared and rank:
             cost += shared_tokens * PREFILL_MS_PER_TOKEN
-        if _is_cordoned(target, now):
-            cost += CORDON_OBJECTIVES * objective_s * 1e3
         if _is_old(target, inbound.model, newest):
             cost += OLD_WEIGHTS_PART * objective_s * 1e3
         if best is None or cost < best[0]:
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -54,6 +54,8 @@
         Prompt tokens sent there whose first event has not come yet.
     cordoned_at
         Time since which it is next to load weights; None if it is not.
+    heard_at
+        Time at which bytes last came from it on any connection.
     lapsed_at
         Time at which its registration vanished while the store was away.
     """
@@ -66,6 +68,7 @@
     paused_until: float = 0.0
     lapsed_at: float | None = None
     cordoned_at: float | None = None
+    heard_at: float = float("-inf")
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
@@ -96,6 +99,10 @@
         """Tell whether a new request may be sent there."""
         return self.entry.ready and not self.gone and now >= self.paused_until
 
+    def is_failing(self, now: float) -> bool:
+        """Tell whether it is left alone because it failed."""
+        return self.failures > 0 and now < self.paused_until
+
     def note_success(self) -> None:
         """Forget earlier failures."""
         self.failures = self.refusals = 0
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -16,6 +16,7 @@
     LOOK_AGAIN_S,
     REFUSED_LOOK_AGAIN_S,
     UNANSWERED_LOOK_AGAIN_S,
+    LoadPace,
     WantedLoad,
     WeightsPlan,
     cordon,
@@ -53,7 +54,8 @@
         now = self.daemon.now()
         engines = self._engines()
         named = {model: item.version for model, item in self.daemon.state.weights.items()}
-        cordon(engines, named, now)
+        pace = self._pace(named, now)
+        cordon(engines, named, pace, now)
         leads = self.daemon.membership.leads and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
         self.has_work = bool(outdated(engines, named))
@@ -61,12 +63,20 @@
             return
         if self.lease.needs_renewal(now) and not self._acquire(now):
             return
-        for load in self.plan.next_loads(engines, named, now):
+        for load in self.plan.next_loads(engines, named, pace, now):
             if load.target.instance not in self.calling:
                 self.calling.add(load.target.instance)
                 self.plan.ordered(load, now, REFUSED_LOOK_AGAIN_S, counts=True)
                 gevent.spawn(self._order, load)
 
+    def _pace(self, named: dict[str, int], now: float) -> LoadPace:
+        ages = [now - self.daemon.state.weights[model].known_at for model in named]
+        return LoadPace(
+            named_for_s=min(ages, default=0.0),
+            allowed_s=self.daemon.settings.bounds.version_s,
+            demand=self.daemon.demand.engines(now) * self.daemon.rules.daemons,
+        )
+
     def _engines(self) -> list[Target]:
         desired = self.daemon.state.desired
         if desired is None:
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -14,8 +14,12 @@
 
 # Loads at once, over all daemons: more of them slow each other down, and what
 # is loading serves nobody. Two of five engines leave three to serve.
-LEAST_LOADS = 2
 LOADS_PART = 0.4
+# An engine is out for about so long when its runs have ended before.
+LOAD_S = 3.0
+# All engines should be done after this part of the time that is allowed, so
+# that one failed order can be given again.
+HORIZON_PART = 0.85
 # A load takes some 2 s after the runs on the engine have ended. The engine is
 # asked how it stands first after this time and then now and then: its
 # registration says it too, but only with its next heartbeat.
@@ -57,9 +61,39 @@
     version: int
 
 
-def most_loads(engines: int) -> int:
-    """Return how many of so many engines may load at once."""
-    return max(LEAST_LOADS, int(engines * LOADS_PART))
+@attrs.frozen(kw_only=True)
+class LoadPace:
+    """What decides how many engines load at once.
+
+    Attributes
+    ----------
+    named_for_s
+        Seconds since the newest weights were named.
+    allowed_s
+        Seconds after which older weights must not begin a request.
+    demand
+        Engines that the offered prompts need when nothing of them is cached,
+        as right after a load.
+    """
+
+    named_for_s: float
+    allowed_s: float
+    demand: float
+
+
+def most_loads(serving: int, outdated_count: int, pace: LoadPace) -> int:
+    """Return how many engines may load at once.
+
+    With all that are to spare a rollout is over soonest. On a heavy day there
+    are none: two of three engines loading left one to serve three engines'
+    worth of prompts, and requests of 15 s came late. Then as few load as are
+    needed to be done in time; a request on older weights loses a fifth of its
+    worth, a late one two thirds.
+    """
+    spare = min(int(serving - pace.demand), round(serving * LOADS_PART))
+    left_s = max(LOAD_S, pace.allowed_s * HORIZON_PART - pace.named_for_s)
+    needed = round(outdated_count * LOAD_S / left_s)
+    return max(1, spare, needed)
 
 
 def outdated(engines: Iterable[Target], named: Mapping[str, int]) -> list[WantedLoad]:
@@ -78,14 +112,17 @@
     return sorted(wanted, key=_turn)
 
 
-def cordon(engines: Sequence[Target], named: Mapping[str, int], now: float) -> None:
+def cordon(
+    engines: Sequence[Target], named: Mapping[str, int], pace: LoadPace, now: float
+) -> None:
     """Mark the engines that are next to load.
 
     Every daemon marks the same ones, so none sends them requests that they
     would refuse.
     """
-    wanted = outdated(engines, named)
-    chosen = {load.target.instance for load in wanted[: most_loads(len(engines))]}
+    wanted = _reachable(outdated(engines, named), now)
+    most = most_loads(_count_serving(engines, now), len(wanted), pace)
+    chosen = {load.target.instance for load in wanted[:most]}
     for target in engines:
         if target.instance not in chosen:
             target.cordoned_at = None
@@ -100,12 +137,18 @@
         self.pending: dict[str, PendingOrder] = {}
 
     def next_loads(
-        self, engines: Sequence[Target], named: Mapping[str, int], now: float
+        self,
+        engines: Sequence[Target],
+        named: Mapping[str, int],
+        pace: LoadPace,
+        now: float,
     ) -> list[WantedLoad]:
         """Return the engines to be ordered now."""
         wanted = outdated(engines, named)
         self._settle(wanted)
-        free = most_loads(len(engines)) - sum(order.counts for order in self.pending.values())
+        wanted = _reachable(wanted, now)
+        most = most_loads(_count_serving(engines, now), len(wanted), pace)
+        free = most - sum(order.counts for order in self.pending.values())
         due = [load for load in wanted if self._is_due(load, now)]
         # An engine already counted as loading takes no place of its own.
         again = [load for load in due if self._counts(load)]
@@ -137,6 +180,18 @@
         return order is not None and order.counts
 
 
+def _reachable(wanted: list[WantedLoad], now: float) -> list[WantedLoad]:
+    """Put off the engines that fail at present; these neither serve nor load."""
+    return [load for load in wanted if not load.target.is_failing(now)]
+
+
+def _count_serving(engines: Iterable[Target], now: float) -> int:
+    return sum(
+        target.entry.ready and not target.gone and not target.is_failing(now)
+        for target in engines
+    )
+
+
 def _turn(load: WantedLoad) -> bytes:
     name = f"{load.model} {load.version} {load.target.instance}"
     return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
