--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -148,9 +148,9 @@
         tried = job.attempts.tried
         if not job.route.prompted:
             return placement.choose_plain(targets, tried, self.rules, now)
-        newest = self.state.newest_weights(job.inbound.model, now)
+        named = self.state.weights.get(job.inbound.model)
         return placement.choose_engine(
-            job.inbound, targets, tried, self.rules, newest, job.route.objective_s, now
+            job.inbound, targets, tried, self.rules, named, job.route.objective_s, now
         )
 
     def cache_terms(self, job: Job, choice: Choice) -> dict[str, Any]:
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -33,14 +33,44 @@
 # domains are paid for; this only breaks ties.
 OTHER_DOMAIN_MS = 2.0
 HASH_BYTES = 8
+# Versions named within the time that counts; older ones change nothing.
+MOST_VERSIONS = 16
 
 
-@attrs.frozen(kw_only=True)
-class NewestWeights:
-    """Newest weights version named of a model and how long this is known."""
+@attrs.frozen
+class NamedVersion:
+    """A weights version with the time at which this daemon read its name."""
 
     version: int
-    known_for_s: float
+    known_at: float
+
+
+@attrs.frozen
+class NamedWeights:
+    """Versions that were named of a model, the oldest first.
+
+    Each version counts from its own naming: an engine that missed two versions
+    is as late as the first of them says, not the second.
+    """
+
+    versions: tuple[NamedVersion, ...]
+
+    @property
+    def newest(self) -> int:
+        """Return the version that engines should have."""
+        return self.versions[-1].version
+
+    def outdated_for_s(self, held: int, now: float) -> float | None:
+        """Return for how long a version has been outdated; None if it is not."""
+        for named in self.versions:
+            if named.version > held:
+                return now - named.known_at
+        return None
+
+    def named(self, version: int, now: float) -> NamedWeights:
+        """Return these with a version that was named now."""
+        kept = self.versions[-(MOST_VERSIONS - 1) :]
+        return NamedWeights((*kept, NamedVersion(version, now)))
 
 
 @attrs.frozen(kw_only=True)
@@ -110,7 +140,7 @@
     targets: Sequence[Target],
     excluded: Collection[str],
     rules: PlacementRules,
-    newest: NewestWeights | None,
+    named: NamedWeights | None,
     objective_s: float,
     now: float,
 ) -> Choice | None:
@@ -125,7 +155,7 @@
         for target in targets
         if target.instance not in excluded
         and target.is_usable(now)
-        and _may_begin(target, inbound.model, newest, rules)
+        and _may_begin(target, inbound.model, named, rules, now)
     ]
     # An engine that is next to load weights refuses or soon will.
     usable = [item for item in usable if not _is_cordoned(item, now)] or usable
@@ -140,7 +170,7 @@
         cost = queue_ms + _domain_ms(target, rules.domain)
         if shared and rank:
             cost += shared_tokens * PREFILL_MS_PER_TOKEN
-        if _is_old(target, inbound.model, newest):
+        if _is_old(target, inbound.model, named, now):
             cost += OLD_WEIGHTS_PART * objective_s * 1e3
         if best is None or cost < best[0]:
             best = (cost, rank, queue_ms)
@@ -159,25 +189,25 @@
 
 
 def _may_begin(
-    target: Target, model: str, newest: NewestWeights | None, rules: PlacementRules
+    target: Target, model: str, named: NamedWeights | None, rules: PlacementRules, now: float
 ) -> bool:
     held = target.weights_of(model)
-    if model and held is None:
-        return False
-    if newest is None or held is None or held >= newest.version:
-        return True
-    return newest.known_for_s < rules.version_s - QUEUED_S
+    if held is None:
+        return not model
+    outdated_for = None if named is None else named.outdated_for_s(held, now)
+    return outdated_for is None or outdated_for < rules.version_s - QUEUED_S
 
 
 def _is_cordoned(target: Target, now: float) -> bool:
     return target.cordoned_at is not None and now - target.cordoned_at < LONGEST_CORDON_S
 
 
-def _is_old(target: Target, model: str, newest: NewestWeights | None) -> bool:
-    if newest is None or newest.known_for_s < OLD_WEIGHTS_AFTER_S:
-        return False
+def _is_old(target: Target, model: str, named: NamedWeights | None, now: float) -> bool:
     held = target.weights_of(model)
-    return held is not None and held < newest.version
+    if named is None or held is None:
+        return False
+    outdated_for = named.outdated_for_s(held, now)
+    return outdated_for is not None and outdated_for >= OLD_WEIGHTS_AFTER_S
 
 
 def _queue_ms(target: Target, daemons: float) -> float:
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -4,11 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from agaterail import logs
 from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
-from agaterail.gateway.placement import NewestWeights
+from agaterail.gateway.placement import NamedWeights
 from agaterail.gateway.targets import TargetBook
 
 if TYPE_CHECKING:
@@ -21,14 +19,6 @@
 logger = logs.get_logger("state")
 
 
-@attrs.frozen
-class NamedVersion:
-    """A weights version with the time at which this daemon read its name."""
-
-    version: int
-    known_at: float
-
-
 class GatewayState:
     """Desired state, named weights and targets in force on this daemon.
 
@@ -40,7 +30,7 @@
         self.freshness = freshness
         self.book = book
         self.desired: DesiredState | None = None
-        self.weights: dict[str, NamedVersion] = {}
+        self.weights: dict[str, NamedWeights] = {}
         self.target_offsets: dict[str, int] = {}
 
     def apply(self, changes: Iterable[Change], now: float) -> None:
@@ -53,13 +43,6 @@
             else:
                 self._apply_target(change, now)
 
-    def newest_weights(self, model: str, now: float) -> NewestWeights | None:
-        """Return the newest weights named of a model."""
-        named = self.weights.get(model)
-        if named is None:
-            return None
-        return NewestWeights(version=named.version, known_for_s=now - named.known_at)
-
     def _apply_desired(self, change: DesiredPublished, now: float) -> None:
         if self.desired is not None and change.state.version <= self.desired.version:
             return
@@ -77,9 +60,10 @@
 
     def _apply_weights(self, change: WeightsNamed, now: float) -> None:
         known = self.weights.get(change.model)
-        if known is not None and change.version <= known.version:
+        if known is not None and change.version <= known.newest:
             return
-        self.weights[change.model] = NamedVersion(change.version, now)
+        known = known or NamedWeights(())
+        self.weights[change.model] = known.named(change.version, now)
         logger.info(
             "Weights named.", model=change.model, version=change.version, offset=change.offset
         )
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -53,8 +53,8 @@
         """Give the orders that are due, if it is on this daemon to give them."""
         now = self.daemon.now()
         engines = self._engines()
-        named = {model: item.version for model, item in self.daemon.state.weights.items()}
-        pace = self._pace(named, now)
+        named = {model: item.newest for model, item in self.daemon.state.weights.items()}
+        pace = self._pace(outdated(engines, named), now)
         cordon(engines, named, pace, now)
         leads = self.daemon.membership.leads and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
@@ -69,10 +69,11 @@
                 self.plan.ordered(load, now, REFUSED_LOOK_AGAIN_S, counts=True)
                 gevent.spawn(self._order, load)
 
-    def _pace(self, named: dict[str, int], now: float) -> LoadPace:
-        ages = [now - self.daemon.state.weights[model].known_at for model in named]
+    def _pace(self, wanted: list[WantedLoad], now: float) -> LoadPace:
+        weights = self.daemon.state.weights
+        ages = [weights[load.model].outdated_for_s(load.held, now) or 0.0 for load in wanted]
         return LoadPace(
-            named_for_s=min(ages, default=0.0),
+            outdated_for_s=max(ages, default=0.0),
             allowed_s=self.daemon.settings.bounds.version_s,
             demand=self.daemon.demand.engines(now) * self.daemon.rules.daemons,
         )
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -54,11 +54,12 @@
 
 @attrs.frozen
 class WantedLoad:
-    """An engine that should load a version of a model now."""
+    """An engine that should load a version of a model in place of the one held."""
 
     target: Target
     model: str
     version: int
+    held: int
 
 
 @attrs.frozen(kw_only=True)
@@ -67,8 +68,8 @@
 
     Attributes
     ----------
-    named_for_s
-        Seconds since the newest weights were named.
+    outdated_for_s
+        Seconds for which the longest outdated engine has been so.
     allowed_s
         Seconds after which older weights must not begin a request.
     demand
@@ -76,7 +77,7 @@
         as right after a load.
     """
 
-    named_for_s: float
+    outdated_for_s: float
     allowed_s: float
     demand: float
 
@@ -91,7 +92,7 @@
     worth, a late one two thirds.
     """
     spare = min(int(serving - pace.demand), round(serving * LOADS_PART))
-    left_s = max(LOAD_S, pace.allowed_s * HORIZON_PART - pace.named_for_s)
+    left_s = max(LOAD_S, pace.allowed_s * HORIZON_PART - pace.outdated_for_s)
     needed = round(outdated_count * LOAD_S / left_s)
     return max(1, spare, needed)
 
@@ -99,7 +100,8 @@
 def outdated(engines: Iterable[Target], named: Mapping[str, int]) -> list[WantedLoad]:
     """Return the ready engines whose weights are older than the named ones.
 
-    The order is the same on every daemon, without a word between them.
+    Those that missed the most come first. The order is the same on every
+    daemon, without a word between them.
     """
     wanted = []
     for target in engines:
@@ -108,8 +110,8 @@
         for model, version in named.items():
             held = target.weights_of(model)
             if held is not None and held < version:
-                wanted.append(WantedLoad(target, model, version))
-    return sorted(wanted, key=_turn)
+                wanted.append(WantedLoad(target, model, version, held))
+    return sorted(wanted, key=lambda load: (load.held, _turn(load)))
 
 
 def cordon(
