Take nothing after a stream that was begun before a stop; doubt old names

Change: the connection ends with its answer; a process that finds a version at its start assumes 9 of 15 s for its age.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -24,6 +24,7 @@
 from agaterail.gateway.forwarder import Forwarder, Job
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.front import Front
+from agaterail.gateway.keptparts import is_worth_keeping
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.placement import PlacementRules
 from agaterail.gateway.readiness import make_readiness
@@ -58,6 +59,8 @@
 DEFAULT_TIME_LIMIT_S = 60.0
 BOOT_BYTES = 4
 LEAST_URGENT = 9
+# Age that a process assumes of weights that were named before it started.
+UNKNOWN_AGE_PART = 0.6
 HOUSEKEEPING_PERIOD_S = 0.5
 
 
@@ -83,7 +86,9 @@
             bound_s=bounds.revoke_s or float("inf"), denial_bound_s=bounds.config_s
         )
         self.book = TargetBook(LAPSE_GRACE_S)
-        self.state = GatewayState(self.freshness, self.book)
+        self.state = GatewayState(
+            self.freshness, self.book, bounds.version_s * UNKNOWN_AGE_PART
+        )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
         self.channels = ChannelPool(requests.decode_answer_head, self.now)
@@ -170,7 +175,8 @@
         desired = self.state.desired
         if desired is not None and desired.kv_stores and version is not None:
             address = desired.kv_stores[0].address
-            terms.update(fetch_from=address, save_to=address)
+            if is_worth_keeping(job.inbound):
+                terms.update(fetch_from=address, save_to=address)
         return terms
 
     def retry_after_s(self, job: Job, now: float) -> float:
--- a/agaterail/gateway/front.py
+++ b/agaterail/gateway/front.py
@@ -188,6 +188,11 @@
             finally:
                 watch.stop()
                 self.answering = False
+            if self.front.stopping:
+                # A stream whose head was sent before the stop has not told its
+                # caller; the next request on the connection could come so late
+                # that the process ends before its answer does.
+                return
 
     def send_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
         """Send a whole answer."""
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -26,7 +26,10 @@
     must not bring back a route or a key that is gone.
     """
 
-    def __init__(self, freshness: Freshness, book: TargetBook) -> None:
+    def __init__(
+        self, freshness: Freshness, book: TargetBook, unknown_age_s: float = 0.0
+    ) -> None:
+        self.unknown_age_s = unknown_age_s
         self.freshness = freshness
         self.book = book
         self.desired: DesiredState | None = None
@@ -62,8 +65,15 @@
         known = self.weights.get(change.model)
         if known is not None and change.version <= known.newest:
             return
-        known = known or NamedWeights(())
-        self.weights[change.model] = known.named(change.version, now)
+        at = now
+        if known is None:
+            # Found by a process that has just started. When it was named is not
+            # known: after all daemons had died, engines were used on weights
+            # that had been outdated for longer than allowed. Most rollouts are
+            # over in the time that is assumed here.
+            known = NamedWeights(())
+            at = now - self.unknown_age_s
+        self.weights[change.model] = known.named(change.version, at)
         logger.info(
             "Weights named.", model=change.model, version=change.version, offset=change.offset
         )
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -42,7 +42,7 @@
     weights: dict[str, int] = attrs.field(factory=dict)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Target:
     """One target with this daemon's own observations.
 
--- a/tests/test_agaterail/test_gateway/test_front.py
+++ b/tests/test_agaterail/test_gateway/test_front.py
@@ -144,6 +144,25 @@
         self.assertIn(b" 200 ", answer)
         self.assertIn(b"Connection: close", answer)
 
+    def test_nothing_follows_a_stream_that_was_begun_before_the_stop(self):
+        # The caller sends its next request on the connection of a stream that
+        # ended seconds after SIGTERM. Taken then, it was cut by the process's
+        # end; a connection that is closed unread is tried again elsewhere.
+        def handle(inbound, caller):
+            self.seen.append(inbound)
+            caller.start_stream(200, [], b"id: 1\n\n")
+            gevent.sleep(0.2)
+            caller.end_stream()
+
+        self.front.handle = handle
+        sock = self.connect()
+        sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        gevent.sleep(0.1)
+        self.front.begin_stop()
+        answer = self.read_all(sock)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+        self.assertNotIn(b"Connection: close", answer)
+
     def test_handling_ends_when_the_caller_leaves(self):
         ended = []
 
--- a/tests/test_agaterail/test_gateway/test_weightsplan.py
+++ b/tests/test_agaterail/test_gateway/test_weightsplan.py
@@ -2,9 +2,19 @@
 
 import unittest
 
-from agaterail.gateway.weightsplan import WeightsPlan, cordon, outdated
+from agaterail.gateway.weightsplan import (
+    LoadPace,
+    WeightsPlan,
+    cordon,
+    may_interrupt,
+    most_loads,
+    outdated,
+)
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
+LIGHT = LoadPace(outdated_for_s=0.0, allowed_s=15.0, demand=1.0)
+HEAVY = LoadPace(outdated_for_s=0.0, allowed_s=15.0, demand=5.0)
+
 
 def make_engines(count, version=1):
     return [make_target(f"i-{number}", weights={"m": version}) for number in range(count)]
@@ -20,34 +30,34 @@
             self.plan.ordered(load, now, wait_s, counts=True)
 
     def test_two_of_five_load_at_once(self):
-        loads = self.plan.next_loads(self.engines, {"m": 2}, 0.0)
+        loads = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.0)
         self.assertEqual(len(loads), 2)
         self.give(loads, 0.0)
-        self.assertEqual(self.plan.next_loads(self.engines, {"m": 2}, 0.5), [])
+        self.assertEqual(self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.5), [])
 
     def test_more_engines_load_more_at_once(self):
-        loads = self.plan.next_loads(make_engines(30), {"m": 2}, 0.0)
+        loads = self.plan.next_loads(make_engines(30), {"m": 2}, LIGHT, 0.0)
         self.assertEqual(len(loads), 12)
 
     def test_the_next_follows_when_one_is_done(self):
-        loads = self.plan.next_loads(self.engines, {"m": 2}, 0.0)
+        loads = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.0)
         self.give(loads, 0.0)
         loads[0].target.note_weights("m", 2)
-        following = self.plan.next_loads(self.engines, {"m": 2}, 0.5)
+        following = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.5)
         self.assertEqual(len(following), 1)
         self.assertNotIn(following[0].target, [load.target for load in loads])
 
     def test_an_order_without_effect_is_looked_at_again(self):
         # The order was lost, or will be carried out late: the engine still
         # counts as loading, and it is asked again instead of a third one.
-        loads = self.plan.next_loads(self.engines, {"m": 2}, 0.0)
+        loads = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.0)
         self.give(loads, 0.0, wait_s=1.0)
-        again = self.plan.next_loads(self.engines, {"m": 2}, 1.1)
+        again = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 1.1)
         self.assertEqual(again, loads)
 
     def test_a_newer_version_overtakes_the_one_being_loaded(self):
-        self.give(self.plan.next_loads(self.engines, {"m": 2}, 0.0), 0.0)
-        loads = self.plan.next_loads(self.engines, {"m": 3}, 1.1)
+        self.give(self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.0), 0.0)
+        loads = self.plan.next_loads(self.engines, {"m": 3}, LIGHT, 1.1)
         self.assertEqual({load.version for load in loads}, {3})
 
     def test_leaving_engines_are_not_loaded(self):
@@ -57,12 +67,53 @@
     def test_every_daemon_avoids_the_engines_that_are_ordered(self):
         # Callers' requests would be refused by engines that load; all daemons
         # compute the same order, so the ones marked are the ones ordered.
-        cordon(self.engines, {"m": 2}, 7.0)
+        cordon(self.engines, {"m": 2}, LIGHT, 7.0)
         marked = {item.instance for item in self.engines if item.cordoned_at is not None}
-        loads = self.plan.next_loads(list(reversed(self.engines)), {"m": 2}, 7.0)
+        loads = self.plan.next_loads(list(reversed(self.engines)), {"m": 2}, LIGHT, 7.0)
         self.assertEqual(marked, {load.target.instance for load in loads})
         for load in loads:
             load.target.note_weights("m", 2)
-        cordon(self.engines, {"m": 2}, 8.0)
+        cordon(self.engines, {"m": 2}, LIGHT, 8.0)
         now_marked = {item.instance for item in self.engines if item.cordoned_at is not None}
         self.assertFalse(marked & now_marked)
+
+    def test_on_a_heavy_day_one_engine_loads_at_a_time(self):
+        # Five engines for five engines' worth of prompts: with two of them
+        # loading, callers of the other three wait for seconds.
+        self.assertEqual(len(self.plan.next_loads(self.engines, {"m": 2}, HEAVY, 0.0)), 1)
+
+    def test_a_rollout_is_over_in_time_on_a_heavy_day_too(self):
+        # Requests must not begin on older weights after 15 s. Loads of 3 s each
+        # are paced so that the last one ends before.
+        engines = make_engines(12)
+        now, done_at = 0.0, {}
+        while outdated(engines, {"m": 2}) and now < 30.0:
+            pace = LoadPace(outdated_for_s=now, allowed_s=15.0, demand=12.0)
+            for load in self.plan.next_loads(engines, {"m": 2}, pace, now):
+                self.plan.ordered(load, now, 10.0, counts=True)
+                done_at[load.target.instance] = now + 3.0
+            now += 0.1
+            for engine in engines:
+                if done_at.get(engine.instance, now + 1) <= now:
+                    engine.note_weights("m", 2)
+        self.assertLess(now, 15.0)
+
+    def test_no_more_than_two_fifths_load_on_a_light_day(self):
+        self.assertEqual(most_loads(10, 10, LIGHT), 4)
+
+    def test_an_engine_that_cannot_be_reached_holds_no_place(self):
+        # Two engines have gone silent; the others are loaded meanwhile.
+        for engine in self.engines[:2]:
+            engine.note_failure(0.0)
+        loads = self.plan.next_loads(self.engines, {"m": 2}, LIGHT, 0.1)
+        self.assertFalse({load.target for load in loads} & set(self.engines[:2]))
+
+    def test_an_engine_that_missed_two_versions_comes_first(self):
+        self.engines[3].entry.weights["m"] = 0
+        self.assertIs(outdated(self.engines, {"m": 2})[0].target, self.engines[3])
+
+    def test_runs_get_their_time_to_end(self):
+        cordon(self.engines, {"m": 2}, LIGHT, 10.0)
+        marked = [item for item in self.engines if item.cordoned_at is not None]
+        self.assertFalse(may_interrupt(marked[0], 11.0))
+        self.assertTrue(may_interrupt(marked[0], 11.6))
