--- a/agaterail/cmd/gateway.py
+++ b/agaterail/cmd/gateway.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import re
 import signal
 import sys
 
@@ -12,15 +13,20 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.gateway.daemon import Daemon
+from agaterail.gateway.daemon import Daemon, boot_now
+from agaterail.gateway.logbudget import HostField, LogBudget
 from agaterail.gateway.logsink import LogSink
+from agaterail.gateway.metrics import start_metrics
 from agaterail.gateway.stopping import Stopper
 from agaterail.platform import names
 from agaterail.platform.engines import PlatformEngines
 from agaterail.platform.settings import read_settings
 from agaterail.platform.store import PlatformStore
+from agaterail.util.address import Address
 
 EXIT_USAGE = 2
+METRICS_VARIABLE = "AGATERAIL_METRICS"  # PORT/PATH, as in the deploy file
+METRICS_FORM = re.compile(r"\d{1,5}/[\w/.-]*")
 STANDARD_OUTPUT = 1
 
 logger = logs.get_logger("main")
@@ -35,18 +41,29 @@
             file=sys.stderr,
         )
         return EXIT_USAGE
+    metrics = os.environ.get(METRICS_VARIABLE, "")
+    if metrics and not METRICS_FORM.fullmatch(metrics):
+        print(f"{METRICS_VARIABLE}: {metrics!r} is not PORT/PATH.", file=sys.stderr)
+        return EXIT_USAGE
     loaded = read_settings(path)
     if not isinstance(loaded, Success):
         print(loaded.failure(), file=sys.stderr)
         return EXIT_USAGE
     chosen = loaded.unwrap()
-    logs.configure("info", json_lines=True, stream=LogSink(STANDARD_OUTPUT))
+    sink = LogSink(STANDARD_OUTPUT)
+    logs.configure(
+        "info",
+        json_lines=True,
+        stream=sink,
+        processors=[HostField(chosen.host), LogBudget(boot_now)],
+    )
     store = PlatformStore(chosen.store.address, chosen.store.parts)
     try:
         daemon = Daemon(chosen, store, PlatformEngines())
     except OSError as error:
         print(f"{chosen.caller_listen} cannot be bound: {error}", file=sys.stderr)
         return EXIT_USAGE
+    daemon.log_lines_dropped = lambda: sink.dropped_in_all
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
@@ -55,6 +72,9 @@
     gc.freeze()
     logger.info("Started.", host=chosen.host, boot=daemon.boot, domain=chosen.domain)
     daemon.start()
+    if metrics:
+        port, _, path = metrics.partition("/")
+        start_metrics(daemon, Address(chosen.ip, int(port)), b"/" + path.encode())
     stopping.wait()
     Stopper(daemon).run()
     return 0
--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -130,8 +130,15 @@
 
     Every call is bounded in time and sent once. Reads are linearizable: an
     answer shows all that was acknowledged before the call was sent.
+
+    Attributes
+    ----------
+    calls
+        Calls made since the start.
     """
 
+    calls = 0
+
     @abc.abstractmethod
     def listing(self, feed: Feed) -> Result[FeedSlice, StoreError]:
         """Read the newest state of everything on a feed."""
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -26,6 +26,7 @@
 from agaterail.gateway.front import Front
 from agaterail.gateway.keptparts import is_worth_keeping
 from agaterail.gateway.membership import MembershipController
+from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.placement import PlacementRules
 from agaterail.gateway.readiness import make_readiness
 from agaterail.gateway.retrybudget import RetryBudget
@@ -36,6 +37,8 @@
 from agaterail.timers import GeventTimerService
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.desired import DesiredState, Route, Workspace
     from agaterail.gateway.enginecontrol import EngineControl
@@ -96,6 +99,8 @@
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.metrics = GatewayMetrics()
+        self.log_lines_dropped: Callable[[], int] = lambda: 0
         self.membership = MembershipController(self)
         self.weights = WeightsController(self)
         self.followers = [FeedFollower(self, feed) for feed in Feed]
@@ -134,6 +139,8 @@
     def handle(self, inbound: Inbound, caller: CallerConnection) -> None:
         """Answer one request."""
         job: Job | None = None
+        failure: Failure | None = None
+        left = False
         try:
             outcome = self._admit(inbound, caller)
             if isinstance(outcome, Job):
@@ -141,12 +148,39 @@
                 failure = Forwarder(self, job).run()
             else:
                 failure = outcome
-        except CallerLeft:
-            logger.info("Caller left.", request=inbound.request_id)
+        except (CallerLeft, OSError) as error:
+            left = True
+            logger.info(
+                "Caller left.",
+                request=inbound.request_id,
+                target=None if job is None else job.target,
+                first_byte=job is not None and job.first_byte_at is not None,
+                age_s=round(self.now() - inbound.received_at, 4),
+                reason=type(error).__name__,
+            )
             raise
+        finally:
+            self._measure(inbound, job, failure, left)
         if failure is not None:
             self._send_failure(inbound, caller, failure, job)
 
+    def _measure(
+        self, inbound: Inbound, job: Job | None, failure: Failure | None, left: bool
+    ) -> None:
+        kind = "unknown" if job is None else job.route.kind.value
+        if failure is not None:
+            outcome = failure.kind.value
+        elif left:
+            outcome = "caller_left"
+        else:
+            outcome = "cut" if job is not None and job.cut else "answered"
+        self.metrics.requests.labels(kind, outcome).inc()
+        age_s = self.now() - inbound.received_at
+        self.metrics.duration.labels(kind, outcome).observe(age_s)
+        if job is not None and job.first_byte_at is not None:
+            first_s = job.first_byte_at - inbound.received_at
+            self.metrics.first_byte.labels(kind).observe(first_s)
+
     def choose(self, job: Job, now: float) -> Choice | None:
         """Return the next target for a request."""
         targets = self.book.of_service(job.service)
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -58,6 +58,7 @@
     events: int = 0
     resumed: int = 0
     target: str = ""
+    cut: bool = False
 
 
 class Forwarder:
@@ -95,6 +96,7 @@
             return failure
         # Part of a stream is with the caller; without its end it is plainly cut.
         self.job.caller.abort()
+        self.job.cut = True
         self._log("Stream cut.", kind=failure.kind.value)
         return None
 
@@ -119,6 +121,7 @@
             except OSError as error:
                 choice.target.note_failure(now)
                 self.attempts.note(choice.target.instance, Fate.NOT_CONNECTED)
+                self.daemon.metrics.attempts.labels(Fate.NOT_CONNECTED.value).inc()
                 self._log("No connection.", error=str(error))
                 continue
             if self.attempts.sends and not self.daemon.budget.take(self.job.service, now):
@@ -257,6 +260,7 @@
         assert self.choice is not None
         target = self.choice.target
         self.attempts.note(target.instance, fate)
+        self.daemon.metrics.attempts.labels(fate.value).inc()
         self._release(whole=False)
         if fate is not Fate.REFUSED:
             target.note_failure(self.daemon.now())
@@ -313,17 +317,26 @@
         if head.weights_version is not None:
             self.choice.target.note_weights(self.job.inbound.model, head.weights_version)
 
+    def _first_byte_s(self) -> float | None:
+        at = self.job.first_byte_at
+        return None if at is None else round(at - self.job.inbound.received_at, 4)
+
     def _log(self, sentence: str, **fields: object) -> None:
         choice = self.choice
         logger.info(
             sentence,
             request=self.job.inbound.request_id,
             route=self.job.route.name,
+            workspace=None if self.job.workspace is None else self.job.workspace.name,
             target=self.job.target,
             age_s=round(self.daemon.now() - self.job.inbound.received_at, 4),
+            first_byte_s=self._first_byte_s(),
+            left_s=round(self.job.answer_by - self.daemon.now(), 3),
             sends=self.attempts.sends,
             cost_ms=None if choice is None else round(choice.cost_ms, 1),
+            queue_ms=None if choice is None else round(choice.queue_ms, 1),
             rank=None if choice is None else choice.rank,
+            candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
             **fields,
         )
--- a/agaterail/gateway/logsink.py
+++ b/agaterail/gateway/logsink.py
@@ -5,11 +5,6 @@
 import errno
 import os
 
-# Lines kept while the reader of the output is slow: some seconds of a busy
-# daemon, 2 MB at most.
-MAX_LINES = 4000
-MAX_LINE_BYTES = 512 * 4
-
 
 class LogSink:
     """File-like object that writes lines without waiting.
@@ -22,6 +17,7 @@
     def __init__(self, descriptor: int) -> None:
         self.descriptor = descriptor
         self.dropped = 0
+        self.dropped_in_all = 0
         self.rest = b""
         os.set_blocking(descriptor, False)
 
@@ -29,31 +25,37 @@
         """Write text, or count it as dropped."""
         data = text.encode("utf-8", "replace")
         if self.rest and not self._flush_rest():
-            self.dropped += 1
+            self._drop()
             return len(text)
         if self.dropped:
             note = b'{"event": "Log lines dropped.", "count": %d}\n' % self.dropped
             data = note + data
+        if self._write(data):
             self.dropped = 0
-        self._write(data)
+        else:
+            self._drop()
         return len(text)
 
     def flush(self) -> None:
         """Do nothing: nothing is kept back that could be written."""
 
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_in_all += 1
+
     def _flush_rest(self) -> bool:
-        rest, self.rest = self.rest, b""
-        self._write(rest)
-        return not self.rest
+        rest = self.rest
+        return self._write(rest) and not self.rest
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, data: bytes) -> bool:
+        """Write what fits; tells whether any of it did."""
         try:
             written = os.write(self.descriptor, data)
         except OSError as error:
             if error.errno not in (errno.EAGAIN, errno.EPIPE):
                 raise
             # Nobody reads, or the pipe is full.
-            self.dropped += 1
-            return
+            return False
         # A line that was begun is ended later, so that lines stay whole.
         self.rest = data[written:]
+        return True
--- /dev/null
+++ b/agaterail/gateway/metrics.py
@@ -0,0 +1,119 @@
+"""Counters and histograms of one daemon, served as text."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from agaterail import logs
+from agaterail.gateway.desired import CallerLimits
+from agaterail.gateway.front import Front
+
+if TYPE_CHECKING:
+    from agaterail.gateway.daemon import Daemon
+    from agaterail.gateway.front import CallerConnection
+    from agaterail.gateway.inbound import Inbound
+    from agaterail.util.address import Address
+
+logger = logs.get_logger("metrics")
+
+PREFIX = "agaterail"
+# Seconds; objectives are 0.1 to 0.5 s and time limits up to 15 s.
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.5, 6.0, 15.0)
+OK = 200
+NOT_FOUND = 404
+CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4; charset=utf-8"
+
+
+class GatewayMetrics:
+    """The metrics; docs/OPERATIONS.md says what each tells."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self.requests = Counter(
+            f"{PREFIX}_requests",
+            "Requests by kind of route and outcome.",
+            ("kind", "outcome"),
+            registry=registry,
+        )
+        self.attempts = Counter(
+            f"{PREFIX}_attempts",
+            "Sends to targets by how they ended.",
+            ("fate",),
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            f"{PREFIX}_first_byte_seconds",
+            "From the first byte of a request to that of its answer.",
+            ("kind",),
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self.duration = Histogram(
+            f"{PREFIX}_request_seconds",
+            "From the first byte of a request to the end of its answer.",
+            ("kind", "outcome"),
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self.gauges = {
+            name: Gauge(f"{PREFIX}_{name}", text, registry=registry)
+            for name, text in (
+                ("in_flight", "Requests being read or answered."),
+                ("reading_age_seconds", "Age of the newest reading of the desired state."),
+                ("desired_version", "Version of the desired state in force."),
+                ("targets_usable", "Targets that a request may be sent to."),
+                ("targets_known", "Targets that are registered."),
+                ("targets_cordoned", "Engines that load new weights next."),
+                ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
+                ("lease_seconds", "Seconds for which orders may still be given."),
+                ("store_calls", "Calls to the platform's store since the start."),
+                ("channels_opened", "Connections to targets opened since the start."),
+                ("log_lines_dropped", "Log lines that could not be written."),
+            )
+        }
+
+    def text(self, daemon: Daemon) -> bytes:
+        """Return all metrics as text."""
+        self._sample(daemon)
+        return generate_latest(self.registry)
+
+    def _sample(self, daemon: Daemon) -> None:
+        now = daemon.now()
+        targets = list(daemon.book.targets.values())
+        desired = daemon.state.desired
+        values = {
+            "in_flight": daemon.front.busy,
+            "reading_age_seconds": daemon.freshness.age_s(now),
+            "desired_version": -1 if desired is None else desired.version,
+            "targets_usable": sum(target.is_usable(now) for target in targets),
+            "targets_known": len(targets),
+            "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
+            "fleet_share": daemon.budget.share,
+            "lease_seconds": daemon.weights.lease.remaining_s(now),
+            "store_calls": daemon.store.calls,
+            "channels_opened": daemon.channels.opened,
+            "log_lines_dropped": daemon.log_lines_dropped(),
+        }
+        for name, value in values.items():
+            self.gauges[name].set(value)
+
+
+def start_metrics(daemon: Daemon, address: Address, path: bytes) -> Front | None:
+    """Serve the metrics at one path; without the address the daemon runs on."""
+
+    def handle(inbound: Inbound, caller: CallerConnection) -> None:
+        if inbound.path != path:
+            caller.send_answer(NOT_FOUND, [], b"")
+            return
+        caller.send_answer(OK, [CONTENT_TYPE], daemon.metrics.text(daemon))
+
+    try:
+        server = Front(address, handle, CallerLimits, daemon.now)
+    except OSError as error:
+        logger.warning("Metrics are not served.", address=str(address), reason=str(error))
+        return None
+    server.start()
+    return server
--- a/agaterail/logs.py
+++ b/agaterail/logs.py
@@ -4,10 +4,13 @@
 
 import logging
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 
 def get_logger(part: str) -> Any:
     """Return a logger whose lines start with the part's prefix.
@@ -21,7 +24,10 @@
 
 
 def configure(
-    level: str = "info", json_lines: bool = False, stream: Any | None = None
+    level: str = "info",
+    json_lines: bool = False,
+    stream: Any | None = None,
+    processors: Sequence[Any] = (),
 ) -> None:
     """Set the level and form of all log lines of this process.
 
@@ -31,6 +37,8 @@
         Name of the lowest level shown.
     json_lines
         Write one JSON object a line instead of ``key=value`` pairs.
+    processors
+        Steps that see each line first.
     stream
         File-like object for the lines; standard error by default.
     """
@@ -39,6 +47,7 @@
         renderer = structlog.processors.JSONRenderer()
     structlog.configure(
         processors=[
+            *processors,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
