--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -24,7 +24,6 @@
 from agaterail.gateway.forwarder import Forwarder, Job
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.front import Front
-from agaterail.gateway.keptparts import is_worth_keeping
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.placement import PlacementRules
@@ -209,8 +208,7 @@
         desired = self.state.desired
         if desired is not None and desired.kv_stores and version is not None:
             address = desired.kv_stores[0].address
-            if is_worth_keeping(job.inbound):
-                terms.update(fetch_from=address, save_to=address)
+            terms.update(fetch_from=address, save_to=address)
         return terms
 
     def retry_after_s(self, job: Job, now: float) -> float:
--- a/agaterail/gateway/follower.py
+++ b/agaterail/gateway/follower.py
@@ -35,6 +35,7 @@
         self.feed = feed
         self.offset: int | None = None
         self.failures = 0
+        self.read_once = False
         revoke_s = daemon.settings.bounds.revoke_s
         self.wait_s = LONGEST_WAIT_S
         if feed is Feed.OPERATORS and revoke_s is not None:
@@ -76,7 +77,8 @@
             self.daemon.freshness.confirm(sent_at)
         if listed and self.feed is Feed.TARGETS:
             self._remove_unlisted(found, now)
-        self.daemon.state.apply(found.changes, now)
+        self.daemon.state.apply(found.changes, now, at_start=not self.read_once)
+        self.read_once = True
 
     def _remove_unlisted(self, found: FeedSlice, now: float) -> None:
         listed = {getattr(change, "instance", "") for change in found.changes}
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -36,13 +36,19 @@
         self.weights: dict[str, NamedWeights] = {}
         self.target_offsets: dict[str, int] = {}
 
-    def apply(self, changes: Iterable[Change], now: float) -> None:
-        """Take in changes in the order of their offsets."""
+    def apply(self, changes: Iterable[Change], now: float, at_start: bool = False) -> None:
+        """Take in changes in the order of their offsets.
+
+        Parameters
+        ----------
+        at_start
+            They were made at some time before this process first read.
+        """
         for change in changes:
             if isinstance(change, DesiredPublished):
                 self._apply_desired(change, now)
             elif isinstance(change, WeightsNamed):
-                self._apply_weights(change, now)
+                self._apply_weights(change, now, at_start)
             else:
                 self._apply_target(change, now)
 
@@ -61,19 +67,17 @@
             keys=len(change.state.workspace_by_key),
         )
 
-    def _apply_weights(self, change: WeightsNamed, now: float) -> None:
+    def _apply_weights(self, change: WeightsNamed, now: float, at_start: bool) -> None:
         known = self.weights.get(change.model)
         if known is not None and change.version <= known.newest:
             return
-        at = now
-        if known is None:
-            # Found by a process that has just started. When it was named is not
-            # known: after all daemons had died, engines were used on weights
-            # that had been outdated for longer than allowed. Most rollouts are
-            # over in the time that is assumed here.
-            known = NamedWeights(())
-            at = now - self.unknown_age_s
-        self.weights[change.model] = known.named(change.version, at)
+        # Of a version that a process finds at its start it does not know when it
+        # was named: after all daemons had died, engines were used on weights
+        # that had been outdated for longer than allowed. Most rollouts are over
+        # in the time that is assumed here.
+        known_at = now - self.unknown_age_s if at_start else now
+        known = known or NamedWeights(())
+        self.weights[change.model] = known.named(change.version, known_at)
         logger.info(
             "Weights named.", model=change.model, version=change.version, offset=change.offset
         )
--- a/tests/test_agaterail/test_gateway/test_state.py
+++ b/tests/test_agaterail/test_gateway/test_state.py
@@ -24,12 +24,19 @@
     def test_weights_found_at_the_start_are_taken_for_old(self):
         # All daemons died and came back: when the version was named is not
         # known, and the engines' older weights may be overdue.
-        self.state.apply([WeightsNamed(1, "m", 4)], 100.0)
+        self.state.apply([WeightsNamed(1, "m", 4)], 100.0, at_start=True)
         self.assertEqual(self.state.weights["m"].outdated_for_s(3, 100.0), 9.0)
         self.state.apply([WeightsNamed(2, "m", 5)], 101.0)
         self.assertEqual(self.state.weights["m"].outdated_for_s(4, 101.0), 0.0)
         self.assertEqual(self.state.weights["m"].newest, 5)
 
+    def test_the_first_name_after_the_start_is_new(self):
+        # No version had been named before. Taken for old, all engines were
+        # loaded at once, and callers were refused for three seconds.
+        self.state.apply([], 90.0, at_start=True)
+        self.state.apply([WeightsNamed(1, "m", 2)], 100.0)
+        self.assertEqual(self.state.weights["m"].outdated_for_s(1, 100.0), 0.0)
+
     def test_an_older_name_changes_nothing(self):
         self.state.apply([WeightsNamed(2, "m", 5), WeightsNamed(1, "m", 4)], 0.0)
         self.assertEqual(self.state.weights["m"].newest, 5)
