--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 import attrs
 import gevent
+from gevent.pool import Group
 from returns.result import Success
 
 from agaterail import logs
@@ -44,6 +45,7 @@
     from agaterail.gateway.hostsettings import HostSettings
     from agaterail.gateway.inbound import Inbound
     from agaterail.gateway.placement import Choice
+    from agaterail.timers import Subscription
 
 logger = logs.get_logger("gateway")
 
@@ -107,6 +109,8 @@
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
         self.timers = GeventTimerService()
+        self.greenlets = Group()
+        self.subscriptions: list[Subscription] = []
         self.front = Front(settings.caller_listen, self.handle, self._limits, self.now)
 
     @property
@@ -117,12 +121,22 @@
     def start(self) -> None:
         """Start the controllers and accept callers."""
         self.feeds.start()
-        gevent.spawn(self._join_forever)
-        self.timers.every(self.weights.period_s, self.weights.step)
-        self.timers.every(HOUSEKEEPING_PERIOD_S, self.tidy)
+        self.greenlets.spawn(self._join_forever)
+        self.subscriptions = [
+            self.timers.every(self.weights.period_s, self.weights.step),
+            self.timers.every(HOUSEKEEPING_PERIOD_S, self.tidy),
+        ]
         self.readiness.start()
         self.front.start()
 
+    def close(self) -> None:
+        """End everything at once, as the process's end would."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        for server in (self.front, self.readiness, self.feeds.server):
+            server.close()
+        self.greenlets.kill(block=False)
+
     def _join_forever(self) -> None:
         while True:
             self.membership.step()
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -86,8 +86,8 @@
         """Follow the feeds and answer peers."""
         self.server.start()
         for feed in Feed:
-            gevent.spawn(self._forever, DirectFollower(self, feed).step)
-        gevent.spawn(self._forever, self._ask_step)
+            self.daemon.greenlets.spawn(self._forever, DirectFollower(self, feed).step)
+        self.daemon.greenlets.spawn(self._forever, self._ask_step)
 
     @property
     def reads_directly(self) -> bool:
--- a/agaterail/gateway/front.py
+++ b/agaterail/gateway/front.py
@@ -358,6 +358,10 @@
         self.server.stop_accepting()
         self.server.close()
 
+    def close(self) -> None:
+        """Close the listener and all connections at once."""
+        self.server.stop(timeout=0)
+
     @property
     def busy(self) -> int:
         """Return the number of requests being read or answered."""
--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,217 @@
+"""Stand-in of the platform's targets: model engines and plain services."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import attrs
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected Request", 503: "Unavailable"}
+LINE_END = b"\r\n"
+
+
+@attrs.define
+class Run:
+    """One request that a target began to work on."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    weights: int
+    at: float
+    ended: str = "open"
+
+
+class PlatformTargetStandIn:
+    """Target that journals what it runs.
+
+    Faults are attributes: ``refuse`` answers 503 with the mark of a request that
+    did not run, ``hang`` runs and never answers, ``break_after`` resets a stream
+    in the middle of the event of that number, ``error`` answers 500, ``doubled``
+    sends every answer twice.
+    """
+
+    def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
+        self.instance = instance
+        self.model = model
+        self.events = events
+        self.version = 1
+        self.named = 1
+        self.work_s = 0.01
+        self.event_s = 0.01
+        self.load_s = 0.2
+        self.refuse = self.hang = self.error = self.doubled = False
+        self.break_after: int | None = None
+        self.loading = False
+        self.orders = 0
+        self.fence = -1
+        self.order_log: list[tuple[float, str, int, int]] = []
+        self.runs: list[Run] = []
+        self.server: StreamServer | None = None
+
+    def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen; returns the address."""
+        self.server = StreamServer((host, port), self._serve)
+        self.server.start()
+        return f"{host}:{self.server.server_port}"
+
+    def stop(self) -> None:
+        """Stop listening and cut what is open."""
+        if self.server is not None:
+            self.server.stop(timeout=0)
+
+    def registration(self, service: str, address: str, born: int = 1) -> bytes:
+        """Return the entry that the target writes of itself."""
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return json.dumps(
+            {
+                "service": service,
+                "address": address,
+                "zone": "z1",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "models": models if self.model else [],
+                "seq_no": 1,
+                "born": born,
+            }
+        ).encode()
+
+    def _serve(self, sock: socket.socket, _address: Any) -> None:
+        file = sock.makefile("rb")
+        try:
+            while True:
+                line = file.readline()
+                if not line.strip():
+                    return
+                method, path, _ = line.decode("latin-1").split(" ", 2)
+                headers: dict[str, str] = {}
+                while (line := file.readline()) not in (LINE_END, b""):
+                    name, _, value = line.decode("latin-1").partition(":")
+                    headers[name.strip().lower()] = value.strip()
+                body = file.read(int(headers.get("content-length", "0")))
+                if not self._answer(sock, method, path, headers, body):
+                    return
+        except OSError:
+            return  # the gateway or a fault has cut the connection
+        finally:
+            sock.close()
+
+    def _answer(
+        self, sock: socket.socket, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> bool:
+        if path == "/agaterail/report":
+            return self._send_json(sock, 200, self._report())
+        expected = headers.get("expect-instance")
+        if expected not in (None, self.instance):
+            return self._send(sock, 421, {"Instance-Id": self.instance})
+        if path == "/agaterail/order":
+            return self._send(sock, self._order(json.loads(body)), {})
+        version = headers.get("expect-version")
+        if version not in (None, str(self.version)):
+            return self._send(sock, 421, {"Weight-Versions": str(self.version)})
+        if self.refuse or self.loading:
+            return self._send(sock, 503, {"Not-Run": "1"})
+        run = Run(
+            headers.get("request-id", ""),
+            method,
+            path,
+            headers,
+            body,
+            self.version,
+            time.monotonic(),
+        )
+        self.runs.append(run)
+        gevent.sleep(self.work_s)
+        if self.hang:
+            gevent.sleep(30.0)
+            return False
+        mark = {"Request-Id": run.request_id, "Server-Stamp": f"s-{self.instance}"}
+        if self.error:
+            run.ended = "error"
+            return self._send(sock, 500, mark, b"failed")
+        if self.model:
+            return self._stream(sock, run, mark)
+        run.ended = "whole"
+        answer = f"{self.instance} {run.request_id}".encode() * 20
+        for _ in range(2 if self.doubled else 1):
+            self._send(sock, 200, mark, answer)
+        return True
+
+    def _stream(self, sock: socket.socket, run: Run, mark: dict[str, str]) -> bool:
+        first = int(run.headers.get("last-event-id") or 0) + 1
+        head = {**mark, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        head["Weight-Versions"] = str(self.version)
+        sock.sendall(_head(200, head))
+        for number in range(first, self.events + 1):
+            gevent.sleep(self.event_s)
+            event = b"id: %d\ndata: %s-%d\n\n" % (number, run.request_id.encode(), number)
+            if self.break_after == number:
+                run.ended = "broken"
+                sock.sendall(b"%x\r\n%b" % (len(event), event[:-5]))
+                return False
+            sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+        sock.sendall(b"0\r\n\r\n")
+        run.ended = "whole"
+        return True
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {
+            "stage": "both",
+            "models": models if self.model else [],
+            "busy": self.loading,
+            "seq_no": self.orders,
+            "waiting": 0,
+            "running": sum(run.ended == "open" for run in self.runs[-20:]),
+        }
+
+    def _order(self, order: dict[str, Any]) -> int:
+        self.order_log.append(
+            (time.monotonic(), order["holder"], order["fence"], order["version"])
+        )
+        if order["fence"] < self.fence:
+            return 412
+        self.fence = order["fence"]
+        if order["version"] == self.version:
+            return 200
+        if order["version"] > self.named:
+            return 400
+        if self.loading or order.get("expect", self.orders) != self.orders:
+            return 409
+        self.orders += 1
+        self.loading = True
+        gevent.spawn_later(self.load_s, self._loaded, order["version"])
+        return 202
+
+    def _loaded(self, version: int) -> None:
+        self.loading = False
+        self.version = version
+        self.on_loaded()
+
+    def on_loaded(self) -> None:
+        """Do nothing; whoever registers the target replaces this."""
+
+    def _send_json(self, sock: socket.socket, status: int, found: Any) -> bool:
+        return self._send(sock, status, {}, json.dumps(found).encode())
+
+    def _send(
+        self, sock: socket.socket, status: int, headers: dict[str, str], body: bytes = b""
+    ) -> bool:
+        whole = {**headers, "Content-Length": str(len(body))}
+        sock.sendall(_head(status, whole) + body)
+        return True
+
+
+def _head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,176 @@
+"""Stand-in of the hosts' platform's store: a log with partitions and groups."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import time
+from typing import Any
+
+import attrs
+import gevent
+import gevent.event
+
+from standins.base import Answer, Call, StandIn, json_answer
+
+LENGTH = struct.Struct(">I")
+ENDS = struct.Struct(">QQ")
+PARTS = 16
+PAGE = 500
+
+
+@attrs.define
+class _Member:
+    deadline: float
+    topics: list[str]
+
+
+class PlatformStoreStandIn(StandIn):
+    """The calls that a gateway makes, on memory.
+
+    Faults are attributes: ``down`` answers 503, ``delay_s`` slows each answer,
+    ``lose_writes`` does writes and never answers, ``refused`` names the hosts
+    that get 503.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.topics: dict[tuple[str, int], list[bytes]] = {}
+        self.first: dict[tuple[str, int], int] = {}
+        self.changed = gevent.event.Event()
+        self.members: dict[str, dict[str, _Member]] = {}
+        self.generation = 1
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_writes = False
+        self.calls = 0
+
+    def route(self, call: Call) -> Answer:
+        """Answer one call."""
+        self.calls += 1
+        if self.delay_s:
+            gevent.sleep(self.delay_s)
+        if self.down:
+            return Answer(503)
+        name = call.path.rpartition("/log-")[2]
+        found = getattr(self, f"_{name.replace('-', '_')}", None)
+        if found is None:
+            return Answer(404)
+        answer = found(call)
+        if self.lose_writes and call.method == "POST" and name == "append":
+            gevent.sleep(30.0)
+        return answer
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a keyed record, as operators and targets do."""
+        name = key.encode()
+        return self._add(topic, 0, bytes([len(name)]) + name + value)
+
+    def expire(self, topic: str) -> None:
+        """Forget the history of a topic, the newest record of each key apart."""
+        log = self.topics.get((topic, 0), [])
+        self.first[topic, 0] = len(log)
+
+    def _add(self, topic: str, part: int, content: bytes) -> int:
+        log = self.topics.setdefault((topic, part), [])
+        log.append(content)
+        self.changed.set()
+        self.changed.clear()
+        return len(log) - 1
+
+    def _append(self, call: Call) -> Answer:
+        topic, part = call.query["topic"], int(call.query["part"])
+        log = self.topics.setdefault((topic, part), [])
+        if "at" in call.query and int(call.query["at"]) != len(log):
+            return json_answer({"end": len(log)}, 412)
+        offset, place = len(log), 0
+        while place < len(call.body):
+            (length,) = LENGTH.unpack_from(call.body, place)
+            place += LENGTH.size
+            self._add(topic, part, call.body[place : place + length])
+            place += length
+        return json_answer({"offset": offset, "end": len(log)})
+
+    def _read(self, call: Call) -> Answer:
+        key = call.query["topic"], int(call.query["part"])
+        start = int(call.query["from"])
+        until = time.monotonic() + int(call.query.get("wait_ms", "0")) / 1e3
+        while True:
+            log, first = self.topics.get(key, []), self.first.get(key, 0)
+            if start < first:
+                return json_answer({"first": first}, 410)
+            left = until - time.monotonic()
+            if len(log) > start or left <= 0.0 or self.down:
+                break
+            self.changed.wait(left)
+        if self.down:
+            return Answer(503)
+        body = ENDS.pack(len(log), first)
+        for content in log[start:]:
+            body += LENGTH.pack(len(content)) + content
+        return Answer(200, body)
+
+    def _newest(self, call: Call) -> Answer:
+        newest: dict[str, tuple[int, bytes]] = {}
+        log = self.topics.get((call.query["topic"], int(call.query["part"])), [])
+        for offset, content in enumerate(log):
+            size = content[0]
+            key, value = content[1 : 1 + size].decode(), content[1 + size :]
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        after = call.query.get("after", "")
+        rows = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(newest.items())
+            if key > after
+        ]
+        more = len(rows) > PAGE
+        return json_answer({"items": rows[:PAGE], "has_more": more, "end": len(log)})
+
+    def _join(self, call: Call) -> Answer:
+        found = call.json()
+        members = self._live(found["group"])
+        if found["member"] not in members:
+            self.generation += 1
+        ends = time.monotonic() + found["ttl_ms"] / 1e3
+        members[found["member"]] = _Member(ends, found["topics"])
+        rows = [
+            [topic, part, 0]
+            for topic, part, member in self._dealt(found["group"])
+            if member == found["member"]
+        ]
+        return json_answer({"generation": self.generation, "parts": rows})
+
+    def _leave(self, call: Call) -> Answer:
+        found = call.json()
+        if self._live(found["group"]).pop(found["member"], None):
+            self.generation += 1
+        return json_answer({})
+
+    def _owners(self, call: Call) -> Answer:
+        rows = [[*row, 0] for row in self._dealt(call.query["group"])]
+        return json_answer({"owners": rows})
+
+    def _live(self, group: str) -> dict[str, _Member]:
+        members = self.members.setdefault(group, {})
+        for name in [n for n, m in members.items() if m.deadline < time.monotonic()]:
+            del members[name]
+            self.generation += 1
+        return members
+
+    def _dealt(self, group: str) -> list[tuple[str, int, str]]:
+        members = self._live(group)
+        topics = sorted({topic for member in members.values() for topic in member.topics})
+        names = sorted(members)
+        places = [(topic, part) for topic in topics for part in range(PARTS)]
+        return [
+            (topic, part, names[number % len(names)])
+            for number, (topic, part) in enumerate(places)
+        ]
+
+
+def config_record(**fields: Any) -> bytes:
+    """Return a desired state as operators write it."""
+    return json.dumps(fields).encode()
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -0,0 +1,224 @@
+from __future__ import annotations
+
+import unittest
+
+import attrs
+import gevent
+
+from tests.gateway_fleet import BOUNDS, LLM, MODEL, Answer, Fleet, make_desired, read_all
+from tests.test_agaterail.test_gateway.test_front import MALFORMED
+
+
+class DaemonTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+
+    def test_a_plain_answer_is_the_target_s_own(self):
+        answer = self.fleet.ask("/safe/x?q=%2F", headers=["Tenant: evil"])
+        run = self.fleet.runs()[0]
+        self.assertEqual(answer.status, 200)
+        self.assertIn("server-stamp: s-", answer.head)
+        self.assertIn("request-id: r1", answer.head)
+        self.assertEqual(run.path, "/safe/x?q=%2F")
+        self.assertEqual(run.headers["tenant"], "w1")
+        self.assertLess(int(run.headers["deadline-ms"]), 2000)
+        self.assertNotIn("authorization", run.headers)
+
+    def test_a_stream_is_whole_and_in_order(self):
+        answer = self.fleet.ask("/once/x", stream=True)
+        self.assertTrue(answer.whole_stream)
+        self.assertEqual(answer.events, [b"data: r1-%d" % n for n in range(1, 9)])
+
+    def test_no_smuggled_request_reaches_a_target(self):
+        # A caller hides a second request behind a first whose end is unclear.
+        for name, data in MALFORMED.items():
+            with self.subTest(name):
+                sock = self.fleet.connect()
+                sock.sendall(data + self.fleet.request("/open/smuggled", "evil"))
+                read_all(sock)
+                sock.close()
+                self.assertEqual([run for run in self.fleet.runs() if run.request_id], [])
+
+    def test_an_unknown_key_or_path_is_denied(self):
+        self.assertEqual(self.fleet.ask("/safe/x", key="k9").status, 401)
+        self.assertEqual(self.fleet.ask("/safe/x", key="").status, 401)
+        self.assertEqual(self.fleet.ask("/none/x").status, 404)
+        self.assertEqual(self.fleet.ask("/open/x", key="").status, 200)
+        self.assertEqual(len(self.fleet.runs()), 1)
+
+    def test_a_key_that_was_taken_away_is_refused(self):
+        self.fleet.publish(make_desired(2, keys=["k2"]))
+        self.fleet.wait(lambda: self.fleet.daemons[0].state.desired.version == 2)
+        self.assertEqual(self.fleet.ask("/safe/x", key="k1").status, 401)
+        self.assertEqual(self.fleet.ask("/safe/x", key="k2").status, 200)
+
+    def test_no_key_is_accepted_on_an_old_reading(self):
+        # The store has been out of reach for longer than a key may be accepted
+        # after it was taken away. The caller is told to come back; a route
+        # without keys is served as before.
+        daemon = self.fleet.daemons[0]
+        self.fleet.store.down = True
+        daemon.freshness.confirmed_at -= BOUNDS.revoke_s
+        answer = self.fleet.ask("/safe/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.head)
+        self.assertEqual(self.fleet.ask("/open/x", key="").status, 200)
+        self.fleet.store.down = False
+        self.fleet.wait(lambda: daemon.freshness.allows_keys(daemon.now()))
+        self.assertEqual(self.fleet.ask("/safe/x").status, 200)
+
+    def test_a_request_that_may_have_run_is_not_sent_again(self):
+        # The target's connection breaks after it began. The caller of a request
+        # that must not run twice gets 502, which promises nothing.
+        for name in ("p-0", "p-1"):
+            self.fleet.targets[name].hang = True
+        answer = self.fleet.ask("/unsafe/x", body=b"pay", limit_ms=400)
+        self.assertIn(answer.status, (502, 504))
+        self.assertNotIn("server-stamp", answer.head)
+        self.assertEqual(len(self.fleet.runs()), 1)
+
+    def test_a_refusal_of_all_targets_says_that_it_did_not_run(self):
+        for target in self.fleet.targets.values():
+            target.refuse = True
+        answer = self.fleet.ask("/unsafe/x", body=b"pay")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.head)
+        self.assertEqual(self.fleet.runs(), [])
+
+    def test_a_target_that_refuses_is_passed_over(self):
+        self.fleet.targets["p-0"].refuse = True
+        statuses = {self.fleet.ask("/unsafe/x", request_id=f"r{n}").status for n in range(6)}
+        self.assertEqual(statuses, {200})
+
+    def test_a_safe_request_is_tried_at_a_second_target(self):
+        self.fleet.targets["p-0"].error = True
+        self.assertEqual({self.fleet.ask("/safe/x").status for _ in range(4)}, {200})
+
+    def test_a_failure_of_both_targets_is_passed_on(self):
+        for name in ("p-0", "p-1"):
+            self.fleet.targets[name].error = True
+        answer = self.fleet.ask("/safe/x")
+        self.assertEqual((answer.status, answer.body), (500, b"failed"))
+        self.assertEqual(len(self.fleet.runs()), 2)
+
+    def test_a_stream_that_breaks_goes_on_at_another_engine(self):
+        # The engine dies in the middle of the fourth event. The caller sees one
+        # stream without a gap, a repeat or half an event.
+        self.fleet.targets["e-0"].break_after = 4
+        self.fleet.targets["e-1"].break_after = 4
+        broken = self.fleet.ask("/resumed/x", stream=True)
+        self.assertFalse(broken.whole_stream)
+        self.fleet.targets["e-1"].break_after = None
+        self.fleet.targets["e-0"].break_after = 4
+        for number in range(4):
+            gevent.sleep(0.5)
+            answer = self.fleet.ask("/resumed/x", stream=True, request_id=f"s{number}")
+            self.assertTrue(answer.whole_stream)
+            wanted = [b"data: s%d-%d" % (number, n) for n in range(1, 9)]
+            self.assertEqual(answer.events, wanted)
+
+    def test_a_broken_stream_that_cannot_be_resumed_does_not_look_complete(self):
+        for name in ("e-0", "e-1"):
+            self.fleet.targets[name].break_after = 4
+        answer = self.fleet.ask("/once/x", stream=True)
+        self.assertEqual(answer.events, [b"data: r1-%d" % n for n in range(1, 4)])
+        self.assertFalse(answer.whole_stream)
+        self.assertEqual(len(self.fleet.runs()), 1)
+
+    def test_a_doubled_answer_reaches_no_other_caller(self):
+        # The target answers twice. The second copy lies on the connection where
+        # the next caller's answer is expected.
+        for name in ("p-0", "p-1"):
+            self.fleet.targets[name].doubled = True
+        for number in range(6):
+            answer = self.fleet.ask("/safe/x", request_id=f"r{number}")
+            self.assertIn(f"r{number}".encode(), answer.body)
+            self.assertNotIn(f"r{number - 1} ".encode(), answer.body)
+
+    def test_work_ends_when_the_caller_leaves(self):
+        for name in ("e-0", "e-1"):
+            self.fleet.targets[name].event_s = 0.1
+        sock = self.fleet.connect()
+        sock.sendall(self.fleet.request("/once/x", stream=True))
+        gevent.sleep(0.25)
+        sock.close()
+        gevent.sleep(0.3)
+        self.assertEqual(sum(target.in_flight for target in self.targets()), 0)
+
+    def test_a_target_at_a_used_address_gets_nothing_that_is_not_its_own(self):
+        # The target is gone and its address belongs to another one, which says
+        # so; the request goes where it should.
+        self.fleet.targets["p-0"].instance = "p-9"
+        self.assertEqual({self.fleet.ask("/unsafe/x").status for _ in range(4)}, {200})
+        self.assertEqual(self.fleet.runs("p-0"), [])
+
+    def test_kept_connections_serve_one_request_after_the_other(self):
+        sock = self.fleet.connect()
+        for number in range(5):
+            sock.sendall(self.fleet.request("/safe/x", f"r{number}"))
+            data = b""
+            while not data.endswith(f"r{number}".encode() * 1) or b"\r\n\r\n" not in data:
+                data += sock.recv(65536)
+                if data.count(f"r{number}".encode()) >= 20:
+                    break
+            self.assertEqual(Answer(data).status, 200)
+        sock.close()
+
+    def targets(self):
+        return list(self.fleet.daemons[0].book.targets.values())
+
+
+class WeightsTest(unittest.TestCase):
+    def test_engines_get_the_weights_that_are_named_from_one_host(self):
+        fleet = Fleet(gateways=3)
+        self.addCleanup(fleet.stop)
+        engines = [fleet.targets["e-0"], fleet.targets["e-1"]]
+        for engine in engines:
+            engine.named = 2
+        fleet.wait(lambda: any(d.membership.leads for d in fleet.daemons))
+        value = b'{"model": "%s", "version": 2}' % MODEL.encode()
+        fleet.store.put("keyed.op", f"version/{MODEL}", value)
+        fleet.wait(lambda: all(engine.version == 2 for engine in engines))
+        orders = [order for engine in engines for order in engine.order_log]
+        self.assertEqual(len({holder for _, holder, _, _ in orders}), 1)
+        fleet.wait(
+            lambda: all(
+                target.weights_of(MODEL) == 2
+                for daemon in fleet.daemons
+                for target in daemon.book.of_service(LLM)
+            )
+        )
+        answer = fleet.ask("/once/x", stream=True)
+        self.assertIn("weight-versions: 2", answer.head)
+        self.assertEqual(fleet.runs()[-1].headers["cache-salt"], "v2")
+
+
+class FeedsTest(unittest.TestCase):
+    def test_daemons_that_do_not_read_the_store_learn_of_changes_too(self):
+        fleet = Fleet(gateways=4)
+        self.addCleanup(fleet.stop)
+        fleet.wait(lambda: sum(not d.feeds.reads_directly for d in fleet.daemons) >= 2)
+        fleet.publish(make_desired(5))
+        fleet.wait(lambda: all(d.state.desired.version == 5 for d in fleet.daemons), 2.0)
+
+    def test_a_daemon_whose_peers_die_reads_the_store_itself(self):
+        # Both readers lose power right after a change was acknowledged. The
+        # others must have the change in force within the bound.
+        fleet = Fleet(gateways=4)
+        self.addCleanup(fleet.stop)
+        fleet.wait(lambda: sum(not d.feeds.reads_directly for d in fleet.daemons) >= 2)
+        others = [d for d in fleet.daemons if not d.membership.is_reader]
+        for daemon in fleet.daemons:
+            if daemon.membership.is_reader:
+                daemon.feeds.server.close()
+        fleet.publish(make_desired(6))
+        fleet.wait(lambda: all(d.state.desired.version == 6 for d in others), 2.0)
+
+
+class BoundsTest(unittest.TestCase):
+    def test_without_a_bound_keys_need_no_fresh_reading(self):
+        fleet = Fleet(bounds=attrs.evolve(BOUNDS, revoke_s=None))
+        self.addCleanup(fleet.stop)
+        fleet.daemons[0].freshness.confirmed_at -= 1000.0
+        self.assertEqual(fleet.ask("/safe/x").status, 200)
