Add a seeded soak of the real gateways under faults from outside

Processes are killed, frozen, stopped and restarted; store and targets fail, are cut, silenced, reset and lose answers; states, keys and weights change in series. Checked from what callers and targets see.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -49,6 +50,7 @@
         self.load_s = 0.2
         self.refuse = self.hang = self.error = self.doubled = False
         self.break_after: int | None = None
+        self.loaded_hook: Callable[[], object] = lambda: None
         self.loading = False
         self.orders = 0
         self.fence = -1
@@ -195,10 +197,7 @@
     def _loaded(self, version: int) -> None:
         self.loading = False
         self.version = version
-        self.on_loaded()
-
-    def on_loaded(self) -> None:
-        """Do nothing; whoever registers the target replaces this."""
+        self.loaded_hook()
 
     def _send_json(self, sock: socket.socket, status: int, found: Any) -> bool:
         return self._send(sock, status, {}, json.dumps(found).encode())
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -138,7 +138,7 @@
             entry = target.registration(service, address)
             self.store.put("keyed.servers", instance, entry)
 
-        target.on_loaded = register
+        target.loaded_hook = register
         register()
 
     def add_gateway(self, name, bounds) -> Daemon:
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real gateways under faults from outside."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,43 @@
+"""Run the soak: ``python -m tools.soak --seeds 1 2 3`` or ``--fresh 5``."""
+
+from __future__ import annotations
+
+from agaterail.util import greenlets
+
+greenlets.patch()
+
+import argparse
+import pathlib
+import secrets
+import sys
+import tempfile
+
+from tools.soak.run import soak
+
+
+def main() -> None:
+    """Run each seed; exits 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seeds", type=int, nargs="*", default=[])
+    parser.add_argument("--fresh", type=int, default=0, help="seeds drawn just now")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=16)
+    arguments = parser.parse_args()
+    seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
+    failed = 0
+    for seed in seeds:
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        found = soak(seed, arguments.seconds, arguments.gateways, arguments.callers, folder)
+        print(found.summary, flush=True)
+        for problem in found.problems:
+            print(f"    {problem}")
+        if found.problems:
+            failed += 1
+            print(f"    logs: {folder}", flush=True)
+    print(f"{len(seeds) - failed} seeds held, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,182 @@
+"""The seeded series of faults."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from tools.soak.checks import Disturbance
+from tools.soak.proxy import Mode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tools.soak.world import World
+
+MOST_AT_ONCE = 3
+SETTLE_S = 0.4
+
+
+class Faults:
+    """Starts faults at random, several at a time, and ends them again."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.random = random.Random(seed)
+        self.done: list[Disturbance] = []
+        self.spare = 0
+        self.kinds: list[Callable[[], None]] = [
+            self.kill,
+            self.freeze,
+            self.stop,
+            self.stop,
+            self.reload,
+            self.store_fault,
+            self.store_fault,
+            self.store_cut,
+            self.target_fault,
+            self.target_fault,
+            self.target_cut,
+            self.replace_target,
+            self.publish,
+            self.revoke,
+            self.weights,
+            self.weights,
+        ]
+
+    def run(self, seconds: float) -> None:
+        """Cause faults for so long; the last ones have ended when this returns."""
+        until = time.monotonic() + seconds
+        running: list[gevent.Greenlet] = []
+        while time.monotonic() < until:
+            running = [item for item in running if not item.ready()]
+            if len(running) < MOST_AT_ONCE:
+                running.append(gevent.spawn(self.random.choice(self.kinds)))
+            gevent.sleep(self.random.uniform(0.1, 0.8))
+        gevent.joinall(running)
+
+    def kill(self) -> None:
+        """Kill a gateway and start it again."""
+        gateway = self.random.choice(self.world.gateways)
+        with _Noted(self, f"kill {gateway.name}"):
+            self.world.signal(gateway, signal.SIGKILL)
+            gevent.sleep(self.random.uniform(0.1, 0.8))
+            self.world.start(gateway)
+            gevent.sleep(1.0)
+
+    def freeze(self) -> None:
+        """Pause a gateway's process."""
+        gateway = self.random.choice(self.world.gateways)
+        with _Noted(self, f"freeze {gateway.name}"):
+            self.world.signal(gateway, signal.SIGSTOP)
+            gevent.sleep(self.random.uniform(0.3, 5.0))
+            self.world.signal(gateway, signal.SIGCONT)
+
+    def stop(self) -> None:
+        """Stop a gateway in good order and start it again."""
+        gateway = self.random.choice(self.world.gateways)
+        process = gateway.process
+        with _Noted(self, f"stop {gateway.name}"):
+            self.world.signal(gateway, signal.SIGTERM)
+            while process is not None and process.poll() is None:
+                gevent.sleep(0.05)
+            self.world.start(gateway)
+            gevent.sleep(1.0)
+
+    def reload(self) -> None:
+        """Tell a gateway that its settings have changed."""
+        self.world.signal(self.random.choice(self.world.gateways), signal.SIGHUP)
+
+    def store_fault(self) -> None:
+        """Have the store fail."""
+        store = self.world.store
+        with _Noted(self, "store fault"):
+            name, value = self.random.choice(
+                [("down", True), ("delay_s", 0.3), ("lose_writes", True)]
+            )
+            before = getattr(store, name)
+            setattr(store, name, value)
+            gevent.sleep(self.random.uniform(0.3, 4.0))
+            setattr(store, name, before and type(before)())
+            if self.random.random() < 0.3:
+                store.expire("keyed.op")
+
+    def store_cut(self) -> None:
+        """Cut the way to the store."""
+        self._cut("store cut", self.world.store_proxy)
+
+    def target_cut(self) -> None:
+        """Cut the way to a target."""
+        name = self.random.choice(list(self.world.proxies))
+        self._cut(f"target cut {name}", self.world.proxies[name])
+
+    def target_fault(self) -> None:
+        """Have a target misbehave."""
+        name = self.random.choice(list(self.world.targets))
+        target = self.world.targets[name]
+        fault, value = self.random.choice(
+            [
+                ("refuse", True),
+                ("hang", True),
+                ("error", True),
+                ("doubled", True),
+                ("break_after", 4),
+            ]
+        )
+        with _Noted(self, f"target {fault} {name}"):
+            setattr(target, fault, value)
+            gevent.sleep(self.random.uniform(0.3, 2.5))
+            setattr(target, fault, None if fault == "break_after" else False)
+
+    def replace_target(self) -> None:
+        """Let a target leave and another one come."""
+        world = self.world
+        names = [name for name in world.targets if name not in world.left_at]
+        name = self.random.choice(names)
+        self.spare += 1
+        model = world.targets[name].model
+        world.add_target(f"{name[0]}-new-{self.spare}", world.services[name], model)
+        gevent.sleep(SETTLE_S)
+        world.drain(name)
+
+    def publish(self) -> None:
+        """Put new versions of the desired state, one soon after the other."""
+        for _ in range(self.random.randint(1, 3)):
+            self.world.publish()
+            gevent.sleep(self.random.uniform(0.0, 0.3))
+
+    def revoke(self) -> None:
+        """Take one key away; the others stay for the whole run."""
+        if "k1" in self.world.keys and self.random.random() < 0.5:
+            self.world.revoke("k1")
+
+    def weights(self) -> None:
+        """Name new weights."""
+        self.world.name_weights()
+
+    def _cut(self, name: str, proxy: object) -> None:
+        with _Noted(self, name):
+            mode = self.random.choice([mode for mode in Mode if mode is not Mode.PASS])
+            proxy.set_mode(mode)  # type: ignore[attr-defined]
+            gevent.sleep(self.random.uniform(0.2, 3.0))
+            proxy.set_mode(Mode.PASS)  # type: ignore[attr-defined]
+
+
+class _Noted:
+    """Notes when a fault was in force."""
+
+    def __init__(self, faults: Faults, name: str) -> None:
+        self.faults = faults
+        self.name = name
+        self.start = 0.0
+
+    def __enter__(self) -> None:
+        self.start = time.monotonic()
+
+    def __exit__(self, *_: object) -> None:
+        end = time.monotonic() + SETTLE_S
+        self.faults.done.append(Disturbance(self.name, self.start, end))
--- /dev/null
+++ b/tools/soak/proxy.py
@@ -0,0 +1,89 @@
+"""Loopback proxy between gateways and what they talk to."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+CHUNK_BYTES = 65536
+RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+
+
+class Mode(enum.Enum):
+    """What the proxy does with connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"  # connections stay open, nothing passes
+    ANSWERS_LOST = "answers_lost"  # what goes in passes, what comes back does not
+    REFUSE = "refuse"  # connections are reset, open ones too
+
+
+class Proxy:
+    """Listens for one target and passes bytes on, or does not."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.mode = Mode.PASS
+        self.delay_s = 0.15
+        self.open: set[Any] = set()
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def set_mode(self, mode: Mode) -> None:
+        """Change what happens; a refusal also resets what is open."""
+        self.mode = mode
+        if mode is Mode.REFUSE:
+            self.reset_all()
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for sock in list(self.open):
+            _reset(sock)
+
+    def _serve(self, inner: Any, _address: Any) -> None:
+        if self.mode is Mode.REFUSE:
+            _reset(inner)
+            return
+        try:
+            outer = socket.create_connection(self.target, timeout=1.0)
+        except OSError:
+            _reset(inner)
+            return
+        self.open |= {inner, outer}
+        ways = [
+            gevent.spawn(self._pass, inner, outer, False),
+            gevent.spawn(self._pass, outer, inner, True),
+        ]
+        gevent.joinall(ways, count=1)
+        gevent.killall(ways)
+        self.open -= {inner, outer}
+        _reset(outer) if self.mode is Mode.REFUSE else outer.close()
+        inner.close()
+
+    def _pass(self, source: Any, sink: Any, is_answer: bool) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                if self.mode is Mode.DELAY:
+                    gevent.sleep(self.delay_s)
+                while self.mode is Mode.SILENT or (
+                    is_answer and self.mode is Mode.ANSWERS_LOST
+                ):
+                    gevent.sleep(0.05)
+                sink.sendall(data)
+        except OSError:
+            return  # either side has ended; the other is closed by the caller of this
+
+
+def _reset(sock: Any) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    except OSError:
+        return  # already closed
+    sock.close()
--- /dev/null
+++ b/tools/soak/world.py
@@ -0,0 +1,253 @@
+"""The store, the targets and the gateways of one soak run."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import attrs
+import gevent
+
+from standins.platform_engine import PlatformTargetStandIn
+from standins.platform_store import PlatformStoreStandIn
+from tools.soak.proxy import Proxy
+
+HOST = "h.example"
+MODEL = "m1"
+PLAIN, LLM = "plain-service", "llm-service"
+REVOKE_S = 5.0
+LEASE_S = 3.0
+DRAIN_S = 2.0
+GRACE_S = 6.0
+READY_PERIOD_S = 0.5
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+@attrs.define
+class Gateway:
+    """One gateway process and what the balancer knows of it."""
+
+    name: str
+    settings: str
+    log: Any
+    front: str
+    ready_at: str
+    process: subprocess.Popen[bytes] | None = None
+    ready: bool = False
+    starts: int = 0
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+
+class World:
+    """Everything but the callers."""
+
+    def __init__(self, folder: pathlib.Path, gateways: int, engines: int = 3) -> None:
+        self.folder = folder
+        self.store = PlatformStoreStandIn()
+        self.store_proxy = Proxy(self.store.start())
+        self.targets: dict[str, PlatformTargetStandIn] = {}
+        self.proxies: dict[str, Proxy] = {}
+        self.services: dict[str, str] = {}
+        self.left_at: dict[str, float] = {}
+        self.version = 0
+        self.weights = 1
+        self.keys = {"k0": "w1", "k1": "w1", "k2": "w2"}
+        self.revoked_at: dict[str, float] = {}
+        self.ports = iter(_ports(gateways * 6))
+        for number in range(2):
+            self.add_target(f"p-{number}", PLAIN)
+        for number in range(engines):
+            self.add_target(f"e-{number}", LLM, MODEL)
+        self.publish()
+        self.gateways = [self._gateway(f"g-{number}") for number in range(gateways)]
+        for gateway in self.gateways:
+            self.start(gateway)
+        self.watch = gevent.spawn(self._watch_ready)
+
+    def publish(self) -> None:
+        """Put a new version of the desired state, with a route of its own."""
+        self.version += 1
+        streaming = {"kind": "streaming", "service": LLM, "sticky": True}
+        routes = [
+            self._route("safe", kind="safe", service=PLAIN),
+            self._route("unsafe", kind="unsafe", service=PLAIN, max_attempts=1),
+            self._route("resumed", **streaming, resumable=True),
+            self._route("once", **streaming, max_attempts=1),
+            self._route(f"v{self.version}", kind="safe", service=PLAIN, public=True),
+        ]
+        workspaces = {
+            name: [key for key, owner in self.keys.items() if owner == name]
+            for name in ("w1", "w2")
+        }
+        desired = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": PLAIN, "max_conns": 500},
+                {
+                    "name": LLM,
+                    "max_conns": 500,
+                    "engine": {"slots": 8, "models": [{"name": MODEL}]},
+                },
+            ],
+            "limits": {"header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+            "tenants": [
+                {"name": name, "api_keys": keys, "isolated": name == "w2"}
+                for name, keys in workspaces.items()
+            ],
+        }
+        self.store.put("keyed.op", "config", json.dumps(desired).encode())
+
+    def revoke(self, key: str) -> None:
+        """Take a key away."""
+        self.keys.pop(key, None)
+        self.publish()
+        self.revoked_at[key] = time.monotonic()
+
+    def name_weights(self) -> None:
+        """Name the next weights version."""
+        self.weights += 1
+        for target in self.targets.values():
+            target.named = self.weights
+        value = json.dumps({"model": MODEL, "version": self.weights}).encode()
+        self.store.put("keyed.op", f"version/{MODEL}", value)
+
+    def add_target(self, instance: str, service: str, model: str = "") -> None:
+        """Start a target and register it."""
+        target = PlatformTargetStandIn(instance, model)
+        target.version = target.named = self.weights
+        proxy = Proxy(target.start())
+        self.targets[instance], self.proxies[instance] = target, proxy
+        self.services[instance] = service
+        target.loaded_hook = lambda: self.register(instance)
+        self.register(instance)
+
+    def register(self, instance: str) -> None:
+        """Write the entry of a target that has not left."""
+        if instance in self.left_at:
+            return
+        target, proxy = self.targets[instance], self.proxies[instance]
+        entry = target.registration(self.services[instance], proxy.address)
+        self.store.put("keyed.servers", instance, entry)
+
+    def drain(self, instance: str) -> None:
+        """Let a target leave; it goes on serving what comes."""
+        self.left_at[instance] = time.monotonic()
+        self.store.put("keyed.servers", instance, b"")
+
+    def start(self, gateway: Gateway) -> None:
+        """Start a gateway's process."""
+        if gateway.running:
+            return
+        gateway.starts += 1
+        gateway.process = subprocess.Popen(
+            [sys.executable, "-m", "agaterail.gateway"],
+            cwd=ROOT,
+            env={**os.environ, "AGATERAIL_NODE_FILE": gateway.settings},
+            stdout=gateway.log,
+            stderr=gateway.log,
+        )
+
+    def signal(self, gateway: Gateway, number: int) -> None:
+        """Send a signal to a gateway's own process."""
+        if gateway.running:
+            assert gateway.process is not None
+            gateway.process.send_signal(number)
+
+    def stop(self) -> None:
+        """End all that this run has started, by process."""
+        self.watch.kill()
+        for gateway in self.gateways:
+            self.signal(gateway, signal.SIGCONT)
+            self.signal(gateway, signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait()
+            gateway.log.close()
+        for target in self.targets.values():
+            target.stop()
+        self.store.stop()
+
+    def _route(self, name: str, **fields: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "timeout_ms": 3000,
+            "target_latency_ms": 300,
+            "max_attempts": 2,
+            "gap_aim_ms": 300,
+            **fields,
+        }
+
+    def _gateway(self, name: str) -> Gateway:
+        listen = {part: f"127.0.0.1:{next(self.ports)}" for part in ("front", "ready")}
+        port = next(self.ports)
+        settings = {
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "listen": listen,
+            "port_range": [port, port],
+            "limits": {"memory_mb": 150, "max_fds": 4100},
+            "heartbeat_ms": 1200,
+            "bounds": {
+                "config_ms": 2000,
+                "revoke_ms": int(REVOKE_S * 1e3),
+                "drain_ms": int(DRAIN_S * 1e3),
+                "grace_s": GRACE_S,
+                "lease_ms": int(LEASE_S * 1e3),
+                "version_ms": 15000,
+                "require_fencing": True,
+                "budget_ratio": 0.2,
+                "budget_extra": 100,
+                "budget_window_s": 10,
+            },
+            "platform": {
+                "address": self.store_proxy.address,
+                "parts": 16,
+                "ttl_min_ms": 1000,
+            },
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        log = (self.folder / f"{name}.log").open("ab")
+        return Gateway(name, str(path), log, listen["front"], listen["ready"])
+
+    def _watch_ready(self) -> None:
+        while True:
+            for gateway in self.gateways:
+                gevent.spawn(self._ask_ready, gateway)
+            gevent.sleep(READY_PERIOD_S)
+
+    def _ask_ready(self, gateway: Gateway) -> None:
+        host, _, port = gateway.ready_at.rpartition(":")
+        try:
+            with gevent.Timeout(READY_PERIOD_S, TimeoutError):
+                sock = gevent.socket.create_connection((host, int(port)))
+                sock.sendall(b"GET /agaterail/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                gateway.ready = sock.recv(64).startswith(b"HTTP/1.1 200")
+                sock.close()
+        except OSError:
+            gateway.ready = False  # the balancer's view: no answer is not ready
+
+
+def _ports(count: int) -> list[int]:
+    held = []
+    for _ in range(count):
+        sock = gevent.socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        held.append(sock)
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
