Refuse at once what cannot be answered in time; say why a request is given up

Change: a decision by the expected wait at the chosen engine, and the reason in the failure's line; a story command.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint binary bench slopes reference overhead venv
+.PHONY: demo test lint binary bench soak slopes reference overhead venv
 
 venv: $(VENV)/installed
 
@@ -31,6 +31,9 @@
 slopes: venv
 	$(BIN)/python -m tools.slopes
 
+soak: venv
+	$(BIN)/python -m tools.soak --fresh 10
+
 reference: venv
 	$(BIN)/python -m tools.reference
 
--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -36,6 +36,7 @@
 COMMANDS = (
     "serve",
     "gateway",
+    "story",
     "check",
     "diff",
     "apply",
@@ -78,6 +79,25 @@
 
         return gateway(settings_file)
 
+    def story(self, request_id: str, *paths: str, around: str = "2") -> int:
+        """Print one request's log lines over several hosts, in order of time.
+
+        Reads files, or standard input. Lines of its hosts that changed what
+        they believe, shortly before and meanwhile, stand among them.
+
+        Parameters
+        ----------
+        around
+            Seconds before the request whose changes of belief are shown.
+        """
+        from agaterail.cmd.story import tell
+
+        try:
+            seconds = float(around)
+        except ValueError:
+            return _complain(f"--around: {around!r} is no number of seconds.")
+        return tell(request_id, paths, seconds)
+
     def check(self, *paths: str) -> int:
         """Check table files (TOML) by themselves; the log is not asked.
 
--- /dev/null
+++ b/agaterail/cmd/story.py
@@ -0,0 +1,38 @@
+"""The ``story`` command: one request's log lines in the order of time."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+from agaterail.story import parse, story
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+NOT_FOUND = 1
+USAGE_ERROR = 2
+
+
+def tell(request_id: str, paths: Sequence[str], around_s: float) -> int:
+    """Print a request's story; returns the exit status."""
+    if not request_id:
+        print("Name a request id.", file=sys.stderr)
+        return USAGE_ERROR
+    texts: list[str] = []
+    for path in paths:
+        try:
+            texts += pathlib.Path(path).read_text("utf-8", "replace").splitlines()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return USAGE_ERROR
+    if not paths:
+        texts = sys.stdin.read().splitlines()
+    found = story(parse(texts), request_id, around_s)
+    if not found:
+        print(f"No line names the request {request_id}.", file=sys.stderr)
+        return NOT_FOUND
+    for line in found:
+        print(line)
+    return 0
--- /dev/null
+++ b/agaterail/gateway/admission.py
@@ -0,0 +1,37 @@
+"""Whether a request can still be served in its caller's time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agaterail.gateway.placement import PREFILL_MS_PER_TOKEN
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.gateway.targets import Target
+
+
+def expected_wait_s(target: Target, engines: Sequence[Target], daemons: float) -> float:
+    """Return the expected wait for the prompts that an engine has before it, in seconds.
+
+    Of the other daemons' prompts only their sum can be guessed: each has about
+    as many outstanding as this one, spread over all engines. That this one's
+    own happen to lie at one engine says nothing of theirs; multiplied by the
+    number of daemons, a single long prompt would look like a queue of seconds.
+    """
+    serving = [item for item in engines if item.entry.ready] or [target]
+    mean = sum(item.prefill_tokens for item in serving) / len(serving)
+    tokens = target.prefill_tokens + mean * max(0.0, daemons - 1.0)
+    return tokens * PREFILL_MS_PER_TOKEN * 1e-3
+
+
+def is_hopeless(wait_s: float, left_s: float) -> bool:
+    """Tell whether the first token would come after the caller has left.
+
+    Such a request is refused at once: its caller is told when to come back
+    instead of waiting for nothing, and the prompt that an engine would read in
+    vain is spared to those behind it. It answers loads of several seconds'
+    worth of prompts per engine; up to there lateness is better than a refusal.
+    """
+    return wait_s >= left_s
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -15,7 +15,7 @@
 from agaterail import logs
 from agaterail.callerwatch import CallerLeft
 from agaterail.errors import ErrorKind, Failure
-from agaterail.gateway import placement
+from agaterail.gateway import admission, placement
 from agaterail.gateway.attempts import Attempts
 from agaterail.gateway.channels import ChannelPool
 from agaterail.gateway.demand import Demand
@@ -206,6 +206,13 @@
         named = self.state.weights.get(job.inbound.model)
         return placement.choose_engine(job.inbound, targets, tried, self.rules, named, now)
 
+    def expected_wait_s(self, job: Job, choice: Choice) -> float:
+        """Return the expected wait for a first token at the chosen target."""
+        if not job.route.prompted:
+            return 0.0
+        engines = self.book.of_service(job.service)
+        return admission.expected_wait_s(choice.target, engines, self.rules.daemons)
+
     def cache_terms(self, job: Job, choice: Choice) -> dict[str, Any]:
         """Return what the engine is told of cached parts."""
         if not job.route.prompted:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 from agaterail import logs
 from agaterail.errors import ErrorKind, Failure
+from agaterail.gateway.admission import is_hopeless
 from agaterail.gateway.attempts import Attempts, Fate
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.eventstream import EventCutter
@@ -106,11 +107,14 @@
             now = self.daemon.now()
             left = self.job.answer_by - now
             if not self.attempts.may_go_on(left):
-                return self._given_up(now)
+                return self._given_up(now, "no attempt left")
             choice = self.daemon.choose(self.job, now)
             if choice is None:
-                return self._given_up(now)
+                return self._given_up(now, "no usable target")
             self.choice = choice
+            wait_s = self.daemon.expected_wait_s(self.job, choice)
+            if is_hopeless(wait_s, left):
+                return self._given_up(now, f"expected wait {wait_s:.1f} s")
             self.job.target = choice.target.instance
             try:
                 self.channel = self.daemon.channels.take(
@@ -127,8 +131,7 @@
             if self.attempts.sends and not self.daemon.budget.take(self.job.service, now):
                 self.daemon.channels.give_back_unused(choice.target, self.channel)
                 self.channel = None
-                self._log("No repeat left in the budget.")
-                return self._given_up(now)
+                return self._given_up(now, "no repeat left in the budget")
             return None
 
     def _attempt(self) -> Fate | None:
@@ -268,11 +271,11 @@
         if self.answered:
             self.job.resumed += 1
 
-    def _given_up(self, now: float) -> Failure:
+    def _given_up(self, now: float, reason: str) -> Failure:
         kind = self.attempts.error_kind()
-        if kind is ErrorKind.NO_TARGET and self.job.answer_by - now <= 0.0:
+        if kind is ErrorKind.NO_TARGET and self.choice is not None:
             kind = ErrorKind.OVERLOADED
-        return Failure(kind, retry_after_s=self.daemon.retry_after_s(self.job, now))
+        return Failure(kind, reason, self.daemon.retry_after_s(self.job, now))
 
     def _encoded(self, left: float) -> tuple[bytes, bytes]:
         job, choice = self.job, self.choice
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_admission.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import unittest
+
+from agaterail.gateway.admission import expected_wait_s, is_hopeless
+from tests.test_agaterail.test_gateway.test_targets import make_target
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.engines = [make_target(f"i-{n}") for n in range(4)]
+
+    def test_one_long_prompt_is_no_queue(self):
+        # A caller's prompt of 40,000 tokens is being read. The next caller, with
+        # 5 s of time, must not be refused for what only this daemon has sent.
+        self.engines[0].prefill_tokens = 40000
+        wait_s = expected_wait_s(self.engines[0], self.engines, daemons=6.0)
+        self.assertLess(wait_s, 2.0)
+        self.assertFalse(is_hopeless(wait_s, 5.0))
+
+    def test_what_cannot_be_in_time_is_refused_at_once(self):
+        # All engines have seconds of prompts before them, as every daemon sees
+        # at its own. A caller would wait for its whole time and get nothing.
+        for engine in self.engines:
+            engine.prefill_tokens = 60000
+        wait_s = expected_wait_s(self.engines[0], self.engines, daemons=6.0)
+        self.assertTrue(is_hopeless(wait_s, 5.0))
+        self.assertFalse(is_hopeless(wait_s, 15.0))
+
+    def test_an_idle_fleet_has_no_wait(self):
+        self.assertEqual(expected_wait_s(self.engines[0], self.engines, daemons=81.0), 0.0)
