Ask different readers in turn; a reader that fails says so

Change: readers are different daemons, asked in turn; one whose reads fail leaves the feed out; the targets' feed is read as often as the operators'.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -104,7 +104,6 @@
         self.membership = MembershipController(self)
         self.weights = WeightsController(self)
         self.feeds = FeedHub(self)
-        self.peer_seed = self.random.randrange(1 << 16)
         self.readiness = make_readiness(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -32,7 +32,7 @@
 # age of keys: while a read waits, the one before it counts, so that it is up to
 # 1.8 s old at a reader and up to 3 s at those that ask it each 0.6 s, of the 5 s
 # that keys are accepted for.
-DIRECT_WAITS_S = {Feed.OPERATORS: 0.9, Feed.TARGETS: 2.0, Feed.LEASE: 2.0}
+DIRECT_WAITS_S = {Feed.OPERATORS: 0.9, Feed.TARGETS: 0.9, Feed.LEASE: 2.0}
 # How long a question waits at a peer for news, and for the answer beyond that. A
 # peer that died is noticed within 1 s, half of the time in which a new desired
 # state must be in force; then the store is read directly.
@@ -40,9 +40,10 @@
 PEER_SLACK_S = 0.35
 # The newest answered read of a sound peer is two waits and a slow call old at
 # most; one that is older is as good as cut off from the store.
-SLOW_CALL_S = 0.8
-# After a peer failed, the store is read directly for so long.
-DIRECT_AFTER_FAILURE_S = 2.5
+SLOW_CALL_S = 0.4
+# A peer without news is not asked for so long; after one that did not answer the
+# store is read directly meanwhile.
+LEFT_ALONE_S = 2.5
 # Pauses between failed reads, with jitter: an outage of seconds is noticed to
 # be over within half a second, at three calls a second and daemon at most.
 FIRST_PAUSE_S = 0.1
@@ -62,7 +63,9 @@
     daemons on; each for itself, 81 daemons made 16,900 calls in a minute, a
     quarter of all that their service was worth.
 
-    Whoever cannot ask a peer reads the store itself.
+    Readers are asked in turn: one whose channel to the store has gone silent
+    answers with an old reading for two seconds before it is noticed, and the
+    next one has the news. Whoever cannot ask a peer reads the store itself.
     """
 
     def __init__(self, daemon: Daemon) -> None:
@@ -73,7 +76,9 @@
         self.news = gevent.event.Event()
         self.wake_direct = gevent.event.Event()
         self.direct_until = 0.0
+        self.left_alone_until: dict[str, float] = {}
         self.readers: tuple[str, ...] = ()
+        self.turn = daemon.random.randrange(1 << 16)
         self.peer_clients: dict[str, HttpConnections] = {}
         self.server = Front(
             Address(daemon.settings.ip, daemon.settings.peer_ports[0]),
@@ -96,7 +101,7 @@
             self.daemon.membership.is_reader
             or self.daemon.now() < self.direct_until
             or len(self.offsets) < len(Feed)
-            or not self._peers()
+            or not self._sound_peers()
         )
 
     def take_in(
@@ -159,23 +164,31 @@
             if instance not in listed:
                 self.daemon.book.remove(instance, now)
 
-    def _peers(self) -> list[str]:
-        own = str(self.server.address)
-        return [address for address in self.readers if address != own]
+    def _sound_peers(self) -> list[str]:
+        own, now = str(self.server.address), self.daemon.now()
+        return [
+            address
+            for address in self.readers
+            if address != own and now >= self.left_alone_until.get(address, 0.0)
+        ]
 
     def _ask_step(self) -> None:
         if self.reads_directly:
             gevent.sleep(PEER_WAIT_S)
             return
-        peers = self._peers()
-        address = peers[self.daemon.peer_seed % len(peers)]
+        peers = self._sound_peers()
+        self.turn += 1
+        address = peers[self.turn % len(peers)]
         asked_at = self.daemon.now()
         answer = self._ask(address)
-        problem = answer if isinstance(answer, str) else self._take_in_answer(answer, asked_at)
+        if isinstance(answer, str):
+            problem = answer
+            self.direct_until = self.daemon.now() + LEFT_ALONE_S
+        else:
+            problem = self._take_in_answer(answer, asked_at)
         if problem:
             logger.info("Peer gave no news.", peer=address, reason=problem)
-            self.daemon.peer_seed += 1
-            self.direct_until = self.daemon.now() + DIRECT_AFTER_FAILURE_S
+            self.left_alone_until[address] = self.daemon.now() + LEFT_ALONE_S
             self.wake_direct.set()
             self.wake_direct.clear()
 
@@ -198,14 +211,16 @@
     def _take_in_answer(self, answer: PeerAnswer, asked_at: float) -> str:
         if answer.readers:
             self.readers = answer.readers
+        problem = ""
         for feed in Feed:
             news = answer.feeds.get(feed)
             if news is None:
-                return f"no {feed.value} from offset {self.offsets[feed]}"
+                problem = f"no {feed.value} from offset {self.offsets[feed]}"
+                continue
             self._take_in_news(feed, news, asked_at)
             if news.age_s > 2.0 * DIRECT_WAITS_S[feed] + SLOW_CALL_S:
-                return f"its reading of {feed.value} is {news.age_s} s old"
-        return ""
+                problem = f"its reading of {feed.value} is {news.age_s} s old"
+        return problem
 
     def _take_in_news(self, feed: Feed, news: FeedNews, asked_at: float) -> None:
         # The peer answered after the question was sent, and its reading was no
@@ -248,6 +263,7 @@
         if not isinstance(answer, Success):
             self._failed(answer.failure())
             return
+        hub.relay.feeds[self.feed].failing = False
         if self.failures:
             logger.info("Store regained.", feed=self.feed.value, failures=self.failures)
             self.failures = 0
@@ -272,5 +288,6 @@
                 reason=error.reason,
             )
         self.failures += 1
+        self.hub.relay.feeds[self.feed].failing = True
         pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (self.failures - 1))
         gevent.sleep(pause * (0.5 + self.hub.daemon.random.random()))
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -10,6 +10,8 @@
 from agaterail import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from agaterail.gateway.controlstore import Membership
     from agaterail.gateway.daemon import Daemon
 
@@ -50,6 +52,17 @@
     return min(MOST_READERS, max(LEAST_READERS, math.ceil(daemons / ASKERS_PER_READER)))
 
 
+def choose_readers(ranked: Mapping[int, str], daemons: float) -> tuple[str, ...]:
+    """Return the addresses of the daemons that read the store, no two the same.
+
+    One member often holds several ranks; counted twice, it would be the only
+    reader, and its death or deafness would be that of all.
+    """
+    members = (name for _, name in sorted(ranked.items()))
+    addresses = dict.fromkeys(filter(None, map(address_of, members)))
+    return tuple(addresses)[: reader_count(daemons)]
+
+
 class MembershipController:
     """Joins the fleet now and then and notes the share that this daemon holds.
 
@@ -65,8 +78,8 @@
         self.ranks: frozenset[int] = frozenset()
         self.period_s = JOIN_PERIOD_S
         self.looked_up = (-1, float("-inf"))
-        address = f"{daemon.settings.ip}:{daemon.settings.peer_ports[0]}"
-        self.member = member_name(daemon.settings.host, address, daemon.boot)
+        self.address = f"{daemon.settings.ip}:{daemon.settings.peer_ports[0]}"
+        self.member = member_name(daemon.settings.host, self.address, daemon.boot)
 
     @property
     def leads(self) -> bool:
@@ -76,8 +89,7 @@
     @property
     def is_reader(self) -> bool:
         """Tell whether this daemon reads the store for others."""
-        count = reader_count(self.daemon.rules.daemons)
-        return any(rank < count for rank in self.ranks)
+        return self.leads or (bool(self.ranks) and self.address in self.daemon.feeds.readers)
 
     def step(self) -> None:
         """Join once, and schedule the next time."""
@@ -126,14 +138,11 @@
         """Find out who reads the store, where it is on this daemon to know."""
         hub = self.daemon.feeds
         generation, at = self.looked_up
-        asks_itself = self.is_reader or not hub.readers
+        asks_itself = bool(self.ranks) or not hub.readers
         if not asks_itself or now - at < LOOK_UP_PERIOD_S or generation == self.generation:
             return
         found = self.daemon.store.ranked_members()
         if not isinstance(found, Success):
             return
         self.looked_up = (self.generation, now)
-        count = reader_count(self.daemon.rules.daemons)
-        members = [name for rank, name in sorted(found.unwrap().items()) if rank < count]
-        addresses = dict.fromkeys(address_of(name) for name in members)
-        hub.readers = tuple(address for address in addresses if address)
+        hub.readers = choose_readers(found.unwrap(), self.daemon.rules.daemons)
--- a/agaterail/gateway/peerfeed.py
+++ b/agaterail/gateway/peerfeed.py
@@ -75,7 +75,7 @@
     for feed, offset in offsets.items():
         kept = relay.feeds[feed]
         records = kept.since(offset)
-        if records is None:
+        if records is None or kept.failing:
             continue
         feeds[feed.value] = {
             "age_s": round(now - kept.read_at, 4),
--- a/agaterail/gateway/relay.py
+++ b/agaterail/gateway/relay.py
@@ -30,12 +30,15 @@
         Offset from which on all records are kept; None before the first read.
     read_at
         Time at which the newest answered read of the store was sent.
+    failing
+        The last read of the store failed: peers should ask elsewhere.
     """
 
     first: int | None = None
     next_offset: int = 0
     read_at: float = NEVER
     records: deque[FeedRecord] = attrs.field(factory=deque)
+    failing: bool = False
 
     def take_in(
         self, records: Sequence[FeedRecord], next_offset: int, read_at: float, listed: bool
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -165,9 +165,10 @@
         topics = sorted({topic for member in members.values() for topic in member.topics})
         names = sorted(members)
         places = [(topic, part) for topic in topics for part in range(PARTS)]
+        # Counted with the topic, so that first partitions do not all go to one.
         return [
-            (topic, part, names[number % len(names)])
-            for number, (topic, part) in enumerate(places)
+            (topic, part, names[(part + topics.index(topic)) % len(names)])
+            for topic, part in places
         ]
 
 
--- a/tests/test_agaterail/test_gateway/test_relay.py
+++ b/tests/test_agaterail/test_gateway/test_relay.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from agaterail.gateway.controlstore import Feed, FeedRecord
-from agaterail.gateway.membership import address_of, member_name, reader_count
+from agaterail.gateway.membership import (
+    address_of,
+    choose_readers,
+    member_name,
+    reader_count,
+)
 from agaterail.gateway.peerfeed import (
     decode_answer,
     decode_question,
@@ -93,6 +98,12 @@
         self.assertEqual(address_of(name), "10.0.0.1:7340")
         self.assertEqual(address_of("foreign"), "")
 
+    def test_readers_are_different_daemons(self):
+        # Two of the ranks lie at one member. Taken for two readers, its silence
+        # would leave everybody without news.
+        ranked = {0: "a@1:1", 1: "a@1:1", 2: "foreign", 3: "b@2:2", 4: "c@3:3"}
+        self.assertEqual(choose_readers(ranked, 6.0), ("1:1", "2:2"))
+
     def test_readers_grow_with_the_fleet_but_stay_few(self):
         self.assertEqual(reader_count(1.0), 2)
         self.assertEqual(reader_count(6.0), 2)
