Tell a caller that cannot be written to from a broken target

Cause: read-through: an error of a write to the caller was an OSError like those of targets; the stream would have been resumed for nobody and the target blamed. Change: it is raised as the caller's leaving. The test fails before (BrokenPipeError).

--- a/agaterail/gateway/front.py
+++ b/agaterail/gateway/front.py
@@ -302,9 +302,14 @@
 
     def _send(self, data: bytes) -> None:
         self.sock.settimeout(SEND_TIMEOUT_S)
-        sent = self.sock.send(data)
-        if sent < len(data):
-            self.sock.sendall(memoryview(data)[sent:])
+        try:
+            sent = self.sock.send(data)
+            if sent < len(data):
+                self.sock.sendall(memoryview(data)[sent:])
+        except OSError as error:
+            # As an OSError it would look like the target's failure to whoever
+            # passes events on, and the stream would be run again for nobody.
+            raise CallerLeft(str(error)) from error
 
 
 class Front:
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
 # A target that failed is left alone for this long, doubled at each further
 # failure in a row. 250 ms is half of the shortest objective of a stream: one
@@ -163,14 +163,6 @@
         self._drop(target)
         self._index()
 
-    def replace_all(self, entries: Iterable[Registration], now: float) -> None:
-        """Take in a whole listing; targets that it leaves out have vanished."""
-        listed = {entry.instance: entry for entry in entries}
-        for instance in [name for name in self.targets if name not in listed]:
-            self.remove(instance, now)
-        for entry in listed.values():
-            self.put(entry)
-
     def store_returned(self, now: float) -> None:
         """Note that the store answers again after an outage."""
         self.returned_at = now
--- a/agaterail/platform/settings.py
+++ b/agaterail/platform/settings.py
@@ -17,10 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from agaterail.platform import names
-
-__all__ = ["read_settings", "decode_settings", "names"]
-
 MS = 1e-3
 
 
--- a/tests/test_agaterail/test_gateway/test_front.py
+++ b/tests/test_agaterail/test_gateway/test_front.py
@@ -163,6 +163,25 @@
         self.assertTrue(answer.endswith(b"0\r\n\r\n"))
         self.assertNotIn(b"Connection: close", answer)
 
+    def test_a_caller_that_cannot_be_written_to_has_left(self):
+        # A caller resets its connection in the middle of a stream. The error of
+        # the write must not be taken for a broken target: the stream would be
+        # run again, for nobody.
+        raised = []
+
+        def handle(_inbound, caller):
+            caller.start_stream(200, [], b"id: 1\n\n")
+            caller.sock.shutdown(socket.SHUT_WR)
+            try:
+                caller.send_chunk(b"id: 2\n\n")
+            except BaseException as error:
+                raised.append(type(error).__name__)
+                raise
+
+        self.front.handle = handle
+        self.exchange(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(raised, ["CallerLeft"])
+
     def test_handling_ends_when_the_caller_leaves(self):
         ended = []
 
