Notice within two seconds that all readers are cut off

Both hosts that read the store were partitioned at one moment; a host that was well ran a request with a key taken away 2.1 s before. Change: readings of a sound peer are two waits of 0.6 s and a slow call old at most; a stale reader answers at once, and the asker reads the store itself.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -28,22 +28,23 @@
 
 logger = logs.get_logger("feeds")
 
-# Waits of a daemon that reads the store itself. The operators' feed carries the
-# age of keys: while a read waits, the one before it counts, so that it is up to
-# 1.8 s old at a reader and up to 3 s at those that ask it each 0.6 s, of the 5 s
-# that keys are accepted for.
-DIRECT_WAITS_S = {Feed.OPERATORS: 0.9, Feed.TARGETS: 0.9, Feed.LEASE: 2.0}
-# How long a question waits at a peer for news, and for the answer beyond that. A
-# peer that died is noticed within 1 s, half of the time in which a new desired
-# state must be in force; then the store is read directly.
+# Waits of a daemon that reads the store itself. While a read waits, the one before
+# it counts, so that a reading is up to 1.2 s old at a reader and up to 2.4 s at
+# those that ask it each 0.6 s, of the 5 s that keys are accepted for.
+DIRECT_WAITS_S = {Feed.OPERATORS: 0.6, Feed.TARGETS: 0.6, Feed.LEASE: 2.0}
+# How long a question waits at a peer for news, and for the answer beyond that.
 PEER_WAIT_S = 0.6
 PEER_SLACK_S = 0.35
 # The newest answered read of a sound peer is two waits and a slow call old at
-# most; one that is older is as good as cut off from the store.
-SLOW_CALL_S = 0.4
-# A peer without news is not asked for so long; after one that did not answer the
-# store is read directly meanwhile.
+# most; one that is older is as good as cut off from the store. Both readers can be
+# cut off at the same moment without a word: 1.8 s and a question of 0.6 s later, less
+# the 0.6 s that the newest reading is old at least, the store is read directly, before
+# the 2 s in which a new desired state must be in force.
+SLOW_CALL_S = 0.6
+# A peer without news is not asked for so long, and the store is read directly at
+# first: the next peer may be as badly off.
 LEFT_ALONE_S = 2.5
+DIRECT_AFTER_PROBLEM_S = 1.0
 # Pauses between failed reads, with jitter: an outage of seconds is noticed to
 # be over within half a second, at three calls a second and daemon at most.
 FIRST_PAUSE_S = 0.1
@@ -148,7 +149,7 @@
         except ValueError:
             caller.send_answer(BAD_REQUEST, [], b"")
             return
-        if not self.relay.has_news(offsets):
+        if not self.relay.has_news(offsets) and not self._is_stale():
             self.news.wait(min(wait_s, PEER_WAIT_S))
         body = peerfeed.encode_answer(self.relay, offsets, self.readers, self.daemon.now())
         caller.send_answer(OK, [], body)
@@ -164,6 +165,13 @@
             if instance not in listed:
                 self.daemon.book.remove(instance, now)
 
+    def _is_stale(self) -> bool:
+        """Tell whether a peer should not wait for news here."""
+        now = self.daemon.now()
+        return any(
+            now - kept.read_at > _oldest_s(feed) for feed, kept in self.relay.feeds.items()
+        )
+
     def _sound_peers(self) -> list[str]:
         own, now = str(self.server.address), self.daemon.now()
         return [
@@ -181,14 +189,12 @@
         address = peers[self.turn % len(peers)]
         asked_at = self.daemon.now()
         answer = self._ask(address)
-        if isinstance(answer, str):
-            problem = answer
-            self.direct_until = self.daemon.now() + LEFT_ALONE_S
-        else:
-            problem = self._take_in_answer(answer, asked_at)
+        problem = answer if isinstance(answer, str) else self._take_in_answer(answer, asked_at)
         if problem:
+            now = self.daemon.now()
             logger.info("Peer gave no news.", peer=address, reason=problem)
-            self.left_alone_until[address] = self.daemon.now() + LEFT_ALONE_S
+            self.left_alone_until[address] = now + LEFT_ALONE_S
+            self.direct_until = now + DIRECT_AFTER_PROBLEM_S
             self.wake_direct.set()
             self.wake_direct.clear()
 
@@ -218,7 +224,7 @@
                 problem = f"no {feed.value} from offset {self.offsets[feed]}"
                 continue
             self._take_in_news(feed, news, asked_at)
-            if news.age_s > 2.0 * DIRECT_WAITS_S[feed] + SLOW_CALL_S:
+            if news.age_s > _oldest_s(feed):
                 problem = f"its reading of {feed.value} is {news.age_s} s old"
         return problem
 
@@ -239,6 +245,11 @@
                 gevent.sleep(LONGEST_PAUSE_S)
 
 
+def _oldest_s(feed: Feed) -> float:
+    """Return how old the newest reading of a sound peer may be."""
+    return 2.0 * DIRECT_WAITS_S[feed] + SLOW_CALL_S
+
+
 class DirectFollower:
     """Reads one feed of the store, one read after the other."""
 
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -241,3 +241,17 @@
         fleet.publish(make_desired(7))
         fleet.wait(lambda: all(d.state.desired.version == 7 for d in others), 1.5)
         self.assertNotEqual(deaf.state.desired.version, 7)
+
+    def test_two_readers_that_hear_nothing_keep_nobody_from_news_for_long(self):
+        # Both readers are cut off from the store at the same moment, without a
+        # reset. A key is taken away meanwhile; a host that is well must have
+        # that in force within two seconds.
+        fleet = Fleet(gateways=5)
+        self.addCleanup(fleet.stop)
+        fleet.wait(lambda: sum(not d.feeds.reads_directly for d in fleet.daemons) >= 3)
+        others = [d for d in fleet.daemons if not d.membership.is_reader]
+        for daemon in fleet.daemons:
+            if daemon.membership.is_reader:
+                daemon.store.follow = lambda *_: gevent.sleep(60.0)
+        fleet.publish(make_desired(8))
+        fleet.wait(lambda: all(d.state.desired.version == 8 for d in others), 2.0)
