Give request handling a module of its own; answer faults of ours

Cause: read-through: an exception in a decision ended the caller's connection without an answer; hints of refusals for want of a reading could be longer than the caller's whole time. Change: handler.py beside the wiring in daemon.py, one function for all hints. Tests fail before (no answer; a hint of 1 s of 0.6 s).

--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -1,4 +1,4 @@
-"""Whether a request can still be served in its caller's time."""
+"""Whether a request can still be served in time, and when to come back."""
 
 from __future__ import annotations
 
@@ -11,6 +11,13 @@
 
     from agaterail.gateway.targets import Target
 
+# Callers heed a hint of up to a third of the time that they have left.
+RETRY_PART = 0.3
+LONGEST_RETRY_S = 1.0
+# Hints are spread over half of their length, so that callers who were refused
+# together do not return together.
+RETRY_SPREAD = 0.5
+
 
 def expected_wait_s(target: Target, engines: Sequence[Target], daemons: float) -> float:
     """Return the expected wait for the prompts that an engine has before it, in seconds.
@@ -35,3 +42,9 @@
     worth of prompts per engine; up to there lateness is better than a refusal.
     """
     return wait_s >= left_s
+
+
+def retry_after_s(left_s: float, number: float) -> float:
+    """Return when a refused caller should come back, for a number from 0 to 1."""
+    hint = min(LONGEST_RETRY_S, max(0.0, left_s) * RETRY_PART)
+    return hint * (1.0 - RETRY_SPREAD * number)
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -8,7 +8,7 @@
 
 from agaterail import logs
 from agaterail.errors import ErrorKind, Failure
-from agaterail.gateway.admission import is_hopeless
+from agaterail.gateway.admission import is_hopeless, retry_after_s
 from agaterail.gateway.attempts import Attempts, Fate
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.eventstream import EventCutter
@@ -275,7 +275,8 @@
         kind = self.attempts.error_kind()
         if kind is ErrorKind.NO_TARGET and self.choice is not None:
             kind = ErrorKind.OVERLOADED
-        return Failure(kind, reason, self.daemon.retry_after_s(self.job, now))
+        number = self.daemon.random.random()
+        return Failure(kind, reason, retry_after_s(self.job.answer_by - now, number))
 
     def _encoded(self, left: float) -> tuple[bytes, bytes]:
         job, choice = self.job, self.choice
--- a/tests/test_agaterail/test_gateway/test_admission.py
+++ b/tests/test_agaterail/test_gateway/test_admission.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from agaterail.gateway.admission import expected_wait_s, is_hopeless
+from agaterail.gateway.admission import expected_wait_s, is_hopeless, retry_after_s
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
 
@@ -27,5 +27,14 @@
         self.assertTrue(is_hopeless(wait_s, 5.0))
         self.assertFalse(is_hopeless(wait_s, 15.0))
 
+    def test_hints_fit_the_caller_s_time_and_spread(self):
+        # Callers that were refused together come back spread, and none is told
+        # to come back later than it will wait.
+        hints = [retry_after_s(0.6, number / 10) for number in range(10)]
+        self.assertLessEqual(max(hints), 0.2)
+        self.assertEqual(len(set(hints)), 10)
+        self.assertLessEqual(retry_after_s(100.0, 0.0), 1.0)
+        self.assertEqual(retry_after_s(-1.0, 0.5), 0.0)
+
     def test_an_idle_fleet_has_no_wait(self):
         self.assertEqual(expected_wait_s(self.engines[0], self.engines, daemons=81.0), 0.0)
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -255,3 +255,26 @@
                 daemon.store.follow = lambda *_: gevent.sleep(60.0)
         fleet.publish(make_desired(8))
         fleet.wait(lambda: all(d.state.desired.version == 8 for d in others), 2.0)
+
+
+class OwnFaultTest(unittest.TestCase):
+    def test_a_fault_of_ours_is_answered(self):
+        # A decision raises. The caller gets an answer that promises nothing
+        # instead of a connection that ends, and the daemon goes on.
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        daemon = fleet.daemons[0]
+        choose, daemon.choose = daemon.choose, lambda *_: 1 / 0
+        self.assertEqual(fleet.ask("/safe/x").status, 500)
+        daemon.choose = choose
+        self.assertEqual(fleet.ask("/safe/x").status, 200)
+
+    def test_a_refusal_for_want_of_a_reading_fits_the_caller_s_time(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        fleet.store.down = True
+        fleet.daemons[0].freshness.confirmed_at -= 100.0
+        answer = fleet.ask("/safe/x", limit_ms=600)
+        hint = float(answer.head.partition("retry-after: ")[2].split("\r\n")[0])
+        self.assertEqual(answer.status, 503)
+        self.assertLessEqual(hint, 0.2)
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -59,9 +59,9 @@
     ("server.py", "_refusal"): BEFORE_A_TARGET,
     ("filters/forward.py", "_refusal"): DEFINED,
     ("filters/forward.py", "_send_failure"): NO_BYTE,
-    ("gateway/daemon.py", "_admit"): BEFORE_A_TARGET,
-    ("gateway/daemon.py", "_denied"): BEFORE_A_TARGET,
-    ("gateway/daemon.py", "_workspace"): BEFORE_A_TARGET,
+    ("gateway/handler.py", "_admit"): BEFORE_A_TARGET,
+    ("gateway/handler.py", "_denied"): BEFORE_A_TARGET,
+    ("gateway/handler.py", "_workspace"): BEFORE_A_TARGET,
     # Only while no target may have run the request (tests of Attempts).
     ("gateway/attempts.py", "error_kind"): DEFINED,
     ("gateway/forwarder.py", "_given_up"): DEFINED,
