Leave no gap in what peers are told; pass over expired lease records

Cause: read-through: a peer's answer that was overtaken by a read set the kept records back, so that a peer asking from between missed changes; and a lease log whose history was dropped left its reader with an end at which no append holds. Change: older answers bring nothing and what does not join begins anew; an unknown part of the lease's log is waited out as a rival's. Tests of both fail before.

--- a/agaterail/gateway/orderlease.py
+++ b/agaterail/gateway/orderlease.py
@@ -91,6 +91,16 @@
             # An append that was never answered has been done after all.
             self._hold(end - 1, sent_at)
 
+    def skip(self, end: int, now: float) -> None:
+        """Pass over records that expired unread or cannot be read.
+
+        Somebody may have taken the lease in them. Without the new end every
+        append would name an old one and fail, and no weights be ordered again.
+        """
+        self.end = end
+        self.rival_free_at = now + TERM_S + self.gap_s
+        self._give_way(LeaseEntry("", ""), end)
+
     def wait_s(self, now: float) -> float:
         """Return the seconds until this host may append; 0 if it may now."""
         if self.rival is None:
--- a/agaterail/gateway/relay.py
+++ b/agaterail/gateway/relay.py
@@ -43,16 +43,25 @@
     def take_in(
         self, records: Sequence[FeedRecord], next_offset: int, read_at: float, listed: bool
     ) -> None:
-        """Take in what a read brought; a listing begins anew."""
-        if self.first is None or listed or next_offset < self.next_offset:
+        """Take in what a read brought; a listing begins anew.
+
+        Reads of the store and answers of peers may overtake each other. An older
+        one brings nothing, and one that does not join what is kept begins anew:
+        with a gap inside, a peer would miss a change and never know.
+        """
+        self.read_at = max(self.read_at, read_at)
+        if self.first is not None and not listed and next_offset <= self.next_offset:
+            return
+        fresh = [record for record in records if record.offset >= self.next_offset]
+        joins = len(fresh) == next_offset - self.next_offset
+        if self.first is None or listed or not joins:
             self.records.clear()
             self.first = next_offset
         else:
-            self.records.extend(records)
+            self.records.extend(fresh)
             while len(self.records) > KEPT_RECORDS:
                 self.first = self.records.popleft().offset + 1
         self.next_offset = next_offset
-        self.read_at = max(self.read_at, read_at)
 
     def since(self, offset: int) -> list[FeedRecord] | None:
         """Return the records from an offset on; None if not all are kept."""
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -90,6 +90,8 @@
         """Take in the newest record that a read of the lease's log brought."""
         if newest is not None or not self.looked:
             self.lease.observe(newest, end, now)
+        elif self.lease.end is None or end > self.lease.end:
+            self.lease.skip(end, now)
         self.looked = True
 
     def release(self) -> None:
--- a/tests/test_agaterail/test_gateway/test_orderlease.py
+++ b/tests/test_agaterail/test_gateway/test_orderlease.py
@@ -103,6 +103,15 @@
         self.log.append(self.one.release(0.5), at)
         self.assertTrue(acquire(self.other, self.log, 0.6))
 
+    def test_records_that_expired_unread_are_waited_out(self):
+        # The log's history was dropped, with records of another host in it. A
+        # host that went on naming the old end could never append again.
+        acquire(self.one, self.log, 0.0)
+        self.one.skip(7, 1.0)
+        self.assertEqual((self.one.end, self.one.remaining_s(1.0)), (7, 0.0))
+        self.assertGreater(self.one.wait_s(1.0 + TERM_S), 0.0)
+        self.assertEqual(self.one.wait_s(1.0 + TERM_S + GAP_S), 0.0)
+
     def test_an_answer_from_before_the_own_append_is_not_taken_in(self):
         before = self.log.read()
         acquire(self.one, self.log, 0.0)
--- a/tests/test_agaterail/test_gateway/test_relay.py
+++ b/tests/test_agaterail/test_gateway/test_relay.py
@@ -51,11 +51,34 @@
     def test_a_listing_begins_anew(self):
         # The history expired: what lay between is known by its newest state
         # only, which a peer must read for itself.
+        self.feed.take_in([], 5, 1.0, listed=True)
         self.feed.take_in([record(5)], 6, 1.0, listed=False)
         self.feed.take_in([record(80)], 90, 2.0, listed=True)
         self.assertIsNone(self.feed.since(6))
         self.assertEqual(self.feed.since(90), [])
 
+    def test_an_answer_that_was_overtaken_leaves_no_gap(self):
+        # A peer's answer up to 5 comes after a read of the store up to 8. Were
+        # the copy set back, the next read would join at 8, and a peer that asks
+        # from 6 would never see the records 6 and 7.
+        self.feed.take_in([], 5, 1.0, listed=True)
+        self.feed.take_in([record(5), record(6), record(7)], 8, 2.0, listed=False)
+        self.feed.take_in([], 5, 1.5, listed=False)
+        self.feed.take_in([record(8)], 9, 3.0, listed=False)
+        self.assertEqual(self.feed.since(6), [record(6), record(7), record(8)])
+
+    def test_records_that_do_not_join_begin_anew(self):
+        self.feed.take_in([], 5, 1.0, listed=True)
+        self.feed.take_in([record(8)], 9, 2.0, listed=False)
+        self.assertIsNone(self.feed.since(6))
+        self.assertEqual(self.feed.since(9), [])
+
+    def test_records_that_come_twice_are_kept_once(self):
+        self.feed.take_in([], 5, 1.0, listed=True)
+        self.feed.take_in([record(5), record(6)], 7, 2.0, listed=False)
+        self.feed.take_in([record(6), record(7)], 8, 2.5, listed=False)
+        self.assertEqual(self.feed.since(5), [record(5), record(6), record(7)])
+
     def test_a_late_answer_does_not_make_the_reading_older(self):
         self.feed.take_in([], 5, 3.0, listed=True)
         self.feed.take_in([], 5, 2.0, listed=False)
