--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,7 @@
 
 from tools.soak.checks import Disturbance
 from tools.soak.proxy import Mode
+from tools.soak.world import REVOKE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,7 @@
             self.store_fault,
             self.store_fault,
             self.store_cut,
+            self.cut_and_revoke,
             self.target_fault,
             self.target_fault,
             self.target_cut,
@@ -109,6 +111,16 @@
         """Cut the way to the store."""
         self._cut("store cut", self.world.store_proxy)
 
+    def cut_and_revoke(self) -> None:
+        """Take a key away while nobody hears the store, for longer than keys hold."""
+        if "k1" not in self.world.keys:
+            return
+        with _Noted(self, "store cut, key taken"):
+            self.world.store_proxy.set_mode(Mode.SILENT)
+            self.world.revoke("k1")
+            gevent.sleep(REVOKE_S + self.random.uniform(0.5, 2.0))
+            self.world.store_proxy.set_mode(Mode.PASS)
+
     def target_cut(self) -> None:
         """Cut the way to a target."""
         name = self.random.choice(list(self.world.proxies))
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -80,10 +80,15 @@
         streaming = {"kind": "streaming", "service": LLM, "sticky": True}
         routes = [
             self._route("safe", kind="safe", service=PLAIN),
-            self._route("unsafe", kind="unsafe", service=PLAIN, max_attempts=1),
+            self._route("unsafe", kind="unsafe", service=PLAIN),
             self._route("resumed", **streaming, resumable=True),
-            self._route("once", **streaming, max_attempts=1),
-            self._route(f"v{self.version}", kind="safe", service=PLAIN, public=True),
+            self._route("once", **streaming),
+        ]
+        # Those of older versions stay: one that was served and is unknown later
+        # shows a gateway that went back.
+        routes += [
+            self._route(f"v{version}", kind="safe", service=PLAIN, public=True)
+            for version in range(1, self.version + 1)
         ]
         workspaces = {
             name: [key for key, owner in self.keys.items() if owner == name]
