--- a/tests/test_agaterail/test_gateway/test_logsink.py
+++ b/tests/test_agaterail/test_gateway/test_logsink.py
@@ -3,6 +3,7 @@
 import os
 import unittest
 
+import gevent
 import structlog
 
 from agaterail.gateway.logbudget import HostField, LogBudget
@@ -47,6 +48,8 @@
         reader, writer = os.pipe()
         sink = LogSink(writer)
         os.close(reader)
+        # Under gevent a descriptor is closed with the loop's next turn.
+        gevent.sleep(0.01)
         sink.write("line\n")
         self.assertEqual(sink.dropped_in_all, 1)
         os.close(writer)
