Stand-in of a target: a request that was cut is none

A proxy had reset the connection in the middle of a head, which the stand-in took for whole. The test fails before.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -96,11 +96,14 @@
                     return
                 method, path, _ = line.decode("latin-1").split(" ", 2)
                 headers: dict[str, str] = {}
-                while (line := file.readline()) not in (LINE_END, b""):
+                while (line := file.readline()) != LINE_END:
+                    if not line:
+                        return  # cut in the middle of the head: no request
                     name, _, value = line.decode("latin-1").partition(":")
                     headers[name.strip().lower()] = value.strip()
-                body = file.read(int(headers.get("content-length", "0")))
-                if not self._answer(sock, method, path, headers, body):
+                length = int(headers.get("content-length", "0"))
+                body = file.read(length)
+                if len(body) < length or not self._answer(sock, method, path, headers, body):
                     return
         except OSError:
             return  # the gateway or a fault has cut the connection
