--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -278,3 +278,19 @@
         hint = float(answer.head.partition("retry-after: ")[2].split("\r\n")[0])
         self.assertEqual(answer.status, 503)
         self.assertLessEqual(hint, 0.2)
+
+
+class IsolationTest(unittest.TestCase):
+    def test_an_isolated_workspace_shares_no_cached_part(self):
+        # Two workspaces send the same prompt. In one scope the engine would
+        # answer one from what it read for the other.
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        desired = make_desired(2)
+        desired["tenants"].append({"name": "w2", "api_keys": ["k2"], "isolated": True})
+        fleet.publish(desired)
+        fleet.wait(lambda: fleet.daemons[0].state.desired.version == 2)
+        fleet.ask("/once/x", stream=True, key="k1", request_id="a")
+        fleet.ask("/once/x", stream=True, key="k2", request_id="b")
+        scopes = {run.request_id: run.headers["cache-salt"] for run in fleet.runs()}
+        self.assertEqual(scopes, {"a": "v1", "b": "v1.w2"})
