--- a/agaterail/gateway/channel.py
+++ b/agaterail/gateway/channel.py
@@ -79,7 +79,6 @@
         self.written = False
         self.reusable = True
         self.closed = False
-        self.used = 0
         self.idle_since = now()
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
@@ -191,7 +190,6 @@
             If the connection is broken.
         """
         self.messages.clear()
-        self.used += 1
         self.sock.settimeout(timeout_s)
         data = head + body
         self.written = True
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -56,8 +56,6 @@
     caller: CallerConnection
     attempts: Attempts
     first_byte_at: float | None = None
-    events: int = 0
-    resumed: int = 0
     target: str = ""
     cut: bool = False
 
@@ -268,8 +266,6 @@
         if fate is not Fate.REFUSED:
             target.note_failure(self.daemon.now())
             self._log("Attempt failed.", fate=fate.value)
-        if self.answered:
-            self.job.resumed += 1
 
     def _given_up(self, now: float, reason: str) -> Failure:
         kind = self.attempts.error_kind()
