Refuse the prompts that would make others late

The only refusal was for prompts whose first token was expected after the caller had left, by a model of the engines' queues. Every prompt was let in and waited 1.5 s at the median, 0.9 past its objective, and callers left after 2.4 s: 525 of 5,800 tries ended by their time. Fewer prompts were answered in time than at the usual load.

Change: a controller per service (RFC 8033) moves the chance to refuse a prompt by the wait for first tokens, counted in objectives of the routes; it begins at a mean of one objective and aims at half of one. No word between daemons, no figure of an engine. Refused callers with time left are told to come back up to 5 s later.

A stuck prompt counted again each period in the first trial and would have refused everybody; the test for it failed first.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -26,6 +26,7 @@
 from agaterail.gateway.placement import PlacementRules
 from agaterail.gateway.readiness import make_readiness
 from agaterail.gateway.retrybudget import RetryBudget
+from agaterail.gateway.shedding import Shedder
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.targets import TargetBook
 from agaterail.gateway.weightscontroller import WeightsController
@@ -80,6 +81,7 @@
         )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
+        self.shedders: dict[str, Shedder] = {}
         self.channels = ChannelPool(requests.decode_answer_head, self.now)
         self.book.on_gone = self.channels.drop
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
@@ -158,6 +160,12 @@
         engines = self.book.of_service(job.service)
         return admission.expected_wait_s(choice.target, engines, self.rules.daemons)
 
+    def shedder_of(self, service: str) -> Shedder:
+        """Return what decides on refusing prompts for a service."""
+        if service not in self.shedders:
+            self.shedders[service] = Shedder(service, self.now())
+        return self.shedders[service]
+
     def cache_terms(self, job: Job, choice: Choice) -> dict[str, Any]:
         """Return what the engine is told of cached parts."""
         if not job.route.prompted:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -21,6 +21,7 @@
     from agaterail.gateway.front import CallerConnection
     from agaterail.gateway.inbound import AnswerHead, Inbound
     from agaterail.gateway.placement import Choice
+    from agaterail.gateway.shedding import Waiting
 
 logger = logs.get_logger("forward")
 
@@ -71,7 +72,7 @@
         self.channel: Channel | None = None
         self.cutter: EventCutter | None = None
         self.answered = False
-        self.waits_first = False
+        self.waiting: Waiting | None = None
 
     def run(self) -> Failure | None:
         """Answer the request; returns why it failed if nothing was sent yet."""
@@ -113,6 +114,9 @@
             wait_s = self.daemon.expected_wait_s(self.job, choice)
             if is_hopeless(wait_s, left):
                 return self._given_up(now, f"expected wait {wait_s:.1f} s")
+            overload = self._overload(now)
+            if overload is not None:
+                return overload
             self.job.target = choice.target.instance
             try:
                 self.channel = self.daemon.channels.take(
@@ -132,6 +136,19 @@
                 return self._given_up(now, "no repeat left in the budget")
             return None
 
+    def _overload(self, now: float) -> Failure | None:
+        """Refuse a prompt that would make others late, before it was sent anywhere."""
+        if not self.job.route.prompted or self.attempts.sends or self.answered:
+            return None
+        random = self.daemon.random
+        shedder = self.daemon.shedder_of(self.job.service)
+        if not shedder.refuses(random.random(), now):
+            return None
+        left = self.job.answer_by - now
+        reason = f"wait {shedder.mean_wait:.2f} objectives, {shedder.chance:.2f} refused"
+        hint = retry_after_s(left, random.random(), shedder.chance)
+        return Failure(ErrorKind.OVERLOADED, reason, hint)
+
     def _attempt(self) -> Fate | None:
         """Send the request once; returns how it failed, or nothing when answered."""
         assert self.choice is not None and self.channel is not None
@@ -302,14 +319,17 @@
 
     def _begin_prefill(self) -> None:
         assert self.choice is not None
-        if self.job.route.prompted:
-            self.waits_first = True
-            self.choice.target.prefill_tokens += self.job.inbound.prompt_tokens
+        job = self.job
+        if job.route.prompted:
+            shedder = self.daemon.shedder_of(job.service)
+            self.waiting = shedder.begin(job.route.objective_s, self.daemon.now())
+            self.choice.target.prefill_tokens += job.inbound.prompt_tokens
 
     def _end_prefill(self) -> None:
         assert self.choice is not None
-        if self.waits_first:
-            self.waits_first = False
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            self.daemon.shedder_of(self.job.service).end(waiting, self.daemon.now())
             self.choice.target.prefill_tokens -= self.job.inbound.prompt_tokens
 
     def _note_weights(self, head: AnswerHead) -> None:
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -67,6 +67,7 @@
                 ("targets_usable", "Targets that a request may be sent to."),
                 ("targets_known", "Targets that are registered."),
                 ("targets_cordoned", "Engines that load new weights next."),
+                ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("lease_seconds", "Seconds for which orders may still be given."),
                 ("store_calls", "Calls to the platform's store since the start."),
@@ -91,6 +92,9 @@
             "targets_usable": sum(target.is_usable(now) for target in targets),
             "targets_known": len(targets),
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
+            "refusal_chance": max(
+                (item.chance for item in daemon.shedders.values()), default=0.0
+            ),
             "fleet_share": daemon.budget.share,
             "lease_seconds": daemon.weights.lease.remaining_s(now),
             "store_calls": daemon.store.calls,
--- a/tests/test_agaterail/test_gateway/test_admission.py
+++ b/tests/test_agaterail/test_gateway/test_admission.py
@@ -36,5 +36,12 @@
         self.assertLessEqual(retry_after_s(100.0, 0.0), 1.0)
         self.assertEqual(retry_after_s(-1.0, 0.5), 0.0)
 
+    def test_in_a_flood_callers_with_time_come_back_later(self):
+        # Nine of ten prompts are refused. Callers that come back after a second
+        # meet the same flood and are refused again.
+        self.assertEqual(retry_after_s(15.0, 0.0, overload=0.9), 4.5)
+        self.assertEqual(retry_after_s(15.0, 0.0, overload=0.1), 1.0)
+        self.assertLessEqual(retry_after_s(0.6, 0.0, overload=0.9), 0.2)
+
     def test_an_idle_fleet_has_no_wait(self):
         self.assertEqual(expected_wait_s(self.engines[0], self.engines, daemons=81.0), 0.0)
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -280,6 +280,40 @@
         self.assertLessEqual(hint, 0.2)
 
 
+class OverloadTest(unittest.TestCase):
+    def test_a_refused_prompt_is_answered_at_once_and_reaches_no_engine(self):
+        # The engines are seconds behind. The daemon refuses most prompts; such a
+        # caller hears so at once, with a time to come back, and nothing has run.
+        # Requests that bring no prompt are not refused for it.
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        daemon = fleet.daemons[0]
+        shedder = daemon.shedder_of(LLM)
+        shedder.stepped_at, shedder.chance = daemon.now() + 60.0, 1.0
+        started = daemon.now()
+        answer = fleet.ask("/once/a", stream=True)
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.head)
+        self.assertLess(daemon.now() - started, 0.5)
+        self.assertEqual(fleet.runs("e-0", "e-1"), [])
+        self.assertEqual(fleet.ask("/unsafe/b", request_id="r2").status, 200)
+        self.assertIn(b"agaterail_refusal_chance 1.0", daemon.metrics.text(daemon))
+
+    def test_prompts_that_are_answered_or_left_wait_no_longer(self):
+        # Each prompt's wait must end with it, or the daemon would take long gone
+        # callers for a queue and refuse for ever.
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        shedder = fleet.daemons[0].shedder_of(LLM)
+        for number in range(3):
+            fleet.ask("/once/a", request_id=f"r{number}", stream=True)
+        sock = fleet.connect()
+        sock.sendall(fleet.request("/once/a", request_id="r9", stream=True))
+        fleet.wait(lambda: len(fleet.runs("e-0", "e-1")) == 4)
+        sock.close()
+        fleet.wait(lambda: not shedder.waiting)
+
+
 class IsolationTest(unittest.TestCase):
     def test_an_isolated_workspace_shares_no_cached_part(self):
         # Two workspaces send the same prompt. In one scope the engine would
