--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -65,6 +65,8 @@
     # Only while no target may have run the request (tests of Attempts).
     ("gateway/attempts.py", "error_kind"): DEFINED,
     ("gateway/forwarder.py", "_given_up"): DEFINED,
+    # Only before the first send.
+    ("gateway/forwarder.py", "_overload"): BEFORE_A_TARGET,
 }
 # Places that name such a kind and answer nothing with it.
 NO_ANSWER = {("filters/retry.py", "handle"), ("filters/retry.py", "<module>")}
