Drop readings of targets that were overtaken, listings too

The offset of a target was forgotten when it vanished, so a late slice with its registration brought it back; a late listing removed what had registered after it, and since the offset had moved on, that record was not read again. Callers' requests went to dead addresses, or an engine got none until its next change.

Change: a target's newest offset is kept when it vanishes (1,024 of them at most), and what a listing lacks is a change at the listing's offset, dropped like any other if it was overtaken, and logged.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -126,9 +126,9 @@
             self.daemon.freshness.confirm(read_at)
         if feed is Feed.LEASE:
             self._take_in_lease(changes, now)
+        elif feed is Feed.TARGETS and listed:
+            self.daemon.state.apply_listing(changes, next_offset, now)
         else:
-            if listed and feed is Feed.TARGETS:
-                self._remove_unlisted(changes, now)
             self.daemon.state.apply(changes, now, at_start)
         if records:
             self.news.set()
@@ -159,12 +159,6 @@
         newest = entries[-1] if entries else None
         self.daemon.weights.on_lease(newest, self.offsets[Feed.LEASE], now)
 
-    def _remove_unlisted(self, changes: Sequence[Change], now: float) -> None:
-        listed = {getattr(change, "instance", "") for change in changes}
-        for instance in list(self.daemon.book.targets):
-            if instance not in listed:
-                self.daemon.book.remove(instance, now)
-
     def _is_stale(self) -> bool:
         """Tell whether a peer should not wait for news here."""
         now = self.daemon.now()
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -10,7 +10,7 @@
 from agaterail.gateway.targets import TargetBook
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from agaterail.gateway.controlstore import Change
     from agaterail.gateway.desired import DesiredState
@@ -19,6 +19,11 @@
 logger = logs.get_logger("state")
 
 
+# Vanished targets whose offset is remembered. A read is overtaken by seconds; in
+# that time far fewer targets vanish.
+KEPT_VANISHED = 1024
+
+
 class GatewayState:
     """Desired state, named weights and targets in force on this daemon.
 
@@ -34,6 +39,8 @@
         self.book = book
         self.desired: DesiredState | None = None
         self.weights: dict[str, NamedWeights] = {}
+        # Offset of the newest change of each target, vanished ones included: a slow
+        # read that was overtaken by a peer's answer brought dead targets back.
         self.target_offsets: dict[str, int] = {}
 
     def apply(self, changes: Iterable[Change], now: float, at_start: bool = False) -> None:
@@ -52,6 +59,16 @@
             elif isinstance(change, TargetChanged):
                 self._apply_target(change, now)
 
+    def apply_listing(self, changes: Sequence[Change], next_offset: int, now: float) -> None:
+        """Take in all targets that were registered at an offset; the others vanished."""
+        listed = {change.instance for change in changes if isinstance(change, TargetChanged)}
+        vanished = [
+            TargetChanged(next_offset - 1, instance, None)
+            for instance in self.book.targets
+            if instance not in listed
+        ]
+        self.apply([*changes, *vanished], now)
+
     def _apply_desired(self, change: DesiredPublished, now: float) -> None:
         if self.desired is not None and change.state.version <= self.desired.version:
             return
@@ -85,6 +102,8 @@
     def _apply_target(self, change: TargetChanged, now: float) -> None:
         if change.offset < self.target_offsets.get(change.instance, -1):
             return
+        # Taken out first, so that the order of the names is that of their changes.
+        self.target_offsets.pop(change.instance, None)
         self.target_offsets[change.instance] = change.offset
         known = self.book.targets.get(change.instance)
         if change.entry is None:
@@ -96,7 +115,7 @@
                     kept=change.instance in self.book.targets,
                     offset=change.offset,
                 )
-            del self.target_offsets[change.instance]
+            self._bound_offsets()
             return
         changed = known is None or known.entry != change.entry
         self.book.put(change.entry)
@@ -111,3 +130,8 @@
                 weights=change.entry.weights,
                 offset=change.offset,
             )
+
+    def _bound_offsets(self) -> None:
+        vanished = [name for name in self.target_offsets if name not in self.book.targets]
+        for name in vanished[:-KEPT_VANISHED]:
+            del self.target_offsets[name]
