--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -23,12 +23,22 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument(
+        "--deal", action="store_true", help="each kind of fault comes before one comes again"
+    )
     arguments = parser.parse_args()
     seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
     failed = 0
     for seed in seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        found = soak(seed, arguments.seconds, arguments.gateways, arguments.callers, folder)
+        found = soak(
+            seed,
+            arguments.seconds,
+            arguments.gateways,
+            arguments.callers,
+            folder,
+            arguments.deal,
+        )
         print(found.summary, flush=True)
         for problem in found.problems:
             print(f"    {problem}")
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -25,8 +25,10 @@
 class Faults:
     """Starts faults at random, several at a time, and ends them again."""
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: World, seed: int, deal: bool = False) -> None:
         self.world = world
+        self.deal = deal
+        self.deck: list[Callable[[], None]] = []
         self.random = random.Random(seed)
         self.done: list[Disturbance] = []
         self.spare = 0
@@ -57,10 +59,18 @@
         while time.monotonic() < until:
             running = [item for item in running if not item.ready()]
             if len(running) < MOST_AT_ONCE:
-                running.append(gevent.spawn(self.random.choice(self.kinds)))
+                running.append(gevent.spawn(self._next_kind()))
             gevent.sleep(self.random.uniform(0.1, 0.8))
         gevent.joinall(running)
 
+    def _next_kind(self) -> Callable[[], None]:
+        """Return the next kind of fault; dealt, each comes before one comes again."""
+        if not self.deal:
+            return self.random.choice(self.kinds)
+        if not self.deck:
+            self.deck = self.random.sample(self.kinds, len(self.kinds))
+        return self.deck.pop()
+
     def kill(self) -> None:
         """Kill a gateway and start it again."""
         gateway = self.random.choice(self.world.gateways)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,7 +16,9 @@
 if TYPE_CHECKING:
     import pathlib
 
+# A gateway takes half a second of a core to start; a few hundred share the cores.
 START_S = 15.0
+START_S_PER_GATEWAY = 0.4
 RECOVERY_S = 7.0
 CALM_S = 2.0
 
@@ -42,17 +44,22 @@
 
 
 def soak(
-    seed: int, seconds: float, gateways: int, callers: int, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    gateways: int,
+    callers: int,
+    folder: pathlib.Path,
+    deal: bool = False,
 ) -> Found:
     """Run gateways under faults and check the promises."""
     world = World(folder, gateways)
     try:
-        with gevent.Timeout(START_S):
+        with gevent.Timeout(START_S + gateways * START_S_PER_GATEWAY):
             while not all(gateway.ready for gateway in world.gateways):
                 gevent.sleep(0.05)
         crowd = [Caller(world, number, seed) for number in range(callers)]
         calling = [gevent.spawn(caller.run) for caller in crowd]
-        faults = Faults(world, seed)
+        faults = Faults(world, seed, deal)
         faults.run(seconds)
         for gateway in world.gateways:
             world.start(gateway)
