--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -100,7 +100,10 @@
                     if not line:
                         return  # cut in the middle of the head: no request
                     name, _, value = line.decode("latin-1").partition(":")
-                    headers[name.strip().lower()] = value.strip()
+                    name, value = name.strip().lower(), value.strip()
+                    # A field that comes twice is one list, as HTTP has it: a value
+                    # that a caller smuggled in beside the router's must show.
+                    headers[name] = f"{headers[name]}, {value}" if name in headers else value
                 length = int(headers.get("content-length", "0"))
                 body = file.read(length)
                 if len(body) < length or not self._answer(sock, method, path, headers, body):
--- a/tests/test_standins/test_platform_engine.py
+++ b/tests/test_standins/test_platform_engine.py
@@ -22,3 +22,17 @@
             sock.close()
             gevent.sleep(0.05)
         self.assertEqual(target.runs, [])
+
+    def test_a_header_that_comes_twice_shows(self):
+        # A gateway that passed a caller's own header on beside the one it sets
+        # would look right to a target that reads only the last.
+        target = PlatformTargetStandIn("t")
+        host, _, port = target.start().rpartition(":")
+        self.addCleanup(target.stop)
+        sock = gevent.socket.create_connection((host, int(port)))
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"GET /a HTTP/1.1\r\nRequest-Id: r1\r\nTenant: forged\r\nTenant: w1\r\n\r\n"
+        )
+        sock.recv(4096)
+        self.assertEqual(target.runs[0].headers["tenant"], "forged, w1")
