Prompts that were refused or whose host was frozen are no sign of a flood

Cause, found by reading the controller for what a freeze and a full engine do to it: a host that slept for 4 s takes the prompts on their way for late and would refuse nine of ten for a second while the engines are idle; quick refusals of full engines counted as quick first tokens and would have hidden the flood.

Change: after 2 s without a decision nothing of before counts, and a prompt without a first token counts only if it waited longer than the mean.

Ruled out: a higher START_WAIT (a frozen host's waits are at the cap).

--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -250,7 +250,7 @@
             if events:
                 self._send_events(head, events)
                 if first:
-                    self._end_prefill()
+                    self._end_prefill(first_token=True)
                     first = False
         if self.cutter.rest.strip() or self.cutter.broken:
             return Fate.BROKEN
@@ -325,11 +325,12 @@
             self.waiting = shedder.begin(job.route.objective_s, self.daemon.now())
             self.choice.target.prefill_tokens += job.inbound.prompt_tokens
 
-    def _end_prefill(self) -> None:
+    def _end_prefill(self, first_token: bool = False) -> None:
         assert self.choice is not None
         waiting, self.waiting = self.waiting, None
         if waiting is not None:
-            self.daemon.shedder_of(self.job.service).end(waiting, self.daemon.now())
+            shedder = self.daemon.shedder_of(self.job.service)
+            shedder.end(waiting, self.daemon.now(), first_token)
             self.choice.target.prefill_tokens -= self.job.inbound.prompt_tokens
 
     def _note_weights(self, head: AnswerHead) -> None:
--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -41,7 +41,7 @@
 # One prompt in ten still goes to the engines, else nothing would show that the
 # flood is over.
 LARGEST_CHANCE = 0.9
-# Periods without a prompt after which nothing is known any more.
+# Periods without a prompt after which nothing is known any more: 2 s.
 MOST_PERIODS = 20
 # Refusals begin and end in the log at these chances; in between it may waver.
 LOGGED_FROM = 0.2
@@ -90,10 +90,19 @@
         self.waiting.add(waiting)
         return waiting
 
-    def end(self, waiting: Waiting, now: float) -> None:
-        """Take in that a prompt's first token came, or that it is not waited for."""
+    def end(self, waiting: Waiting, now: float, first_token: bool = True) -> None:
+        """Take in that a prompt's first token came, or that it is not waited for.
+
+        How long a prompt waited that was refused, broken or left says only that its
+        first token would have come later; a full engine's quick refusals must not
+        pass for quick tokens.
+        """
+        if waiting not in self.waiting:
+            return
         self.waiting.discard(waiting)
-        self.samples.append(waiting.wait(now))
+        wait = waiting.wait(now)
+        if first_token or wait > self.mean_wait:
+            self.samples.append(wait)
 
     def refuses(self, number: float, now: float) -> bool:
         """Decide on one prompt by a random number from 0 to 1."""
@@ -106,7 +115,10 @@
             return
         self.stepped_at = now
         if periods > MOST_PERIODS:
+            # No prompt came, or this host was frozen: then all that it waits for
+            # looks late, and refusing would turn callers away from idle engines.
             self.samples.clear()
+            self.waiting.clear()
             self.mean_wait = self.chance = 0.0
         for _ in range(min(MOST_PERIODS, periods)):
             self._step(now)
--- a/tests/test_agaterail/test_gateway/test_shedding.py
+++ b/tests/test_agaterail/test_gateway/test_shedding.py
@@ -149,6 +149,29 @@
             shedder.refuses(1.0, now)
         self.assertLess(shedder.chance, 0.05)
 
+    def test_a_host_that_was_frozen_refuses_nobody(self):
+        # The host slept for 4 s with prompts on their way. Their first tokens have
+        # long come and are read late by this host alone; the engines are idle.
+        shedder = Shedder("s", 0.0)
+        waiting = [shedder.begin(OBJECTIVE_S, 0.0) for _ in range(10)]
+        self.assertFalse(shedder.refuses(0.0, 4.0))
+        for item in waiting:
+            shedder.end(item, 4.05)
+        self.assertFalse(shedder.refuses(0.0, 4.2))
+
+    def test_quick_refusals_of_full_engines_do_not_hide_the_flood(self):
+        # Engines refuse nine of ten prompts within a millisecond, and the tenth
+        # gets its first token after two objectives.
+        shedder = Shedder("s", 0.0)
+        for step in range(60):
+            now = step * 0.05
+            late = shedder.begin(OBJECTIVE_S, now - 2 * OBJECTIVE_S)
+            shedder.end(late, now, first_token=True)
+            for _ in range(9):
+                shedder.end(shedder.begin(OBJECTIVE_S, now), now + 0.001, first_token=False)
+            shedder.refuses(1.0, now)
+        self.assertGreater(shedder.chance, 0.5)
+
     def test_a_route_without_objective_is_no_fault(self):
         shedder = Shedder("s", 0.0)
         shedder.end(shedder.begin(0.0, 0.0), 0.05)
