Soak kills the giver of orders, and takes no port that a connection may have

Change: a fault that kills the last giver of orders, dealt only; ports below those of outgoing connections.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tools.soak.world import World
+    from tools.soak.world import Gateway, World
 
 MOST_AT_ONCE = 3
 SETTLE_S = 0.4
@@ -68,17 +68,25 @@
         if not self.deal:
             return self.random.choice(self.kinds)
         if not self.deck:
-            self.deck = self.random.sample(self.kinds, len(self.kinds))
+            kinds = [*self.kinds, self.kill_giver_of_orders]
+            self.deck = self.random.sample(kinds, len(kinds))
         return self.deck.pop()
 
     def kill(self) -> None:
         """Kill a gateway and start it again."""
         gateway = self.random.choice(self.world.gateways)
-        with _Noted(self, f"kill {gateway.name}"):
-            self.world.signal(gateway, signal.SIGKILL)
-            gevent.sleep(self.random.uniform(0.1, 0.8))
-            self.world.start(gateway)
-            gevent.sleep(1.0)
+        self._kill(gateway)
+
+    def kill_giver_of_orders(self) -> None:
+        """Kill the gateway that ordered last, while engines still need orders."""
+        world = self.world
+        world.name_weights()
+        gevent.sleep(self.random.uniform(1.5, 2.5))
+        orders = [order for target in world.targets.values() for order in target.order_log]
+        holder = max(orders)[1] if orders else ""
+        for gateway in world.gateways:
+            if gateway.name == holder:
+                self._kill(gateway)
 
     def freeze(self) -> None:
         """Pause a gateway's process."""
@@ -180,6 +188,13 @@
         """Name new weights."""
         self.world.name_weights()
 
+    def _kill(self, gateway: Gateway) -> None:
+        with _Noted(self, f"kill {gateway.name}"):
+            self.world.signal(gateway, signal.SIGKILL)
+            gevent.sleep(self.random.uniform(0.1, 0.8))
+            self.world.start(gateway)
+            gevent.sleep(1.0)
+
     def _cut(self, name: str, proxy: object) -> None:
         with _Noted(self, name):
             mode = self.random.choice([mode for mode in Mode if mode is not Mode.PASS])
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import subprocess
 import sys
@@ -26,6 +27,7 @@
 DRAIN_S = 2.0
 GRACE_S = 6.0
 READY_PERIOD_S = 0.5
+GATEWAY_PORTS = range(10_000, 32_000)
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
@@ -247,10 +249,19 @@
 
 
 def _ports(count: int) -> list[int]:
-    held = []
-    for _ in range(count):
+    """Return free ports below those that systems give to outgoing connections.
+
+    One of those may be taken by a connection of another run before the gateway
+    binds it.
+    """
+    held: list[gevent.socket.socket] = []
+    while len(held) < count:
         sock = gevent.socket.socket()
-        sock.bind(("127.0.0.1", 0))
+        try:
+            sock.bind(("127.0.0.1", secrets.choice(GATEWAY_PORTS)))
+        except OSError:
+            sock.close()  # taken; another one is drawn
+            continue
         held.append(sock)
     ports = [sock.getsockname()[1] for sock in held]
     for sock in held:
