Look for readers again while too few are known

Change: a list with fewer readers than are due counts as not made; it is looked up again after 2 s, by the daemons that hold a first partition.

Ruled out: peers that gave wrong ages (readings were refused rightly), the relay's kept records (the reader was out of reach of the store, so it left its feeds out).

Measured: the test failed first (1 reader for 3).

--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -31,6 +31,7 @@
 MOST_READERS = 8
 # Who the readers are is looked up at most so often.
 LOOK_UP_PERIOD_S = 2.0
+UNKNOWN_GENERATION = -1
 # Shares bound estimates only where they are sensible.
 LEAST_SHARE = 0.002
 FIRST_RANK = 0
@@ -77,7 +78,7 @@
         self.valid_until = 0.0
         self.ranks: frozenset[int] = frozenset()
         self.period_s = JOIN_PERIOD_S
-        self.looked_up = (-1, float("-inf"))
+        self.looked_up = (UNKNOWN_GENERATION, float("-inf"))
         self.address = f"{daemon.settings.ip}:{daemon.settings.peer_ports[0]}"
         self.member = member_name(daemon.settings.host, self.address, daemon.boot)
 
@@ -144,5 +145,9 @@
         found = self.daemon.store.ranked_members()
         if not isinstance(found, Success):
             return
-        self.looked_up = (self.generation, now)
-        hub.readers = choose_readers(found.unwrap(), self.daemon.rules.daemons)
+        daemons = self.daemon.rules.daemons
+        hub.readers = choose_readers(found.unwrap(), daemons)
+        # While partitions are dealt anew, few of them have an owner. Was one reader
+        # all that was found and not looked up again, its loss cut all from news.
+        complete = len(hub.readers) >= reader_count(daemons)
+        self.looked_up = (self.generation if complete else UNKNOWN_GENERATION, now)
--- a/tests/test_agaterail/test_gateway/test_relay.py
+++ b/tests/test_agaterail/test_gateway/test_relay.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Success
 
-from agaterail.gateway.controlstore import Feed, FeedRecord
+from agaterail.gateway.controlstore import Feed, FeedRecord, Membership
 from agaterail.gateway.membership import (
+    MembershipController,
     address_of,
     choose_readers,
     member_name,
@@ -115,6 +118,58 @@
         self.assertLessEqual(asked_at - age_s, true_read_at + 1e-9)
 
 
+class FakeStore:
+    """Deals all first partitions to members; their owners show bit by bit."""
+
+    def __init__(self) -> None:
+        self.owners: dict[int, str] = {}
+
+    def join(self, _member, _ttl_s, _generation):
+        return Success(Membership(generation=72, share=1 / 64, ranks=frozenset({0})))
+
+    def ranked_members(self):
+        return Success(dict(self.owners))
+
+
+class ReadersTest(unittest.TestCase):
+    def test_readers_are_looked_up_again_until_all_are_known(self):
+        # At a start 70 hosts join, and the partitions are dealt anew. The first
+        # look finds one owner. Were it the last look, 70 hosts would hang on one
+        # reader; when the store turned that one away, 25 others that it had turned
+        # away too accepted no key for 6 s, though 45 hosts read the store.
+        now = [100.0]
+        store = FakeStore()
+        hub = SimpleNamespace(readers=())
+        daemon = SimpleNamespace(
+            stopping=False,
+            now=lambda: now[0],
+            store=store,
+            feeds=hub,
+            rules=SimpleNamespace(daemons=64.0),
+            budget=SimpleNamespace(share=0.0),
+            set_fleet_size=lambda _daemons: None,
+            settings=SimpleNamespace(
+                host="h",
+                ip="10.0.0.1",
+                peer_ports=(7000, 7010),
+                store=SimpleNamespace(member_ttl_min_s=1.0),
+            ),
+            boot="b",
+        )
+        membership = MembershipController(daemon)
+        store.owners = {0: member_name("h", "10.0.0.1:7000", "b")}
+        membership.step()
+        self.assertEqual(len(hub.readers), 1)
+        store.owners |= {n: member_name("h", f"10.0.0.{n}:7000", "b") for n in range(2, 8)}
+        now[0] += 2.1
+        membership.step()
+        self.assertEqual(len(hub.readers), 3)
+        store.owners.clear()
+        now[0] += 2.1
+        membership.step()
+        self.assertEqual(len(hub.readers), 3)
+
+
 class MemberNameTest(unittest.TestCase):
     def test_a_member_s_name_says_where_it_is_reached(self):
         name = member_name("edge-1", "10.0.0.1:7340", "ab12")
