--- a/agaterail/gateway/orderlease.py
+++ b/agaterail/gateway/orderlease.py
@@ -13,6 +13,8 @@
 RENEW_LEFT_S = 1.0
 # An order must have arrived before the lease ends.
 ORDER_MARGIN_S = 0.5
+# A renewal reaches the daemons that ask a peer for news up to so much later.
+NEWS_DELAY_S = 0.6
 # A release need not say of a longer time without orders how long it was.
 LONGEST_IDLE_S = 60.0
 
@@ -65,6 +67,13 @@
             return 0.0
         return max(0.0, self.held_until - ORDER_MARGIN_S - now)
 
+    def is_held(self, now: float) -> bool:
+        """Tell whether some host may give orders now, as far as is known here."""
+        if self.fencing is not None:
+            return now < self.held_until
+        ends_at = self.rival_free_at - self.gap_s + NEWS_DELAY_S
+        return self.rival is not None and self.rival.released_idle_s is None and now < ends_at
+
     def needs_renewal(self, now: float) -> bool:
         """Tell whether a record should be appended to go on giving orders."""
         return self.held_until - now < RENEW_LEFT_S
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -22,6 +22,7 @@
     cordon,
     may_interrupt,
     outdated,
+    release_all,
 )
 
 if TYPE_CHECKING:
@@ -52,11 +53,17 @@
         now = self.daemon.now()
         engines = self._engines()
         named = {model: item.newest for model, item in self.daemon.state.weights.items()}
-        pace = self._pace(outdated(engines, named), now)
-        cordon(engines, named, pace, now)
+        wanted = outdated(engines, named)
+        pace = self._pace(wanted, now)
+        # While nobody may give orders, an engine that is set aside for one is only
+        # missing: a lease that changed hands left two of five engines idle for 3 s.
+        if self.lease.is_held(now):
+            cordon(engines, named, pace, now)
+        else:
+            release_all(engines)
         leads = self.daemon.membership.leads and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
-        if not (leads or holds) or not outdated(engines, named):
+        if not (leads or holds) or not wanted:
             return
         if self.lease.needs_renewal(now) and not self._acquire(now):
             return
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -163,6 +163,12 @@
         target.cordoned_at = now
 
 
+def release_all(engines: Iterable[Target]) -> None:
+    """Take the marks off all engines, as nobody can order them to load."""
+    for target in engines:
+        target.cordoned_at = None
+
+
 def is_cordoned(target: Target, now: float) -> bool:
     """Tell whether an engine is next to load and soon will."""
     return target.cordoned_at is not None and now - target.cordoned_at < LONGEST_CORDON_S
--- a/tests/test_agaterail/test_gateway/test_orderlease.py
+++ b/tests/test_agaterail/test_gateway/test_orderlease.py
@@ -66,6 +66,24 @@
         self.assertTrue(acquire(self.other, self.log, 1.0 + TERM_S + GAP_S + 0.1))
         self.assertGreater(self.other.fencing, self.one.fencing)
 
+    def test_others_know_whether_a_host_may_order(self):
+        self.other.observe(*self.log.read(), 0.0)
+        self.assertFalse(self.other.is_held(0.0))
+        acquire(self.one, self.log, 0.0)
+        self.other.observe(*self.log.read(), 0.1)
+        self.assertTrue(self.one.is_held(0.1))
+        self.assertTrue(self.other.is_held(0.1))
+        self.assertFalse(self.one.is_held(TERM_S + 0.1))
+        # A term and the delay of news later no renewal has come: nobody orders.
+        self.assertFalse(self.other.is_held(0.1 + TERM_S + 0.7))
+
+    def test_after_a_release_nobody_may_order(self):
+        acquire(self.one, self.log, 0.0)
+        released = self.one.release(0.5)
+        self.log.append(released, self.one.end)
+        self.other.observe(*self.log.read(), 0.6)
+        self.assertFalse(self.other.is_held(0.6))
+
     def test_a_holder_that_was_frozen_gives_no_orders(self):
         acquire(self.one, self.log, 0.0)
         self.assertGreater(self.one.remaining_s(1.0), 0.0)
