Save to the kept store only what it lacks, as its events say

Cause: an engine that saves sends the whole prompt, the part that nobody shares included. A few daemons follow the stores' events; the deepest shared part names the one that decides, so that each part is saved once.

--- a/agaterail/cmd/gateway.py
+++ b/agaterail/cmd/gateway.py
@@ -19,6 +19,7 @@
 from agaterail.gateway.metrics import start_metrics
 from agaterail.gateway.stopping import Stopper
 from agaterail.platform import names
+from agaterail.platform.cacheevents import PlatformCacheFeed
 from agaterail.platform.engines import PlatformEngines
 from agaterail.platform.settings import read_settings
 from agaterail.platform.store import PlatformStore
@@ -59,7 +60,7 @@
     )
     store = PlatformStore(chosen.store.address, chosen.store.parts)
     try:
-        daemon = Daemon(chosen, store, PlatformEngines())
+        daemon = Daemon(chosen, store, PlatformEngines(), PlatformCacheFeed())
     except OSError as error:
         print(f"{chosen.caller_listen} cannot be bound: {error}", file=sys.stderr)
         return EXIT_USAGE
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -12,7 +12,7 @@
 from gevent.pool import Group
 
 from agaterail import logs
-from agaterail.gateway import admission, placement
+from agaterail.gateway import admission, keptcontroller, placement
 from agaterail.gateway.channels import ChannelPool
 from agaterail.gateway.demand import Demand
 from agaterail.gateway.desired import CallerLimits
@@ -21,6 +21,9 @@
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.front import Front
 from agaterail.gateway.handler import RequestHandler
+from agaterail.gateway.inbound import part_key
+from agaterail.gateway.keptcontroller import KeptController
+from agaterail.gateway.keptparts import SaveQuestion
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.placement import PlacementRules
@@ -39,6 +42,7 @@
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.enginecontrol import EngineControl
     from agaterail.gateway.hostsettings import HostSettings
+    from agaterail.gateway.keptparts import CacheFeed
     from agaterail.gateway.placement import Choice
     from agaterail.timers import Subscription
 
@@ -63,7 +67,11 @@
     """Parts of one daemon and the state that they share."""
 
     def __init__(
-        self, settings: HostSettings, store: ControlStore, engine_control: EngineControl
+        self,
+        settings: HostSettings,
+        store: ControlStore,
+        engine_control: EngineControl,
+        cache_feed: CacheFeed,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -92,6 +100,11 @@
         self.membership = MembershipController(self)
         self.weights = WeightsController(self)
         self.feeds = FeedHub(self)
+        self.kept = KeptController(
+            cache_feed, str(self.feeds.server.address), lambda: self.feeds.readers, self.now
+        )
+        self.feeds.answers[keptcontroller.PATH] = self.kept.answer
+        self.followed: set[str] = set()
         self.readiness = make_readiness(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -139,6 +152,24 @@
         for target in self.book.expire(self.now()):
             logger.info("Target gone for good.", target=target.instance)
         self.channels.close_stale()
+        self._follow_kept_stores()
+
+    def _follow_kept_stores(self) -> None:
+        desired = self.state.desired
+        named = set() if desired is None else {spec.address for spec in desired.kv_stores}
+        for address in named - self.followed:
+            self.greenlets.spawn(self._follow_kept_store, address)
+        self.kept.forget(self.followed - named)
+        self.followed = named
+
+    def _follow_kept_store(self, address: str) -> None:
+        while address in self.followed:
+            try:
+                self.kept.follow(address)
+            except Exception:
+                # Ended, nothing would be known of the store's contents any more.
+                logger.exception("Following a kept store raised.", store=address)
+                gevent.sleep(HOUSEKEEPING_PERIOD_S)
 
     def set_fleet_size(self, daemons: float) -> None:
         """Take in how many daemons share the targets."""
@@ -181,12 +212,14 @@
         terms: dict[str, Any] = {"cache_scope": scope, "weights_version": version}
         terms["priority"] = max(0, min(LEAST_URGENT, priority))
         desired = self.state.desired
-        if desired is not None and desired.kv_stores and version is not None:
-            shared = job.inbound.shared_parts
-            key = shared[-1].name if shared else ""
+        shared = [part_key(part.name) for part in job.inbound.shared_parts]
+        if desired is not None and desired.kv_stores and shared and version is not None:
             addresses = [spec.address for spec in desired.kv_stores]
-            address = placement.choose_by_hash(key, addresses)
-            terms.update(fetch_from=address, save_to=address)
+            address = placement.choose_by_hash(shared[-1], addresses)
+            terms["fetch_from"] = address
+            question = SaveQuestion(store=address, scope=scope, parts=shared)
+            if self.kept.should_save(question):
+                terms["save_to"] = address
         return terms
 
     def _limits(self) -> CallerLimits:
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -18,7 +18,7 @@
 from agaterail.util.httpconn import HttpConnections
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from agaterail.gateway.controlstore import Change, FeedRecord, StoreError
     from agaterail.gateway.daemon import Daemon
@@ -80,6 +80,9 @@
         self.left_alone_until: dict[str, float] = {}
         self.readers: tuple[str, ...] = ()
         self.turn = daemon.random.randrange(1 << 16)
+        self.answers: dict[bytes, Callable[[bytes], bytes]] = {
+            peerfeed.PATH: self._answer_news
+        }
         self.peer_clients: dict[str, HttpConnections] = {}
         self.server = Front(
             Address(daemon.settings.ip, daemon.settings.peer_ports[0]),
@@ -141,18 +144,22 @@
     def handle(self, inbound: Inbound, caller: CallerConnection) -> None:
         """Answer a peer's question."""
         path, _, query = inbound.target.partition(b"?")
-        if path != peerfeed.PATH:
+        answer = self.answers.get(path)
+        if answer is None:
             caller.send_answer(NOT_FOUND, [], b"")
             return
         try:
-            offsets, wait_s = peerfeed.decode_question(query)
+            body = answer(query)
         except ValueError:
             caller.send_answer(BAD_REQUEST, [], b"")
             return
+        caller.send_answer(OK, [], body)
+
+    def _answer_news(self, query: bytes) -> bytes:
+        offsets, wait_s = peerfeed.decode_question(query)
         if not self.relay.has_news(offsets) and not self._is_stale():
             self.news.wait(min(wait_s, PEER_WAIT_S))
-        body = peerfeed.encode_answer(self.relay, offsets, self.readers, self.daemon.now())
-        caller.send_answer(OK, [], body)
+        return peerfeed.encode_answer(self.relay, offsets, self.readers, self.daemon.now())
 
     def _take_in_lease(self, changes: Sequence[Change], now: float) -> None:
         entries = [change.entry for change in changes if isinstance(change, LeaseChanged)]
--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -5,6 +5,11 @@
 import attrs
 
 
+def part_key(name: str) -> str:
+    """Return a part's name as the events of stores spell it: a number without zeros before."""
+    return name.lower().lstrip("0")
+
+
 @attrs.frozen
 class PromptPart:
     """One named part of a prompt and its length in tokens."""
--- /dev/null
+++ b/agaterail/platform/cacheevents.py
@@ -0,0 +1,79 @@
+"""Events of the stores that keep KV cache."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from agaterail.gateway.inbound import part_key
+from agaterail.gateway.keptparts import CacheChange, CacheFeed, CacheNews
+from agaterail.platform import fields, names
+from agaterail.platform.fields import MalformedError
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+
+CONNECT_TIMEOUT_S = 0.3
+# Beyond the wait that was asked for.
+ANSWER_SLACK_S = 0.6
+OK = 200
+MS = 1e-3
+# Number, sign, scope, part, tokens held now, model.
+EVENT_FIELDS = 6
+
+
+class PlatformCacheFeed(CacheFeed):
+    """The events over HTTP, on a kept connection to each store."""
+
+    def __init__(self) -> None:
+        self.clients: dict[str, HttpConnections] = {}
+
+    def follow(self, address: str, since: int, wait_s: float) -> Result[CacheNews, str]:
+        """Return the changes from a number on, waiting for the first one."""
+        client = self.clients.get(address)
+        if client is None:
+            client = HttpConnections(Address.parse(address), CONNECT_TIMEOUT_S)
+            self.clients[address] = client
+        called = client.call(
+            "GET",
+            f"{names.CACHE_EVENTS_PATH}?since={since}",
+            headers={names.WAIT: str(int(wait_s / MS))},
+            timeout_s=wait_s + ANSWER_SLACK_S,
+        )
+        if not isinstance(called, Success):
+            return Failure(called.failure().reason)
+        status, body = called.unwrap()
+        if status != OK:
+            return Failure(f"status {status}")
+        try:
+            return Success(decode_news(body))
+        except ValueError as error:  # MalformedError and JSON errors
+            return Failure(str(error))
+
+
+def decode_news(body: bytes) -> CacheNews:
+    """Return the changes in an answer.
+
+    Raises
+    ------
+    ValueError
+        If it is none.
+    """
+    found = fields.table(json.loads(body), "the answer")
+    events = fields.rows(found, "events")
+    return CacheNews(
+        epoch=fields.whole(found, "boot_epoch"),
+        next_number=fields.whole(found, "next"),
+        changes=tuple(_change(event) for event in events),
+    )
+
+
+def _change(event: Any) -> CacheChange:
+    if not isinstance(event, list) or len(event) < EVENT_FIELDS:
+        raise MalformedError("an event is no list of six")
+    _, sign, scope, part, _, _ = event[:EVENT_FIELDS]
+    if not isinstance(scope, str) or not isinstance(part, str):
+        raise MalformedError("an event names no part")
+    # A part that was dropped in part only is of no use to those that need it whole.
+    return CacheChange(scope, part_key(part), held=sign == "+")
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -84,6 +84,8 @@
 
 READY_PATH = b"/agaterail/readiness"
 ORDER_PATH = "/agaterail/order"
+CACHE_EVENTS_PATH = "/agaterail/kv-events"
+WAIT = "Wait-Ms"
 REPORT_PATH = "/agaterail/report"
 LOG_APPEND_PATH = "/agaterail/log-append"
 LOG_READ_PATH = "/agaterail/log-read"
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -11,6 +11,7 @@
 from agaterail.gateway.daemon import Daemon
 from agaterail.gateway.hostsettings import Bounds, HostSettings, StoreSettings
 from agaterail.gateway.retrybudget import BudgetTerms
+from agaterail.platform.cacheevents import PlatformCacheFeed
 from agaterail.platform.engines import PlatformEngines
 from agaterail.platform.store import PlatformStore
 from agaterail.util.address import Address
@@ -158,7 +159,7 @@
             ),
         )
         store = PlatformStore(settings.store.address, settings.store.parts)
-        daemon = Daemon(settings, store, PlatformEngines())
+        daemon = Daemon(settings, store, PlatformEngines(), PlatformCacheFeed())
         daemon.start()
         return daemon
 
--- /dev/null
+++ b/tests/test_agaterail/test_platform/test_cacheevents.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+import json
+import unittest
+
+from agaterail.gateway.keptparts import CacheChange
+from agaterail.platform.cacheevents import decode_news
+
+ANSWER = {
+    "boot_epoch": 77120,
+    "next": 120,
+    "lost": False,
+    "events": [
+        [118, "+", "v1", "5c1e07a2", 800, "m"],
+        [119, "-", "v1", "91bd3f06", 128, "m"],
+    ],
+}
+
+
+class DecodeNewsTest(unittest.TestCase):
+    def test_events_become_changes(self):
+        news = decode_news(json.dumps(ANSWER).encode())
+        self.assertEqual((news.epoch, news.next_number), (77120, 120))
+        held, dropped = news.changes
+        self.assertEqual(held, CacheChange("v1", "5c1e07a2", True))
+        # What is left of a part is of no use to a prompt that needs it whole.
+        self.assertEqual(dropped, CacheChange("v1", "91bd3f06", False))
+
+    def test_what_is_no_answer_is_refused(self):
+        for bad in (b"", b"[]", b"{}", b'{"boot_epoch":1,"next":2,"events":[[1,"+"]]}'):
+            with self.assertRaises(ValueError):
+                decode_news(bad)
+
+
+if __name__ == "__main__":
+    unittest.main()
