--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -189,6 +189,7 @@
             return
         logger.info("Peer gave no news.", peer=address, reason=problem)
         if self.turns.had_none(address, silent, self.daemon.now()):
+            self.daemon.membership.misled = True
             self.wake_direct.set()
             self.wake_direct.clear()
 
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -81,6 +81,8 @@
         self.generation = 0
         self.valid_until = 0.0
         self.reader_until = 0.0
+        # The known readers have no news: others read now, it seems.
+        self.misled = False
         self.ranks: frozenset[int] = frozenset()
         self.period_s = JOIN_PERIOD_S
         self.looked_up = (UNKNOWN_GENERATION, float("-inf"))
@@ -150,14 +152,20 @@
         """Find out who reads the store, where it is on this daemon to know."""
         hub = self.daemon.feeds
         generation, at = self.looked_up
-        asks_itself = bool(self.ranks) or not hub.readers
-        if not asks_itself or now - at < LOOK_UP_PERIOD_S or generation == self.generation:
+        # Two former readers that knew of none but each other were asked by 72 daemons
+        # for 25 s, in which these found old readings and read the store themselves.
+        was_reader = now < self.reader_until
+        asks_itself = bool(self.ranks) or was_reader or self.misled or not hub.readers
+        if not asks_itself or now - at < LOOK_UP_PERIOD_S:
+            return
+        if generation == self.generation and not self.misled:
             return
         found = self.daemon.store.ranked_members()
         if not isinstance(found, Success):
             return
         daemons = self.daemon.rules.daemons
         hub.readers = choose_readers(found.unwrap(), daemons)
+        self.misled = False
         # While partitions are dealt anew, few of them have an owner. Was one reader
         # all that was found and not looked up again, its loss cut all from news.
         complete = len(hub.readers) >= reader_count(daemons)
--- a/tests/test_agaterail/test_gateway/test_relay.py
+++ b/tests/test_agaterail/test_gateway/test_relay.py
@@ -132,14 +132,7 @@
 
 
 class ReadersTest(unittest.TestCase):
-    def test_readers_are_looked_up_again_until_all_are_known(self):
-        # At a start 70 hosts join, and the partitions are dealt anew. The first
-        # look finds one owner. Were it the last look, 70 hosts would hang on one
-        # reader; when the store turned that one away, 25 others that it had turned
-        # away too accepted no key for 6 s, though 45 hosts read the store.
-        now = [100.0]
-        store = FakeStore()
-        hub = SimpleNamespace(readers=())
+    def make_membership(self, now, store, hub):
         daemon = SimpleNamespace(
             stopping=False,
             now=lambda: now[0],
@@ -156,7 +149,55 @@
             ),
             boot="b",
         )
-        membership = MembershipController(daemon)
+        return MembershipController(daemon)
+
+    def test_a_former_reader_finds_out_who_reads_now(self):
+        # The fleet changes and two readers lose their partitions. Both know of none
+        # but each other, and pass that on to whoever asks: all find old readings and
+        # read the store themselves, and its calls are turned away.
+        now, store, hub = [100.0], FakeStore(), SimpleNamespace(readers=())
+        membership = self.make_membership(now, store, hub)
+        own = member_name("h", "10.0.0.1:7000", "b")
+        store.owners = {0: own, 1: member_name("h", "10.0.0.2:7000", "b")}
+        membership.step()
+        now[0] += 2.1
+        membership.step()
+        self.assertIn("10.0.0.1:7000", hub.readers)
+        store.join = lambda *_: Success(
+            Membership(generation=73, share=1 / 64, ranks=frozenset())
+        )
+        store.owners = {n: member_name("h", f"10.0.0.{n}:7000", "b") for n in range(3, 8)}
+        now[0] += 2.1
+        membership.step()
+        self.assertNotIn("10.0.0.1:7000", hub.readers)
+        self.assertIn("10.0.0.3:7000", hub.readers)
+        # It reads on for a while, as the others may not know yet.
+        self.assertTrue(membership.is_reader)
+
+    def test_a_daemon_whose_readers_have_no_news_looks_for_others(self):
+        now, store = [100.0], FakeStore()
+        hub = SimpleNamespace(readers=("10.0.0.8:7000", "10.0.0.9:7000"))
+        membership = self.make_membership(now, store, hub)
+        store.join = lambda *_: Success(
+            Membership(generation=73, share=1 / 64, ranks=frozenset())
+        )
+        store.owners = {n: member_name("h", f"10.0.0.{n}:7000", "b") for n in range(3, 8)}
+        membership.step()
+        self.assertIn("10.0.0.8:7000", hub.readers)
+        membership.misled = True
+        now[0] += 2.1
+        membership.step()
+        self.assertNotIn("10.0.0.8:7000", hub.readers)
+
+    def test_readers_are_looked_up_again_until_all_are_known(self):
+        # At a start 70 hosts join, and the partitions are dealt anew. The first
+        # look finds one owner. Were it the last look, 70 hosts would hang on one
+        # reader; when the store turned that one away, 25 others that it had turned
+        # away too accepted no key for 6 s, though 45 hosts read the store.
+        now = [100.0]
+        store = FakeStore()
+        hub = SimpleNamespace(readers=())
+        membership = self.make_membership(now, store, hub)
         store.owners = {0: member_name("h", "10.0.0.1:7000", "b")}
         membership.step()
         self.assertEqual(len(hub.readers), 1)
