--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -33,6 +33,9 @@
 # it counts, so that a reading is up to 1.2 s old at a reader and up to 2.4 s at
 # those that ask it each 0.6 s, of the 5 s that keys are accepted for.
 DIRECT_WAITS_S = {Feed.OPERATORS: 0.6, Feed.TARGETS: 0.6, Feed.LEASE: 2.0}
+# Feeds whose age makes a peer's answer useless. Who holds the lease is no news that
+# callers wait for.
+NEEDED_FEEDS = frozenset({Feed.OPERATORS, Feed.TARGETS})
 # How long a question waits at a peer for news, and for the answer beyond that.
 PEER_WAIT_S = 0.6
 PEER_SLACK_S = 0.35
@@ -50,6 +53,12 @@
 LONGEST_PAUSE_S = 0.5
 LONGEST_PAUSE_OF_MANY_S = 1.0
 MANY_DAEMONS = 16
+# A read returns with the first record, and engines write some tens of them a second:
+# without a pause a daemon that reads for a second makes ten reads.
+PAUSE_OF_MANY_S = 0.25
+# Whatever peers say of a feed, it is read once if nothing was heard of it for so long;
+# a reader that began later than this daemon cannot continue from its offset.
+OLDEST_OWN_S = 6.0
 # Between two answered reads lie a wait and a call; so much more is an outage,
 # in which registrations may have lapsed.
 OUTAGE_S = 3.5
@@ -169,7 +178,9 @@
         """Tell whether a peer should not wait for news here."""
         now = self.daemon.now()
         return any(
-            now - kept.read_at > _oldest_s(feed) for feed, kept in self.relay.feeds.items()
+            now - kept.read_at > _oldest_s(feed)
+            for feed, kept in self.relay.feeds.items()
+            if feed in NEEDED_FEEDS
         )
 
     def _sound_peers(self) -> list[str]:
@@ -188,7 +199,8 @@
             self.turns.had_news(address)
             return
         logger.info("Peer gave no news.", peer=address, reason=problem)
-        if self.turns.had_none(address, silent, self.daemon.now()):
+        now, left = self.daemon.now(), len(self._sound_peers())
+        if self.turns.had_none(address, silent, left - 1, now):
             self.daemon.membership.misled = True
             self.wake_direct.set()
             self.wake_direct.clear()
@@ -198,8 +210,10 @@
         if client is None:
             client = HttpConnections(Address.parse(address), PEER_SLACK_S)
             self.peer_clients[address] = client
-        question = peerfeed.encode_question(self.offsets, PEER_WAIT_S)
-        called = client.call("GET", question, timeout_s=PEER_WAIT_S + PEER_SLACK_S)
+        # After an answer without news, what the next peer knows is wanted at once.
+        wait_s = 0.0 if self.turns.problems_in_a_row else PEER_WAIT_S
+        question = peerfeed.encode_question(self.offsets, wait_s)
+        called = client.call("GET", question, timeout_s=wait_s + PEER_SLACK_S)
         if not isinstance(called, Success):
             self.peer_clients.pop(address).close()
             return called.failure().reason
@@ -215,11 +229,13 @@
         problem = ""
         for feed in Feed:
             news = answer.feeds.get(feed)
+            matters = feed in NEEDED_FEEDS
             if news is None:
-                problem = f"no {feed.value} from offset {self.offsets[feed]}"
+                if matters:
+                    problem = f"no {feed.value} from offset {self.offsets[feed]}"
                 continue
             self._take_in_news(feed, news, asked_at)
-            if news.age_s > _oldest_s(feed):
+            if matters and news.age_s > _oldest_s(feed):
                 problem = f"its reading of {feed.value} is {news.age_s} s old"
         return problem
 
@@ -256,10 +272,11 @@
     def step(self) -> None:
         """Make one read and take in what it brings, if it is on this daemon."""
         hub = self.hub
-        if not hub.reads_directly:
+        daemon = hub.daemon
+        behind = daemon.now() - hub.read_at[self.feed] > OLDEST_OWN_S
+        if not hub.reads_directly and not behind:
             hub.wake_direct.wait(PEER_WAIT_S)
             return
-        daemon = hub.daemon
         sent_at = daemon.now()
         offset = hub.offsets.get(self.feed)
         if offset is None:
@@ -280,11 +297,15 @@
         hub.take_in(
             self.feed, found.records, found.changes, found.next_offset, sent_at, offset is None
         )
+        if self._is_one_of_many():
+            gevent.sleep(PAUSE_OF_MANY_S)
 
-    def _longest_pause_s(self) -> float:
+    def _is_one_of_many(self) -> bool:
         daemon = self.hub.daemon
-        many = daemon.rules.daemons >= MANY_DAEMONS and not daemon.membership.is_reader
-        return LONGEST_PAUSE_OF_MANY_S if many else LONGEST_PAUSE_S
+        return daemon.rules.daemons >= MANY_DAEMONS and not daemon.membership.is_reader
+
+    def _longest_pause_s(self) -> float:
+        return LONGEST_PAUSE_OF_MANY_S if self._is_one_of_many() else LONGEST_PAUSE_S
 
     def _failed(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.EXPIRED:
--- a/agaterail/gateway/peerturns.py
+++ b/agaterail/gateway/peerturns.py
@@ -18,6 +18,8 @@
 # was silent: the next may be as badly off, and news must not wait for a third.
 DIRECT_S = 1.0
 PROBLEMS_BEFORE_DIRECT = 2
+# With fewer readers beside a silent one, these may well be cut off with it.
+FEW_READERS = 2
 
 
 @attrs.define
@@ -25,8 +27,8 @@
     """Readers are asked in turn; free of I/O.
 
     A peer that says at once that its reading is old costs a millisecond, so the next
-    one is asked. A peer that says nothing has cost the whole wait, and the store is
-    read directly without asking another.
+    one is asked. A peer that says nothing has cost the whole wait, and where few are
+    left the store is read directly without asking another.
 
     Attributes
     ----------
@@ -61,14 +63,21 @@
         self.left_alone_until.pop(address, None)
         self.problems_in_a_row = 0
 
-    def had_none(self, address: str, silent: bool, now: float) -> bool:
-        """Take in that a peer was silent or behind; tells whether to read directly."""
+    def had_none(self, address: str, silent: bool, others: int, now: float) -> bool:
+        """Take in that a peer was silent or behind; tells whether to read directly.
+
+        Parameters
+        ----------
+        others
+            Readers beside it that may be asked.
+        """
         before = self.problems.get(address, 0)
         self.problems[address] = before + 1
         pause = min(LONGEST_LEFT_ALONE_S, LEFT_ALONE_S * 2.0**before)
         self.left_alone_until[address] = now + pause
         self.problems_in_a_row += 1
-        if silent or self.problems_in_a_row >= PROBLEMS_BEFORE_DIRECT:
+        few = silent and others < FEW_READERS
+        if few or self.problems_in_a_row >= PROBLEMS_BEFORE_DIRECT:
             self.direct_until = now + DIRECT_S
             return True
         return False
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -5,6 +5,7 @@
 import attrs
 import gevent
 
+from agaterail.gateway.controlstore import Feed
 from tests.gateway_fleet import BOUNDS, LLM, MODEL, Answer, Fleet, make_desired, read_all
 from tests.test_agaterail.test_gateway.test_front import MALFORMED
 
@@ -257,6 +258,30 @@
         fleet.wait(lambda: all(d.state.desired.version == 8 for d in others), 2.0)
 
 
+class OldLeaseReadingTest(unittest.TestCase):
+    def test_peers_of_a_reader_that_lags_in_the_lease_only_go_on_asking_it(self):
+        # One reader cannot read the lease's log. Were its answers taken for useless,
+        # all daemons would read the store themselves, and its limit of calls would
+        # turn keys' readings away. Nor must it answer at once, again and again.
+        fleet = Fleet(gateways=3)
+        self.addCleanup(fleet.stop)
+        fleet.wait(lambda: any(not d.feeds.reads_directly for d in fleet.daemons))
+        reader = next(d for d in fleet.daemons if d.membership.is_reader)
+        asker = next(d for d in fleet.daemons if not d.feeds.reads_directly)
+        follow = reader.store.follow
+        reader.store.follow = lambda feed, *rest: (
+            gevent.sleep(60.0) if feed is Feed.LEASE else follow(feed, *rest)
+        )
+        gevent.sleep(2.2)  # the read that waits at the store ends
+        lease = reader.feeds.relay.feeds[Feed.LEASE]
+        lease.failing, lease.read_at = True, float("-inf")
+        started = asker.now()
+        answer = asker.feeds._ask(str(reader.feeds.server.address))
+        self.assertNotIn(Feed.LEASE, answer.feeds)
+        self.assertEqual(asker.feeds._take_in_answer(answer, started), "")
+        self.assertGreater(asker.now() - started, 0.1)
+
+
 class OwnFaultTest(unittest.TestCase):
     def test_a_fault_of_ours_is_answered(self):
         # A decision raises. The caller gets an answer that promises nothing
