--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -273,8 +273,7 @@
         """Make one read and take in what it brings, if it is on this daemon."""
         hub = self.hub
         daemon = hub.daemon
-        behind = daemon.now() - hub.read_at[self.feed] > OLDEST_OWN_S
-        if not hub.reads_directly and not behind:
+        if not self._is_due():
             hub.wake_direct.wait(PEER_WAIT_S)
             return
         sent_at = daemon.now()
@@ -300,6 +299,13 @@
         if self._is_one_of_many():
             gevent.sleep(PAUSE_OF_MANY_S)
 
+    def _is_due(self) -> bool:
+        hub = self.hub
+        if self.feed in NEEDED_FEEDS or hub.daemon.membership.is_reader:
+            if hub.reads_directly:
+                return True
+        return hub.daemon.now() - hub.read_at[self.feed] > OLDEST_OWN_S
+
     def _is_one_of_many(self) -> bool:
         daemon = self.hub.daemon
         return daemon.rules.daemons >= MANY_DAEMONS and not daemon.membership.is_reader
