An older listing brings no target back that vanished twice

Found by the state machine of the targets' readings, once in some ten runs of it (shrunk: vanish, register, vanish; the first heard, then a listing of all, then an older listing): a target that is gone was known again until the next listing, and requests would have gone to it. A listing now renews the offsets of those that had vanished before. Test: the shrunk case fails before.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -301,9 +301,9 @@
 
     def _is_due(self) -> bool:
         hub = self.hub
-        if self.feed in NEEDED_FEEDS or hub.daemon.membership.is_reader:
-            if hub.reads_directly:
-                return True
+        for_callers = self.feed in NEEDED_FEEDS or hub.daemon.membership.is_reader
+        if for_callers and hub.reads_directly:
+            return True
         return hub.daemon.now() - hub.read_at[self.feed] > OLDEST_OWN_S
 
     def _is_one_of_many(self) -> bool:
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -62,9 +62,12 @@
     def apply_listing(self, changes: Sequence[Change], next_offset: int, now: float) -> None:
         """Take in all targets that were registered at an offset; the others vanished."""
         listed = {change.instance for change in changes if isinstance(change, TargetChanged)}
+        # Those that had vanished before are noted anew: an older listing, overtaken by
+        # this one, may still name one that vanished twice.
+        known = dict.fromkeys([*self.target_offsets, *self.book.targets])
         vanished = [
             TargetChanged(next_offset - 1, instance, None)
-            for instance in self.book.targets
+            for instance in known
             if instance not in listed
         ]
         self.apply([*changes, *vanished], now)
--- a/tests/test_agaterail/test_gateway/test_state.py
+++ b/tests/test_agaterail/test_gateway/test_state.py
@@ -91,6 +91,15 @@
         self.state.apply([registered], 0.2)
         self.assertEqual(self.book.of_service("s"), [])
 
+    def test_an_older_listing_brings_no_target_back_that_vanished_twice(self):
+        # A target vanishes, registers and vanishes again; only the first is heard of
+        # before a listing that lacks it. A listing from in between arrives late, and
+        # requests would be sent to a target that is gone.
+        self.state.apply([TargetChanged(0, "i-1", None)], 0.0)
+        self.state.apply_listing([], 3, 0.1)
+        self.state.apply_listing([TargetChanged(1, "i-1", make_entry())], 2, 0.2)
+        self.assertEqual(self.book.of_service("s"), [])
+
     def test_offsets_of_vanished_targets_are_bounded(self):
         for number in range(3000):
             name = f"i-{number}"
