--- /dev/null
+++ b/agaterail/cmd/losses.py
@@ -0,0 +1,44 @@
+"""The ``losses`` command: why requests got no whole answer in time."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from agaterail.cmd.story import read_logs
+from agaterail.losses import find_losses
+from agaterail.story import parse
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from agaterail.losses import Loss
+
+USAGE_ERROR = 2
+SECONDS_OF_AN_HOUR, SECONDS_OF_A_MINUTE = 3600, 60
+
+
+def tell(paths: Sequence[str], slot_s: int) -> int:
+    """Print the losses in logs, the largest group first; returns the exit status."""
+    if slot_s < 1:
+        print("--slot: at least one second.", file=sys.stderr)
+        return USAGE_ERROR
+    texts = read_logs(paths)
+    if texts is None:
+        return USAGE_ERROR
+    for loss in find_losses(parse(texts), slot_s):
+        print(f"{loss.count:6} {loss.cause.value:36} route={loss.route}", end="")
+        print(f" e.g. {' '.join(loss.examples)}")
+        print(f"       {_worst_slots(loss)}")
+    return 0
+
+
+def _worst_slots(loss: Loss) -> str:
+    worst = sorted(loss.by_slot.items(), key=lambda item: -item[1])[:5]
+    return ", ".join(f"{_clock(slot)} {count}" for slot, count in sorted(worst))
+
+
+def _clock(seconds: int) -> str:
+    hours, rest = divmod(seconds, SECONDS_OF_AN_HOUR)
+    minutes, left = divmod(rest, SECONDS_OF_A_MINUTE)
+    return f"{hours:02}:{minutes:02}:{left:02}"
--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -37,6 +37,7 @@
     "serve",
     "gateway",
     "story",
+    "losses",
     "check",
     "diff",
     "apply",
@@ -98,6 +99,23 @@
             return _complain(f"--around: {around!r} is no number of seconds.")
         return tell(request_id, paths, seconds)
 
+    def losses(self, *paths: str, slot: str = "2") -> int:
+        """Group the requests that got no whole answer in time by cause and route.
+
+        Reads the gateway's log files, or standard input; names the spans of time
+        with the most, and ids for ``story``.
+
+        Parameters
+        ----------
+        slot
+            Length of a span of time in whole seconds.
+        """
+        from agaterail.cmd.losses import tell
+
+        if not slot.isdigit():
+            return _complain(f"--slot: {slot!r} is no whole number of seconds.")
+        return tell(paths, int(slot))
+
     def check(self, *paths: str) -> int:
         """Check table files (TOML) by themselves; the log is not asked.
 
--- a/agaterail/cmd/story.py
+++ b/agaterail/cmd/story.py
@@ -20,15 +20,9 @@
     if not request_id:
         print("Name a request id.", file=sys.stderr)
         return USAGE_ERROR
-    texts: list[str] = []
-    for path in paths:
-        try:
-            texts += pathlib.Path(path).read_text("utf-8", "replace").splitlines()
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            return USAGE_ERROR
-    if not paths:
-        texts = sys.stdin.read().splitlines()
+    texts = read_logs(paths)
+    if texts is None:
+        return USAGE_ERROR
     found = story(parse(texts), request_id, around_s)
     if not found:
         print(f"No line names the request {request_id}.", file=sys.stderr)
@@ -36,3 +30,17 @@
     for line in found:
         print(line)
     return 0
+
+
+def read_logs(paths: Sequence[str]) -> list[str] | None:
+    """Return the lines of log files, or of standard input; None if one cannot be read."""
+    if not paths:
+        return sys.stdin.read().splitlines()
+    texts: list[str] = []
+    for path in paths:
+        try:
+            texts += pathlib.Path(path).read_text("utf-8", "replace").splitlines()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return None
+    return texts
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -226,7 +226,7 @@
         self._answered_now()
         lines = [name + b": " + value for name, value in head.headers]
         self.job.caller.send_answer(head.status, lines, b"".join(pieces))
-        self._log("Answered.", status=head.status)
+        self._log("Answered.", status=head.status, late=self._is_late())
         return None
 
     def _may_repeat(self) -> bool:
@@ -258,7 +258,7 @@
         if not self.answered:
             self._send_events(head, b"")
         self.job.caller.end_stream()
-        self._log("Stream complete.", events=self.cutter.passed)
+        self._log("Stream complete.", events=self.cutter.passed, late=self._is_late())
         return None
 
     def _send_events(self, head: AnswerHead, events: bytes) -> None:
@@ -338,6 +338,10 @@
         if head.weights_version is not None:
             self.choice.target.note_weights(self.job.inbound.model, head.weights_version)
 
+    def _is_late(self) -> bool:
+        first_s = self._first_byte_s()
+        return first_s is not None and first_s > self.job.route.objective_s
+
     def _first_byte_s(self) -> float | None:
         at = self.job.first_byte_at
         return None if at is None else round(at - self.job.inbound.received_at, 4)
--- /dev/null
+++ b/agaterail/losses.py
@@ -0,0 +1,124 @@
+"""Why requests got no whole answer in time, from the log lines of all hosts."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from agaterail.story import seconds_of_day
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from agaterail.story import Line
+
+# Queue before a prompt, as the daemon reckoned it, from which on the queue is named
+# as the cause of a late first token; half of the shortest objective in use.
+LONG_QUEUE_MS = 200.0
+# A stream that ends with less time left than this ran into its time limit.
+TIME_LIMIT_LEFT_S = 0.15
+SERVER_ERRORS_FROM = 500
+MOST_EXAMPLES = 3
+
+
+class Cause(enum.Enum):
+    """What kept a request from a whole answer in time."""
+
+    OVERLOAD = "refused, prompts would be late"
+    NO_TARGET = "refused, no usable target"
+    TARGETS_REFUSED = "refused by the targets"
+    NO_READING = "refused for want of a fresh reading"
+    OTHER_REFUSAL = "refused otherwise"
+    SILENT_TARGET = "target was silent"
+    LOST_TARGET = "target broke off"
+    TARGET_FAILURE = "target's own failure"
+    TIME_LIMIT = "cut at its time limit"
+    CUT = "cut in the middle"
+    LEFT_WAITING = "caller left before the first byte"
+    LEFT_STREAM = "caller left a stream"
+    LATE_SECOND_TRY = "late, after a failed attempt"
+    LATE_QUEUE = "late, behind other prompts"
+    LATE_ELSEWHERE = "late, not at the prompt's home"
+    LATE_HOME = "late, at the prompt's home"
+    LATE_PLAIN = "late, a plain request"
+
+
+# Kinds of error of the gateway's own answers; those that deny a request for good are
+# no loss.
+CAUSE_OF_KIND = {
+    "overloaded": Cause.OVERLOAD,
+    "no_target": Cause.NO_TARGET,
+    "target_refused": Cause.TARGETS_REFUSED,
+    "tables_unavailable": Cause.NO_READING,
+    "target_timeout": Cause.SILENT_TARGET,
+    "target_lost": Cause.LOST_TARGET,
+}
+DENIALS = frozenset({"no_route", "unauthenticated", "bad_request"})
+
+
+@attrs.define
+class Loss:
+    """Requests of one route that were lost or late for one cause.
+
+    Attributes
+    ----------
+    by_slot
+        Their number by the start of the span of time, in seconds of the day.
+    examples
+        Ids of the first ones.
+    """
+
+    cause: Cause
+    route: str
+    count: int = 0
+    by_slot: dict[int, int] = attrs.field(factory=dict)
+    examples: list[str] = attrs.field(factory=list)
+
+
+def find_losses(lines: Iterable[Line], slot_s: int) -> list[Loss]:
+    """Group the requests that got no whole answer in time, the largest group first."""
+    groups: dict[tuple[Cause, str], Loss] = {}
+    for line in lines:
+        fields = dict(line.fields)
+        cause = cause_of(line.event, fields)
+        if cause is None or not line.request:
+            continue
+        route = str(fields.get("route") or "-")
+        loss = groups.setdefault((cause, route), Loss(cause, route))
+        loss.count += 1
+        seconds = seconds_of_day(line.timestamp)
+        if seconds == seconds:
+            slot = int(seconds) // slot_s * slot_s
+            loss.by_slot[slot] = loss.by_slot.get(slot, 0) + 1
+        if len(loss.examples) < MOST_EXAMPLES:
+            loss.examples.append(line.request)
+    return sorted(groups.values(), key=lambda loss: -loss.count)
+
+
+def cause_of(event: str, fields: dict[str, Any]) -> Cause | None:
+    """Return why the request of a line was lost or late; None if it was not."""
+    if event == "Request failed.":
+        kind = str(fields.get("kind"))
+        return None if kind in DENIALS else CAUSE_OF_KIND.get(kind, Cause.OTHER_REFUSAL)
+    if event == "Stream cut.":
+        at_limit = float(fields.get("left_s", 1.0)) < TIME_LIMIT_LEFT_S
+        return Cause.TIME_LIMIT if at_limit else Cause.CUT
+    if event == "Caller left.":
+        return Cause.LEFT_STREAM if fields.get("first_byte") else Cause.LEFT_WAITING
+    if event == "Answered." and int(fields.get("status", 0)) >= SERVER_ERRORS_FROM:
+        return Cause.TARGET_FAILURE
+    if event in ("Answered.", "Stream complete.") and fields.get("late"):
+        return _cause_of_lateness(fields)
+    return None
+
+
+def _cause_of_lateness(fields: dict[str, Any]) -> Cause:
+    if int(fields.get("sends", 1)) > 1:
+        return Cause.LATE_SECOND_TRY
+    if fields.get("events") is None:
+        return Cause.LATE_PLAIN
+    if float(fields.get("queue_ms") or 0.0) >= LONG_QUEUE_MS:
+        return Cause.LATE_QUEUE
+    return Cause.LATE_ELSEWHERE if fields.get("rank") else Cause.LATE_HOME
--- a/agaterail/story.py
+++ b/agaterail/story.py
@@ -83,8 +83,8 @@
         return []
     hosts = {line.host for line in own}
     targets = {line.target for line in own} | {""}
-    start = _seconds(own[0].timestamp) - around_s
-    end = _seconds(own[-1].timestamp)
+    start = seconds_of_day(own[0].timestamp) - around_s
+    end = seconds_of_day(own[-1].timestamp)
     beliefs = [
         line
         for line in lines
@@ -92,12 +92,12 @@
         and line.host in hosts
         and line.part in BELIEF_PARTS
         and line.target in targets
-        and start <= _seconds(line.timestamp) <= end
+        and start <= seconds_of_day(line.timestamp) <= end
     ]
     return sorted([*own, *beliefs])
 
 
-def _seconds(timestamp: str) -> float:
+def seconds_of_day(timestamp: str) -> float:
     """Return the seconds of a day in a timestamp; enough to tell what is near."""
     clock = timestamp.partition("T")[2].rstrip("Z")
     try:
--- /dev/null
+++ b/tests/test_agaterail/test_losses.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import json
+import unittest
+
+from agaterail.losses import Cause, cause_of, find_losses
+from agaterail.story import parse
+
+
+def line(event, request="r1", at="09:52:20.5", **fields):
+    found = {"timestamp": f"2026-01-01T{at}Z", "host": "h", "part": "forward"}
+    return json.dumps(found | {"event": event, "request": request, "route": "a", **fields})
+
+
+class LossesTest(unittest.TestCase):
+    def test_requests_that_were_answered_in_time_are_no_loss(self):
+        for text in (
+            line("Answered.", status=200, late=False),
+            line("Stream complete.", events=9, late=False),
+            line("Request failed.", kind="no_route"),
+            line("Attempt failed.", fate="silent"),
+        ):
+            self.assertEqual(find_losses(parse([text]), 2), [])
+
+    def test_groups_name_route_time_and_examples(self):
+        texts = [
+            line("Request failed.", f"r{n}", f"09:52:2{n}.0", kind="overloaded")
+            for n in range(5)
+        ]
+        (loss,) = find_losses(parse(texts), 2)
+        self.assertEqual((loss.cause, loss.count, loss.route), (Cause.OVERLOAD, 5, "a"))
+        start = 9 * 3600 + 52 * 60 + 20
+        self.assertEqual(loss.by_slot, {start: 2, start + 2: 2, start + 4: 1})
+        self.assertEqual(loss.examples, ["r0", "r1", "r2"])
+
+    def test_the_largest_group_comes_first(self):
+        texts = [line("Request failed.", kind="target_lost")]
+        texts += [line("Stream cut.", left_s=0.01)] * 2
+        causes = [loss.cause for loss in find_losses(parse(texts), 2)]
+        self.assertEqual(causes, [Cause.TIME_LIMIT, Cause.LOST_TARGET])
+
+    def test_each_end_has_its_cause(self):
+        late = {"late": True, "events": 5}
+        for event, fields, cause in (
+            ("Stream cut.", {"left_s": 2.0}, Cause.CUT),
+            ("Caller left.", {"first_byte": False}, Cause.LEFT_WAITING),
+            ("Caller left.", {"first_byte": True}, Cause.LEFT_STREAM),
+            ("Answered.", {"status": 500, "late": False}, Cause.TARGET_FAILURE),
+            ("Answered.", {"status": 200, "late": True}, Cause.LATE_PLAIN),
+            ("Stream complete.", late | {"sends": 2}, Cause.LATE_SECOND_TRY),
+            ("Stream complete.", late | {"queue_ms": 300.0}, Cause.LATE_QUEUE),
+            ("Stream complete.", late | {"rank": 2}, Cause.LATE_ELSEWHERE),
+            ("Stream complete.", late | {"rank": 0}, Cause.LATE_HOME),
+            ("Request failed.", {"kind": "internal"}, Cause.OTHER_REFUSAL),
+        ):
+            with self.subTest(cause=cause):
+                self.assertIs(cause_of(event, fields), cause)
+
+    def test_broken_lines_are_passed_over(self):
+        self.assertEqual(find_losses(parse(["", "{", "{}", "noise"]), 2), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
