--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -14,9 +14,10 @@
 # Callers heed a hint of up to a third of the time that they have left.
 RETRY_PART = 0.3
 LONGEST_RETRY_S = 1.0
-# When most prompts are refused, a caller that comes back after 1 s meets the same
-# load. With up to 5 s for callers that have the time, a flood earned 0.02 to 0.04
-# more of the worth (4 runs).
+# A shortage of engines lasts for seconds, whatever part of the prompts is refused: a
+# caller that comes back after 1 s meets it again and is lost. With up to 5 s for
+# callers that have the time 0.0073 +- 0.0030 more of a day's worth was earned than
+# with up to 5 s times the part that is refused (25 pairs).
 LONGEST_OVERLOAD_RETRY_S = 5.0
 # Hints are spread over half of their length, so that callers who were refused
 # together do not return together.
@@ -48,7 +49,7 @@
     return wait_s >= left_s
 
 
-def retry_after_s(left_s: float, number: float, overload: float = 0.0) -> float:
+def retry_after_s(left_s: float, number: float, overloaded: bool = False) -> float:
     """Return when a refused caller should come back, in seconds.
 
     Parameters
@@ -57,9 +58,9 @@
         Seconds that the caller will still wait.
     number
         Random number from 0 to 1.
-    overload
-        Part of the prompts that are refused.
+    overloaded
+        It was refused because the engines have more prompts than they can read.
     """
-    longest = max(LONGEST_RETRY_S, overload * LONGEST_OVERLOAD_RETRY_S)
+    longest = LONGEST_OVERLOAD_RETRY_S if overloaded else LONGEST_RETRY_S
     hint = min(longest, max(0.0, left_s) * RETRY_PART)
     return hint * (1.0 - RETRY_SPREAD * number)
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -146,7 +146,7 @@
             return None
         left = self.job.answer_by - now
         reason = f"wait {shedder.mean_wait:.2f} objectives, {shedder.chance:.2f} refused"
-        hint = retry_after_s(left, random.random(), shedder.chance)
+        hint = retry_after_s(left, random.random(), overloaded=True)
         return Failure(ErrorKind.OVERLOADED, reason, hint)
 
     def _attempt(self) -> Fate | None:
