--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -5,25 +5,22 @@
 import random
 import secrets
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
 import gevent
 from gevent.pool import Group
 
 from agaterail import logs
-from agaterail.gateway import admission, keptcontroller, placement
+from agaterail.gateway import admission, cacheterms, keptcontroller, placement
 from agaterail.gateway.channels import ChannelPool
 from agaterail.gateway.demand import Demand
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.feedhub import FeedHub
-from agaterail.gateway.forwarder import Job
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.front import Front
 from agaterail.gateway.handler import RequestHandler
-from agaterail.gateway.inbound import part_key
 from agaterail.gateway.keptcontroller import KeptController
-from agaterail.gateway.keptparts import SaveQuestion
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.placement import PlacementRules
@@ -39,9 +36,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agaterail.gateway.cacheterms import CacheTerms
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.enginecontrol import EngineControl
     from agaterail.gateway.hostsettings import HostSettings
+    from agaterail.gateway.job import Job
     from agaterail.gateway.keptparts import CacheFeed
     from agaterail.gateway.placement import Choice
     from agaterail.timers import Subscription
@@ -52,7 +51,6 @@
 # the store's return.
 LAPSE_GRACE_S = 2.0
 BOOT_BYTES = 4
-LEAST_URGENT = 9
 # Age that a process assumes of weights that were named before it started.
 UNKNOWN_AGE_PART = 0.6
 HOUSEKEEPING_PERIOD_S = 0.5
@@ -197,30 +195,11 @@
             self.shedders[service] = Shedder(service, self.now())
         return self.shedders[service]
 
-    def cache_terms(self, job: Job, choice: Choice) -> dict[str, Any]:
-        """Return what the engine is told of cached parts."""
-        if not job.route.prompted:
-            return {}
-        workspace = job.workspace
-        isolated = workspace is not None and workspace.isolated
-        version = choice.weights_version
-        own = job.route.priority if workspace is None else workspace.priority
-        priority = job.route.priority if own is None else own
-        scope = "" if version is None else f"v{version}"
-        if isolated and workspace is not None:
-            scope += f".{workspace.name}"
-        terms: dict[str, Any] = {"cache_scope": scope, "weights_version": version}
-        terms["priority"] = max(0, min(LEAST_URGENT, priority))
+    def cache_terms(self, job: Job, choice: Choice) -> CacheTerms:
+        """Return what the engine is told of cached parts; may ask a peer."""
         desired = self.state.desired
-        shared = [part_key(part.name) for part in job.inbound.shared_parts]
-        if desired is not None and desired.kv_stores and shared and version is not None:
-            addresses = [spec.address for spec in desired.kv_stores]
-            address = placement.choose_by_hash(shared[-1], addresses)
-            terms["fetch_from"] = address
-            question = SaveQuestion(store=address, scope=scope, parts=shared)
-            if self.kept.should_save(question):
-                terms["save_to"] = address
-        return terms
+        stores = () if desired is None else desired.kv_stores
+        return cacheterms.cache_terms(job, choice, stores, self.kept.should_save)
 
     def _limits(self) -> CallerLimits:
         desired = self.state.desired
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -4,12 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from agaterail import logs
 from agaterail.errors import ErrorKind, Failure
 from agaterail.gateway.admission import is_hopeless, retry_after_s
-from agaterail.gateway.attempts import Attempts, Fate
+from agaterail.gateway.attempts import Fate
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.eventstream import EventCutter
 from agaterail.gateway.inbound import AttemptHead
@@ -17,9 +15,8 @@
 if TYPE_CHECKING:
     from agaterail.gateway.channel import Channel
     from agaterail.gateway.daemon import Daemon
-    from agaterail.gateway.desired import Route, Workspace
-    from agaterail.gateway.front import CallerConnection
-    from agaterail.gateway.inbound import AnswerHead, Inbound
+    from agaterail.gateway.inbound import AnswerHead
+    from agaterail.gateway.job import Job
     from agaterail.gateway.placement import Choice
     from agaterail.gateway.shedding import Waiting
 
@@ -39,28 +36,6 @@
 OK_STATUSES = range(200, 300)
 
 
-@attrs.define(kw_only=True)
-class Job:
-    """One request with all that was decided before it is sent.
-
-    Attributes
-    ----------
-    answer_by
-        Time at which the last byte of the answer is due.
-    """
-
-    inbound: Inbound
-    route: Route
-    service: str
-    workspace: Workspace | None
-    answer_by: float
-    caller: CallerConnection
-    attempts: Attempts
-    first_byte_at: float | None = None
-    target: str = ""
-    cut: bool = False
-
-
 class Forwarder:
     """The attempts of one request, one after the other."""
 
@@ -297,12 +272,17 @@
         last_event = job.inbound.last_event
         if self.cutter.last_id is not None:
             last_event = str(self.cutter.last_id)
+        terms = self.daemon.cache_terms(job, choice)
         head = AttemptHead(
             time_left_s=max(0.001, left - WAY_BACK_S),
             instance=choice.target.instance,
             workspace="" if job.workspace is None else job.workspace.name,
             last_event=last_event,
-            **self.daemon.cache_terms(job, choice),
+            weights_version=terms.weights_version,
+            cache_scope=terms.cache_scope,
+            fetch_from=terms.fetch_from,
+            save_to=terms.save_to,
+            priority=terms.priority,
         )
         return self.daemon.encode(job.inbound, head), job.inbound.body
 
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -12,7 +12,8 @@
 from agaterail.gateway.admission import retry_after_s
 from agaterail.gateway.attempts import Attempts
 from agaterail.gateway.desired import pick_service
-from agaterail.gateway.forwarder import Forwarder, Job
+from agaterail.gateway.forwarder import Forwarder
+from agaterail.gateway.job import Job
 from agaterail.platform import requests
 
 if TYPE_CHECKING:
