--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -133,6 +133,8 @@
         entry = self.lease.release(now)
         if entry is None or at is None:
             return
+        # The next giver of orders may have started since: this record is all it reads.
+        entry = attrs.evolve(entry, load_s=self.load_time.known_s)
         answer = self.daemon.store.append_lease(entry, at)
         logger.info("Lease released.", at=at, done=isinstance(answer, Success))
 
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -90,6 +90,20 @@
             self.assertFalse(should_have_loaded(target, DRAIN_S + 0.3))
             self.assertTrue(should_have_loaded(target, DRAIN_S + 0.6))
 
+    def test_the_record_of_a_release_says_so_too(self):
+        # All hosts are stopped and started in turn. A giver of orders that starts
+        # reads the newest record only, which is the release of the former one.
+        records = []
+        daemon = make_daemon([])
+        daemon.store = SimpleNamespace(
+            append_lease=lambda entry, at: records.append(entry) or Success(at)
+        )
+        controller = WeightsController(daemon)
+        controller.lease.end, controller.lease.fencing = 4, 3
+        controller.load_time.note(0.5)
+        controller.release()
+        self.assertEqual([entry.load_s for entry in records], [0.5])
+
 
 class FakeEngines:
     """Engines that load in a given time; they tell when asked."""
