--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -118,7 +118,7 @@
 
     def on_lease(self, newest: LeaseEntry | None, end: int, now: float) -> None:
         """Take in the newest record that a read of the lease's log brought."""
-        if newest is not None and newest.host != self.lease.host and newest.load_s:
+        if newest is not None and newest.boot != self.lease.boot and newest.load_s:
             self.load_time.adopt(newest.load_s)
         if newest is not None or not self.looked:
             self.lease.observe(newest, end, now)
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -90,6 +90,12 @@
             self.assertFalse(should_have_loaded(target, DRAIN_S + 0.3))
             self.assertTrue(should_have_loaded(target, DRAIN_S + 0.6))
 
+    def test_a_host_that_restarts_reads_what_it_measured_before(self):
+        # All processes are killed; the same host gives the orders again.
+        controller = WeightsController(make_daemon([]))
+        controller.on_lease(LeaseEntry("here", "b0", load_s=0.4), 1, 0.0)
+        self.assertEqual(controller.load_time.known_s, 0.4)
+
     def test_the_record_of_a_release_says_so_too(self):
         # All hosts are stopped and started in turn. A giver of orders that starts
         # reads the newest record only, which is the release of the former one.
