--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -273,6 +273,7 @@
         if self.cutter.last_id is not None:
             last_event = str(self.cutter.last_id)
         terms = self.daemon.cache_terms(job, choice)
+        job.saves = bool(terms.save_to)
         head = AttemptHead(
             time_left_s=max(0.001, left - WAY_BACK_S),
             instance=choice.target.instance,
@@ -343,5 +344,6 @@
             rank=None if choice is None else choice.rank,
             candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
+            saves=self.job.saves,
             **fields,
         )
--- a/agaterail/gateway/job.py
+++ b/agaterail/gateway/job.py
@@ -21,6 +21,8 @@
     ----------
     answer_by
         Time at which the last byte of the answer is due.
+    saves
+        The engine that has it was told to save its prompt.
     """
 
     inbound: Inbound
@@ -33,3 +35,4 @@
     first_byte_at: float | None = None
     target: str = ""
     cut: bool = False
+    saves: bool = False
