--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -27,7 +27,7 @@
     """What kept a request from a whole answer in time."""
 
     OVERLOAD = "refused, prompts would be late"
-    NO_TARGET = "refused, no usable target"
+    NO_USABLE_TARGET = "refused, no usable target"
     TARGETS_REFUSED = "refused by the targets"
     NO_READING = "refused for want of a fresh reading"
     OTHER_REFUSAL = "refused otherwise"
@@ -49,7 +49,7 @@
 # no loss.
 CAUSE_OF_KIND = {
     "overloaded": Cause.OVERLOAD,
-    "no_target": Cause.NO_TARGET,
+    "no_target": Cause.NO_USABLE_TARGET,
     "target_refused": Cause.TARGETS_REFUSED,
     "tables_unavailable": Cause.NO_READING,
     "target_timeout": Cause.SILENT_TARGET,
