Say how large a desired state was, how it came and how long it took

Logs could not tell apart whether a late desired state waited at the reader, on its way or in decoding. In force, a line now names size, source, time of the question, time of decoding and seconds since the first daemon had it; a reader says what passing on cost and when a read ended short of the store's end. A histogram counts from the first daemon that read it to being in force here.

--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -27,10 +27,20 @@
 
 @attrs.frozen
 class DesiredPublished:
-    """Operators published a desired state."""
+    """Operators published a desired state.
+
+    Attributes
+    ----------
+    size
+        Bytes of the record.
+    decode_s
+        Seconds that decoding it took.
+    """
 
     offset: int
     state: DesiredState
+    size: int = 0
+    decode_s: float = 0.0
 
 
 @attrs.frozen
@@ -97,11 +107,42 @@
 
 @attrs.frozen
 class FeedSlice:
-    """Records of a feed, what they say, and the offset to read on from."""
+    """Records of a feed, what they say, and the offset to read on from.
+
+    Attributes
+    ----------
+    end
+        Offset at which the store said that the feed ends; the slice lacks the records
+        from its next offset up to there.
+    """
 
     records: Sequence[FeedRecord]
     changes: Sequence[Change]
     next_offset: int
+    end: int = 0
+
+
+@attrs.frozen
+class Arrival:
+    """How records came to this daemon.
+
+    Attributes
+    ----------
+    source
+        The store, or the address of the peer that passed them on.
+    took_s
+        Seconds from the sending of the question to its whole answer.
+    known_at
+        Time, by the own clock, since which some daemon is known to have had the
+        newest of them.
+    """
+
+    source: str
+    took_s: float
+    known_at: float
+
+
+STORE = "store"
 
 
 @attrs.frozen
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -4,13 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import gevent
 import gevent.event
 from returns.result import Success
 
 from agaterail import logs
 from agaterail.gateway import peerfeed
-from agaterail.gateway.controlstore import Feed, LeaseChanged, StoreErrorKind
+from agaterail.gateway.controlstore import (
+    STORE,
+    Arrival,
+    DesiredPublished,
+    Feed,
+    LeaseChanged,
+    StoreErrorKind,
+)
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.front import Front
 from agaterail.gateway.peerturns import PeerTurns
@@ -64,6 +72,30 @@
 # in which registrations may have lapsed.
 OUTAGE_S = 3.5
 OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
+MS_PER_S = 1e3
+
+
+@attrs.define
+class PassedOn:
+    """What answering peers cost.
+
+    Attributes
+    ----------
+    size, largest
+        Bytes of all answers and of the largest.
+    """
+
+    answers: int = 0
+    size: int = 0
+    largest: int = 0
+    encode_s: float = 0.0
+
+    def add(self, size: int, encode_s: float) -> None:
+        """Count an answer."""
+        self.answers += 1
+        self.size += size
+        self.largest = max(self.largest, size)
+        self.encode_s += encode_s
 
 
 class FeedHub:
@@ -83,6 +115,7 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
         self.relay = Relay()
+        self.passed_on = PassedOn()
         self.offsets: dict[Feed, int] = {}
         self.read_at = dict.fromkeys(Feed, NEVER)
         self.news = gevent.event.Event()
@@ -126,15 +159,18 @@
         changes: Sequence[Change],
         next_offset: int,
         read_at: float,
+        arrival: Arrival,
         listed: bool = False,
     ) -> None:
         """Take in what a read brought, from the store or a peer."""
         now = self.daemon.now()
+        if feed is Feed.OPERATORS and records:
+            self._note_passed_on()
         at_start = feed not in self.offsets and self.read_at[feed] == NEVER
         if feed is Feed.TARGETS and not at_start and read_at - self.read_at[feed] > OUTAGE_S:
             self.daemon.book.store_returned(now)
         self.offsets[feed] = max(next_offset, self.offsets.get(feed, next_offset))
-        self.relay.feeds[feed].take_in(records, next_offset, read_at, listed)
+        self.relay.feeds[feed].take_in(records, next_offset, read_at, listed, arrival.known_at)
         self.read_at[feed] = max(self.read_at[feed], read_at)
         if feed is Feed.OPERATORS:
             self.daemon.freshness.confirm(read_at)
@@ -143,7 +179,8 @@
         elif feed is Feed.TARGETS and listed:
             self.daemon.state.apply_listing(changes, next_offset, now)
         else:
-            self.daemon.state.apply(changes, now, at_start)
+            self.daemon.state.apply(changes, now, at_start, arrival)
+            self._count_lateness(changes, arrival)
         if records:
             self.news.set()
             self.news.clear()
@@ -168,9 +205,31 @@
 
     def _answer_news(self, query: bytes) -> bytes:
         offsets, wait_s = peerfeed.decode_question(query)
+        came_at = self.daemon.now()
         if not self.relay.has_news(offsets) and not self._is_stale():
             self.news.wait(min(wait_s, PEER_WAIT_S))
-        return peerfeed.encode_answer(self.relay, offsets, self.readers, self.daemon.now())
+        now = self.daemon.now()
+        body = peerfeed.encode_answer(self.relay, offsets, self.readers, now, now - came_at)
+        self.passed_on.add(len(body), self.daemon.now() - now)
+        return body
+
+    def _note_passed_on(self) -> None:
+        """Say what passing on cost while the former desired state was the newest."""
+        passed_on, self.passed_on = self.passed_on, PassedOn()
+        if passed_on.answers:
+            logger.info(
+                "News passed on.",
+                answers=passed_on.answers,
+                size=passed_on.size,
+                largest=passed_on.largest,
+                encode_ms=round(passed_on.encode_s * MS_PER_S, 1),
+            )
+
+    def _count_lateness(self, changes: Sequence[Change], arrival: Arrival) -> None:
+        """Count how long after the first daemon this one has a desired state in force."""
+        if any(isinstance(change, DesiredPublished) for change in changes):
+            late_s = max(0.0, self.daemon.now() - arrival.known_at)
+            self.daemon.metrics.in_force.observe(late_s)
 
     def _take_in_lease(self, changes: Sequence[Change], now: float) -> None:
         entries = [change.entry for change in changes if isinstance(change, LeaseChanged)]
@@ -196,7 +255,11 @@
         address = self.turns.pick(self._sound_peers())
         asked_at = self.daemon.now()
         answer = self._ask(address)
-        problem = answer if isinstance(answer, str) else self._take_in_answer(answer, asked_at)
+        problem = (
+            answer
+            if isinstance(answer, str)
+            else self._take_in_answer(address, answer, asked_at)
+        )
         if not problem:
             self.turns.had_news(address)
             return
@@ -221,7 +284,8 @@
         decoded = peerfeed.decode_answer(body)
         return decoded.unwrap() if isinstance(decoded, Success) else str(decoded.failure())
 
-    def _take_in_answer(self, answer: PeerAnswer, asked_at: float) -> str:
+    def _take_in_answer(self, address: str, answer: PeerAnswer, asked_at: float) -> str:
+        answered_at = self.daemon.now()
         if answer.readers:
             self.readers = answer.readers
         problem = ""
@@ -232,16 +296,21 @@
                 if matters:
                     problem = f"no {feed.value} from offset {self.offsets[feed]}"
                 continue
-            self._take_in_news(feed, news, asked_at)
+            known_at = asked_at + answer.waited_s - news.known_s
+            arrival = Arrival(address, answered_at - asked_at, known_at)
+            self._take_in_news(feed, news, asked_at, arrival)
             if matters and news.age_s > _oldest_s(feed):
                 problem = f"its reading of {feed.value} is {news.age_s} s old"
         return problem
 
-    def _take_in_news(self, feed: Feed, news: FeedNews, asked_at: float) -> None:
+    def _take_in_news(
+        self, feed: Feed, news: FeedNews, asked_at: float, arrival: Arrival
+    ) -> None:
         # The peer answered after the question was sent, and its reading was no
         # older then than it says. No clocks are compared.
         changes = self.daemon.store.decode(feed, news.records)
-        self.take_in(feed, news.records, changes, news.next_offset, asked_at - news.age_s)
+        read_at = asked_at - news.age_s
+        self.take_in(feed, news.records, changes, news.next_offset, read_at, arrival)
 
 
 def _oldest_s(feed: Feed) -> float:
@@ -281,8 +350,22 @@
             if self.feed is Feed.TARGETS:
                 daemon.book.store_returned(daemon.now())
         found = answer.unwrap()
+        now = daemon.now()
+        if found.end > found.next_offset:
+            logger.info(
+                "Behind the store.",
+                feed=self.feed.value,
+                next=found.next_offset,
+                end=found.end,
+            )
         hub.take_in(
-            self.feed, found.records, found.changes, found.next_offset, sent_at, offset is None
+            self.feed,
+            found.records,
+            found.changes,
+            found.next_offset,
+            sent_at,
+            Arrival(STORE, now - sent_at, now),
+            listed=offset is None,
         )
         if self._is_one_of_many():
             gevent.sleep(PAUSE_OF_MANY_S)
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -58,6 +58,12 @@
             buckets=BUCKETS_S,
             registry=registry,
         )
+        self.in_force = Histogram(
+            f"{PREFIX}_desired_in_force_seconds",
+            "From the first daemon that read a desired state to its being in force here.",
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
         self.gauges = {
             name: Gauge(f"{PREFIX}_{name}", text, registry=registry)
             for name, text in (
--- a/agaterail/gateway/peerfeed.py
+++ b/agaterail/gateway/peerfeed.py
@@ -15,6 +15,8 @@
     from agaterail.gateway.relay import Relay
 
 PATH = b"/feeds"
+# A record that has been known for longer was there before anybody's start.
+LONGEST_KNOWN_S = 3600.0
 
 
 @attrs.frozen
@@ -25,9 +27,12 @@
     ----------
     age_s
         Age of the peer's own reading when it answered.
+    known_s
+        Seconds since which some daemon has had the newest record.
     """
 
     age_s: float
+    known_s: float
     next_offset: int
     records: tuple[FeedRecord, ...]
 
@@ -42,10 +47,13 @@
         News by feed; a feed is missing if the peer cannot continue the offset.
     readers
         Addresses of the daemons that read the store, as the peer knows them.
+    waited_s
+        Seconds for which the peer kept the question waiting for news.
     """
 
     feeds: dict[Feed, FeedNews]
     readers: tuple[str, ...]
+    waited_s: float = 0.0
 
 
 def encode_question(offsets: dict[Feed, int], wait_s: float) -> str:
@@ -68,7 +76,11 @@
 
 
 def encode_answer(
-    relay: Relay, offsets: dict[Feed, int], readers: tuple[str, ...], now: float
+    relay: Relay,
+    offsets: dict[Feed, int],
+    readers: tuple[str, ...],
+    now: float,
+    waited_s: float = 0.0,
 ) -> bytes:
     """Return the body of an answer."""
     feeds: dict[str, Any] = {}
@@ -79,13 +91,15 @@
             continue
         feeds[feed.value] = {
             "age_s": round(now - kept.read_at, 4),
+            "known_s": round(min(LONGEST_KNOWN_S, now - kept.known_at), 4),
             "next": kept.next_offset,
             "records": [
                 [item.offset, item.key, base64.b64encode(item.value).decode()]
                 for item in records
             ],
         }
-    return json.dumps({"feeds": feeds, "readers": readers}, separators=(",", ":")).encode()
+    answer = {"feeds": feeds, "readers": readers, "waited_s": round(waited_s, 4)}
+    return json.dumps(answer, separators=(",", ":")).encode()
 
 
 def decode_answer(body: bytes) -> Result[PeerAnswer, str]:
@@ -93,7 +107,8 @@
     try:
         found = json.loads(body)
         feeds = {Feed(name): _decode_news(news) for name, news in found["feeds"].items()}
-        return Success(PeerAnswer(feeds, tuple(found["readers"])))
+        waited_s = float(found["waited_s"])
+        return Success(PeerAnswer(feeds, tuple(found["readers"]), waited_s))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
@@ -103,4 +118,4 @@
         FeedRecord(int(offset), str(key), base64.b64decode(value))
         for offset, key, value in news["records"]
     )
-    return FeedNews(float(news["age_s"]), int(news["next"]), records)
+    return FeedNews(float(news["age_s"]), float(news["known_s"]), int(news["next"]), records)
--- a/agaterail/gateway/relay.py
+++ b/agaterail/gateway/relay.py
@@ -32,6 +32,8 @@
         Time at which the newest answered read of the store was sent.
     failing
         The last read of the store failed: peers should ask elsewhere.
+    known_at
+        Time since which some daemon is known to have had the newest record.
     """
 
     first: int | None = None
@@ -39,9 +41,15 @@
     read_at: float = NEVER
     records: deque[FeedRecord] = attrs.field(factory=deque)
     failing: bool = False
+    known_at: float = NEVER
 
     def take_in(
-        self, records: Sequence[FeedRecord], next_offset: int, read_at: float, listed: bool
+        self,
+        records: Sequence[FeedRecord],
+        next_offset: int,
+        read_at: float,
+        listed: bool,
+        known_at: float = NEVER,
     ) -> None:
         """Take in what a read brought; a listing begins anew.
 
@@ -62,6 +70,7 @@
             while len(self.records) > KEPT_RECORDS:
                 self.first = self.records.popleft().offset + 1
         self.next_offset = next_offset
+        self.known_at = known_at
 
     def since(self, offset: int) -> list[FeedRecord] | None:
         """Return the records from an offset on; None if not all are kept."""
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -12,13 +12,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from agaterail.gateway.controlstore import Change
+    from agaterail.gateway.controlstore import Arrival, Change
     from agaterail.gateway.desired import DesiredState
     from agaterail.gateway.freshness import Freshness
 
 logger = logs.get_logger("state")
 
 
+MS_PER_S = 1e3
 # Vanished targets whose offset is remembered. A read is overtaken by seconds; in
 # that time far fewer targets vanish.
 KEPT_VANISHED = 1024
@@ -43,17 +44,25 @@
         # read that was overtaken by a peer's answer brought dead targets back.
         self.target_offsets: dict[str, int] = {}
 
-    def apply(self, changes: Iterable[Change], now: float, at_start: bool = False) -> None:
+    def apply(
+        self,
+        changes: Iterable[Change],
+        now: float,
+        at_start: bool = False,
+        arrival: Arrival | None = None,
+    ) -> None:
         """Take in changes in the order of their offsets.
 
         Parameters
         ----------
         at_start
             They were made at some time before this process first read.
+        arrival
+            How they came, for the log.
         """
         for change in changes:
             if isinstance(change, DesiredPublished):
-                self._apply_desired(change, now)
+                self._apply_desired(change, now, arrival)
             elif isinstance(change, WeightsNamed):
                 self._apply_weights(change, now, at_start)
             elif isinstance(change, TargetChanged):
@@ -72,7 +81,9 @@
         ]
         self.apply([*changes, *vanished], now)
 
-    def _apply_desired(self, change: DesiredPublished, now: float) -> None:
+    def _apply_desired(
+        self, change: DesiredPublished, now: float, arrival: Arrival | None
+    ) -> None:
         if self.desired is not None and change.state.version <= self.desired.version:
             return
         former = self.desired
@@ -85,6 +96,11 @@
             reading_age_s=self.freshness.age_s(now),
             routes=len(change.state.routes),
             keys=len(change.state.workspace_by_key),
+            size=change.size,
+            source=None if arrival is None else arrival.source,
+            took_ms=None if arrival is None else round(arrival.took_s * MS_PER_S, 1),
+            decode_ms=round(change.decode_s * MS_PER_S, 1),
+            known_s=None if arrival is None else round(now - arrival.known_at, 3),
         )
 
     def _apply_weights(self, change: WeightsNamed, now: float, at_start: bool) -> None:
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 import json
 import struct
+import time
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -100,7 +101,8 @@
             except ValueError as error:
                 return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
             if not more:
-                return Success(FeedSlice(records, self.decode(feed, records), next_offset))
+                changes = self.decode(feed, records)
+                return Success(FeedSlice(records, changes, next_offset, next_offset))
             after = records[-1].key
 
     def follow(self, feed: Feed, offset: int, wait_s: float) -> Result[FeedSlice, StoreError]:
@@ -108,9 +110,9 @@
         read = self._read(TOPIC_OF[feed], offset, wait_s)
         if not isinstance(read, Success):
             return Failure(read.failure())
-        next_offset, raw = read.unwrap()
+        next_offset, raw, end = read.unwrap()
         records = _records(feed, raw)
-        return Success(FeedSlice(records, self.decode(feed, records), next_offset))
+        return Success(FeedSlice(records, self.decode(feed, records), next_offset, end))
 
     def decode(self, feed: Feed, records: Sequence[FeedRecord]) -> list[Change]:
         """Return what records say; those that cannot be read are left out."""
@@ -197,10 +199,10 @@
         while True:
             read = self._read(TOPIC_OF[feed], offset, 0.0)
             if isinstance(read, Success):
-                next_offset, raw = read.unwrap()
+                next_offset, raw, end = read.unwrap()
                 if not raw:
                     changes = self.decode(feed, records)
-                    return Success(FeedSlice(records, changes, next_offset))
+                    return Success(FeedSlice(records, changes, next_offset, end))
                 records.extend(_records(feed, raw))
                 offset = next_offset
                 continue
@@ -213,7 +215,7 @@
 
     def _read(
         self, topic: str, offset: int, wait_s: float
-    ) -> Result[tuple[int, list[tuple[int, bytes]]], StoreError]:
+    ) -> Result[tuple[int, list[tuple[int, bytes]], int], StoreError]:
         query = {"topic": topic, "part": PART, "from": offset, "wait_ms": int(wait_s * 1e3)}
         answer = self._call("GET", names.LOG_READ_PATH, query, wait_s=wait_s)
         if not isinstance(answer, Success):
@@ -224,7 +226,8 @@
         raw = _split(body[ENDS.size :], offset)
         if raw is None:
             return Failure(StoreError(StoreErrorKind.MALFORMED, "a cut record"))
-        return Success((offset + len(raw), raw))
+        end, _first = ENDS.unpack_from(body)
+        return Success((offset + len(raw), raw, end))
 
     def _call_json(
         self, method: str, path: str, query: dict[str, Any] | None, body: bytes = b""
@@ -333,9 +336,11 @@
     if not record.value:
         return None
     if record.key == names.CONFIG_KEY:
+        began = time.perf_counter()
         desired = decode_desired(record.value)
         if isinstance(desired, Success):
-            return DesiredPublished(record.offset, desired.unwrap())
+            took_s = time.perf_counter() - began
+            return DesiredPublished(record.offset, desired.unwrap(), len(record.value), took_s)
         _left_out(record, desired.failure())
         return None
     if not record.key.startswith(names.VERSION_KEY_PREFIX):
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -278,7 +278,7 @@
         started = asker.now()
         answer = asker.feeds._ask(str(reader.feeds.server.address))
         self.assertNotIn(Feed.LEASE, answer.feeds)
-        self.assertEqual(asker.feeds._take_in_answer(answer, started), "")
+        self.assertEqual(asker.feeds._take_in_answer("peer", answer, started), "")
         self.assertGreater(asker.now() - started, 0.1)
 
 
--- a/tests/test_agaterail/test_gateway/test_relay.py
+++ b/tests/test_agaterail/test_gateway/test_relay.py
@@ -96,13 +96,13 @@
         question = encode_question({Feed.TARGETS: 4, Feed.LEASE: 2}, 0.6)
         offsets, wait_s = decode_question(question.partition("?")[2].encode())
         self.assertEqual((offsets, wait_s), ({Feed.TARGETS: 4, Feed.LEASE: 2}, 0.6))
-        body = encode_answer(relay, offsets, ("1.2.3.4:5",), now=10.0)
+        body = encode_answer(relay, offsets, ("1.2.3.4:5",), now=10.0, waited_s=0.25)
         answer = decode_answer(body).unwrap()
         news = answer.feeds[Feed.TARGETS]
         self.assertEqual(news.records, (record(4),))
         self.assertEqual((news.age_s, news.next_offset), (0.5, 5))
         self.assertNotIn(Feed.LEASE, answer.feeds)
-        self.assertEqual(answer.readers, ("1.2.3.4:5",))
+        self.assertEqual((answer.readers, answer.waited_s), (("1.2.3.4:5",), 0.25))
 
     def test_rubbish_is_no_answer(self):
         for body in (b"", b"[]", b'{"feeds": 1}', b'{"feeds": {"x": {}}, "readers": []}'):
