A read that was cut by its size is no reading of the log's end

Callers: a revoked key is accepted and an added route is denied, by hosts that count their reading as fresh. Cause: the store bounds an answer (1 MB) and names the end of the log in it; the client dropped that end, and the time of the read was confirmed as if nothing more had been written. Holds because the end is the store's own, of the moment of the answer: whatever was acknowledged before the read was sent lies below it.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -162,7 +162,14 @@
         arrival: Arrival,
         listed: bool = False,
     ) -> None:
-        """Take in what a read brought, from the store or a peer."""
+        """Take in what a read brought, from the store or a peer.
+
+        Parameters
+        ----------
+        read_at
+            Time since which the feed is known to its end; ``NEVER`` if the read ended
+            short of it.
+        """
         now = self.daemon.now()
         if feed is Feed.OPERATORS and records:
             self._note_passed_on()
@@ -172,7 +179,7 @@
         self.offsets[feed] = max(next_offset, self.offsets.get(feed, next_offset))
         self.relay.feeds[feed].take_in(records, next_offset, read_at, listed, arrival.known_at)
         self.read_at[feed] = max(self.read_at[feed], read_at)
-        if feed is Feed.OPERATORS:
+        if feed is Feed.OPERATORS and read_at != NEVER:
             self.daemon.freshness.confirm(read_at)
         if feed is Feed.LEASE:
             self._take_in_lease(changes, now)
@@ -351,7 +358,8 @@
                 daemon.book.store_returned(daemon.now())
         found = answer.unwrap()
         now = daemon.now()
-        if found.end > found.next_offset:
+        behind = found.end > found.next_offset
+        if behind:
             logger.info(
                 "Behind the store.",
                 feed=self.feed.value,
@@ -363,7 +371,9 @@
             found.records,
             found.changes,
             found.next_offset,
-            sent_at,
+            # An answer is bounded in size. Taken for the end of the feed, one that was
+            # cut had revoked keys accepted and added routes denied as if it were news.
+            NEVER if behind else sent_at,
             Arrival(STORE, now - sent_at, now),
             listed=offset is None,
         )
