Readers of the store ask each other for news too

Callers: as before, at the hosts that ask a reader with a slow link or a busy processor. Cause: a reader knew only what it had read itself; on links of 5 and 100 Mbit/s one reader has a record of 0.56 MB in 0.05 s and another in 1.2 s, and the askers of the second waited for that. Now the news of the fastest is the news of all, for 1.6 short questions a second and reader.

The test of the silent reader asserted that a deaf reader does not learn of a change, which showed that it was deaf. It now asserts more: the deaf one learns it in the same time as all others. Failed before, passes.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -266,10 +266,15 @@
         return self.turns.sound(self.readers, str(self.server.address), self.daemon.now())
 
     def _ask_step(self) -> None:
-        if self.reads_directly:
+        sound = self._sound_peers()
+        # Readers ask each other too: a version takes a second to reach a reader with a
+        # slow link or a slow processor, and its askers waited for that while another
+        # reader had it.
+        is_reader = self.daemon.membership.is_reader and len(self.offsets) == len(Feed)
+        if not sound or (self.reads_directly and not is_reader):
             gevent.sleep(PEER_WAIT_S)
             return
-        address = self.turns.pick(self._sound_peers())
+        address = self.turns.pick(sound)
         asked_at = self.daemon.now()
         answer = self._ask(address)
         problem = (
@@ -282,7 +287,7 @@
             return
         logger.info("Peer gave no news.", peer=address, reason=problem)
         now, left = self.daemon.now(), len(self._sound_peers())
-        if self.turns.had_none(address, left - 1, now):
+        if self.turns.had_none(address, left - 1, now) and not is_reader:
             self.daemon.membership.misled = True
             self.wake_direct.set()
             self.wake_direct.clear()
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -231,19 +231,16 @@
     def test_a_reader_that_hears_nothing_of_the_store_keeps_nobody_from_news(self):
         # One reader's channel to the store goes silent, unnoticed for two
         # seconds. An engine leaves meanwhile; requests sent to it later than the
-        # drain bound would be lost. The other reader has the news.
+        # drain bound would be lost. The other reader has the news, also for the first.
         fleet = Fleet(gateways=4)
         self.addCleanup(fleet.stop)
         fleet.wait(lambda: sum(not d.feeds.reads_directly for d in fleet.daemons) >= 2)
         readers = [d for d in fleet.daemons if d.membership.is_reader]
-        others = [d for d in fleet.daemons if not d.membership.is_reader]
         self.assertEqual(len(readers), 2)
-        deaf = readers[0]
-        deaf.store.follow = lambda *_: gevent.sleep(60.0)
+        readers[0].store.follow = lambda *_: gevent.sleep(60.0)
         gevent.sleep(1.0)
         fleet.publish(make_desired(7))
-        fleet.wait(lambda: all(d.state.desired.version == 7 for d in others), 1.5)
-        self.assertNotEqual(deaf.state.desired.version, 7)
+        fleet.wait(lambda: all(d.state.desired.version == 7 for d in fleet.daemons), 1.5)
 
     def test_two_readers_that_hear_nothing_keep_nobody_from_news_for_long(self):
         # Both readers are cut off from the store at the same moment, without a
