Heads of large answers between daemons go before their bodies

Callers: an added route is served late at hosts whose reader has a slow link. Cause: a reader answers all its askers at once; 24 KB take 38 ms on a link of 5 Mbit/s, so that the tenth hears nothing for 0.35 s, gives up and queues at the next reader, which has the same work, and then at the store. Class: retries that multiply the load that made them. The heads, which are small, now go first, so that all know that their answer comes; each further wait for bytes is bounded as before.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -77,6 +77,8 @@
 OUTAGE_S = 3.5
 OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
 MS_PER_S = 1e3
+# Answers that fill more than a few packets.
+LARGE_BYTES = 4096
 
 
 @attrs.define
@@ -218,7 +220,8 @@
         except ValueError:
             caller.send_answer(BAD_REQUEST, [], b"")
             return
-        caller.send_answer(OK, [], body)
+        send = caller.send_answer if len(body) < LARGE_BYTES else caller.send_large_answer
+        send(OK, [], body)
 
     def _answer_news(self, query: bytes) -> bytes:
         question = peerfeed.decode_question(query)
--- a/agaterail/gateway/front.py
+++ b/agaterail/gateway/front.py
@@ -196,19 +196,25 @@
 
     def send_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
         """Send a whole answer."""
-        head = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status")), *lines]
-        head.append(b"Content-Length: %d" % len(body))
-        self._add_connection(head)
-        self._send(b"\r\n".join(head) + b"\r\n\r\n" + body)
+        self._send(self._head(status, lines, b"Content-Length: %d" % len(body)) + body)
+
+    def send_large_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
+        """Send a whole answer whose body may queue behind others on the link.
+
+        Where many such answers are due at the same moment, all heads go first: whoever
+        waits for a body that is queued knows that it comes, and need not ask elsewhere,
+        which would queue it there too.
+        """
+        self._send(self._head(status, lines, b"Content-Length: %d" % len(body)))
+        gevent.sleep(0.0)
+        self._send(body)
 
     def start_stream(self, status: int, lines: Sequence[bytes], first: bytes) -> None:
         """Send the head of a streamed answer with its first bytes."""
-        head = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status")), *lines]
-        head.append(b"Transfer-Encoding: chunked")
-        self._add_connection(head)
+        head = self._head(status, lines, b"Transfer-Encoding: chunked")
         self.streaming = True
         chunk = b"%x\r\n%b\r\n" % (len(first), first) if first else b""
-        self._send(b"\r\n".join(head) + b"\r\n\r\n" + chunk)
+        self._send(head + chunk)
 
     def send_chunk(self, data: bytes) -> None:
         """Send the next bytes of a stream."""
@@ -294,11 +300,13 @@
             while self.sock.recv(READ_BYTES):
                 pass
 
-    def _add_connection(self, head: list[bytes]) -> None:
+    def _head(self, status: int, lines: Sequence[bytes], framing: bytes) -> bytes:
         if self.front.stopping:
             self.keep = False
+        head = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status")), *lines, framing]
         if not self.keep:
             head.append(b"Connection: close")
+        return b"\r\n".join([*head, b"", b""])
 
     def _send(self, data: bytes) -> None:
         self.sock.settimeout(SEND_TIMEOUT_S)
--- a/tests/test_agaterail/test_gateway/test_front.py
+++ b/tests/test_agaterail/test_gateway/test_front.py
@@ -4,6 +4,7 @@
 import unittest
 
 import gevent
+import gevent.event
 
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.front import Front
@@ -163,6 +164,32 @@
         self.assertTrue(answer.endswith(b"0\r\n\r\n"))
         self.assertNotIn(b"Connection: close", answer)
 
+    def test_heads_of_large_answers_go_before_their_bodies(self):
+        # Routes that were added are served late: a reader has news for all its askers
+        # at once, which take its link a second; whoever hears nothing for 0.35 s asks
+        # the next reader, where it queues again. Evidence: 55 of 64 questions to one
+        # reader timed out in a second in which it sent thirty answers of 24 KB.
+        sent, due = [], gevent.event.Event()
+
+        def handle(_inbound, caller):
+            due.wait()
+            send = caller._send
+            caller._send = lambda data: (sent.append(data), send(data))
+            caller.send_large_answer(200, [], b"x" * 9000)
+
+        self.front.handle = handle
+        socks = [self.connect() for _ in range(3)]
+        for sock in socks:
+            sock.sendall(b"GET /news HTTP/1.1\r\nHost: h\r\n\r\n")
+        gevent.sleep(0.1)
+        due.set()
+        for sock in socks:
+            data = b""
+            while len(data) < 9000:
+                data += sock.recv(65536)
+            self.assertTrue(data.endswith(b"\r\n\r\n" + b"x" * 9000))
+        self.assertEqual([data[:4] for data in sent], [b"HTTP"] * 3 + [b"xxxx"] * 3)
+
     def test_a_caller_that_cannot_be_written_to_has_left(self):
         # A caller resets its connection in the middle of a stream. The error of
         # the write must not be taken for a broken target: the stream would be
