Readers take no list of readers from each other

Two of them could keep it alive, as two former readers once did for 25 s. The test fails without the guard and passes.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -312,7 +312,9 @@
 
     def _take_in_answer(self, address: str, answer: PeerAnswer, asked_at: float) -> str:
         took_s = self.daemon.now() - asked_at
-        if answer.readers:
+        # Readers look up who reads. Two that took each other's lists would keep an old
+        # one alive, and send all that ask them to daemons that read no longer.
+        if answer.readers and not self.daemon.membership.is_reader:
             self.readers = answer.readers
         problem = ""
         for feed in Feed:
--- a/tests/test_agaterail/test_gateway/test_feedhub.py
+++ b/tests/test_agaterail/test_gateway/test_feedhub.py
@@ -65,3 +65,18 @@
         self.fleet.store.put("keyed.op", "config", make_state(5, make_rows(2800)))
         self.fleet.wait(lambda: self.daemon.state.desired.version == 5)
         self.assertGreater(heard.count(Feed.OPERATORS), 2)
+
+
+class ListOfReadersTest(unittest.TestCase):
+    def test_a_reader_takes_no_list_of_readers_from_another(self):
+        # The fleet changed; one reader has looked up who reads now, another has not.
+        # Were the old list taken over, it would go round between the two, and daemons
+        # that read no longer would be asked by all.
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        daemon = fleet.daemons[0]
+        fleet.wait(lambda: daemon.membership.is_reader)
+        found = daemon.feeds.readers
+        stale = PeerAnswer({}, ("10.0.0.8:1", "10.0.0.9:1"))
+        daemon.feeds._take_in_answer(PEER, stale, daemon.now())
+        self.assertEqual(daemon.feeds.readers, found)
