--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -100,9 +100,12 @@
         self.weights = WeightsController(self)
         self.feeds = FeedHub(self)
         self.kept = KeptController(
-            cache_feed, str(self.feeds.server.address), lambda: self.feeds.readers, self.now
+            cache_feed,
+            str(self.feeds.peer_answers.server.address),
+            lambda: self.feeds.readers,
+            self.now,
         )
-        self.feeds.answers[keptcontroller.PATH] = self.kept.answer
+        self.feeds.peer_answers.answers[keptcontroller.PATH] = self.kept.answer
         self.readiness = make_readiness(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -132,7 +135,7 @@
         """End everything at once, as the process's end would."""
         for subscription in self.subscriptions:
             subscription.cancel()
-        for server in (self.front, self.readiness, self.feeds.server):
+        for server in (self.front, self.readiness, self.feeds.peer_answers.server):
             server.close()
         self.greenlets.kill(block=False)
 
--- /dev/null
+++ b/agaterail/gateway/directfollower.py
@@ -0,0 +1,124 @@
+"""Reads of one feed of the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.gateway.controlstore import STORE, Arrival, Feed, StoreErrorKind
+from agaterail.gateway.feedtimes import DIRECT_WAITS_S, NEEDED_FEEDS, PEER_WAIT_S
+from agaterail.gateway.relayed import NEVER
+
+if TYPE_CHECKING:
+    from agaterail.gateway.controlstore import StoreError
+    from agaterail.gateway.feedhub import FeedHub
+
+logger = logs.get_logger("feeds")
+
+# Pauses between failed reads, with jitter: an outage of seconds is noticed to
+# be over within half a second, at three calls a second and daemon at most. In a
+# larger fleet those that are no readers wait longer: their calls are most of all.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_OF_MANY_S = 1.0
+MANY_DAEMONS = 16
+# A read returns with the first record, and engines write some tens of them a second:
+# without a pause a daemon that reads for a second makes ten reads.
+PAUSE_OF_MANY_S = 0.25
+# Whatever peers say of a feed, it is read once if nothing was heard of it for so long;
+# a reader that began later than this daemon cannot continue from its offset.
+OLDEST_OWN_S = 6.0
+
+
+class DirectFollower:
+    """Reads one feed of the store, one read after the other."""
+
+    def __init__(self, hub: FeedHub, feed: Feed) -> None:
+        self.hub = hub
+        self.feed = feed
+        self.failures = 0
+        self.behind = False
+
+    def step(self) -> None:
+        """Make one read and take in what it brings, if it is on this daemon."""
+        hub = self.hub
+        if not self._is_due():
+            hub.wake_direct.wait(PEER_WAIT_S)
+            return
+        daemon = hub.daemon
+        sent_at = daemon.now()
+        offset = hub.offsets.get(self.feed)
+        # Desired states follow each other faster than a link brings each of them; the
+        # newest record of each key is all that counts, and a listing has just these.
+        listed = offset is None or (self.behind and self.feed is Feed.OPERATORS)
+        if offset is None or listed:
+            answer = daemon.store.listing(self.feed)
+        else:
+            answer = daemon.store.follow(self.feed, offset, DIRECT_WAITS_S[self.feed])
+        if not isinstance(answer, Success):
+            self._failed(answer.failure())
+            return
+        hub.relay.feeds[self.feed].failing = False
+        if self.failures:
+            logger.info("Store regained.", feed=self.feed.value, failures=self.failures)
+            self.failures = 0
+            hub.asker.turns.forgive()
+            if self.feed is Feed.TARGETS:
+                daemon.book.store_returned(daemon.now())
+        found = answer.unwrap()
+        now = daemon.now()
+        self.behind = found.end > found.next_offset
+        if self.behind:
+            logger.info(
+                "Behind the store.",
+                feed=self.feed.value,
+                next=found.next_offset,
+                end=found.end,
+            )
+        hub.take_in(
+            self.feed,
+            found.records,
+            found.next_offset,
+            # An answer is bounded in size. Taken for the end of the feed, one that was
+            # cut had revoked keys accepted and added routes denied as if it were news.
+            NEVER if self.behind else sent_at,
+            Arrival(STORE, now - sent_at, known_at=now, heard_at=now),
+            listed=listed,
+        )
+        if self._is_one_of_many():
+            gevent.sleep(PAUSE_OF_MANY_S)
+
+    def _is_due(self) -> bool:
+        hub = self.hub
+        for_callers = self.feed in NEEDED_FEEDS or hub.daemon.membership.is_reader
+        if for_callers and hub.reads_directly:
+            return True
+        return hub.daemon.now() - hub.read_at[self.feed] > OLDEST_OWN_S
+
+    def _is_one_of_many(self) -> bool:
+        daemon = self.hub.daemon
+        return daemon.rules.daemons >= MANY_DAEMONS and not daemon.membership.is_reader
+
+    def _longest_pause_s(self) -> float:
+        return LONGEST_PAUSE_OF_MANY_S if self._is_one_of_many() else LONGEST_PAUSE_S
+
+    def _failed(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.EXPIRED:
+            # The history was dropped; the newest record of each key is kept.
+            logger.info("History expired.", feed=self.feed.value)
+            self.hub.forget(self.feed)
+            return
+        if not self.failures:
+            logger.warning(
+                "Store lost.",
+                feed=self.feed.value,
+                error=error.kind.value,
+                reason=error.reason,
+            )
+        self.failures += 1
+        self.hub.relay.feeds[self.feed].failing = True
+        pause = min(self._longest_pause_s(), FIRST_PAUSE_S * 2 ** (self.failures - 1))
+        gevent.sleep(pause * (0.5 + self.hub.daemon.random.random()))
--- /dev/null
+++ b/agaterail/gateway/feedtimes.py
@@ -0,0 +1,28 @@
+"""How long reads of the store and questions to peers wait."""
+
+from __future__ import annotations
+
+from agaterail.gateway.controlstore import Feed
+
+# Waits of a daemon that reads the store itself. While a read waits, the one before
+# it counts, so that a reading is up to two waits old at a reader and up to three at
+# those that ask it, well below the age up to which keys are accepted; longer while a
+# large record is on its way.
+DIRECT_WAITS_S = {Feed.OPERATORS: 0.6, Feed.TARGETS: 0.6, Feed.LEASE: 2.0}
+# Feeds whose age makes a peer's answer useless. Who holds the lease is no news that
+# callers wait for.
+NEEDED_FEEDS = frozenset({Feed.OPERATORS, Feed.TARGETS})
+# How long a question waits at a peer for news.
+PEER_WAIT_S = 0.6
+# A reader on a sound connection hears of the store after a wait and a slow call at
+# most; one that has not is as good as cut off. The age of its reading says nothing of
+# that: it grows while a large record is on its way, and readers that had the news were
+# left alone for it. Both readers can be cut off at the same moment without a word: 1.2 s
+# and a question of 0.6 s later the store is read directly, before the 2 s in which a new
+# desired state must be in force.
+SLOW_CALL_S = 0.6
+
+
+def longest_silence_s(feed: Feed) -> float:
+    """Return for how long a reader on a sound connection may hear nothing."""
+    return DIRECT_WAITS_S[feed] + SLOW_CALL_S
--- /dev/null
+++ b/agaterail/gateway/peeranswers.py
@@ -0,0 +1,118 @@
+"""Answers to the questions of peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail import logs
+from agaterail.gateway import peerfeed
+from agaterail.gateway.desired import CallerLimits
+from agaterail.gateway.feedtimes import NEEDED_FEEDS, PEER_WAIT_S, longest_silence_s
+from agaterail.gateway.front import Front
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.gateway.feedhub import FeedHub
+    from agaterail.gateway.front import CallerConnection
+    from agaterail.gateway.inbound import Inbound
+    from agaterail.util.address import Address
+
+logger = logs.get_logger("feeds")
+
+OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
+MS_PER_S = 1e3
+# Answers that fill more than a few packets.
+LARGE_BYTES = 4096
+
+
+@attrs.define
+class PassedOn:
+    """What answering peers cost.
+
+    Attributes
+    ----------
+    size, largest
+        Bytes of all answers and of the largest.
+    """
+
+    answers: int = 0
+    size: int = 0
+    largest: int = 0
+    encode_s: float = 0.0
+
+    def add(self, size: int, encode_s: float) -> None:
+        """Count an answer."""
+        self.answers += 1
+        self.size += size
+        self.largest = max(self.largest, size)
+        self.encode_s += encode_s
+
+
+class PeerAnswers:
+    """Listens for peers and tells them what this daemon knows.
+
+    Attributes
+    ----------
+    answers
+        What makes the body of an answer of a query, by path.
+    """
+
+    def __init__(self, hub: FeedHub, address: Address, now: Callable[[], float]) -> None:
+        self.hub = hub
+        self.now = now
+        self.passed_on = PassedOn()
+        self.answers: dict[bytes, Callable[[bytes], bytes]] = {
+            peerfeed.PATH: self._answer_news
+        }
+        self.server = Front(address, self.handle, CallerLimits, now)
+
+    def handle(self, inbound: Inbound, caller: CallerConnection) -> None:
+        """Answer a question."""
+        path, _, query = inbound.target.partition(b"?")
+        answer = self.answers.get(path)
+        if answer is None:
+            caller.send_answer(NOT_FOUND, [], b"")
+            return
+        try:
+            body = answer(query)
+        except ValueError:
+            caller.send_answer(BAD_REQUEST, [], b"")
+            return
+        send = caller.send_answer if len(body) < LARGE_BYTES else caller.send_large_answer
+        send(OK, [], body)
+
+    def _answer_news(self, query: bytes) -> bytes:
+        question = peerfeed.decode_question(query)
+        came_at = self.now()
+        if not self.hub.relay.has_news(question.offsets) and not self._is_stale():
+            self.hub.news.wait(min(question.wait_s, PEER_WAIT_S))
+        now = self.now()
+        body = peerfeed.encode_answer(
+            self.hub.relay, question, self.hub.readers, now, now - came_at
+        )
+        self.passed_on.add(len(body), self.now() - now)
+        return body
+
+    def note_passed_on(self) -> None:
+        """Say what passing on cost while the former desired state was the newest."""
+        passed_on, self.passed_on = self.passed_on, PassedOn()
+        if passed_on.answers:
+            logger.info(
+                "News passed on.",
+                answers=passed_on.answers,
+                size=passed_on.size,
+                largest=passed_on.largest,
+                encode_ms=round(passed_on.encode_s * MS_PER_S, 1),
+            )
+
+    def _is_stale(self) -> bool:
+        """Tell whether a peer should not wait for news here."""
+        now = self.now()
+        return any(
+            now - kept.heard_at > longest_silence_s(feed)
+            for feed, kept in self.hub.relay.feeds.items()
+            if feed in NEEDED_FEEDS
+        )
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -214,7 +214,7 @@
         others = [d for d in fleet.daemons if not d.membership.is_reader]
         for daemon in fleet.daemons:
             if daemon.membership.is_reader:
-                daemon.feeds.server.close()
+                daemon.feeds.peer_answers.server.close()
         fleet.publish(make_desired(6))
         fleet.wait(lambda: all(d.state.desired.version == 6 for d in others), 2.0)
 
@@ -328,9 +328,9 @@
         lease = reader.feeds.relay.feeds[Feed.LEASE]
         lease.failing, lease.read_at, lease.heard_at = True, float("-inf"), float("-inf")
         started = asker.now()
-        answer = asker.feeds._ask(str(reader.feeds.server.address))
+        answer = asker.feeds.asker.ask(str(reader.feeds.peer_answers.server.address))
         self.assertNotIn(Feed.LEASE, answer.feeds)
-        self.assertEqual(asker.feeds._take_in_answer("peer", answer, started), "")
+        self.assertEqual(asker.feeds.asker.take_in_answer("peer", answer, started), "")
         self.assertGreater(asker.now() - started, 0.1)
 
 
--- a/tests/test_agaterail/test_gateway/test_feedhub.py
+++ b/tests/test_agaterail/test_gateway/test_peerasker.py
@@ -32,29 +32,29 @@
         self.fleet = Fleet()
         self.addCleanup(self.fleet.stop)
         self.daemon = self.fleet.daemons[0]
-        self.hub = self.daemon.feeds
+        self.asker = self.daemon.feeds.asker
 
     def test_a_reader_that_hears_of_the_store_is_asked_again(self):
         asked_at = self.daemon.now()
-        problem = self.hub._take_in_answer(PEER, answer(1.95, heard_s=0.05), asked_at)
+        problem = self.asker.take_in_answer(PEER, answer(1.95, heard_s=0.05), asked_at)
         self.assertEqual(problem, "")
 
     def test_a_reader_that_hears_nothing_is_not(self):
         asked_at = self.daemon.now()
-        problem = self.hub._take_in_answer(PEER, answer(1.3, heard_s=1.3), asked_at)
+        problem = self.asker.take_in_answer(PEER, answer(1.3, heard_s=1.3), asked_at)
         self.assertIn("heard of", problem)
 
     def test_a_reader_with_a_reading_beyond_the_bound_is_not(self):
         old_s = BOUNDS.config_s + 0.1
         asked_at = self.daemon.now()
-        problem = self.hub._take_in_answer(PEER, answer(old_s, heard_s=0.05), asked_at)
+        problem = self.asker.take_in_answer(PEER, answer(old_s, heard_s=0.05), asked_at)
         self.assertIn("old", problem)
 
     def test_a_reading_counts_from_the_peer_s_answer(self):
         # A question waits at the peer for news. Counted from the question, the
         # reading would seem older by that wait.
         asked_at = self.daemon.now()
-        self.hub._take_in_answer(PEER, answer(0.1, heard_s=0.0, waited_s=0.6), asked_at + 9.0)
+        self.asker.take_in_answer(PEER, answer(0.1, heard_s=0.0, waited_s=0.6), asked_at + 9.0)
         self.assertAlmostEqual(self.daemon.freshness.confirmed_at, asked_at + 9.5)
 
     def test_the_store_is_heard_of_while_a_large_record_comes(self):
@@ -78,5 +78,5 @@
         fleet.wait(lambda: daemon.membership.is_reader)
         found = daemon.feeds.readers
         stale = PeerAnswer({}, ("10.0.0.8:1", "10.0.0.9:1"))
-        daemon.feeds._take_in_answer(PEER, stale, daemon.now())
+        daemon.feeds.asker.take_in_answer(PEER, stale, daemon.now())
         self.assertEqual(daemon.feeds.readers, found)
