--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -2,44 +2,33 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 import json
 import struct
-import time
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 from returns.result import Failure, Result, Success
 
 from agaterail import logs
-from agaterail.gateway import documents
 from agaterail.gateway.controlstore import (
     Change,
     ControlStore,
-    DesiredPublished,
-    DocumentRecord,
     Feed,
     FeedRecord,
     FeedSlice,
-    LeaseChanged,
     LeaseEntry,
     Membership,
     Record,
     StoreError,
     StoreErrorKind,
-    TargetChanged,
-    WeightsNamed,
 )
-from agaterail.platform import fields, names
-from agaterail.platform.desired import DesiredDecoder, decode_weights
-from agaterail.platform.registrations import decode_registration
+from agaterail.platform import feedrecords, fields, names
+from agaterail.platform.feedrecords import RecordDecoder
 from agaterail.util.httpconn import ConnectFailed, HttpConnections
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from agaterail.gateway.documents import Document
     from agaterail.util.address import Address
 
 logger = logs.get_logger("store")
@@ -66,7 +55,6 @@
 GONE = 410
 CONFLICTS = (409, 412)
 REFUSALS = (429, 503, 507)
-LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 
 
@@ -78,8 +66,7 @@
         self.parts = parts
         self.fresh = False
         self.calls = 0
-        self.documents: dict[str, Document] = {}
-        self.desired = DesiredDecoder()
+        self.decoder = RecordDecoder()
 
     def listing(self, feed: Feed) -> Result[FeedSlice, StoreError]:
         """Read the newest record of each key, page by page.
@@ -100,14 +87,14 @@
                 return Failure(answer.failure())
             try:
                 page = answer.unwrap()
-                records.extend(_newest_records(page))
+                records.extend(feedrecords.of_listing(page))
                 if end is None:
                     end = fields.whole(page, "end")
                 more = fields.flag(page, "has_more") and records
             except ValueError as error:
                 return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
             if not more:
-                return Success(FeedSlice(self._typed(feed, records), end, end))
+                return Success(FeedSlice(self.decoder.typed(feed, records), end, end))
             after = records[-1].key
 
     def follow(self, feed: Feed, offset: int, wait_s: float) -> Result[FeedSlice, StoreError]:
@@ -116,12 +103,12 @@
         if not isinstance(read, Success):
             return Failure(read.failure())
         next_offset, raw, end = read.unwrap()
-        records = self._typed(feed, _records(feed, raw))
+        records = self.decoder.typed(feed, feedrecords.of_log(feed, raw))
         return Success(FeedSlice(records, next_offset, end))
 
     def decode(self, feed: Feed, records: Sequence[Record]) -> list[Change]:
         """Return what records say; those that cannot be read are left out."""
-        changes = (self._change(feed, record) for record in records)
+        changes = (self.decoder.change(feed, record) for record in records)
         return [change for change in changes if change is not None]
 
     def append_lease(self, entry: LeaseEntry, at: int) -> Result[int, StoreError]:
@@ -134,7 +121,10 @@
         content = json.dumps(found).encode()
         query = {"topic": LEASE_TOPIC, "part": PART, "at": at}
         answer = self._call_json(
-            "POST", names.LOG_APPEND_PATH, query, LENGTH.pack(len(content)) + content
+            "POST",
+            names.LOG_APPEND_PATH,
+            query,
+            feedrecords.LENGTH.pack(len(content)) + content,
         )
         if not isinstance(answer, Success):
             return Failure(answer.failure())
@@ -206,7 +196,7 @@
                 next_offset, raw, end = read.unwrap()
                 if not raw:
                     return Success(FeedSlice(records, next_offset, end))
-                records.extend(_records(feed, raw))
+                records.extend(feedrecords.of_log(feed, raw))
                 offset = next_offset
                 continue
             error = read.failure()
@@ -216,51 +206,6 @@
                 return Failure(StoreError(StoreErrorKind.MALFORMED, "no first offset"))
             offset = int(error.reason)
 
-    def _typed(self, feed: Feed, records: list[FeedRecord]) -> Sequence[Record]:
-        """Return operators' records as documents, the newest of each key only."""
-        if feed is not Feed.OPERATORS:
-            return records
-        newest = {record.key: record for record in records}
-        found = (self._document(record) for record in newest.values() if record.value)
-        return [record for record in found if record is not None]
-
-    def _document(self, record: FeedRecord) -> DocumentRecord | None:
-        former = self.documents.get(record.key, documents.EMPTY)
-        parsed = documents.parse(record.value, former)
-        if not isinstance(parsed, Success):
-            _left_out(record, parsed.failure())
-            return None
-        document = parsed.unwrap()
-        self.documents[record.key] = document
-        return DocumentRecord(record.offset, record.key, document)
-
-    def _change(self, feed: Feed, record: Record) -> Change | None:
-        if isinstance(record, DocumentRecord):
-            return self._operator_change(record)
-        return _lease_change(record) if feed is Feed.LEASE else _target_change(record)
-
-    def _operator_change(self, record: DocumentRecord) -> Change | None:
-        if record.key == names.CONFIG_KEY:
-            return self._desired_change(record)
-        if not record.key.startswith(names.VERSION_KEY_PREFIX):
-            return None
-        weights = decode_weights(record.document)
-        if isinstance(weights, Success):
-            named = weights.unwrap()
-            return WeightsNamed(record.offset, named.model, named.version)
-        _left_out(record, weights.failure())
-        return None
-
-    def _desired_change(self, record: DocumentRecord) -> Change | None:
-        began = time.perf_counter()
-        desired = self.desired.decode(record.document)
-        if not isinstance(desired, Success):
-            _left_out(record, desired.failure())
-            return None
-        took_s = time.perf_counter() - began
-        size = record.document.size
-        return DesiredPublished(record.offset, desired.unwrap(), size, took_s)
-
     def _read(
         self, feed: Feed, offset: int, wait_s: float
     ) -> Result[tuple[int, list[tuple[int, bytes]], int], StoreError]:
@@ -276,7 +221,7 @@
         body = answer.unwrap()
         if len(body) < ENDS.size:
             return Failure(StoreError(StoreErrorKind.MALFORMED, "a short answer"))
-        raw = _split(body[ENDS.size :], offset)
+        raw = feedrecords.split(body[ENDS.size :], offset)
         if raw is None:
             return Failure(StoreError(StoreErrorKind.MALFORMED, "a cut record"))
         end, _first = ENDS.unpack_from(body)
@@ -350,77 +295,3 @@
     if status in REFUSALS:
         return StoreError(StoreErrorKind.REFUSED, f"status {status}")
     return StoreError(StoreErrorKind.MALFORMED, f"status {status}")
-
-
-def _split(data: bytes, offset: int) -> list[tuple[int, bytes]] | None:
-    found: list[tuple[int, bytes]] = []
-    place = 0
-    while place < len(data):
-        if place + LENGTH.size > len(data):
-            return None
-        (length,) = LENGTH.unpack_from(data, place)
-        place += LENGTH.size
-        if place + length > len(data):
-            return None
-        found.append((offset + len(found), data[place : place + length]))
-        place += length
-    return found
-
-
-def _records(feed: Feed, raw: list[tuple[int, bytes]]) -> list[FeedRecord]:
-    if feed is Feed.LEASE:
-        return [FeedRecord(offset, "", content) for offset, content in raw]
-    return _keyed_records(raw)
-
-
-def _keyed_records(raw: list[tuple[int, bytes]]) -> list[FeedRecord]:
-    records = []
-    for offset, content in raw:
-        if not content or len(content) < 1 + content[0]:
-            logger.warning("Left out a record.", offset=offset, reason="no key")
-            continue
-        key = content[1 : 1 + content[0]].decode("utf-8", "replace")
-        records.append(FeedRecord(offset, key, content[1 + content[0] :]))
-    return records
-
-
-def _newest_records(page: dict[str, Any]) -> list[FeedRecord]:
-    records = []
-    for item in fields.rows(page, "items"):
-        row = fields.table(item, "an item")
-        try:
-            value = base64.b64decode(fields.text(row, "value"), validate=True)
-        except binascii.Error as error:
-            raise fields.MalformedError(str(error)) from error
-        records.append(FeedRecord(fields.whole(row, "offset"), fields.text(row, "key"), value))
-    return records
-
-
-def _target_change(record: FeedRecord) -> Change | None:
-    if not record.value:
-        return TargetChanged(record.offset, record.key, None)
-    entry = decode_registration(record.key, record.value)
-    if isinstance(entry, Success):
-        return TargetChanged(record.offset, record.key, entry.unwrap())
-    _left_out(record, entry.failure())
-    return None
-
-
-def _left_out(record: Record, reason: str) -> None:
-    logger.warning("Left out a record.", key=record.key, offset=record.offset, reason=reason)
-
-
-def _lease_change(record: FeedRecord) -> Change | None:
-    try:
-        found = fields.table(json.loads(record.value), "the lease")
-        idle, load = found.get("released_idle_s"), found.get("load_s")
-        entry = LeaseEntry(
-            host=fields.text(found, "host"),
-            boot=fields.text(found, "boot"),
-            released_idle_s=None if idle is None else fields.number(found, "released_idle_s"),
-            load_s=None if load is None else fields.number(found, "load_s"),
-        )
-    except ValueError as error:
-        _left_out(record, str(error))
-        return None
-    return LeaseChanged(record.offset, entry)
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -6,9 +6,10 @@
 import gevent
 import gevent.event
 
+from agaterail.gateway import peerfeed
 from agaterail.gateway.controlstore import Feed
 from tests.gateway_fleet import BOUNDS, LLM, MODEL, Answer, Fleet, make_desired, read_all
-from tests.large_state import make_rows, make_state
+from tests.large_state import make_rows, make_state, with_row_changed
 from tests.test_agaterail.test_gateway.test_front import MALFORMED
 
 
@@ -219,6 +220,71 @@
         fleet.wait(lambda: all(d.state.desired.version == 6 for d in others), 2.0)
 
 
+class LargeStateInAFleetTest(unittest.TestCase):
+    """Hosts that do not read the store have a large state's changes seconds late.
+
+    Operators publish 2,800 routes and then change single ones, several times a second.
+    What a host is sent must be as small as the changes, or the links of the few hosts
+    that read the store carry it to the last of the others seconds after the first.
+    """
+
+    CHANGES = 5
+    # The whole, packed, takes some 60 KB; a change of a row some hundred bytes, with the
+    # news of targets that come with it.
+    MOST_BYTES_OF_THE_WHOLE = 120_000
+    MOST_BYTES_OF_A_CHANGE = 2560
+
+    def setUp(self):
+        self.fleet = Fleet(gateways=5)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.wait(lambda: len(self.askers()) >= 3)
+
+    def askers(self):
+        return [d for d in self.fleet.daemons if not d.feeds.reads_directly]
+
+    def publish(self, version, rows):
+        self.fleet.store.put("keyed.op", "config", make_state(version, rows))
+
+    def wait_for(self, version):
+        self.fleet.wait(
+            lambda: all(d.state.desired.version == version for d in self.fleet.daemons)
+        )
+
+    def test_changes_of_a_large_state_are_in_force_and_small(self):
+        rows = make_rows(2800)
+        sizes = []
+        for daemon in self.fleet.daemons:
+            passed_on = daemon.feeds.peer_answers
+            passed_on._answer_news = measured(passed_on._answer_news, sizes)
+            passed_on.answers[peerfeed.PATH] = passed_on._answer_news
+        gevent.sleep(0.7)  # the questions that wait meanwhile end
+        self.publish(5, rows)
+        self.wait_for(5)
+        self.assertLess(max(sizes), self.MOST_BYTES_OF_THE_WHOLE)
+        gevent.sleep(0.7)  # the questions that wait meanwhile end
+        sizes.clear()
+        for number in range(self.CHANGES):
+            rows = with_row_changed(rows, 500 * number)
+            self.publish(6 + number, rows)
+            gevent.sleep(0.1)
+        self.wait_for(5 + self.CHANGES)
+        self.assertLess(max(sizes), self.CHANGES * self.MOST_BYTES_OF_A_CHANGE)
+        routes = self.fleet.daemons[0].state.desired.routes
+        for daemon in self.fleet.daemons:
+            self.assertEqual(daemon.state.desired.routes, routes)
+
+
+def measured(answer, sizes):
+    """Return the same with the sizes of its results noted."""
+
+    def wrapped(query):
+        body = answer(query)
+        sizes.append(len(body))
+        return body
+
+    return wrapped
+
+
 class BoundsTest(unittest.TestCase):
     def test_without_a_bound_keys_need_no_fresh_reading(self):
         fleet = Fleet(bounds=attrs.evolve(BOUNDS, revoke_s=None))
