--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -152,6 +152,7 @@
         """Drop lapsed targets and connections that will not be used again."""
         for target in self.book.expire(self.now()):
             logger.info("Target gone for good.", target=target.instance)
+        self.state.note_age(self.now())
         self.channels.close_stale()
         stores = [spec.address for spec in self._kv_stores()]
         self.kept.use_stores(stores, self.greenlets.spawn)
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -39,6 +39,8 @@
         self.freshness = freshness
         self.book = book
         self.desired: DesiredState | None = None
+        # A newer desired state may be due: the reading is older than the bound.
+        self.may_be_outdated = False
         self.weights: dict[str, NamedWeights] = {}
         # Offset of the newest change of each target, vanished ones included: a slow
         # read that was overtaken by a peer's answer brought dead targets back.
@@ -68,6 +70,18 @@
             elif isinstance(change, TargetChanged):
                 self._apply_target(change, now)
 
+    def note_age(self, now: float) -> None:
+        """Say when the desired state in force may have become outdated, and is not."""
+        may_be = self.desired is not None and not self.freshness.allows_denial(now)
+        if may_be == self.may_be_outdated:
+            return
+        self.may_be_outdated = may_be
+        logger.info(
+            "Desired state may be outdated." if may_be else "Desired state confirmed.",
+            version=None if self.desired is None else self.desired.version,
+            reading_age_s=self.freshness.age_s(now),
+        )
+
     def apply_listing(self, changes: Sequence[Change], next_offset: int, now: float) -> None:
         """Take in all targets that were registered at an offset; the others vanished."""
         listed = {change.instance for change in changes if isinstance(change, TargetChanged)}
--- a/tests/test_agaterail/test_gateway/test_state.py
+++ b/tests/test_agaterail/test_gateway/test_state.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from agaterail.gateway import state
 from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.placement import MOST_VERSIONS
@@ -30,6 +32,25 @@
         self.state.apply([DesiredPublished(4, make_desired(version=6))], 0.0)
         self.assertEqual(self.state.desired.version, 7)
 
+    def test_a_reading_beyond_the_bound_is_said_once_each_way(self):
+        # A host whose news takes longer than the bound serves by a former version and
+        # does not know it; whoever is on call must see since when.
+        self.state.apply([DesiredPublished(5, make_desired(version=7))], 0.0)
+        self.state.freshness.confirm(10.0)
+        said = []
+        for now in (11.0, 12.5, 13.0):
+            said.append(self.noted(now))
+        self.state.freshness.confirm(13.0)
+        said += [self.noted(13.5), self.noted(14.0)]
+        self.assertEqual(
+            said, ["", "Desired state may be outdated.", "", "Desired state confirmed.", ""]
+        )
+
+    def noted(self, now):
+        with mock.patch.object(state.logger, "info") as info:
+            self.state.note_age(now)
+        return info.call_args.args[0] if info.called else ""
+
     def test_weights_found_at_the_start_are_taken_for_old(self):
         # All daemons died and came back: when the version was named is not
         # known, and the engines' older weights may be overdue.
