--- /dev/null
+++ b/tools/measure_desired.py
@@ -0,0 +1,124 @@
+"""Measure what a change of a large desired state costs a reader and those that ask it.
+
+Prints bytes and milliseconds of the whole state and of a change of one row, and the
+memory of the versions that are kept.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+import tracemalloc
+from functools import partial
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import fire
+
+from agaterail.gateway import documents
+from agaterail.gateway.controlstore import DocumentRecord
+from agaterail.gateway.relayed.documents import KEPT_VERSIONS, DocumentFeed
+from agaterail.platform.desired import DesiredDecoder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from agaterail.gateway.controlstore import Record
+    from agaterail.gateway.desired import DesiredState
+    from agaterail.gateway.documents import Document
+    from agaterail.gateway.relayed import PackedRecord
+
+NAME_CHARACTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
+KEY_LENGTH, NAME_LENGTH = 20, 7
+MS_PER_S = 1e3
+MB = 1e6
+
+Made = TypeVar("Made")
+
+
+def make_state(version: int, routes: int, workspaces: int) -> bytes:
+    """Return the record of a state whose names and keys are random but repeatable."""
+    chance = random.Random(1)
+
+    def name(length: int) -> str:
+        return "".join(chance.choices(NAME_CHARACTERS, k=length))
+
+    rows: list[dict[str, Any]] = [
+        {
+            "name": f"r-{name(NAME_LENGTH)}",
+            "host": f"h{number % 30}.example",
+            "path_prefix": f"/{name(NAME_LENGTH)}/",
+            "kind": "safe",
+            "service": "s",
+            "timeout_ms": 1500,
+            "target_latency_ms": 400,
+            "max_attempts": 2,
+        }
+        for number in range(routes)
+    ]
+    tenants: list[dict[str, Any]] = [
+        {
+            "name": name(NAME_LENGTH),
+            "api_keys": [name(KEY_LENGTH), name(KEY_LENGTH)],
+            "priority": 1,
+            "isolated": False,
+        }
+        for _ in range(workspaces)
+    ]
+    changed = rows or tenants
+    changed[len(changed) // 2]["priority"] = version
+    state = {"version": version, "routes": rows, "services": [], "tenants": tenants}
+    return json.dumps(state, separators=(",", ":")).encode()
+
+
+def main(routes: int = 2800, workspaces: int = 0) -> None:
+    """Measure a state of so many rows."""
+    first, second = (make_state(version, routes, workspaces) for version in (1, 2))
+    reader, asker, decoder = DocumentFeed(), DocumentFeed(), DesiredDecoder()
+    for feed in (reader, asker):
+        feed.take_in([], 0, 0.0, listed=True)
+    print(f"state {len(first) / MB:.2f} MB")
+    former = documents.EMPTY
+    for offset, text in enumerate((first, second)):
+        title = "change" if offset else "whole"
+        document = _timed(f"{title}: parse", partial(_parse, text, former))
+        reader.take_in([DocumentRecord(offset, "config", document)], offset + 1, 0.0, False)
+        packed = _timed(f"{title}: pack", partial(reader.pack_since, offset, asker.held))
+        print(f"{title}: packed {sum(len(item.value) for item in packed or ())} bytes")
+        records = _timed(f"{title}: unpack", partial(_unpack, asker, packed or ()))
+        asker.take_in(records, offset + 1, 0.0, False)
+        _timed(f"{title}: decode", partial(_decode, decoder, document))
+        former = document
+    _measure_memory(routes, workspaces)
+
+
+def _parse(text: bytes, former: Document) -> Document:
+    return documents.parse(text, former).unwrap()
+
+
+def _unpack(feed: DocumentFeed, packed: Sequence[PackedRecord]) -> list[Record]:
+    return feed.unpack(packed).unwrap()
+
+
+def _decode(decoder: DesiredDecoder, document: Document) -> DesiredState:
+    return decoder.decode(document).unwrap()
+
+
+def _timed(title: str, work: Callable[[], Made]) -> Made:
+    began = time.perf_counter()
+    made = work()
+    print(f"{title} {(time.perf_counter() - began) * MS_PER_S:.1f} ms")
+    return made
+
+
+def _measure_memory(routes: int, workspaces: int) -> None:
+    tracemalloc.start()
+    feed, former = DocumentFeed(), documents.EMPTY
+    for offset in range(KEPT_VERSIONS):
+        former = documents.parse(make_state(offset, routes, workspaces), former).unwrap()
+        feed.take_in([DocumentRecord(offset, "config", former)], offset + 1, 0.0, True)
+    print(f"{KEPT_VERSIONS} versions {tracemalloc.get_traced_memory()[0] / MB:.1f} MB")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
