--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -32,8 +32,8 @@
 # Who the readers are is looked up at most so often.
 LOOK_UP_PERIOD_S = 2.0
 # A daemon goes on reading for so long after it was a reader: the others ask it until
-# they have learned who reads now. Without it each change of the fleet had all of 72
-# daemons find an old reading and read the store for a second.
+# they have learned who reads now. Without it each change of the fleet had all daemons
+# find an old reading and read the store for a second.
 READER_GRACE_S = 5.0
 UNKNOWN_GENERATION = -1
 # Shares bound estimates only where they are sensible.
@@ -152,8 +152,8 @@
         """Find out who reads the store, where it is on this daemon to know."""
         hub = self.daemon.feeds
         generation, at = self.looked_up
-        # Two former readers that knew of none but each other were asked by 72 daemons
-        # for 25 s, in which these found old readings and read the store themselves.
+        # Two former readers that knew of none but each other were asked by the whole
+        # fleet, which found old readings and read the store.
         was_reader = now < self.reader_until
         asks_itself = bool(self.ranks) or was_reader or self.misled or not hub.readers
         if not asks_itself or now - at < LOOK_UP_PERIOD_S:
--- a/agaterail/gateway/peerturns.py
+++ b/agaterail/gateway/peerturns.py
@@ -10,8 +10,8 @@
     from collections.abc import Iterable
 
 # A peer without news is not asked for so long, twice as long after each further
-# answer without news in a row. A reader that was cut off from the store for 8 s had
-# each of 72 daemons read the store itself for a second, every 2.5 s.
+# answer without news in a row: while a reader is cut off from the store, each question
+# to it has a daemon read the store itself for a second.
 LEFT_ALONE_S = 2.5
 LONGEST_LEFT_ALONE_S = 10.0
 # The store is read directly for so long after two peers in a row had no news, or one
@@ -19,9 +19,9 @@
 DIRECT_S = 1.0
 PROBLEMS_BEFORE_DIRECT = 2
 # With fewer readers beside one without news, these may well be cut off with it, and a
-# question to each takes 0.6 s: two readers that the store turned away at once left a
-# daemon on the former desired state for 2.2 s of the 2 s allowed. With three or more
-# the last one shows its age 0.6 s after the first, 2.4 s after the cut at most.
+# question to each takes its wait: two readers that the store turned away at once left a
+# daemon on the former desired state for longer than allowed. With three or more the
+# last one shows its silence a wait after the first.
 FEW_READERS = 2
 
 
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -20,9 +20,9 @@
 # the name on; before it an engine with the older ones is as good as any.
 OLD_WEIGHTS_AFTER_S = 1.5
 # Part of its requests that an engine on older weights keeps. Such a request loses
-# a fifth of its worth, one that comes late two thirds. The first engines on the
-# newest weights have empty caches; were all requests sent to them, five of thirty
-# engines had to serve what kept a third of all busy, and 40 in 100 came late.
+# less than one that comes late. The first engines on the newest weights have empty
+# caches; were all requests sent to them, a few engines had to serve what kept a third
+# of all busy, and most came late.
 OLD_WEIGHTS_SHARE = 0.6
 # Milliseconds to prefill a token, as long as nothing was measured: within a
 # factor of two for the engines in use, and only the order of costs matters.
--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -10,13 +10,12 @@
 
 # Waits for first tokens are counted in objectives of their routes, so that routes
 # with different objectives are one measure. At a mean of half of the objective
-# most first tokens come in time, and engines still have prompts to batch. Under
-# four times the callers 0.5 earned 0.282 and 0.321 of the worth on two
-# deployments, 0.4 0.261 and 0.300, 0.3 0.190 and 0.240.
+# most first tokens come in time, and engines still have prompts to batch; with less
+# they stand idle while callers are refused.
 TARGET_WAIT = 0.5
 # Refusing begins at a mean of a whole objective. Waits of half of it are usual for
 # seconds after a load of new weights, with empty caches, and pass by themselves:
-# refusing from there on cost 0.01 to 0.06 of the worth of days without a flood.
+# refusing from there on turns callers away without a flood.
 START_WAIT = 1.0
 # A longer wait says no more than that the prompt is late.
 LONGEST_WAIT = 2.5
