Daemons with ample links read the store for the others

Callers: routes that were added are denied for longer than allowed, by the last hosts of a fleet whose readers all have slow links. Cause: readers are those that hold the first partitions, whatever their links; a state of 0.56 MB takes 1.3 s to reach a reader at 5 Mbit/s, and 27 KB each another second to reach its askers, while 8 of 71 hosts have 100 Mbit/s. A member's name now says what link it has, and those with 50 Mbit/s or more go first, in the order of their partitions as before; where all links are alike nothing changes. A daemon that finds itself among the readers begins at once.

The test failed before and passes.

--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -195,6 +195,7 @@
 
     kind: StoreErrorKind
     reason: str = ""
+    timed_out: bool = False
 
 
 class ControlStore(abc.ABC):
@@ -237,8 +238,8 @@
         """Join the fleet or stay in it."""
 
     @abc.abstractmethod
-    def ranked_members(self) -> Result[dict[int, str], StoreError]:
-        """Return who holds the first partition of each of the fleet's topics."""
+    def members(self) -> Result[dict[int, str], StoreError]:
+        """Return who holds the fleet's partitions, the first of each topic first."""
 
     @abc.abstractmethod
     def leave(self, member: str) -> Result[None, StoreError]:
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -123,6 +123,15 @@
         if feed is Feed.OPERATORS and read_at != NEVER:
             self.daemon.freshness.confirm(read_at)
 
+    def use_readers(self, readers: tuple[str, ...]) -> None:
+        """Take in who reads the store; a daemon that is new among them begins at once."""
+        own = self.asker.own_address
+        begins = own in readers and own not in self.readers
+        self.readers = readers
+        if begins:
+            self.wake_direct.set()
+            self.wake_direct.clear()
+
     def forget(self, feed: Feed) -> None:
         """Begin a feed anew with a listing."""
         self.offsets.pop(feed, None)
--- a/agaterail/gateway/hostsettings.py
+++ b/agaterail/gateway/hostsettings.py
@@ -68,3 +68,4 @@
     heartbeat_s: float
     bounds: Bounds
     store: StoreSettings
+    link_mbps: float = 0.0
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -40,11 +40,15 @@
 LEAST_SHARE = 0.002
 FIRST_RANK = 0
 ADDRESS_MARK = "@"
+LINK_MARK = "~"
+# A link that brings a large desired state in well under a second and passes it on to
+# all askers in as much; more of it is no reason to prefer a daemon as a reader.
+AMPLE_LINK_MBPS = 50.0
 
 
-def member_name(host: str, address: str, boot: str) -> str:
-    """Return a member's name, which says where its peers reach it."""
-    return f"{host}.{boot}{ADDRESS_MARK}{address}"
+def member_name(host: str, address: str, boot: str, link_mbps: float = 0.0) -> str:
+    """Return a member's name, which says where its peers reach it, and how fast."""
+    return f"{host}.{boot}{LINK_MARK}{link_mbps:.0f}{ADDRESS_MARK}{address}"
 
 
 def address_of(member: str) -> str:
@@ -52,19 +56,33 @@
     return member.rpartition(ADDRESS_MARK)[2] if ADDRESS_MARK in member else ""
 
 
+def link_of(member: str) -> float:
+    """Return the link in a member's name in Mbit/s; 0 if there is none."""
+    link = member.rpartition(ADDRESS_MARK)[0].rpartition(LINK_MARK)[2]
+    return float(link) if link.isdecimal() else 0.0
+
+
 def reader_count(daemons: float) -> int:
     """Return how many daemons read the store in a fleet of this size."""
     return min(MOST_READERS, max(LEAST_READERS, math.ceil(daemons / ASKERS_PER_READER)))
 
 
-def choose_readers(ranked: Mapping[int, str], daemons: float) -> tuple[str, ...]:
+def choose_readers(members: Mapping[int, str], daemons: float) -> tuple[str, ...]:
     """Return the addresses of the daemons that read the store, no two the same.
 
-    One member often holds several ranks; counted twice, it would be the only
-    reader, and its death or deafness would be that of all.
+    One member often holds several partitions; counted twice, it would be the only
+    reader, and its death or deafness would be that of all. Those with ample links go
+    first: a large desired state took a second to reach a reader with a slow one, and
+    another to reach its askers, while there were daemons with fast ones.
+
+    Parameters
+    ----------
+    members
+        Names by the number of a partition that each holds.
     """
-    members = (name for _, name in sorted(ranked.items()))
-    addresses = dict.fromkeys(filter(None, map(address_of, members)))
+    names = [name for _, name in sorted(members.items()) if address_of(name)]
+    names.sort(key=lambda name: -min(link_of(name), AMPLE_LINK_MBPS))
+    addresses = dict.fromkeys(map(address_of, names))
     return tuple(addresses)[: reader_count(daemons)]
 
 
@@ -87,7 +105,9 @@
         self.period_s = JOIN_PERIOD_S
         self.looked_up = (UNKNOWN_GENERATION, float("-inf"))
         self.address = f"{daemon.settings.ip}:{daemon.settings.peer_ports[0]}"
-        self.member = member_name(daemon.settings.host, self.address, daemon.boot)
+        self.member = member_name(
+            daemon.settings.host, self.address, daemon.boot, daemon.settings.link_mbps
+        )
 
     @property
     def leads(self) -> bool:
@@ -101,7 +121,8 @@
 
     @property
     def _is_listed(self) -> bool:
-        return self.leads or (bool(self.ranks) and self.address in self.daemon.feeds.readers)
+        is_member = self.daemon.budget.share > 0.0
+        return self.leads or (is_member and self.address in self.daemon.feeds.readers)
 
     def step(self) -> None:
         """Join once, and schedule the next time."""
@@ -160,11 +181,11 @@
             return
         if generation == self.generation and not self.misled:
             return
-        found = self.daemon.store.ranked_members()
+        found = self.daemon.store.members()
         if not isinstance(found, Success):
             return
         daemons = self.daemon.rules.daemons
-        hub.readers = choose_readers(found.unwrap(), daemons)
+        hub.use_readers(choose_readers(found.unwrap(), daemons))
         self.misled = False
         # While partitions are dealt anew, few of them have an owner. Was one reader
         # all that was found and not looked up again, its loss cut all from news.
--- a/agaterail/gateway/peerasker.py
+++ b/agaterail/gateway/peerasker.py
@@ -99,7 +99,7 @@
         # Readers look up who reads. Two that took each other's lists would keep an old
         # one alive, and send all that ask them to daemons that read no longer.
         if answer.readers and not self.daemon.membership.is_reader:
-            self.hub.readers = answer.readers
+            self.hub.use_readers(answer.readers)
         problem = ""
         for feed in Feed:
             news = answer.feeds.get(feed)
--- a/agaterail/platform/settings.py
+++ b/agaterail/platform/settings.py
@@ -63,6 +63,7 @@
         caller_listen=_address(listen, "front"),
         ready_listen=_address(listen, "ready"),
         memory_mb=fields.number(limits, "memory_mb"),
+        link_mbps=fields.number(limits, "link_mbps", 0.0),
         max_descriptors=fields.whole(limits, "max_fds"),
         peer_ports=_port_range(whole),
         heartbeat_s=fields.number(whole, "heartbeat_ms") * MS,
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -24,7 +24,7 @@
 )
 from agaterail.platform import feedrecords, fields, names
 from agaterail.platform.feedrecords import RecordDecoder
-from agaterail.util.httpconn import ConnectFailed, HttpConnections
+from agaterail.util.httpconn import ConnectFailed, ExchangeBroken, HttpConnections
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -161,8 +161,8 @@
         except (ValueError, TypeError) as error:
             return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
 
-    def ranked_members(self) -> Result[dict[int, str], StoreError]:
-        """Return who holds the first partition of each of the fleet's topics."""
+    def members(self) -> Result[dict[int, str], StoreError]:
+        """Return who holds the fleet's partitions, the first of each topic first."""
         answer = self._call_json("GET", names.LOG_OWNERS_PATH, {"group": FLEET_GROUP})
         if not isinstance(answer, Success):
             return Failure(answer.failure())
@@ -172,9 +172,9 @@
             rows = lists[0] if lists else []
             return Success(
                 {
-                    FLEET_TOPICS.index(row[0]): row[2]
+                    row[1] * len(FLEET_TOPICS) + FLEET_TOPICS.index(row[0]): row[2]
                     for row in rows
-                    if row[0] in FLEET_TOPICS and row[1] == PART and isinstance(row[2], str)
+                    if row[0] in FLEET_TOPICS and isinstance(row[2], str)
                 }
             )
         except (IndexError, TypeError, KeyError) as error:
@@ -274,7 +274,8 @@
             if isinstance(error, ConnectFailed)
             else StoreErrorKind.UNANSWERED
         )
-        return Failure(StoreError(kind, error.reason))
+        timed_out = isinstance(error, ExchangeBroken) and error.timed_out
+        return Failure(StoreError(kind, error.reason, timed_out))
 
 
 def _ranks(held: list[tuple[str, int]]) -> frozenset[int]:
--- a/tests/test_agaterail/test_gateway/test_membership.py
+++ b/tests/test_agaterail/test_gateway/test_membership.py
@@ -10,6 +10,7 @@
     MembershipController,
     address_of,
     choose_readers,
+    link_of,
     member_name,
     reader_count,
 )
@@ -24,10 +25,20 @@
     def join(self, _member, _ttl_s, _generation):
         return Success(Membership(generation=72, share=1 / 64, ranks=frozenset({0})))
 
-    def ranked_members(self):
+    def members(self):
         return Success(dict(self.owners))
 
 
+class Hub:
+    """Holds the list of readers."""
+
+    def __init__(self, readers=()) -> None:
+        self.readers = readers
+
+    def use_readers(self, readers):
+        self.readers = readers
+
+
 class ReadersTest(unittest.TestCase):
     def make_membership(self, now, store, hub):
         daemon = SimpleNamespace(
@@ -42,6 +53,7 @@
                 host="h",
                 ip="10.0.0.1",
                 peer_ports=(7000, 7010),
+                link_mbps=5.0,
                 store=SimpleNamespace(member_ttl_min_s=1.0),
             ),
             boot="b",
@@ -52,7 +64,7 @@
         # The fleet changes and two readers lose their partitions. Both know of none
         # but each other, and pass that on to whoever asks: all find old readings and
         # read the store themselves, and its calls are turned away.
-        now, store, hub = [100.0], FakeStore(), SimpleNamespace(readers=())
+        now, store, hub = [100.0], FakeStore(), Hub()
         membership = self.make_membership(now, store, hub)
         own = member_name("h", "10.0.0.1:7000", "b")
         store.owners = {0: own, 1: member_name("h", "10.0.0.2:7000", "b")}
@@ -73,7 +85,7 @@
 
     def test_a_daemon_whose_readers_have_no_news_looks_for_others(self):
         now, store = [100.0], FakeStore()
-        hub = SimpleNamespace(readers=("10.0.0.8:7000", "10.0.0.9:7000"))
+        hub = Hub(("10.0.0.8:7000", "10.0.0.9:7000"))
         membership = self.make_membership(now, store, hub)
         store.join = lambda *_: Success(
             Membership(generation=73, share=1 / 64, ranks=frozenset())
@@ -93,7 +105,7 @@
         # away too accepted no key for 6 s, though 45 hosts read the store.
         now = [100.0]
         store = FakeStore()
-        hub = SimpleNamespace(readers=())
+        hub = Hub()
         membership = self.make_membership(now, store, hub)
         store.owners = {0: member_name("h", "10.0.0.1:7000", "b")}
         membership.step()
@@ -112,6 +124,8 @@
     def test_a_member_s_name_says_where_it_is_reached(self):
         name = member_name("edge-1", "10.0.0.1:7340", "ab12")
         self.assertEqual(address_of(name), "10.0.0.1:7340")
+        self.assertEqual(link_of(member_name("edge-1", "10.0.0.1:7340", "ab12", 62.5)), 62.0)
+        self.assertEqual((link_of(name), link_of("foreign"), link_of("a~b@c")), (0.0,) * 3)
         self.assertEqual(address_of("foreign"), "")
 
     def test_readers_are_different_daemons(self):
@@ -120,6 +134,22 @@
         ranked = {0: "a@1:1", 1: "a@1:1", 2: "foreign", 3: "b@2:2", 4: "c@3:3"}
         self.assertEqual(choose_readers(ranked, 6.0), ("1:1", "2:2"))
 
+    def test_readers_have_ample_links_where_there_are_any(self):
+        # Routes that were added are denied: all readers have links of 5 Mbit/s, a state
+        # of half a megabyte takes 1.3 s to reach them and another to reach their
+        # askers, and 8 of 71 hosts have 100 Mbit/s. Evidence: 3.4 s after the first
+        # host the last one had a version, in a play in which no reader had a fast link.
+        slow = {n: member_name("s", f"s{n}:1", "b", 5.0) for n in range(8)}
+        fast = {n: member_name("f", f"f{n}:1", "b", 100.0) for n in range(20, 22)}
+        readers = choose_readers(slow | fast, 71.0)
+        self.assertEqual(readers, ("f20:1", "f21:1", "s0:1"))
+
+    def test_a_link_that_is_more_than_ample_is_not_preferred(self):
+        # Else a few hosts with the fastest links would read whatever happens to them.
+        links = (200.0, 1000.0, 60.0)
+        members = {n: member_name("h", f"h{n}:1", "b", link) for n, link in enumerate(links)}
+        self.assertEqual(choose_readers(members, 6.0), ("h0:1", "h1:1"))
+
     def test_readers_grow_with_the_fleet_but_stay_few(self):
         self.assertEqual(reader_count(1.0), 2)
         self.assertEqual(reader_count(6.0), 2)
