--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -35,7 +35,7 @@
     size
         Bytes of the record.
     decode_s
-        Seconds that decoding it took.
+        Seconds that decoding it took, with the turns of others in between.
     """
 
     offset: int
--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -83,8 +83,8 @@
             self.feed,
             found.records,
             found.next_offset,
-            # An answer is bounded in size. Taken for the end of the feed, one that was
-            # cut had revoked keys accepted and added routes denied as if it were news.
+            # An answer is bounded in size. Were one that was cut taken for the end of
+            # the feed, revoked keys would be accepted and added routes denied.
             NEVER if self.behind else sent_at,
             Arrival(STORE, now - sent_at, known_at=now, heard_at=now),
             listed=listed,
@@ -102,8 +102,8 @@
     def _wait_s(self, now: float) -> float:
         """Return how long a read waits for news."""
         wait_s = DIRECT_WAITS_S[self.feed]
-        # Whoever begins to read must know at once how the store stands: all that ask a
-        # new reader called it cut off while its first read waited.
+        # Whoever begins to read must know at once how the store stands: while its first
+        # read waited, all that ask it would call it cut off.
         return wait_s if now - self.answered_at < 2.0 * wait_s else 0.0
 
     def _is_one_of_many(self) -> bool:
--- a/agaterail/gateway/relayed/documents.py
+++ b/agaterail/gateway/relayed/documents.py
@@ -23,7 +23,7 @@
 # Versions of a document that differences may start from. Versions follow each other
 # several a second at most, and a peer that asks twice a second has one of the last.
 KEPT_VERSIONS = 16
-# Half of the time that better levels take; a tenth more bytes.
+# Better levels take twice the time for few bytes less.
 COMPRESSION_LEVEL = 1
 # A difference that unpacks to more is refused.
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024
@@ -35,8 +35,8 @@
 class DocumentFeed(RelayedFeed):
     """The newest document of each key, and some versions before it.
 
-    A document of some thousand rows that changed in one was sent whole, a megabyte to
-    each of twenty peers, which a link carries in ten seconds; hosts were as late. A
+    Sent whole for each change of a row, a document of some thousand rows would fill the
+    link of a reader for seconds, and the last of its peers would have it as late. A
     difference is as large as the change, is packed once for all that have the same
     version, and leads over versions that were superseded meanwhile. Since the newest
     of each key is all that counts, a peer can go on from any offset.
--- a/agaterail/platform/desired.py
+++ b/agaterail/platform/desired.py
@@ -54,9 +54,9 @@
 class DesiredDecoder:
     """Decodes desired states, one version after the other.
 
-    Rows that are as they were in the version before are not decoded again: a host with
-    a tenth of a core takes half a second for 2,800 of them, and versions that differ in
-    one row come several a second.
+    Rows that are as they were in the version before are not decoded again: versions that
+    differ in one row of thousands come several a second, and a host with a tenth of a
+    core would take half a second for each, in which it answers no caller.
     """
 
     def __init__(self) -> None:
