--- a/agaterail/gateway/attempts.py
+++ b/agaterail/gateway/attempts.py
@@ -30,7 +30,7 @@
 MOST_REFUSALS = 3
 
 
-class Fate(enum.Enum):
+class AttemptOutcome(enum.Enum):
     """How an attempt ended short of a whole, good answer."""
 
     NOT_CONNECTED = "not_connected"
@@ -60,15 +60,15 @@
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
-    last: Fate | None = None
+    last: AttemptOutcome | None = None
 
-    def note(self, instance: str, fate: Fate) -> None:
+    def note(self, instance: str, outcome: AttemptOutcome) -> None:
         """Take in how an attempt ended."""
         self.tried.add(instance)
-        self.last = fate
-        if fate is Fate.NOT_CONNECTED:
+        self.last = outcome
+        if outcome is AttemptOutcome.NOT_CONNECTED:
             self.connect_failures += 1
-        elif fate is Fate.REFUSED:
+        elif outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
         else:
             self.runs += 1
@@ -111,9 +111,9 @@
     def error_kind(self) -> ErrorKind:
         """Return the kind of error for a request that nothing more is tried for."""
         if not self.runs:
-            if self.last is Fate.REFUSED:
+            if self.last is AttemptOutcome.REFUSED:
                 return ErrorKind.TARGET_REFUSED
             return ErrorKind.NO_TARGET
-        if self.last is Fate.SILENT:
+        if self.last is AttemptOutcome.SILENT:
             return ErrorKind.TARGET_TIMEOUT
         return ErrorKind.TARGET_LOST
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -9,7 +9,7 @@
 from agaterail import logs
 from agaterail.errors import ErrorKind, Failure
 from agaterail.gateway.admission import is_hopeless, retry_after_s
-from agaterail.gateway.attempts import Fate
+from agaterail.gateway.attempts import AttemptOutcome
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.eventstream import EventCutter
 from agaterail.gateway.inbound import AttemptHead
@@ -61,10 +61,10 @@
                 failure = self._open()
                 if failure is not None:
                     return self._fail(failure)
-                fate = self._attempt()
-                if fate is None:
+                outcome = self._attempt()
+                if outcome is None:
                     return None
-                self._settle(fate)
+                self._settle(outcome)
         finally:
             self._release(whole=False)
 
@@ -103,8 +103,8 @@
                 )
             except OSError as error:
                 choice.target.note_failure(now)
-                self.attempts.note(choice.target.instance, Fate.NOT_CONNECTED)
-                self.daemon.metrics.attempts.labels(Fate.NOT_CONNECTED.value).inc()
+                self.attempts.note(choice.target.instance, AttemptOutcome.NOT_CONNECTED)
+                self.daemon.metrics.attempts.labels(AttemptOutcome.NOT_CONNECTED.value).inc()
                 self._log("No connection.", error=str(error))
                 continue
             if self.attempts.sends and not self.daemon.budget.take(self.job.service, now):
@@ -126,7 +126,7 @@
         hint = retry_after_s(left, random.random(), overloaded=True)
         return Failure(ErrorKind.OVERLOADED, reason, hint)
 
-    def _attempt(self) -> Fate | None:
+    def _attempt(self) -> AttemptOutcome | None:
         """Send the request once; returns how it failed, or nothing when answered."""
         assert self.choice is not None and self.channel is not None
         now = self.daemon.now()
@@ -140,10 +140,10 @@
             head = self._read_head(now, left)
             return self._answer(head)
         except TimeoutError:
-            return Fate.SILENT
+            return AttemptOutcome.SILENT
         except OSError as error:
             self._log("Attempt broke.", error=str(error))
-            return Fate.BROKEN
+            return AttemptOutcome.BROKEN
         finally:
             target.in_flight -= 1
             self._end_prefill()
@@ -153,7 +153,7 @@
         patience = self.attempts.patience_s(left)
         return self.channel.read_head(self.job.inbound.request_id, now + patience)
 
-    def _answer(self, head: AnswerHead) -> Fate | None:
+    def _answer(self, head: AnswerHead) -> AttemptOutcome | None:
         if head.not_run:
             return self._refused(head)
         streamed = self.job.route.kind is RequestKind.STREAM and head.status in OK_STATUSES
@@ -162,10 +162,10 @@
             return self._relay(head)
         if self.answered:
             # A continued stream can only go on with events.
-            return Fate.FAILED
+            return AttemptOutcome.FAILED
         return self._pass_on(head)
 
-    def _refused(self, head: AnswerHead) -> Fate:
+    def _refused(self, head: AnswerHead) -> AttemptOutcome:
         assert self.choice is not None
         target = self.choice.target
         now = self.daemon.now()
@@ -174,7 +174,7 @@
         target.note_refusal(now)
         self._log("Refused by the target.", status=head.status, instance=head.instance or None)
         self._discard_answer()
-        return Fate.REFUSED
+        return AttemptOutcome.REFUSED
 
     def _discard_answer(self) -> None:
         assert self.channel is not None
@@ -186,7 +186,7 @@
             return
         self._release(whole=True)
 
-    def _pass_on(self, head: AnswerHead) -> Fate | None:
+    def _pass_on(self, head: AnswerHead) -> AttemptOutcome | None:
         """Read a whole answer, then send it; half an answer is never passed on."""
         assert self.channel is not None
         pieces = []
@@ -196,9 +196,9 @@
         last = self.attempts.runs + 1 >= self.job.route.max_attempts
         if failed and self.job.route.idempotent and not last and self._may_repeat():
             self._release(whole=True)
-            return Fate.FAILED
+            return AttemptOutcome.FAILED
         if not head.signed or head.status in PROMISES:
-            return Fate.FAILED
+            return AttemptOutcome.FAILED
         self._release(whole=True, failed=failed)
         self._answered_now()
         lines = [name + b": " + value for name, value in head.headers]
@@ -209,7 +209,7 @@
     def _may_repeat(self) -> bool:
         return self.daemon.budget.left(self.job.service, self.daemon.now()) >= 1.0
 
-    def _relay(self, head: AnswerHead) -> Fate | None:
+    def _relay(self, head: AnswerHead) -> AttemptOutcome | None:
         """Pass events on as they come."""
         assert self.channel is not None and self.cutter is not None
         self.cutter.restart()
@@ -230,7 +230,7 @@
                     self._end_prefill(first_token=True)
                     first = False
         if self.cutter.rest.strip() or self.cutter.broken:
-            return Fate.BROKEN
+            return AttemptOutcome.BROKEN
         self._release(whole=True)
         if not self.answered:
             self._send_events(head, b"")
@@ -250,16 +250,16 @@
         self.answered = True
         self.job.first_byte_at = self.daemon.now()
 
-    def _settle(self, fate: Fate) -> None:
+    def _settle(self, outcome: AttemptOutcome) -> None:
         """Take in a failed attempt and let go of its channel."""
         assert self.choice is not None
         target = self.choice.target
-        self.attempts.note(target.instance, fate)
-        self.daemon.metrics.attempts.labels(fate.value).inc()
+        self.attempts.note(target.instance, outcome)
+        self.daemon.metrics.attempts.labels(outcome.value).inc()
         self._release(whole=False)
-        if fate is not Fate.REFUSED:
+        if outcome is not AttemptOutcome.REFUSED:
             target.note_failure(self.daemon.now())
-            self._log("Attempt failed.", fate=fate.value)
+            self._log("Attempt failed.", outcome=outcome.value)
 
     def _given_up(self, now: float, reason: str) -> Failure:
         kind = self.attempts.error_kind()
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -41,7 +41,7 @@
         self.attempts = Counter(
             f"{PREFIX}_attempts",
             "Sends to targets by how they ended.",
-            ("fate",),
+            ("outcome",),
             registry=registry,
         )
         self.first_byte = Histogram(
--- a/tests/test_agaterail/test_gateway/test_attempts.py
+++ b/tests/test_agaterail/test_gateway/test_attempts.py
@@ -3,7 +3,7 @@
 import unittest
 
 from agaterail.errors import ErrorKind
-from agaterail.gateway.attempts import Attempts, Fate
+from agaterail.gateway.attempts import AttemptOutcome, Attempts
 from agaterail.gateway.desired import RequestKind
 from tests.test_agaterail.test_gateway.test_desired import make_route
 
@@ -13,30 +13,30 @@
         # The connection breaks after the request was sent: it may have run.
         # The caller is told so (502) and nothing is sent again.
         attempts = Attempts(make_route(kind=RequestKind.UNSAFE, max_attempts=3))
-        attempts.note("i-1", Fate.BROKEN)
+        attempts.note("i-1", AttemptOutcome.BROKEN)
         self.assertFalse(attempts.may_go_on(1.0))
         self.assertIs(attempts.error_kind(), ErrorKind.TARGET_LOST)
 
     def test_it_goes_on_while_targets_say_that_it_did_not_run(self):
         attempts = Attempts(make_route(kind=RequestKind.UNSAFE, max_attempts=1))
-        attempts.note("i-1", Fate.REFUSED)
+        attempts.note("i-1", AttemptOutcome.REFUSED)
         self.assertTrue(attempts.may_go_on(1.0))
-        attempts.note("i-2", Fate.NOT_CONNECTED)
+        attempts.note("i-2", AttemptOutcome.NOT_CONNECTED)
         self.assertTrue(attempts.may_go_on(1.0))
         self.assertIs(attempts.error_kind(), ErrorKind.NO_TARGET)
 
     def test_a_request_that_only_was_refused_is_answered_as_not_run(self):
         attempts = Attempts(make_route(kind=RequestKind.UNSAFE))
         for number in range(3):
-            attempts.note(f"i-{number}", Fate.REFUSED)
+            attempts.note(f"i-{number}", AttemptOutcome.REFUSED)
         self.assertFalse(attempts.may_go_on(1.0))
         self.assertIs(attempts.error_kind(), ErrorKind.TARGET_REFUSED)
 
     def test_runs_are_bounded_by_the_route(self):
         attempts = Attempts(make_route(max_attempts=2))
-        attempts.note("i-1", Fate.FAILED)
+        attempts.note("i-1", AttemptOutcome.FAILED)
         self.assertTrue(attempts.may_go_on(1.0))
-        attempts.note("i-2", Fate.SILENT)
+        attempts.note("i-2", AttemptOutcome.SILENT)
         self.assertFalse(attempts.may_go_on(1.0))
         self.assertIs(attempts.error_kind(), ErrorKind.TARGET_TIMEOUT)
 
--- a/tests/test_agaterail/test_losses.py
+++ b/tests/test_agaterail/test_losses.py
@@ -19,7 +19,7 @@
             line("Answered.", status=200, late=False),
             line("Stream complete.", events=9, late=False),
             line("Request failed.", kind="no_route"),
-            line("Attempt failed.", fate="silent"),
+            line("Attempt failed.", outcome="silent"),
         ):
             self.assertEqual(find_losses(parse([text]), 2), [])
 
