--- /dev/null
+++ b/agaterail/gateway/attempt.py
@@ -0,0 +1,170 @@
+"""One send of a request to one target, up to its answer or its failure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agaterail.gateway.desired import RequestKind
+
+if TYPE_CHECKING:
+    from agaterail.gateway.channel import Channel
+    from agaterail.gateway.daemon import Daemon
+    from agaterail.gateway.eventstream import EventCutter
+    from agaterail.gateway.inbound import AnswerHead
+    from agaterail.gateway.job import Job
+    from agaterail.gateway.placement import Choice
+    from agaterail.gateway.shedding import Waiting
+
+OK_STATUSES = range(200, 300)
+# Reading what has arrived already.
+TAKE_IN_S = 0.005
+
+
+class Attempt:
+    """A request at one target, with what this daemon counts for it there.
+
+    Attributes
+    ----------
+    head
+        Head of the answer; None before it came.
+    pieces
+        What was read of an answer that is passed on whole.
+    unread
+        Bytes of a stream that were taken in and not read yet.
+    has_events
+        An event of the stream was passed on.
+    """
+
+    def __init__(self, daemon: Daemon, job: Job, choice: Choice, channel: Channel) -> None:
+        self.daemon = daemon
+        self.job = job
+        self.choice = choice
+        self.target = choice.target
+        self.channel = channel
+        self.head: AnswerHead | None = None
+        self.pieces: list[bytes] = []
+        self.unread = b""
+        self.has_events = False
+        self.is_open = True
+        self.waiting: Waiting | None = None
+        self.target.in_flight += 1
+        self._begin_prefill()
+
+    @property
+    def instance(self) -> str:
+        """Return the id of the target."""
+        return self.target.instance
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the target answers with events."""
+        head = self.head
+        if head is None or self.job.route.kind is not RequestKind.STREAM:
+            return False
+        return head.signed and head.status in OK_STATUSES
+
+    def read_head(self, deadline: float) -> AnswerHead:
+        """Wait for the head of the answer, if it was not read yet.
+
+        Raises
+        ------
+        TimeoutError
+            If it has not come by the deadline.
+        OSError
+            If the connection broke or what came is no answer.
+        """
+        if self.head is None:
+            self.head = self.channel.read_head(self.job.inbound.request_id, deadline)
+            self._note_weights(self.head)
+        return self.head
+
+    def read_rest(self, deadline: float) -> bytes:
+        """Return the whole body; what was read before an error is kept for the next call.
+
+        Raises
+        ------
+        TimeoutError
+            If it has not come by the deadline.
+        OSError
+            If the body was cut short.
+        """
+        while piece := self.channel.read_body(deadline):
+            self.pieces.append(piece)
+        return b"".join(self.pieces)
+
+    def read_body(self, deadline: float) -> bytes:
+        """Return the next bytes of a stream, or nothing at its end.
+
+        Raises
+        ------
+        TimeoutError
+            If nothing has come by the deadline.
+        OSError
+            If the stream was cut short.
+        """
+        unread, self.unread = self.unread, b""
+        return unread or self.channel.read_body(deadline)
+
+    def take_in(self, cutter: EventCutter) -> bool:
+        """Take in what has come of a stream; tells whether a whole event or its end has.
+
+        Raises
+        ------
+        OSError
+            If the stream was cut short.
+        """
+        try:
+            data = self.channel.read_body(self.daemon.now() + TAKE_IN_S)
+        except TimeoutError:
+            return False
+        self.unread += data
+        return not data or cutter.ends_event(self.unread)
+
+    def note_event(self) -> None:
+        """Take in that events came."""
+        if not self.has_events:
+            self.has_events = True
+            self._end_prefill(first_token=True)
+
+    def finish(self, sound: bool = True) -> None:
+        """Keep the channel, as the answer was read whole.
+
+        Parameters
+        ----------
+        sound
+            The answer shows that the target is well.
+        """
+        if self._end():
+            if sound:
+                self.target.note_success()
+            self.daemon.channels.give_back(self.target, self.channel)
+
+    def abandon(self) -> None:
+        """Close the channel at once, so that the target stops working."""
+        if self._end():
+            self.channel.close()
+
+    def _end(self) -> bool:
+        was_open, self.is_open = self.is_open, False
+        if was_open:
+            self.target.in_flight -= 1
+            self._end_prefill()
+        return was_open
+
+    def _begin_prefill(self) -> None:
+        job = self.job
+        if job.route.prompted:
+            shedder = self.daemon.shedder_of(job.service)
+            self.waiting = shedder.begin(job.route.objective_s, self.daemon.now())
+            self.target.prefill_tokens += job.inbound.prompt_tokens
+
+    def _end_prefill(self, first_token: bool = False) -> None:
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            shedder = self.daemon.shedder_of(self.job.service)
+            shedder.end(waiting, self.daemon.now(), first_token)
+            self.target.prefill_tokens -= self.job.inbound.prompt_tokens
+
+    def _note_weights(self, head: AnswerHead) -> None:
+        if head.weights_version is not None and (head.not_run or self.is_stream):
+            self.target.note_weights(self.job.inbound.model, head.weights_version)
--- a/agaterail/gateway/attempts.py
+++ b/agaterail/gateway/attempts.py
@@ -12,17 +12,17 @@
 if TYPE_CHECKING:
     from agaterail.gateway.desired import Route
 
-# Below this a target cannot answer before the caller leaves: a new connection
-# and the way there and back already take several milliseconds.
+# Below this a target cannot answer before the caller leaves.
 LEAST_TIME_S = 0.02
 # A second target is asked when the first has been silent for this part of the
-# time that is left, but for a stream not before twice its objective: a full
+# time that is left, but for a stream not before this many objectives: a full
 # engine answers late, and a second copy of the request would make it later.
 PATIENCE_PART = 0.4
 STREAM_PATIENCE_OBJECTIVES = 2.0
-# Callers leave a stream that pauses for 2 s or for eight of its pause
-# objectives. Half of the 2 s leaves time to continue it elsewhere.
+# Callers leave a stream that pauses for too long; another target is asked while it
+# can still continue it in time.
 GAP_PATIENCE_S = 1.0
+GAP_PATIENCE_OBJECTIVES = 2.0
 # Connections that could not be made cost no arrival at a target, only time.
 MOST_CONNECT_FAILURES = 3
 # A target that refuses is full or loading, and so soon are the others when all
@@ -38,6 +38,7 @@
     FAILED = "failed"  # the target's own failure, a whole answer
     BROKEN = "broken"  # sent, and no whole answer came
     SILENT = "silent"  # sent, and nothing came in time
+    NOT_NEEDED = "not_needed"  # sent, and the attempt before it went on after all
 
 
 @attrs.define
@@ -48,20 +49,31 @@
     ----------
     tried
         Targets that are not asked again.
-    runs
-        Targets that may have run the request.
+    ran
+        Targets that may have run the request, those that it is at included.
     sends
         Arrivals at targets, refused ones included.
     """
 
     route: Route
     tried: set[str] = attrs.field(factory=set)
-    runs: int = 0
+    ran: set[str] = attrs.field(factory=set)
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
     last: AttemptOutcome | None = None
 
+    @property
+    def runs(self) -> int:
+        """Return how many targets may have run the request."""
+        return len(self.ran)
+
+    def begin(self, instance: str) -> None:
+        """Take in that the request is sent to a target."""
+        self.sends += 1
+        self.tried.add(instance)
+        self.ran.add(instance)
+
     def note(self, instance: str, outcome: AttemptOutcome) -> None:
         """Take in how an attempt ended."""
         self.tried.add(instance)
@@ -70,8 +82,9 @@
             self.connect_failures += 1
         elif outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
+            self.ran.discard(instance)
         else:
-            self.runs += 1
+            self.ran.add(instance)
 
     def may_go_on(self, left_s: float) -> bool:
         """Tell whether another target may be asked, the budget apart.
@@ -95,7 +108,7 @@
         Without another target to ask, silence is no reason to end anything:
         the whole time is waited.
         """
-        if not self.route.idempotent or self.runs + 1 >= self.route.max_attempts:
+        if not self._may_repeat():
             return left_s
         patience = left_s * PATIENCE_PART
         if self.route.prompted:
@@ -104,9 +117,11 @@
 
     def gap_patience_s(self, left_s: float) -> float:
         """Return how long to wait for a stream's next event."""
-        if not self.route.idempotent or self.runs + 1 >= self.route.max_attempts:
+        if not self._may_repeat():
             return left_s
-        return min(left_s, max(GAP_PATIENCE_S, 2.0 * self.route.gap_objective_s))
+        return min(
+            left_s, max(GAP_PATIENCE_S, GAP_PATIENCE_OBJECTIVES * self.route.gap_objective_s)
+        )
 
     def error_kind(self) -> ErrorKind:
         """Return the kind of error for a request that nothing more is tried for."""
@@ -117,3 +132,7 @@
         if self.last is AttemptOutcome.SILENT:
             return ErrorKind.TARGET_TIMEOUT
         return ErrorKind.TARGET_LOST
+
+    def _may_repeat(self) -> bool:
+        """Tell whether one more target may run the request beside the one that it is at."""
+        return self.route.idempotent and max(1, self.runs) < self.route.max_attempts
--- a/agaterail/gateway/channel.py
+++ b/agaterail/gateway/channel.py
@@ -11,14 +11,15 @@
 import attrs
 import gevent
 import httptools
-from gevent import socket
+from gevent import select, socket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from agaterail.gateway.inbound import AnswerHead
 
 READ_BYTES = 64 * 1024
+MS_PER_S = 1e3
 # An answer whose head has not ended after so many bytes is no answer.
 MAX_HEAD_BYTES = 64 * 1024
 INTERIM_BELOW = 200
@@ -306,5 +307,15 @@
             self.reusable = False
 
 
+def wait_readable(channels: Sequence[Channel], timeout_s: float) -> list[Channel]:
+    """Return the channels on which bytes or an end came, none if nothing did in time."""
+    poll = select.poll()
+    by_number = {channel.sock.fileno(): channel for channel in channels}
+    for number in by_number:
+        poll.register(number, select.POLLIN)
+    found = poll.poll(max(0.0, timeout_s) * MS_PER_S)
+    return [by_number[number] for number, _ in found]
+
+
 def _ignore() -> None:
     return
--- a/agaterail/gateway/eventstream.py
+++ b/agaterail/gateway/eventstream.py
@@ -46,6 +46,10 @@
         fresh = [event for event in _events(buffered[:end]) if self._is_new(event)]
         return b"".join(fresh)
 
+    def ends_event(self, data: bytes) -> bool:
+        """Tell whether an event ends in the data, were it fed now."""
+        return _last_boundary(self.rest + data) > 0
+
     def restart(self) -> None:
         """Forget the event that the former run left unfinished."""
         self.rest = b""
--- a/agaterail/gateway/job.py
+++ b/agaterail/gateway/job.py
@@ -36,3 +36,9 @@
     target: str = ""
     cut: bool = False
     saves: bool = False
+
+    @property
+    def first_byte_s(self) -> float | None:
+        """Return after how many seconds the answer began; None before."""
+        at = self.first_byte_at
+        return None if at is None else at - self.inbound.received_at
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -9,7 +9,7 @@
 
 import attrs
 import gevent
-from gevent import socket
+from gevent import select, socket
 from gevent.server import StreamServer
 
 REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected Request", 503: "Unavailable"}
@@ -28,6 +28,11 @@
     weights: int
     at: float
     ended: str = "open"
+    ended_at: float = 0.0
+
+    def end(self, how: str) -> None:
+        """Note how and when the work on it ended."""
+        self.ended, self.ended_at = how, time.monotonic()
 
 
 class PlatformTargetStandIn:
@@ -36,7 +41,8 @@
     Faults are attributes: ``refuse`` answers 503 with the mark of a request that
     did not run, ``hang`` runs and never answers, ``break_after`` resets a stream
     in the middle of the event of that number, ``error`` answers 500, ``doubled``
-    sends every answer twice.
+    sends every answer twice, ``pause_before`` is silent for ``pause_s`` before the
+    event of that number; 0 stands for the head of the answer.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
@@ -50,6 +56,8 @@
         self.load_s = 0.2
         self.refuse = self.hang = self.error = self.doubled = False
         self.break_after: int | None = None
+        self.pause_before: int | None = None
+        self.pause_s = 1.3
         self.loaded_hook: Callable[[], object] = lambda: None
         self.loading = False
         self.orders = 0
@@ -142,13 +150,15 @@
         if self.hang:
             gevent.sleep(30.0)
             return False
+        if self.pause_before == 0 and self._is_left(sock, run):
+            return False
         mark = {"Request-Id": run.request_id, "Server-Stamp": f"s-{self.instance}"}
         if self.error:
-            run.ended = "error"
+            run.end("error")
             return self._send(sock, 500, mark, b"failed")
         if self.model:
             return self._stream(sock, run, mark)
-        run.ended = "whole"
+        run.end("whole")
         answer = f"{self.instance} {run.request_id}".encode() * 20
         for _ in range(2 if self.doubled else 1):
             self._send(sock, 200, mark, answer)
@@ -161,14 +171,24 @@
         sock.sendall(_head(200, head))
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_s)
+            if self.pause_before == number and self._is_left(sock, run):
+                return False
             event = b"id: %d\ndata: %s-%d\n\n" % (number, run.request_id.encode(), number)
             if self.break_after == number:
-                run.ended = "broken"
+                run.end("broken")
                 sock.sendall(b"%x\r\n%b" % (len(event), event[:-5]))
                 return False
             sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
         sock.sendall(b"0\r\n\r\n")
-        run.ended = "whole"
+        run.end("whole")
+        return True
+
+    def _is_left(self, sock: socket.socket, run: Run) -> bool:
+        """Pause; tells whether the other side closed the connection meanwhile."""
+        readable, _, _ = select.select([sock], [], [], self.pause_s)
+        if not readable:
+            return False
+        run.end("left")
         return True
 
     def _report(self) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import unittest
+
+import gevent
+
+from agaterail.gateway.stopping import Stopper
+from tests.gateway_fleet import LLM, PLAIN, Fleet
+
+WHOLE = [b"data: r1-%d" % number for number in range(1, 9)]
+# An engine that a stream has left may work on it for so long.
+LEFT_BEHIND_S = 0.4
+
+
+def refuse(fleet, other):
+    other.refuse = True
+
+
+def vanish(fleet, other):
+    fleet.store.put("keyed.servers", other.instance, b"")
+    book = fleet.daemons[0].book
+    fleet.wait(lambda: other.instance not in book.targets)
+
+
+def use_up_budget(fleet, other):
+    fleet.daemons[0].budget.left = lambda *_: 0.0
+
+
+def stop_listening(fleet, other):
+    other.server.stop(timeout=0)
+
+
+def answer_an_error(fleet, other):
+    other.error = True
+
+
+def break_off(fleet, other):
+    other.break_after = 0
+
+
+def never_answer(fleet, other):
+    other.hang = True
+
+
+# What a request meets that is to go on at another target.
+OBSTACLES = {
+    "the other refuses": refuse,
+    "there is no other": vanish,
+    "the budget is used up": use_up_budget,
+    "the other cannot be connected": stop_listening,
+    "the other answers an error": answer_an_error,
+    "the other breaks off": break_off,
+    "the other does not answer either": never_answer,
+}
+
+
+class ForwarderTest(unittest.TestCase):
+    def start(self, service=LLM):
+        """Start a fleet; returns the target that gets the next request, and the other."""
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+        names = ["e-0", "e-1"] if service == LLM else ["p-0", "p-1"]
+        targets = [self.fleet.targets[name] for name in names]
+        if service == LLM:
+            self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        else:
+            self.fleet.ask("/safe/x", request_id="r0")
+        targets.sort(key=lambda target: -len(target.runs))
+        for target in targets:
+            target.runs.clear()
+        return targets
+
+    def ask_stream(self, stops_host=False):
+        if stops_host:
+            stopper = gevent.spawn_later(0.9, Stopper(self.fleet.daemons[0]).run)
+            self.addCleanup(stopper.kill)
+        return self.fleet.ask("/resumed/x", stream=True)
+
+
+class SilentStreamTest(ForwarderTest):
+    def test_a_stream_that_pauses_is_whole_when_no_other_engine_takes_it_over(self):
+        """A pausing stream was left before its successor was found, and ended cut."""
+        for name, obstacle in OBSTACLES.items():
+            for stops_host in (False, True):
+                with self.subTest(name, stops_host=stops_host):
+                    engine, other = self.start()
+                    engine.pause_before = 4
+                    obstacle(self.fleet, other)
+                    answer = self.ask_stream(stops_host)
+                    self.assertEqual(answer.events, WHOLE)
+                    self.assertTrue(answer.whole_stream)
+                    self.fleet.stop()
+
+    def test_a_late_first_event_comes_when_no_other_engine_takes_it_over(self):
+        """An engine that was slow to begin was left for one that refused."""
+        for name, obstacle in OBSTACLES.items():
+            with self.subTest(name):
+                engine, other = self.start()
+                engine.pause_before = 1
+                obstacle(self.fleet, other)
+                answer = self.ask_stream()
+                self.assertEqual(answer.events, WHOLE)
+                self.fleet.stop()
+
+    def test_a_stuck_stream_goes_on_at_another_engine_and_leaves_the_first(self):
+        """A stuck engine must cost a stream a second, and no engine may work twice on it."""
+        engine, other = self.start()
+        engine.pause_before, engine.pause_s = 4, 5.0
+        answer = self.ask_stream()
+        self.assertEqual(answer.events, WHOLE)
+        self.assertEqual(other.runs[0].headers["last-event-id"], "3")
+        self.fleet.wait(lambda: engine.runs[0].ended == "left")
+        self.assertLess(engine.runs[0].ended_at - other.runs[0].at, LEFT_BEHIND_S)
+
+    def test_an_engine_that_goes_on_first_keeps_the_stream(self):
+        """Events of an engine were lost or mixed with those of the engine asked meanwhile."""
+        engine, other = self.start()
+        engine.pause_before = 4
+        other.pause_before, other.pause_s = 0, 1.0
+        answer = self.ask_stream()
+        self.assertEqual(answer.events, WHOLE)
+        self.assertEqual(engine.runs[0].ended, "whole")
+        self.assertEqual(other.runs[0].ended, "left")
+
+    def test_an_engine_that_breaks_while_another_is_asked_is_left(self):
+        """The stream waited for an engine that had gone."""
+        engine, other = self.start()
+        engine.pause_before = engine.break_after = 4
+        other.pause_before, other.pause_s = 0, 0.6
+        answer = self.ask_stream()
+        self.assertEqual(answer.events, WHOLE)
+        self.assertEqual(other.runs[0].headers["last-event-id"], "3")
+
+    def test_nothing_works_for_a_caller_that_left_while_another_engine_was_asked(self):
+        """Two engines went on with a stream that nobody waited for."""
+        engine, other = self.start()
+        for target in (engine, other):
+            target.pause_before, target.pause_s = 4, 5.0
+        other.pause_before = 0
+        sock = self.fleet.connect()
+        sock.sendall(self.fleet.request("/resumed/x", stream=True))
+        self.fleet.wait(lambda: other.runs)
+        sock.close()
+        self.fleet.wait(lambda: engine.runs[0].ended == other.runs[0].ended == "left", 1.0)
+        targets = self.fleet.daemons[0].book.targets.values()
+        self.assertEqual([target.in_flight for target in targets], [0] * len(targets))
+
+
+class SilentServiceTest(ForwarderTest):
+    def test_a_slow_answer_comes_when_no_other_target_answers(self):
+        """A slow service was left for a target that refused; the caller got an error."""
+        for name, obstacle in OBSTACLES.items():
+            if obstacle is break_off:
+                continue
+            with self.subTest(name):
+                target, other = self.start(PLAIN)
+                target.pause_before, target.pause_s = 0, 1.0
+                obstacle(self.fleet, other)
+                answer = self.fleet.ask("/safe/x")
+                self.assertEqual(
+                    (answer.status, answer.body[:3]), (200, target.instance.encode())
+                )
+                self.fleet.stop()
+
+    def test_a_stuck_target_is_left_for_another(self):
+        """A safe request waited for a stuck target until its caller left."""
+        target, _ = self.start(PLAIN)
+        target.pause_before, target.pause_s = 0, 5.0
+        self.assertEqual(self.fleet.ask("/safe/x").status, 200)
+
+
+class FailedAnswerTest(ForwarderTest):
+    def test_a_target_s_own_failure_is_passed_on_when_no_other_answers(self):
+        """A target's whole failure was replaced by an error of ours."""
+        for name, obstacle in OBSTACLES.items():
+            if obstacle is break_off:
+                continue
+            with self.subTest(name):
+                target, other = self.start(PLAIN)
+                target.error = True
+                obstacle(self.fleet, other)
+                answer = self.fleet.ask("/safe/x")
+                self.assertEqual((answer.status, answer.body), (500, b"failed"))
+                self.assertIn("server-stamp", answer.head)
+                self.fleet.stop()
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -64,9 +64,9 @@
     ("gateway/handler.py", "_workspace"): BEFORE_A_TARGET,
     # Only while no target may have run the request (tests of Attempts).
     ("gateway/attempts.py", "error_kind"): DEFINED,
-    ("gateway/forwarder.py", "_given_up"): DEFINED,
+    ("gateway/sender.py", "_given_up"): DEFINED,
     # Only before the first send.
-    ("gateway/forwarder.py", "_overload"): BEFORE_A_TARGET,
+    ("gateway/sender.py", "_overload"): BEFORE_A_TARGET,
 }
 # Places that name such a kind and answer nothing with it.
 NO_ANSWER = {("filters/retry.py", "handle"), ("filters/retry.py", "<module>")}
