--- a/agaterail/cmd/gateway.py
+++ b/agaterail/cmd/gateway.py
@@ -17,6 +17,7 @@
 from agaterail.gateway.logbudget import HostField, LogBudget
 from agaterail.gateway.logsink import LogSink
 from agaterail.gateway.metrics import start_metrics
+from agaterail.gateway.startstages import StartStages
 from agaterail.gateway.stopping import Stopper
 from agaterail.platform import names
 from agaterail.platform.cacheevents import PlatformCacheFeed
@@ -33,8 +34,15 @@
 logger = logs.get_logger("main")
 
 
-def gateway(settings_file: str = "") -> int:
-    """Run the gateway until SIGTERM; returns the exit status."""
+def gateway(settings_file: str = "", started_at: float | None = None) -> int:
+    """Run the gateway until SIGTERM; returns the exit status.
+
+    Parameters
+    ----------
+    started_at
+        Time at which the process began to import; that of the call if not said.
+    """
+    stages = StartStages(boot_now() if started_at is None else started_at, boot_now)
     path = settings_file or os.environ.get(names.SETTINGS_VARIABLE, "")
     if not path:
         print(
@@ -58,12 +66,14 @@
         stream=sink,
         processors=[HostField(chosen.host), LogBudget(boot_now)],
     )
+    stages.reached("Settings read.")
     store = PlatformStore(chosen.store.address, chosen.store.parts)
     try:
         daemon = Daemon(chosen, store, PlatformEngines(), PlatformCacheFeed())
     except OSError as error:
         print(f"{chosen.caller_listen} cannot be bound: {error}", file=sys.stderr)
         return EXIT_USAGE
+    stages.reached("Listening.")
     daemon.log_lines_dropped = lambda: sink.dropped_in_all
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
@@ -71,8 +81,9 @@
     gevent.signal_handler(signal.SIGHUP, _on_reload)
     # What the start has made stays for good; the collector need not look at it.
     gc.freeze()
-    logger.info("Started.", host=chosen.host, boot=daemon.boot, domain=chosen.domain)
+    stages.reached("Started.", host=chosen.host, boot=daemon.boot, domain=chosen.domain)
     daemon.start()
+    gevent.spawn(stages.await_ready, daemon)
     if metrics:
         port, _, path = metrics.partition("/")
         start_metrics(daemon, Address(chosen.ip, int(port)), b"/" + path.encode())
--- a/agaterail/gateway/__main__.py
+++ b/agaterail/gateway/__main__.py
@@ -11,8 +11,11 @@
 greenlets.patch()
 
 import sys
+import time
+
+STARTED_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
 
 from agaterail.cmd.gateway import gateway
 
 if __name__ == "__main__":
-    sys.exit(gateway())
+    sys.exit(gateway(started_at=STARTED_AT))
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_startstages.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+import gevent
+
+from agaterail.gateway import startstages
+from agaterail.gateway.startstages import StartStages
+
+
+class StartStagesTest(unittest.TestCase):
+    """A start was late, and no line said at which stage it had waited for what."""
+
+    def setUp(self):
+        self.clock = 12.5
+        self.stages = StartStages(10.0, lambda: self.clock)
+        patch = mock.patch.object(startstages.logger, "info")
+        self.info = patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_a_stage_says_its_age_and_the_processor_time(self):
+        with mock.patch.object(startstages.time, "process_time", lambda: 0.4):
+            self.stages.reached("Listening.", host="h")
+        self.info.assert_called_once_with("Listening.", host="h", start_s=2.5, processor_s=0.4)
+
+    def test_readiness_is_a_stage(self):
+        daemon = SimpleNamespace(
+            ready=False,
+            stopping=False,
+            book=SimpleNamespace(targets={"i-1": None}),
+            feeds=SimpleNamespace(readers=("a", "b")),
+        )
+        waiting = gevent.spawn(self.stages.await_ready, daemon)
+        gevent.sleep(0)
+        self.info.assert_not_called()
+        daemon.ready = True
+        waiting.join(1.0)
+        self.assertEqual(self.info.call_args.args, ("Ready.",))
+        self.assertEqual(self.info.call_args.kwargs["targets"], 1)
+
+    def test_a_daemon_that_stops_before_is_not_waited_for(self):
+        waiting = gevent.spawn(
+            self.stages.await_ready, SimpleNamespace(ready=False, stopping=True)
+        )
+        self.assertTrue(waiting.join(1.0) is None and waiting.ready())
+        self.info.assert_not_called()
--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -3,7 +3,9 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
+from tools.soak import run
 from tools.soak.run import soak
 
 # Seeds that failed once stay here with a line on the cause.
@@ -19,3 +21,10 @@
             with self.subTest(seed), tempfile.TemporaryDirectory() as folder:
                 found = soak(seed, SECONDS, 3, 8, pathlib.Path(folder))
                 self.assertEqual(found.problems, [])
+
+    def test_a_start_that_takes_too_long_is_a_finding(self):
+        """A series of seeds ended at a late start, and nothing said how far it had come."""
+        limits = mock.patch.multiple(run, START_S=0.0, START_S_PER_GATEWAY=0.0)
+        with limits, tempfile.TemporaryDirectory() as folder:
+            found = soak(1, SECONDS, 1, 1, pathlib.Path(folder))
+        self.assertIn("g-0: not ready after 0.0 s", found.problems[0])
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -54,9 +54,9 @@
     """Run gateways under faults and check the promises."""
     world = World(folder, gateways)
     try:
-        with gevent.Timeout(START_S + gateways * START_S_PER_GATEWAY):
-            while not all(gateway.ready for gateway in world.gateways):
-                gevent.sleep(0.05)
+        late = _not_started(world)
+        if late:
+            return Found(seed, 0, 0, 0, late)
         crowd = [Caller(world, number, seed) for number in range(callers)]
         calling = [gevent.spawn(caller.run) for caller in crowd]
         faults = Faults(world, seed, deal)
@@ -74,3 +74,18 @@
         world.stop()
     served = sum(item.status == 200 and item.whole for item in asked)
     return Found(seed, len(asked), served, len(faults.done), problems)
+
+
+def _not_started(world: World) -> list[str]:
+    """Wait until all gateways are ready; returns what is known of those that are not."""
+    limit_s = START_S + len(world.gateways) * START_S_PER_GATEWAY
+    until = time.monotonic() + limit_s
+    while any(not gateway.ready for gateway in world.gateways):
+        if time.monotonic() >= until:
+            late = [gateway for gateway in world.gateways if not gateway.ready]
+            return [
+                f"{gateway.name}: not ready after {limit_s:.1f} s: {gateway.last_line}"
+                for gateway in late
+            ]
+        gevent.sleep(0.05)
+    return []
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -44,6 +44,12 @@
     ready: bool = False
     starts: int = 0
 
+    @property
+    def last_line(self) -> str:
+        """Return the last line of its log."""
+        lines = pathlib.Path(self.log.name).read_text(encoding="utf-8", errors="replace")
+        return lines.rstrip().rpartition("\n")[2]
+
     @property
     def running(self) -> bool:
         """Tell whether the process lives."""
