--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -7,7 +7,7 @@
 import gevent.event
 
 from agaterail.gateway import peerfeed
-from agaterail.gateway.controlstore import Feed
+from agaterail.gateway.controlstore import STORE, Feed
 from tests.gateway_fleet import BOUNDS, LLM, MODEL, Answer, Fleet, make_desired, read_all
 from tests.large_state import make_rows, make_state, with_row_changed
 from tests.test_agaterail.test_gateway.test_front import MALFORMED
@@ -293,6 +293,19 @@
         self.assertEqual(fleet.ask("/safe/x").status, 200)
 
 
+def count_own_news(feeds):
+    """Return a list to which each read of the store that brings something is added."""
+    found, take_in = [], feeds.take_in
+
+    def wrapped(feed, records, next_offset, read_at, arrival, listed=False):
+        if records and arrival.source == STORE:
+            found.append(feed)
+        take_in(feed, records, next_offset, read_at, arrival, listed)
+
+    feeds.take_in = wrapped
+    return found
+
+
 class SilentReaderTest(unittest.TestCase):
     def test_a_reader_that_hears_nothing_of_the_store_keeps_nobody_from_news(self):
         # One reader's channel to the store goes silent, unnoticed for two
@@ -305,8 +318,10 @@
         self.assertEqual(len(readers), 2)
         readers[0].store.follow = lambda *_: gevent.sleep(60.0)
         gevent.sleep(1.0)
+        own_news = count_own_news(readers[0].feeds)
         fleet.publish(make_desired(7))
         fleet.wait(lambda: all(d.state.desired.version == 7 for d in fleet.daemons), 1.5)
+        self.assertEqual(own_news, [])
 
     def test_two_readers_that_hear_nothing_keep_nobody_from_news_for_long(self):
         # Both readers are cut off from the store at the same moment, without a
