--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -15,6 +15,7 @@
 
     from agaterail.gateway.desired import DesiredState
     from agaterail.gateway.documents import Document
+    from agaterail.gateway.namedweights import NamingRecord
     from agaterail.gateway.targets import Registration
 
 
@@ -78,12 +79,16 @@
     load_s
         Seconds in which engines load new weights, as the holder has seen it;
         None if it has seen no load.
+    naming
+        For how long weights versions have been named, as the writer knows it; None
+        if not said.
     """
 
     host: str
     boot: str
     released_idle_s: float | None = None
     load_s: float | None = None
+    naming: NamingRecord | None = None
 
 
 @attrs.frozen
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -52,8 +52,6 @@
 # the store's return.
 LAPSE_GRACE_S = 2.0
 BOOT_BYTES = 4
-# Age that a process assumes of weights that were named before it started.
-UNKNOWN_AGE_PART = 0.6
 HOUSEKEEPING_PERIOD_S = 0.5
 
 
@@ -84,7 +82,7 @@
         )
         self.book = TargetBook(LAPSE_GRACE_S)
         self.state = GatewayState(
-            self.freshness, self.book, bounds.version_s * UNKNOWN_AGE_PART
+            self.freshness, self.book, bounds.version_s, bounds.clock_skew_s
         )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -111,14 +111,15 @@
             self.news.clear()
         changes = self.daemon.store.decode(feed, records)
         now = self.daemon.now()
+        read_before, offset_before = self.read_at[feed], self.offsets.get(feed)
         self.offsets[feed] = max(next_offset, self.offsets.get(feed, next_offset))
         self.read_at[feed] = max(self.read_at[feed], read_at)
         if feed is Feed.LEASE:
-            self._take_in_lease(changes, now)
+            self._take_in_lease(changes, now, offset_before, read_before)
         elif feed is Feed.TARGETS and listed:
             self.daemon.state.apply_listing(changes, next_offset, now)
         else:
-            self.daemon.state.apply(changes, now, at_start, arrival)
+            self.daemon.state.apply(changes, now, at_start, arrival, read_before)
             self._count_lateness(changes, arrival)
         if feed is Feed.OPERATORS and read_at != NEVER:
             self.daemon.freshness.confirm(read_at)
@@ -142,7 +143,15 @@
             late_s = max(0.0, self.daemon.now() - arrival.known_at)
             self.daemon.metrics.in_force.observe(late_s)
 
-    def _take_in_lease(self, changes: Sequence[Change], now: float) -> None:
-        entries = [change.entry for change in changes if isinstance(change, LeaseChanged)]
-        newest = entries[-1] if entries else None
-        self.daemon.weights.on_lease(newest, self.offsets[Feed.LEASE], now)
+    def _take_in_lease(
+        self,
+        changes: Sequence[Change],
+        now: float,
+        offset_before: int | None,
+        read_before: float,
+    ) -> None:
+        records = [change for change in changes if isinstance(change, LeaseChanged)]
+        newest = records[-1].entry if records else None
+        is_new = records and offset_before is not None and records[-1].offset >= offset_before
+        written_after = read_before if is_new else NEVER
+        self.daemon.weights.on_lease(newest, self.offsets[Feed.LEASE], now, written_after)
--- a/agaterail/gateway/hostsettings.py
+++ b/agaterail/gateway/hostsettings.py
@@ -30,6 +30,8 @@
         Seconds that must lie between the orders of two hosts.
     version_s
         Seconds after which older weights must not begin a request.
+    clock_skew_s
+        Largest error of a host's time of day in seconds.
     fenced
         Engines refuse orders with an old fencing number.
     """
@@ -42,6 +44,7 @@
     version_s: float
     fenced: bool
     retries: BudgetTerms
+    clock_skew_s: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -14,6 +14,7 @@
     from collections.abc import Collection, Sequence
 
     from agaterail.gateway.inbound import Inbound
+    from agaterail.gateway.namedweights import NamedVersion, NamedWeights
     from agaterail.gateway.targets import Target
 
 # Weights that are older than the newest named ones lose worth from this age of
@@ -35,44 +36,6 @@
 # domains are paid for; this only breaks ties.
 OTHER_DOMAIN_MS = 2.0
 HASH_BYTES = 6
-# Versions named within the time that counts; older ones change nothing.
-MOST_VERSIONS = 16
-
-
-@attrs.frozen
-class NamedVersion:
-    """A weights version with the time at which this daemon read its name."""
-
-    version: int
-    known_at: float
-
-
-@attrs.frozen
-class NamedWeights:
-    """Versions that were named of a model, the oldest first.
-
-    Each version counts from its own naming: an engine that missed two versions
-    is as late as the first of them says, not the second.
-    """
-
-    versions: tuple[NamedVersion, ...]
-
-    @property
-    def newest(self) -> int:
-        """Return the version that engines should have."""
-        return self.versions[-1].version
-
-    def outdated_for_s(self, held: int, now: float) -> float | None:
-        """Return for how long a version has been outdated; None if it is not."""
-        for named in self.versions:
-            if named.version > held:
-                return now - named.known_at
-        return None
-
-    def named(self, version: int, now: float) -> NamedWeights:
-        """Return these with a version that was named now."""
-        kept = self.versions[-(MOST_VERSIONS - 1) :]
-        return NamedWeights((*kept, NamedVersion(version, now)))
 
 
 @attrs.frozen(kw_only=True)
@@ -104,6 +67,8 @@
         Place of the target in the hash order of the prompt's shared part.
     home
         First target of that order; it probably holds the part.
+    outdated_by
+        Version that made the target's weights outdated; None if they are not.
     """
 
     target: Target
@@ -112,6 +77,7 @@
     rank: int = 0
     home: Target | None = None
     weights_version: int | None = None
+    outdated_by: NamedVersion | None = None
     candidates: int = 0
 
 
@@ -187,13 +153,15 @@
     assert best is not None
     cost, rank, queue_ms = best
     target = ordered[rank]
+    held = _expected_weights(target, inbound.model, named, now)
     return Choice(
         target=target,
         cost_ms=cost,
         queue_ms=queue_ms,
         rank=rank,
         home=ordered[0],
-        weights_version=_expected_weights(target, inbound.model, named, now),
+        weights_version=held,
+        outdated_by=None if named is None or held is None else named.first_after(held),
         candidates=len(usable),
     )
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -115,9 +115,21 @@
             candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
             saves=job.saves,
+            **self._age_of_weights(choice),
             **fields,
         )
 
+    def _age_of_weights(self, choice: Choice | None) -> dict[str, object]:
+        """Return what is believed of outdated weights at the chosen target."""
+        named = None if choice is None else choice.outdated_by
+        if named is None:
+            return {}
+        return {
+            "outdated_by": named.version,
+            "outdated_s": round(self.daemon.now() - named.known_at, 3),
+            "age_assumed": named.assumed,
+        }
+
     def _open(self) -> tuple[Choice, Channel] | Failure:
         """Connect to the next target, or tell why there is none."""
         while True:
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -6,7 +6,7 @@
 
 from agaterail import logs
 from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
-from agaterail.gateway.placement import NamedWeights
+from agaterail.gateway.namedweights import NamedWeights
 from agaterail.gateway.targets import TargetBook
 
 if TYPE_CHECKING:
@@ -15,11 +15,16 @@
     from agaterail.gateway.controlstore import Arrival, Change
     from agaterail.gateway.desired import DesiredState
     from agaterail.gateway.freshness import Freshness
+    from agaterail.gateway.namedweights import NamingRecord
 
 logger = logs.get_logger("state")
 
+NEVER = float("-inf")
 
 MS_PER_S = 1e3
+# Two waits of a read and a slow call: as long as readings are no older, a change that
+# is read was made just now.
+REGULAR_READING_S = 2.0
 # Vanished targets whose offset is remembered. A read is overtaken by seconds; in
 # that time far fewer targets vanish.
 KEPT_VANISHED = 1024
@@ -30,12 +35,30 @@
 
     Versions only move forward: a slow read that was overtaken by a newer one
     must not bring back a route or a key that is gone.
+
+    Attributes
+    ----------
+    unknown_age_s
+        Age of a version that a process finds at its start, for all that it knows.
+    clock_skew_s
+        Largest error of a time of day.
+    naming
+        The newest record of the ages of versions that another process wrote.
+    naming_since
+        Time by the own clock that is no later than its writing.
     """
 
     def __init__(
-        self, freshness: Freshness, book: TargetBook, unknown_age_s: float = 0.0
+        self,
+        freshness: Freshness,
+        book: TargetBook,
+        unknown_age_s: float = 0.0,
+        clock_skew_s: float = 0.0,
     ) -> None:
         self.unknown_age_s = unknown_age_s
+        self.clock_skew_s = clock_skew_s
+        self.naming: NamingRecord | None = None
+        self.naming_since = 0.0
         self.freshness = freshness
         self.book = book
         self.desired: DesiredState | None = None
@@ -52,6 +75,7 @@
         now: float,
         at_start: bool = False,
         arrival: Arrival | None = None,
+        read_before: float | None = None,
     ) -> None:
         """Take in changes in the order of their offsets.
 
@@ -59,6 +83,8 @@
         ----------
         at_start
             They were made at some time before this process first read.
+        read_before
+            Time at which the reading before was sent; they were made after it.
         arrival
             How they came, for the log.
         """
@@ -66,7 +92,8 @@
             if isinstance(change, DesiredPublished):
                 self._apply_desired(change, now, arrival)
             elif isinstance(change, WeightsNamed):
-                self._apply_weights(change, now, at_start)
+                known_at = self._named_since(now, at_start, read_before)
+                self._apply_weights(change, now, known_at, at_start)
             elif isinstance(change, TargetChanged):
                 self._apply_target(change, now)
 
@@ -117,20 +144,71 @@
             known_s=None if arrival is None else round(now - arrival.known_at, 3),
         )
 
-    def _apply_weights(self, change: WeightsNamed, now: float, at_start: bool) -> None:
+    def take_ages(
+        self,
+        record: NamingRecord,
+        now: float,
+        time_of_day: float,
+        written_after: float = NEVER,
+    ) -> None:
+        """Take in for how long versions had been named when another process wrote it down.
+
+        The writing lies as far back as the times of day say, and by the largest error
+        of a clock more.
+
+        Parameters
+        ----------
+        written_after
+            Time by the own clock at which it is known not to have been written yet.
+        """
+        self.naming = record
+        elapsed_s = max(0.0, time_of_day - record.written_at)
+        self.naming_since = max(written_after, now - elapsed_s - self.clock_skew_s)
+        for model in self.weights:
+            self._restore_ages(model, now)
+
+    def _restore_ages(self, model: str, now: float) -> None:
+        if self.naming is None:
+            return
+        former = self.weights[model]
+        ages = self.naming.ages.get(model, ())
+        read_at = self.naming_since - self.naming.reading_age_s
+        found = former.restored(ages, self.naming_since, read_at)
+        if found == former:
+            return
+        self.weights[model] = found
+        logger.info(
+            "Ages of weights restored.",
+            model=model,
+            ages_s={item.version: round(item.age_s, 1) for item in found.ages(now)},
+        )
+
+    def _named_since(self, now: float, at_start: bool, read_before: float | None) -> float:
+        """Return a time that is no later than the naming of a version that was read now."""
+        if at_start:
+            return now - self.unknown_age_s
+        if read_before is None or now - read_before <= REGULAR_READING_S:
+            return now
+        return max(read_before, now - self.unknown_age_s)
+
+    def _apply_weights(
+        self, change: WeightsNamed, now: float, known_at: float, at_start: bool
+    ) -> None:
         known = self.weights.get(change.model)
         if known is not None and change.version <= known.newest:
             return
-        # Of a version that a process finds at its start it does not know when it
-        # was named: after all daemons had died, engines were used on weights
-        # that had been outdated for longer than allowed. Most rollouts are over
-        # in the time that is assumed here.
-        known_at = now - self.unknown_age_s if at_start else now
         known = known or NamedWeights(())
-        self.weights[change.model] = known.named(change.version, known_at)
+        self.weights[change.model] = known.named(change.version, known_at, at_start)
         logger.info(
-            "Weights named.", model=change.model, version=change.version, offset=change.offset
+            "Weights named.",
+            model=change.model,
+            version=change.version,
+            offset=change.offset,
+            age_s=round(now - known_at, 3),
+            assumed=at_start,
         )
+        if at_start:
+            self._restore_ages(change.model, now)
 
     def _apply_target(self, change: TargetChanged, now: float) -> None:
         if change.offset < self.target_offsets.get(change.instance, -1):
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,6 +13,7 @@
 from agaterail.gateway.controlstore import LeaseEntry, StoreErrorKind
 from agaterail.gateway.enginecontrol import OpenRuns, OrderOutcome, WeightsOrder
 from agaterail.gateway.loadtime import LoadTime
+from agaterail.gateway.namedweights import record_ages
 from agaterail.gateway.orderlease import OrderLease
 from agaterail.gateway.weightsplan import (
     LOOK_AGAIN_S,
@@ -34,6 +36,7 @@
 logger = logs.get_logger("weights")
 
 PERIOD_S = 0.1
+NEVER = float("-inf")
 
 
 @attrs.frozen
@@ -59,6 +62,7 @@
         self.looked = False
         self.calling: set[str] = set()
         self.store_retry_at = 0.0
+        self.time_of_day = time.time
 
     def step(self) -> None:
         """Give the orders that are due, if it is on this daemon to give them."""
@@ -116,10 +120,21 @@
             for target in self.daemon.book.of_service(service.name)
         ]
 
-    def on_lease(self, newest: LeaseEntry | None, end: int, now: float) -> None:
-        """Take in the newest record that a read of the lease's log brought."""
+    def on_lease(
+        self, newest: LeaseEntry | None, end: int, now: float, written_after: float = NEVER
+    ) -> None:
+        """Take in the newest record that a read of the lease's log brought.
+
+        Parameters
+        ----------
+        written_after
+            Time at which the record is known not to have been written yet.
+        """
         if newest is not None and newest.boot != self.lease.boot and newest.load_s:
             self.load_time.adopt(newest.load_s)
+        if newest is not None and newest.boot != self.lease.boot and newest.naming:
+            time_of_day = self.time_of_day()
+            self.daemon.state.take_ages(newest.naming, now, time_of_day, written_after)
         if newest is not None or not self.looked:
             self.lease.observe(newest, end, now)
         elif self.lease.end is None or end > self.lease.end:
@@ -134,7 +149,7 @@
         if entry is None or at is None:
             return
         # The next giver of orders may have started since: this record is all it reads.
-        entry = attrs.evolve(entry, load_s=self.load_time.known_s)
+        entry = self._with_knowledge(entry, now)
         answer = self.daemon.store.append_lease(entry, at)
         logger.info("Lease released.", at=at, done=isinstance(answer, Success))
 
@@ -152,9 +167,7 @@
             return True
         at = self.lease.end
         self.lease.sending(at, now)
-        entry = LeaseEntry(
-            host=self.lease.host, boot=self.lease.boot, load_s=self.load_time.known_s
-        )
+        entry = self._with_knowledge(LeaseEntry(self.lease.host, self.lease.boot), now)
         answer = self.daemon.store.append_lease(entry, at)
         if isinstance(answer, Success):
             renewed = self.lease.fencing is not None
@@ -172,6 +185,16 @@
         self.store_retry_at = self.daemon.now() + REFUSED_LOOK_AGAIN_S
         return False
 
+    def _with_knowledge(self, entry: LeaseEntry, now: float) -> LeaseEntry:
+        """Return a record with what a process that starts later cannot know otherwise."""
+        naming = record_ages(
+            self.daemon.state.weights,
+            now,
+            self.time_of_day(),
+            self.daemon.freshness.age_s(now),
+        )
+        return attrs.evolve(entry, load_s=self.load_time.known_s, naming=naming)
+
     def _order(self, load: WantedLoad) -> None:
         try:
             self._order_checked(load)
--- a/agaterail/platform/feedrecords.py
+++ b/agaterail/platform/feedrecords.py
@@ -23,6 +23,7 @@
     TargetChanged,
     WeightsNamed,
 )
+from agaterail.gateway.namedweights import NamingRecord, VersionAge
 from agaterail.platform import fields, names
 from agaterail.platform.desired import DesiredDecoder, decode_weights
 from agaterail.platform.registrations import decode_registration
@@ -150,6 +151,47 @@
     return records
 
 
+def encode_naming(naming: NamingRecord) -> dict[str, Any]:
+    """Return ages of weights versions as they lie in a record of the lease."""
+    ages = {
+        model: [[item.version, round(item.age_s, 3)] for item in items]
+        for model, items in naming.ages.items()
+    }
+    return {
+        "written_at": round(naming.written_at, 3),
+        "reading_age_s": round(naming.reading_age_s, 3),
+        "ages": ages,
+    }
+
+
+def _decode_naming(found: object) -> NamingRecord | None:
+    """Return the ages in a record; None without any.
+
+    Raises
+    ------
+    ValueError
+        If they are none.
+    """
+    if found is None:
+        return None
+    whole = fields.table(found, "the naming")
+    ages: dict[str, tuple[VersionAge, ...]] = {}
+    for model, rows in fields.table(whole.get("ages"), "the ages").items():
+        if not isinstance(rows, list):
+            raise fields.MalformedError("the ages of a model are no list")
+        ages[model] = tuple(_decode_age(row) for row in rows)
+    return NamingRecord(
+        fields.number(whole, "written_at"), fields.number(whole, "reading_age_s"), ages
+    )
+
+
+def _decode_age(row: object) -> VersionAge:
+    match row:
+        case [int(version), int() | float() as age_s] if age_s >= 0.0 and version >= 0:
+            return VersionAge(version, float(age_s))
+    raise fields.MalformedError("an age is no version and seconds")
+
+
 def _target_change(record: FeedRecord) -> Change | None:
     if not record.value:
         return TargetChanged(record.offset, record.key, None)
@@ -173,6 +215,7 @@
             boot=fields.text(found, "boot"),
             released_idle_s=None if idle is None else fields.number(found, "released_idle_s"),
             load_s=None if load is None else fields.number(found, "load_s"),
+            naming=_decode_naming(found.get("naming")),
         )
     except ValueError as error:
         _left_out(record, str(error))
--- a/agaterail/platform/settings.py
+++ b/agaterail/platform/settings.py
@@ -87,6 +87,7 @@
         grace_s=fields.number(bounds, "grace_s"),
         lease_s=fields.number(bounds, "lease_ms", 3000.0) * MS,
         version_s=fields.number(bounds, "version_ms", 15000.0) * MS,
+        clock_skew_s=fields.number(bounds, "skew_max_ms", 5000.0) * MS,
         fenced=fields.flag(bounds, "require_fencing"),
         retries=BudgetTerms(
             ratio=fields.number(bounds, "budget_ratio"),
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -113,11 +113,13 @@
 
     def append_lease(self, entry: LeaseEntry, at: int) -> Result[int, StoreError]:
         """Append a record iff the log ends at an offset."""
-        found: dict[str, str | float] = {"host": entry.host, "boot": entry.boot}
+        found: dict[str, Any] = {"host": entry.host, "boot": entry.boot}
         if entry.released_idle_s is not None:
             found["released_idle_s"] = entry.released_idle_s
         if entry.load_s is not None:
             found["load_s"] = round(entry.load_s, 3)
+        if entry.naming is not None:
+            found["naming"] = feedrecords.encode_naming(entry.naming)
         content = json.dumps(found).encode()
         query = {"topic": LEASE_TOPIC, "part": PART, "at": at}
         answer = self._call_json(
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_namedweights.py
@@ -0,0 +1,216 @@
+from __future__ import annotations
+
+import unittest
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from agaterail.gateway.controlstore import WeightsNamed
+from agaterail.gateway.freshness import Freshness
+from agaterail.gateway.namedweights import MOST_VERSIONS, NamingRecord, VersionAge, record_ages
+from agaterail.gateway.placement import choose_engine
+from agaterail.gateway.state import REGULAR_READING_S, GatewayState
+from agaterail.gateway.targets import TargetBook
+from tests.gateway_fleet import BOUNDS, MODEL, Fleet
+from tests.test_agaterail.test_gateway.test_placement import RULES, make_inbound
+from tests.test_agaterail.test_gateway.test_targets import make_target
+
+ALLOWED_S, SKEW_S = 15.0, 5.0
+
+
+def make_state():
+    return GatewayState(Freshness(5.0, 2.0), TargetBook(2.0), ALLOWED_S, SKEW_S)
+
+
+class RestoredAgesTest(unittest.TestCase):
+    """All hosts restart in a rollout; requests began on weights that were overdue."""
+
+    def setUp(self):
+        self.state = make_state()
+
+    def age(self, held, now):
+        return self.state.weights["m"].outdated_for_s(held, now)
+
+    def test_a_version_of_unknown_age_counts_as_overdue(self):
+        """A start assumed a part of the time allowed, and it was more."""
+        self.state.apply([WeightsNamed(1, "m", 2)], 100.0, at_start=True)
+        self.assertEqual(self.age(1, 100.0), ALLOWED_S)
+
+    def test_a_record_says_how_old_a_version_is(self):
+        """A start after a short rollout refused engines that could still serve."""
+        record = NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 3.0),)})
+        for order in ("record first", "version first"):
+            with self.subTest(order):
+                self.state = make_state()
+                steps = [
+                    lambda: self.state.take_ages(record, 50.0, 1001.5),
+                    lambda: self.state.apply([WeightsNamed(1, "m", 2)], 50.0, at_start=True),
+                ]
+                for step in steps if order == "record first" else reversed(steps):
+                    step()
+                self.assertEqual(self.age(1, 50.0), 3.0 + 1.5 + SKEW_S)
+
+    def test_a_record_from_ahead_of_the_clock_is_not_younger_than_the_skew(self):
+        """A time of day that jumped back made an old version look new."""
+        self.state.apply([WeightsNamed(1, "m", 2)], 50.0, at_start=True)
+        record = NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 3.0),)})
+        self.state.take_ages(record, 50.0, 997.0)
+        self.assertEqual(self.age(1, 50.0), 3.0 + SKEW_S)
+
+    def test_a_version_that_the_record_lacks_was_named_after_its_writer_s_reading(self):
+        """A version named right before the power went counted as overdue."""
+        self.state.apply([WeightsNamed(1, "m", 3)], 50.0, at_start=True)
+        record = NamingRecord(1000.0, 0.5, {"m": (VersionAge(2, 9.0),)})
+        self.state.take_ages(record, 50.0, 1001.0)
+        self.assertEqual(self.age(2, 50.0), 0.5 + 1.0 + SKEW_S)
+        self.assertEqual(self.age(1, 50.0), 9.0 + 1.0 + SKEW_S)
+
+    def test_a_record_of_which_the_writing_was_seen_needs_no_time_of_day(self):
+        """One host's restart beside others took their versions for seconds too old."""
+        self.state.apply([WeightsNamed(1, "m", 2)], 50.0, at_start=True)
+        record = NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 3.0),)})
+        self.state.take_ages(record, 52.0, 1000.0, written_after=51.5)
+        self.assertEqual(self.age(1, 52.0), 3.5)
+
+    def test_an_older_record_makes_no_version_older_again(self):
+        self.state.apply([WeightsNamed(1, "m", 2)], 50.0, at_start=True)
+        self.state.take_ages(
+            NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 1.0),)}), 50.0, 1000.0
+        )
+        self.state.take_ages(
+            NamingRecord(990.0, 0.0, {"m": (VersionAge(2, 4.0),)}), 50.0, 1000.0
+        )
+        self.assertEqual(self.age(1, 50.0), 1.0 + SKEW_S)
+
+    def test_a_version_whose_naming_was_seen_is_left_as_it_is(self):
+        self.state.apply([WeightsNamed(1, "m", 2)], 50.0)
+        self.state.take_ages(
+            NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 9.0),)}), 51.0, 1000.0
+        )
+        self.assertEqual(self.age(1, 51.0), 1.0)
+
+    def test_what_was_named_during_a_freeze_is_as_old_as_the_reading_before(self):
+        """A host that woke took a version for new that was named at its freeze."""
+        self.state.apply([WeightsNamed(1, "m", 2)], 60.0, read_before=48.0)
+        self.assertEqual(self.age(1, 60.0), 12.0)
+        self.state.apply([WeightsNamed(2, "m", 3)], 62.0, read_before=62.0 - REGULAR_READING_S)
+        self.assertEqual(self.age(2, 62.0), 0.0)
+
+    def test_an_overdue_engine_is_not_chosen_after_a_restart_of_all_hosts(self):
+        """Twelve streams began on weights that had been replaced 15.6 s before."""
+        self.state.apply([WeightsNamed(1, "m", 2)], 11.3, at_start=True)
+        record = NamingRecord(1000.0, 0.0, {"m": (VersionAge(2, 9.5),)})
+        self.state.take_ages(record, 11.3, 1001.8)
+        engine, named = make_target("i-1", weights={"m": 1}), self.state.weights["m"]
+        found = choose_engine(make_inbound("h"), [engine], set(), RULES, named, 14.5)
+        self.assertIsNone(found)
+
+
+class NamingMachine(RuleBasedStateMachine):
+    """Processes that start, freeze, read and write records on clocks that err."""
+
+    @initialize()
+    def begin(self):
+        self.time = 100.0
+        self.named: dict[int, float] = {}
+        self.record: NamingRecord | None = None
+        self.start(0.0, 0.0)
+
+    def start(self, clock_zero, clock_error):
+        """Start a process with clocks of its own."""
+        self.clock_zero, self.clock_error = clock_zero, clock_error
+        self.state = make_state()
+        self.read_at = None
+        self.read()
+        if self.record is not None:
+            self.state.take_ages(self.record, self.now(), self.time_of_day())
+
+    def now(self):
+        return self.time - self.clock_zero
+
+    def time_of_day(self):
+        return self.time + self.clock_error
+
+    def read(self):
+        newest = max(self.named, default=0)
+        changes = [WeightsNamed(newest, "m", newest)] if newest else []
+        at_start = self.read_at is None
+        self.state.apply(changes, self.now(), at_start, read_before=self.read_at)
+        self.read_at = self.now()
+
+    @precondition(lambda self: len(self.named) < MOST_VERSIONS)
+    @rule()
+    def name(self):
+        self.named[max(self.named, default=0) + 1] = self.time
+
+    @rule(seconds=st.floats(0.0, 1.9))
+    def run(self, seconds):
+        self.time += seconds
+        self.read()
+
+    @rule(seconds=st.floats(0.0, 12.0))
+    def freeze(self, seconds):
+        self.time += seconds
+
+    @rule()
+    def write(self):
+        reading_age_s = self.now() - self.read_at
+        self.record = record_ages(
+            self.state.weights, self.now(), self.time_of_day(), reading_age_s
+        )
+
+    @rule(
+        seconds=st.floats(0.0, 20.0),
+        zero=st.floats(-1e3, 1e3),
+        error=st.floats(-SKEW_S / 2, SKEW_S / 2),
+    )
+    def restart(self, seconds, zero, error):
+        self.time += seconds
+        self.start(zero, error)
+
+    @invariant()
+    def no_engine_is_overdue_unnoticed(self):
+        weights = self.state.weights.get("m")
+        if weights is None:
+            return
+        for held in range(weights.newest):
+            named_at = min(at for version, at in self.named.items() if version > held)
+            late_s = min(self.time - named_at, ALLOWED_S)
+            believed = weights.outdated_for_s(held, self.now())
+            assert believed >= late_s - REGULAR_READING_S - 1e-6
+
+
+NamingMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=30)
+
+
+class NamingMachineTest(NamingMachine.TestCase):
+    pass
+
+
+class RestartOfAllTest(unittest.TestCase):
+    def test_what_the_lease_s_holder_wrote_is_read_at_the_next_start(self):
+        """After a restart of all hosts nobody knew for how long a version had been named."""
+        bounds = attrs.evolve(BOUNDS, clock_skew_s=2.0)
+        fleet = Fleet(bounds=bounds)
+        self.addCleanup(fleet.stop)
+        for name in ("e-0", "e-1"):
+            fleet.targets[name].load_s = 60.0
+            fleet.targets[name].named = 2
+        value = b'{"model": "%s", "version": 2}' % MODEL.encode()
+        fleet.wait(lambda: fleet.daemons[0].membership.leads)
+        fleet.store.put("keyed.op", f"version/{MODEL}", value)
+        fleet.wait(lambda: fleet.daemons[0].weights.lease.fencing is not None)
+        fleet.daemons.pop().close()
+        started = fleet.add_gateway("g-9", bounds)
+        fleet.daemons.append(started)
+        fleet.wait(lambda: started.state.weights and started.state.naming)
+        age_s = started.state.weights[MODEL].outdated_for_s(1, started.now())
+        self.assertTrue(2.0 <= age_s < 6.0, age_s)
--- a/tests/test_agaterail/test_gateway/test_placement.py
+++ b/tests/test_agaterail/test_gateway/test_placement.py
@@ -4,9 +4,8 @@
 from collections import Counter
 
 from agaterail.gateway.inbound import Inbound, PromptPart
+from agaterail.gateway.namedweights import NamedVersion, NamedWeights
 from agaterail.gateway.placement import (
-    NamedVersion,
-    NamedWeights,
     PlacementRules,
     choose_by_hash,
     choose_engine,
--- a/tests/test_agaterail/test_gateway/test_state.py
+++ b/tests/test_agaterail/test_gateway/test_state.py
@@ -10,7 +10,7 @@
 from agaterail.gateway import state
 from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
 from agaterail.gateway.freshness import Freshness
-from agaterail.gateway.placement import MOST_VERSIONS
+from agaterail.gateway.namedweights import MOST_VERSIONS
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.targets import TargetBook
 from tests.test_agaterail.test_gateway.test_desired import make_desired
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -8,7 +8,7 @@
 
 from agaterail.gateway.controlstore import LeaseEntry
 from agaterail.gateway.enginecontrol import EngineReport, OrderOutcome
-from agaterail.gateway.placement import NamedVersion, NamedWeights
+from agaterail.gateway.namedweights import NamedVersion, NamedWeights
 from agaterail.gateway.weightscontroller import WeightsController
 from agaterail.gateway.weightsplan import DRAIN_S, should_have_loaded
 from tests.test_agaterail.test_gateway.test_targets import make_target
@@ -27,6 +27,7 @@
         boot="b1",
         stopping=False,
         membership=SimpleNamespace(leads=False),
+        freshness=SimpleNamespace(age_s=lambda _now: 0.0),
         demand=SimpleNamespace(engines=lambda _now: 0.0),
         rules=SimpleNamespace(daemons=1.0),
         state=SimpleNamespace(
