--- a/agaterail/gateway/attempts.py
+++ b/agaterail/gateway/attempts.py
@@ -108,7 +108,7 @@
         Without another target to ask, silence is no reason to end anything:
         the whole time is waited.
         """
-        if not self._may_repeat():
+        if not self.may_repeat():
             return left_s
         patience = left_s * PATIENCE_PART
         if self.route.prompted:
@@ -117,7 +117,7 @@
 
     def gap_patience_s(self, left_s: float) -> float:
         """Return how long to wait for a stream's next event."""
-        if not self._may_repeat():
+        if not self.may_repeat():
             return left_s
         return min(
             left_s, max(GAP_PATIENCE_S, GAP_PATIENCE_OBJECTIVES * self.route.gap_objective_s)
@@ -133,6 +133,6 @@
             return ErrorKind.TARGET_TIMEOUT
         return ErrorKind.TARGET_LOST
 
-    def _may_repeat(self) -> bool:
+    def may_repeat(self) -> bool:
         """Tell whether one more target may run the request beside the one that it is at."""
         return self.route.idempotent and max(1, self.runs) < self.route.max_attempts
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -149,7 +149,7 @@
         """Read a whole answer, then send it; half an answer is never passed on."""
         answer = WholeAnswer(head, attempt.read_rest(self.job.answer_by))
         failed = head.status >= SERVER_ERRORS_FROM
-        if failed and self.job.route.idempotent:
+        if failed and self.attempts.may_repeat():
             self.target_failure = answer
             attempt.finish()
             return AttemptOutcome.FAILED
