--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -33,6 +33,8 @@
         Bytes of a stream that were taken in and not read yet.
     has_events
         An event of the stream was passed on.
+    event_at
+        Time of the newest event.
     """
 
     def __init__(self, daemon: Daemon, job: Job, choice: Choice, channel: Channel) -> None:
@@ -45,6 +47,7 @@
         self.pieces: list[bytes] = []
         self.unread = b""
         self.has_events = False
+        self.event_at = 0.0
         self.is_open = True
         self.waiting: Waiting | None = None
         self.target.in_flight += 1
@@ -120,11 +123,15 @@
         self.unread += data
         return not data or cutter.ends_event(self.unread)
 
-    def note_event(self) -> None:
-        """Take in that events came."""
-        if not self.has_events:
+    def note_events(self, count: int) -> None:
+        """Take in that events were passed on."""
+        now = self.daemon.now()
+        if self.has_events:
+            self.daemon.shedder_of(self.job.service).pace.note(now - self.event_at, count, now)
+        else:
             self.has_events = True
             self._end_prefill(first_token=True)
+        self.event_at = now
 
     def finish(self, sound: bool = True) -> None:
         """Keep the channel, as the answer was read whole.
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -86,10 +86,18 @@
             return None
         if not self.answered:
             return failure
+        self._note_length()
         # Part of a stream is with the caller; without its end it is plainly cut.
         self.job.caller.abort()
         self.job.cut = True
-        self.sender.log("Stream cut.", kind=failure.kind.value, detail=failure.detail)
+        self.sender.log(
+            "Stream cut.",
+            kind=failure.kind.value,
+            detail=failure.detail,
+            events=self.cutter.passed,
+            last_id=self.cutter.last_id,
+            output_tokens=self.job.inbound.output_tokens,
+        )
         return None
 
     # Reading.
@@ -169,17 +177,26 @@
             data = attempt.read_body(now + patience)
             if not data:
                 break
+            passed = self.cutter.passed
             events = self.cutter.feed(data)
             if events:
                 self._send_events(head, events)
-                attempt.note_event()
+                attempt.note_events(self.cutter.passed - passed)
         if self.cutter.rest.strip() or self.cutter.broken:
             return AttemptOutcome.BROKEN
         attempt.finish()
+        self._note_length()
         if not self.answered:
             self._send_events(head, b"")
         self.job.caller.end_stream()
-        self.sender.log("Stream complete.", events=self.cutter.passed, late=self._is_late())
+        self.sender.log(
+            "Stream complete.",
+            events=self.cutter.passed,
+            last_id=self.cutter.last_id,
+            output_tokens=self.job.inbound.output_tokens,
+            late=self._is_late(),
+            ran_weights=head.weights_version,
+        )
         return None
 
     # A silent target and another one beside it.
@@ -250,6 +267,10 @@
             return AttemptOutcome.BROKEN
         return AttemptOutcome.FAILED
 
+    def _note_length(self) -> None:
+        shedder = self.daemon.shedder_of(self.job.service)
+        shedder.pace.note_end(self.job.route, self.cutter.passed)
+
     def _left_s(self) -> float:
         return self.job.answer_by - self.daemon.now()
 
--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -5,44 +5,45 @@
 import attrs
 
 from agaterail import logs
+from agaterail.gateway.streampace import StreamPace
 
 logger = logs.get_logger("shedding")
 
 # Waits for first tokens are counted in objectives of their routes, so that routes
-# with different objectives are one measure. At a mean of half of the objective
-# most first tokens come in time, and engines still have prompts to batch; with less
-# they stand idle while callers are refused.
+# with different objectives are one measure. A shorter target would leave engines idle
+# while callers are refused.
 TARGET_WAIT = 0.5
-# Refusing begins at a mean of a whole objective. Waits of half of it are usual for
-# seconds after a load of new weights, with empty caches, and pass by themselves:
-# refusing from there on turns callers away without a flood.
+# Hysteresis: waits between the target and this are usual for seconds after a load of
+# new weights, with empty caches, and pass by themselves.
 START_WAIT = 1.0
+# Part of their time that long streams need, as bad as a wait at the target and as one
+# at the start of refusing. Engines get slower for seconds after a prompt was admitted,
+# so the start lies below 1.
+TARGET_STRAIN = 0.6
+START_STRAIN = 0.8
 # A longer wait says no more than that the prompt is late.
 LONGEST_WAIT = 2.5
-# Five times within the shortest objective of 0.4 s: the wait of prompts that are
-# still waiting shows a flood before their first tokens do.
+# Several times within the shortest objective: the wait of prompts that are still
+# waiting shows a flood before their first tokens do.
 PERIOD_S = 0.1
 # Shorter objectives, or none, are no measure for a prompt.
 LEAST_OBJECTIVE_S = 0.1
-# Share of one sample in the moving mean. With the 2 to 3 prompts a period that a
-# busy daemon has, the mean follows a flood within two periods; a single prompt with
-# the longest wait does not bring it to ``START_WAIT``.
+# Share of one sample in the moving mean: a flood shows within two periods, and a
+# single prompt with the longest wait does not bring the mean to ``START_WAIT``.
 SMOOTHING = 0.3
 # Prompts that have waited longer than the mean count before their first token, if
 # they are most of those that wait and at least so many: one engine that hangs must
 # not stop the prompts to all.
 LEAST_OVERDUE = 3
 # Change of the chance in one period for a wait off its target, and for a change
-# of the wait. A wait of twice the objective brings the chance to 0.7 in 0.5 s by
-# the first alone; a jump to it adds 0.5 at once by the second.
+# of the wait.
 GAIN_OFFSET = 0.1
 GAIN_CHANGE = 0.3
-# One prompt in ten still goes to the engines, else nothing would show that the
-# flood is over.
+# Some prompts still go to the engines, else nothing would show that the flood is over.
 LARGEST_CHANCE = 0.9
-# Periods without a prompt after which nothing is known any more: 2 s.
+# Periods without a prompt after which nothing is known any more.
 MOST_PERIODS = 20
-# Refusals begin and end in the log at these chances; in between it may waver.
+# Hysteresis of the log lines that refusals begin and end.
 LOGGED_FROM = 0.2
 LOGGED_UNTIL = 0.01
 
@@ -60,18 +61,27 @@
 
 
 class Shedder:
-    """Chance to refuse a prompt of one service, moved by the wait for first tokens.
-
-    Failure: callers send more than the engines can read. Every prompt waits, most
-    past its objective, running prompts push cached prefixes out of the engines'
-    memory, and the engines serve less than without the surplus. A proportional and
-    integral controller (RFC 8033) refuses the surplus at random, so no kind, size
-    or workspace is served less often than another. Each daemon goes by what its
-    own prompts saw; that needs no word between daemons and no figure of an engine,
-    since a queue at the engines delays the prompts of all.
-
-    Under four times the callers for 16 s, 0.48 and 0.53 of the worth was served
-    in place of 0.31 and 0.34 (two deployments).
+    """Chance to refuse a prompt of one service.
+
+    Under more prompts than the engines can read every prompt waits, most past its
+    objective, running prompts push cached prefixes out of the engines' memory, and
+    long streams end at their time limit. A proportional and integral controller
+    (RFC 8033) refuses the surplus at random, so no kind, size or workspace is served
+    less often than another. It goes by the worse of two measures: the wait for first
+    tokens, and the time that long streams need at the pace of the running ones. Each
+    daemon goes by its own requests; that needs no word between daemons and no figure
+    of an engine, since a queue at the engines delays the requests of all.
+
+    Attributes
+    ----------
+    mean_wait
+        Moving mean of the waits for first tokens, in objectives.
+    strain
+        Part of its time that a long stream needs.
+    level
+        The worse of the two, as a wait in objectives.
+    chance
+        Chance from 0 to 1 that a prompt is refused.
     """
 
     def __init__(self, service: str, now: float) -> None:
@@ -82,6 +92,9 @@
         self.chance = 0.0
         self.stepped_at = now
         self.refusing = False
+        self.pace = StreamPace()
+        self.strain = 0.0
+        self.level = 0.0
 
     def begin(self, objective_s: float, now: float) -> Waiting:
         """Take in that a prompt goes to an engine."""
@@ -118,18 +131,20 @@
             # looks late, and refusing would turn callers away from idle engines.
             self.samples.clear()
             self.waiting.clear()
-            self.mean_wait = self.chance = 0.0
+            self.mean_wait = self.level = self.chance = 0.0
         for _ in range(min(MOST_PERIODS, periods)):
             self._step(now)
         self._log_change()
 
     def _step(self, now: float) -> None:
-        before = self.mean_wait
+        before = self.level
         self.mean_wait = self._mean(now)
-        if self.chance <= 0.0 and self.mean_wait < START_WAIT:
+        self.strain = self.pace.strain(now)
+        self.level = max(self.mean_wait, _wait_of_strain(self.strain))
+        if self.chance <= 0.0 and self.level < START_WAIT:
             return
-        change = GAIN_OFFSET * (self.mean_wait - TARGET_WAIT)
-        change += GAIN_CHANGE * (self.mean_wait - before)
+        change = GAIN_OFFSET * (self.level - TARGET_WAIT)
+        change += GAIN_CHANGE * (self.level - before)
         self.chance = min(LARGEST_CHANCE, max(0.0, self.chance + change))
 
     def _mean(self, now: float) -> float:
@@ -155,5 +170,13 @@
             service=self.service,
             chance=round(self.chance, 2),
             mean_wait=round(self.mean_wait, 2),
+            strain=round(self.strain, 2),
             waiting=len(self.waiting),
         )
+
+
+def _wait_of_strain(strain: float) -> float:
+    """Return the wait for first tokens that calls for as much refusing."""
+    part = (strain - TARGET_STRAIN) / (START_STRAIN - TARGET_STRAIN)
+    wait = TARGET_WAIT + part * (START_WAIT - TARGET_WAIT)
+    return min(LONGEST_WAIT, max(0.0, wait))
