--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -15,9 +15,7 @@
 RETRY_PART = 0.3
 LONGEST_RETRY_S = 1.0
 # A shortage of engines lasts for seconds, whatever part of the prompts is refused: a
-# caller that comes back after 1 s meets it again and is lost. With up to 5 s for
-# callers that have the time 0.0073 +- 0.0030 more of a day's worth was earned than
-# with up to 5 s times the part that is refused (25 pairs).
+# caller that comes back sooner meets it again.
 LONGEST_OVERLOAD_RETRY_S = 5.0
 # Hints are spread over half of their length, so that callers who were refused
 # together do not return together.
--- a/agaterail/gateway/channel.py
+++ b/agaterail/gateway/channel.py
@@ -13,13 +13,15 @@
 import httptools
 from gevent import select, socket
 
+from agaterail.util.callbacks import do_nothing
+from agaterail.util.units import MS_PER_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from agaterail.gateway.inbound import AnswerHead
 
 READ_BYTES = 64 * 1024
-MS_PER_S = 1e3
 # An answer whose head has not ended after so many bytes is no answer.
 MAX_HEAD_BYTES = 64 * 1024
 INTERIM_BELOW = 200
@@ -73,7 +75,7 @@
         self.sock = sock
         self.decode = decode
         self.now = now
-        self.on_data: Callable[[], None] = _ignore
+        self.on_data: Callable[[], None] = do_nothing
         self.parser = httptools.HttpResponseParser(self)
         self.messages: list[_Message] = []
         self.current: _Message | None = None
@@ -315,7 +317,3 @@
         poll.register(number, select.POLLIN)
     found = poll.poll(max(0.0, timeout_s) * MS_PER_S)
     return [by_number[number] for number, _ in found]
-
-
-def _ignore() -> None:
-    return
--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -163,6 +163,29 @@
 
 
 STORE = "store"
+NEVER = float("-inf")
+
+
+@attrs.frozen
+class Reading:
+    """What one read of a feed brought.
+
+    Attributes
+    ----------
+    next_offset
+        Offset up to which the feed is known with it.
+    read_at
+        Time since which the feed is known to its end; ``NEVER`` if the read ended short
+        of it.
+    listed
+        The records are the newest of each key, not the changes since the read before.
+    """
+
+    records: Sequence[Record]
+    next_offset: int
+    read_at: float
+    listed: bool = False
+    arrival: Arrival = Arrival(STORE, 0.0, NEVER, NEVER)
 
 
 @attrs.frozen
--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -8,9 +8,8 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.gateway.controlstore import STORE, Arrival, Feed, StoreErrorKind
+from agaterail.gateway.controlstore import NEVER, STORE, Arrival, Feed, Reading, StoreErrorKind
 from agaterail.gateway.feedtimes import DIRECT_WAITS_S, NEEDED_FEEDS, PEER_WAIT_S
-from agaterail.gateway.relayed import NEVER
 
 if TYPE_CHECKING:
     from agaterail.gateway.controlstore import StoreError
@@ -79,16 +78,12 @@
                 next=found.next_offset,
                 end=found.end,
             )
-        hub.take_in(
-            self.feed,
-            found.records,
-            found.next_offset,
-            # An answer is bounded in size. Were one that was cut taken for the end of
-            # the feed, revoked keys would be accepted and added routes denied.
-            NEVER if self.behind else sent_at,
-            Arrival(STORE, now - sent_at, known_at=now, heard_at=now),
-            listed=listed,
-        )
+        # An answer is bounded in size. Were one that was cut taken for the end of the
+        # feed, revoked keys would be accepted and added routes denied.
+        read_at = NEVER if self.behind else sent_at
+        arrival = Arrival(STORE, now - sent_at, known_at=now, heard_at=now)
+        reading = Reading(found.records, found.next_offset, read_at, listed, arrival)
+        hub.take_in(self.feed, reading)
         if self._is_one_of_many():
             gevent.sleep(PAUSE_OF_MANY_S)
 
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -7,19 +7,18 @@
 import gevent.event
 
 from agaterail import logs
-from agaterail.gateway.controlstore import DesiredPublished, Feed, LeaseChanged
+from agaterail.gateway.controlstore import NEVER, DesiredPublished, Feed, LeaseChanged
 from agaterail.gateway.directfollower import LONGEST_PAUSE_S, DirectFollower
 from agaterail.gateway.peeranswers import PeerAnswers
 from agaterail.gateway.peerasker import PeerAsker
 from agaterail.gateway.relay import Relay
-from agaterail.gateway.relayed import NEVER
 from agaterail.util.address import Address
 from agaterail.util.greenlets import repeat
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from agaterail.gateway.controlstore import Arrival, Change, Record
+    from agaterail.gateway.controlstore import Arrival, Change, Reading
     from agaterail.gateway.daemon import Daemon
 
 logger = logs.get_logger("feeds")
@@ -79,50 +78,42 @@
             or not self.asker.sound_peers()
         )
 
-    def take_in(
-        self,
-        feed: Feed,
-        records: Sequence[Record],
-        next_offset: int,
-        read_at: float,
-        arrival: Arrival,
-        listed: bool = False,
-    ) -> None:
-        """Take in what a read brought, from the store or a peer.
-
-        Parameters
-        ----------
-        read_at
-            Time since which the feed is known to its end; ``NEVER`` if the read ended
-            short of it.
-        """
-        now = self.daemon.now()
-        if feed is Feed.OPERATORS and records:
+    def take_in(self, feed: Feed, reading: Reading) -> None:
+        """Take in what a read brought, from the store or a peer."""
+        if feed is Feed.OPERATORS and reading.records:
             self.peer_answers.note_passed_on()
         at_start = feed not in self.offsets and self.read_at[feed] == NEVER
-        if feed is Feed.TARGETS and not at_start and read_at - self.read_at[feed] > OUTAGE_S:
-            self.daemon.book.store_returned(now)
-        kept = self.relay.feeds[feed]
-        kept.take_in(records, next_offset, read_at, listed, arrival.known_at)
-        kept.hear(arrival.heard_at)
-        if records:
-            # Peers need not wait until this daemon has decoded what they lack.
-            self.news.set()
-            self.news.clear()
-        changes = self.daemon.store.decode(feed, records)
+        if feed is Feed.TARGETS and not at_start:
+            self._note_outage(reading)
+        self._pass_on(feed, reading)
+        changes = self.daemon.store.decode(feed, reading.records)
         now = self.daemon.now()
         read_before, offset_before = self.read_at[feed], self.offsets.get(feed)
+        next_offset = reading.next_offset
         self.offsets[feed] = max(next_offset, self.offsets.get(feed, next_offset))
-        self.read_at[feed] = max(self.read_at[feed], read_at)
+        self.read_at[feed] = max(self.read_at[feed], reading.read_at)
         if feed is Feed.LEASE:
             self._take_in_lease(changes, now, offset_before, read_before)
-        elif feed is Feed.TARGETS and listed:
+        elif feed is Feed.TARGETS and reading.listed:
             self.daemon.state.apply_listing(changes, next_offset, now)
         else:
-            self.daemon.state.apply(changes, now, at_start, arrival, read_before)
-            self._count_lateness(changes, arrival)
-        if feed is Feed.OPERATORS and read_at != NEVER:
-            self.daemon.freshness.confirm(read_at)
+            self.daemon.state.apply(changes, now, at_start, reading.arrival, read_before)
+            self._count_lateness(changes, reading.arrival)
+        if feed is Feed.OPERATORS and reading.read_at != NEVER:
+            self.daemon.freshness.confirm(reading.read_at)
+
+    def _note_outage(self, reading: Reading) -> None:
+        if reading.read_at - self.read_at[Feed.TARGETS] > OUTAGE_S:
+            self.daemon.book.store_returned(self.daemon.now())
+
+    def _pass_on(self, feed: Feed, reading: Reading) -> None:
+        """Let peers have records that this daemon has not decoded yet."""
+        kept = self.relay.feeds[feed]
+        kept.take_in(reading)
+        kept.hear(reading.arrival.heard_at)
+        if reading.records:
+            self.news.set()
+            self.news.clear()
 
     def use_readers(self, readers: tuple[str, ...]) -> None:
         """Take in who reads the store; a daemon that is new among them begins at once."""
--- a/agaterail/gateway/feedtimes.py
+++ b/agaterail/gateway/feedtimes.py
@@ -16,10 +16,9 @@
 PEER_WAIT_S = 0.6
 # A reader on a sound connection hears of the store after a wait and a slow call at
 # most; one that has not is as good as cut off. The age of its reading says nothing of
-# that: it grows while a large record is on its way, and readers that had the news were
-# left alone for it. Both readers can be cut off at the same moment without a word: 1.2 s
-# and a question of 0.6 s later the store is read directly, before the 2 s in which a new
-# desired state must be in force.
+# that: it grows while a large record is on its way. All readers can be cut off at the
+# same moment without a word: after that silence and one more question the store is
+# read directly, before a new desired state must be in force.
 SLOW_CALL_S = 0.6
 
 
--- a/agaterail/gateway/loadtime.py
+++ b/agaterail/gateway/loadtime.py
@@ -1,4 +1,4 @@
-"""How long an engine takes to load new weights, as the giver of orders sees it."""
+"""How long an engine takes to load new weights, as the lease's holder observes it."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 
 # Until a load was seen it is taken for this part of the time that operators allow
 # for new weights to be everywhere: they allow for several loads one after the other.
-# For the engines in use that says 1.0 and 1.9 s where a load takes 0.42 and 1.9 s.
 ASSUMED_PART = 0.125
 # A load is seen to be done with the next report, registration or answer, so a
 # single observation may be late by a heartbeat, and an order that was carried out
@@ -21,12 +20,11 @@
 class LoadTime:
     """Median of the latest loads; the assumed value before the first.
 
-    Failure: with one figure for all deployments, engines that load in 0.42 s were
-    left alone for 3 s each, or engines that load in 1.9 s got requests while they
-    loaded.
+    Deployments differ in it by a multiple: a figure too long leaves loaded engines
+    idle, one too short sends requests to engines that load.
 
-    The giver of orders measures; the others learn its value from the record of the
-    lease, so no daemon needs to see a load itself, and a new giver begins with what
+    The lease's holder measures; the others learn its value from the record of the
+    lease, so no daemon needs to see a load itself, and a new holder begins with what
     the former one knew.
 
     Parameters
@@ -56,7 +54,7 @@
             self.seen.append(seconds)
 
     def adopt(self, seconds: float) -> None:
-        """Take over what another giver of orders has measured."""
+        """Take over what another holder of the lease has measured."""
         if SHORTEST_LOAD_S <= seconds <= LONGEST_LOAD_S:
             self.seen.clear()
             self.seen.append(seconds)
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -18,7 +18,7 @@
 logger = logs.get_logger("fleet")
 
 # A member that is silent for three joins loses its partitions. Short in a small
-# fleet, so that a dead giver of orders is replaced soon; in a larger one the
+# fleet, so that a dead holder of the lease is replaced soon; in a larger one the
 # joins of all together are kept at some 20 a second and less.
 JOIN_PERIOD_S = 0.8
 LONGEST_JOIN_PERIOD_S = 2.0
--- a/agaterail/gateway/peeranswers.py
+++ b/agaterail/gateway/peeranswers.py
@@ -11,6 +11,7 @@
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.feedtimes import NEEDED_FEEDS, PEER_WAIT_S, longest_silence_s
 from agaterail.gateway.front import Front
+from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +24,6 @@
 logger = logs.get_logger("feeds")
 
 OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
-MS_PER_S = 1e3
 # Answers that fill more than a few packets.
 LARGE_BYTES = 4096
 
--- a/agaterail/gateway/peerasker.py
+++ b/agaterail/gateway/peerasker.py
@@ -9,7 +9,7 @@
 
 from agaterail import logs
 from agaterail.gateway import peerfeed
-from agaterail.gateway.controlstore import Arrival, Feed
+from agaterail.gateway.controlstore import Arrival, Feed, Reading
 from agaterail.gateway.feedtimes import NEEDED_FEEDS, PEER_WAIT_S, longest_silence_s
 from agaterail.gateway.peerfeed import Question
 from agaterail.gateway.peerturns import PeerTurns
@@ -134,7 +134,8 @@
         if not isinstance(unpacked, Success):
             return f"{feed.value}: {unpacked.failure()}"
         read_at = answered_at - news.age_s
-        self.hub.take_in(feed, unpacked.unwrap(), news.next_offset, read_at, arrival)
+        reading = Reading(unpacked.unwrap(), news.next_offset, read_at, arrival=arrival)
+        self.hub.take_in(feed, reading)
         return ""
 
     def sound_peers(self) -> list[str]:
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -20,10 +20,9 @@
 # Weights that are older than the newest named ones lose worth from this age of
 # the name on; before it an engine with the older ones is as good as any.
 OLD_WEIGHTS_AFTER_S = 1.5
-# Part of its requests that an engine on older weights keeps. Such a request loses
-# less than one that comes late. The first engines on the newest weights have empty
-# caches; were all requests sent to them, a few engines had to serve what kept a third
-# of all busy, and most came late.
+# Part of its requests that an engine on older weights keeps. The first engines on the
+# newest weights have empty caches; were all requests sent to them, most would be late,
+# which costs more than older weights.
 OLD_WEIGHTS_SHARE = 0.6
 # Milliseconds to prefill a token, as long as nothing was measured: within a
 # factor of two for the engines in use, and only the order of costs matters.
--- a/agaterail/gateway/relayed/__init__.py
+++ b/agaterail/gateway/relayed/__init__.py
@@ -7,14 +7,14 @@
 
 import attrs
 
+from agaterail.gateway.controlstore import NEVER
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
     from returns.result import Result
 
-    from agaterail.gateway.controlstore import Record
-
-NEVER = float("-inf")
+    from agaterail.gateway.controlstore import Reading, Record
 
 
 @attrs.frozen
@@ -70,14 +70,7 @@
         return ()
 
     @abc.abstractmethod
-    def take_in(
-        self,
-        records: Sequence[Record],
-        next_offset: int,
-        read_at: float,
-        listed: bool,
-        known_at: float = NEVER,
-    ) -> None:
+    def take_in(self, reading: Reading) -> None:
         """Take in what a read brought; a listing holds the newest of each key."""
 
     @abc.abstractmethod
--- a/agaterail/gateway/relayed/documents.py
+++ b/agaterail/gateway/relayed/documents.py
@@ -13,12 +13,12 @@
 from agaterail.gateway import documents
 from agaterail.gateway.controlstore import DocumentRecord
 from agaterail.gateway.documents import EMPTY, Difference, Document
-from agaterail.gateway.relayed import NEVER, PackedRecord, RelayedFeed
+from agaterail.gateway.relayed import PackedRecord, RelayedFeed
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from agaterail.gateway.controlstore import Record
+    from agaterail.gateway.controlstore import Reading, Record
 
 # Versions of a document that differences may start from. Versions follow each other
 # several a second at most, and a peer that asks twice a second has one of the last.
@@ -60,23 +60,16 @@
         """Return the offsets of the newest records."""
         return tuple(versions[-1].offset for versions in self.versions.values())
 
-    def take_in(
-        self,
-        records: Sequence[Record],
-        next_offset: int,
-        read_at: float,
-        listed: bool,
-        known_at: float = NEVER,
-    ) -> None:
+    def take_in(self, reading: Reading) -> None:
         """Take in documents; older ones than those that are known bring nothing."""
-        self.read_at = max(self.read_at, read_at)
-        self.begun = self.begun or listed
-        for record in records:
+        self.read_at = max(self.read_at, reading.read_at)
+        self.begun = self.begun or reading.listed
+        for record in reading.records:
             if isinstance(record, DocumentRecord):
                 self._put(record)
-        if next_offset > self.next_offset:
-            self.next_offset = next_offset
-            self.known_at = known_at
+        if reading.next_offset > self.next_offset:
+            self.next_offset = reading.next_offset
+            self.known_at = reading.arrival.known_at
 
     def pack_since(
         self, offset: int, held: Collection[int] = ()
--- a/agaterail/gateway/relayed/records.py
+++ b/agaterail/gateway/relayed/records.py
@@ -9,12 +9,12 @@
 from returns.result import Result, Success
 
 from agaterail.gateway.controlstore import FeedRecord
-from agaterail.gateway.relayed import NEVER, PackedRecord, RelayedFeed
+from agaterail.gateway.relayed import PackedRecord, RelayedFeed
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from agaterail.gateway.controlstore import Record
+    from agaterail.gateway.controlstore import Reading, Record
 
 # A peer that asks for older records reads the store itself. Peers ask twice a
 # second; of a burst of registrations some hundred come in that time.
@@ -34,30 +34,24 @@
     first: int | None = None
     records: deque[FeedRecord] = attrs.field(factory=deque)
 
-    def take_in(
-        self,
-        records: Sequence[Record],
-        next_offset: int,
-        read_at: float,
-        listed: bool,
-        known_at: float = NEVER,
-    ) -> None:
+    def take_in(self, reading: Reading) -> None:
         """Take in what a read brought; a listing begins anew.
 
         Reads of the store and answers of peers may overtake each other. An older
         one brings nothing, and one that does not join what is kept begins anew:
         with a gap inside, a peer would miss a change and never know.
         """
-        self.read_at = max(self.read_at, read_at)
-        if self.first is not None and not listed and next_offset <= self.next_offset:
+        self.read_at = max(self.read_at, reading.read_at)
+        next_offset = reading.next_offset
+        if self.first is not None and not reading.listed and next_offset <= self.next_offset:
             return
         fresh = [
             record
-            for record in records
+            for record in reading.records
             if isinstance(record, FeedRecord) and record.offset >= self.next_offset
         ]
         joins = len(fresh) == next_offset - self.next_offset
-        if self.first is None or listed or not joins:
+        if self.first is None or reading.listed or not joins:
             self.records.clear()
             self.first = next_offset
         else:
@@ -65,7 +59,7 @@
             while len(self.records) > KEPT_RECORDS:
                 self.first = self.records.popleft().offset + 1
         self.next_offset = next_offset
-        self.known_at = known_at
+        self.known_at = reading.arrival.known_at
 
     def since(self, offset: int) -> list[FeedRecord] | None:
         """Return the records from an offset on; None if not all are kept."""
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from agaterail import logs
-from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
+from agaterail.gateway.controlstore import NEVER, DesiredPublished, TargetChanged, WeightsNamed
 from agaterail.gateway.namedweights import NamedWeights
 from agaterail.gateway.targets import TargetBook
+from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -19,9 +20,7 @@
 
 logger = logs.get_logger("state")
 
-NEVER = float("-inf")
 
-MS_PER_S = 1e3
 # Two waits of a read and a slow call: as long as readings are no older, a change that
 # is read was made just now.
 REGULAR_READING_S = 2.0
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.gateway.controlstore import LeaseEntry, StoreErrorKind
+from agaterail.gateway.controlstore import NEVER, LeaseEntry, StoreErrorKind
 from agaterail.gateway.enginecontrol import OpenRuns, OrderOutcome, WeightsOrder
 from agaterail.gateway.loadtime import LoadTime
 from agaterail.gateway.namedweights import record_ages
@@ -36,7 +36,6 @@
 logger = logs.get_logger("weights")
 
 PERIOD_S = 0.1
-NEVER = float("-inf")
 
 
 @attrs.frozen
@@ -73,7 +72,7 @@
         wanted = outdated(engines, named)
         pace = self._pace(wanted, now)
         # While nobody may give orders, an engine that is set aside for one is only
-        # missing: a lease that changed hands left two of five engines idle for 3 s.
+        # missing.
         if self.lease.is_held(now):
             cordon(engines, named, pace, now)
         else:
@@ -148,7 +147,7 @@
         entry = self.lease.release(now)
         if entry is None or at is None:
             return
-        # The next giver of orders may have started since: this record is all it reads.
+        # The next holder may have started since: this record is all it reads.
         entry = self._with_knowledge(entry, now)
         answer = self.daemon.store.append_lease(entry, at)
         logger.info("Lease released.", at=at, done=isinstance(answer, Success))
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -16,16 +16,15 @@
 # Loads at once, over all daemons: more of them slow each other down, and what
 # is loading serves nobody. Two of five engines leave three to serve.
 LOADS_PART = 0.4
-# Whatever the hurry, this part of the engines stays in service at least. Four
-# versions named in 11 s had all five engines marked, and 58 of 100 callers were
-# refused.
+# Most engines that may be out for loads, whatever the hurry: versions that follow each
+# other soon would have all of them loading.
 MARKED_PART = 0.6
 # All engines should be done after this part of the time that is allowed, so
 # that one failed order can be given again.
 HORIZON_PART = 0.85
 # An engine that loads is asked how it stands first after this part of the time that
 # a load takes, and then so often: its registration says it too, but only with its
-# next heartbeat of a second or more, in which a loaded engine would stand idle.
+# next heartbeat, and until then a loaded engine would stand idle.
 FIRST_LOOK_PART = 0.9
 LOOK_AGAIN_S = 0.15
 # Daemons learn of a mark and of an order within so much of each other.
@@ -38,15 +37,13 @@
 UNANSWERED_LOOK_AGAIN_S = 0.6
 REFUSED_LOOK_AGAIN_S = 0.4
 # An engine that is next to load gets nothing new, so that its runs end soon and
-# the load begins at once. Should nobody order it, because the giver of orders
+# the load begins at once. Should nobody order it, because the lease's holder
 # has died, it takes part again after this time.
 LONGEST_CORDON_S = 6.0
 HASH_BYTES = 8
-
-
-# Runs on an engine that is next to load get so long to end. Most do; the longest
-# would take 5 s, while the engine serves nobody else and all others stay on
-# older weights for longer. What is left goes on under the new weights.
+# Runs on an engine that is next to load get so long to end; what is left goes on
+# under the new weights. Waiting for the longest would keep the engine from everybody
+# else, and all others on older weights.
 DRAIN_S = 1.0
 
 
@@ -108,11 +105,9 @@
 def most_loads(serving: int, outdated_count: int, pace: LoadPace) -> int:
     """Return how many engines may load at once.
 
-    With all that are to spare a rollout is over soonest. On a heavy day there
-    are none: two of three engines loading left one to serve three engines'
-    worth of prompts, and requests of 15 s came late. Then as few load as are
-    needed to be done in time; a request on older weights loses a fifth of its
-    worth, a late one two thirds.
+    With all that are to spare a rollout is over soonest. Under load there are none;
+    then as few load as are needed to be done in time, since a request on older
+    weights is worth more than a late one.
     """
     spare = min(int(serving - pace.demand), round(serving * LOADS_PART))
     left_s = max(pace.out_s, pace.allowed_s * HORIZON_PART - pace.outdated_for_s)
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from agaterail.util.address import Address
+from agaterail.util.callbacks import do_nothing
 from agaterail.util.readguard import ReadGuard
 
 if TYPE_CHECKING:
@@ -128,10 +129,6 @@
             guard.stop()
 
 
-def _ignore() -> None:
-    return
-
-
 class HttpConnections:
     """Kept connections to one address, without the library's own resends.
 
@@ -205,7 +202,7 @@
         headers: Mapping[str, str] | None = None,
         timeout_s: float = 5.0,
         fresh: bool = False,
-        on_data: Callable[[], None] = _ignore,
+        on_data: Callable[[], None] = do_nothing,
     ) -> Result[tuple[int, bytes], SendError]:
         """Send one request and read its whole answer.
 
--- /dev/null
+++ b/agaterail/util/units.py
@@ -0,0 +1,5 @@
+"""Factors between units."""
+
+from __future__ import annotations
+
+MS_PER_S = 1e3
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -297,10 +297,10 @@
     """Return a list to which each read of the store that brings something is added."""
     found, take_in = [], feeds.take_in
 
-    def wrapped(feed, records, next_offset, read_at, arrival, listed=False):
-        if records and arrival.source == STORE:
+    def wrapped(feed, reading):
+        if reading.records and reading.arrival.source == STORE:
             found.append(feed)
-        take_in(feed, records, next_offset, read_at, arrival, listed)
+        take_in(feed, reading)
 
     feeds.take_in = wrapped
     return found
--- a/tests/test_agaterail/test_gateway/test_peerfeed.py
+++ b/tests/test_agaterail/test_gateway/test_peerfeed.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from agaterail.gateway.controlstore import Feed, FeedRecord
+from agaterail.gateway.controlstore import Feed, FeedRecord, Reading
 from agaterail.gateway.peerfeed import (
     Question,
     decode_answer,
@@ -24,8 +24,8 @@
 class PeerFeedTest(unittest.TestCase):
     def test_a_question_and_its_answer_survive_the_wire(self):
         relay = Relay()
-        relay.feeds[Feed.TARGETS].take_in([], 4, 9.0, listed=True)
-        relay.feeds[Feed.TARGETS].take_in([record(4)], 5, 9.5, listed=False)
+        relay.feeds[Feed.TARGETS].take_in(Reading([], 4, 9.0, listed=True))
+        relay.feeds[Feed.TARGETS].take_in(Reading([record(4)], 5, 9.5, listed=False))
         asked = Question({Feed.TARGETS: 4, Feed.LEASE: 2}, (3, 17), 0.6)
         question = decode_question(encode_question(asked).partition("?")[2].encode())
         self.assertEqual(question, asked)
--- a/tests/test_agaterail/test_gateway/test_relayed/test_documents.py
+++ b/tests/test_agaterail/test_gateway/test_relayed/test_documents.py
@@ -5,7 +5,7 @@
 import attrs
 
 from agaterail.gateway import documents
-from agaterail.gateway.controlstore import DocumentRecord, Feed
+from agaterail.gateway.controlstore import DocumentRecord, Feed, Reading
 from agaterail.gateway.peerfeed import Question, encode_answer
 from agaterail.gateway.relay import Relay
 from agaterail.gateway.relayed.documents import KEPT_VERSIONS, DocumentFeed
@@ -19,7 +19,7 @@
 def changed(feed, offset, rows, key="config"):
     """Take in a state that was written at an offset."""
     record = DocumentRecord(offset, key, make_document(offset, rows))
-    feed.take_in([record], offset + 1, 1.0, listed=False)
+    feed.take_in(Reading([record], offset + 1, 1.0, listed=False))
     return record
 
 
@@ -44,10 +44,14 @@
         rows = make_rows(2800)
         relay = Relay()
         kept = relay.feeds[Feed.OPERATORS]
-        kept.take_in([], 4, 0.0, listed=True)
+        kept.take_in(Reading([], 4, 0.0, listed=True))
         for offset in range(4, 8):
             state = make_document(offset, with_row_changed(rows, 100 * offset))
-            kept.take_in([DocumentRecord(offset, "config", state)], offset + 1, 1.0, False)
+            kept.take_in(
+                Reading(
+                    [DocumentRecord(offset, "config", state)], offset + 1, 1.0, listed=False
+                )
+            )
         asked = Question({Feed.OPERATORS: 5}, held=(4,), wait_s=0.0)
         body = encode_answer(relay, asked, (), now=2.0)
         # Three versions came since; two rows of them differ from what the asker has.
@@ -58,9 +62,9 @@
     def setUp(self):
         self.rows = make_rows(20)
         self.reader = DocumentFeed()
-        self.reader.take_in([], 4, 0.0, listed=True)
+        self.reader.take_in(Reading([], 4, 0.0, listed=True))
         self.asker = DocumentFeed()
-        self.asker.take_in([], 4, 0.0, listed=True)
+        self.asker.take_in(Reading([], 4, 0.0, listed=True))
 
     def pass_on(self, offset):
         """Return the records that the asker makes of the reader's answer."""
@@ -76,7 +80,7 @@
 
     def test_an_asker_that_missed_versions_gets_the_newest(self):
         changed(self.reader, 4, self.rows)
-        self.asker.take_in(self.pass_on(4).unwrap(), 5, 1.0, listed=False)
+        self.asker.take_in(Reading(self.pass_on(4).unwrap(), 5, 1.0, listed=False))
         for offset in range(5, 9):
             newest = changed(self.reader, offset, with_row_changed(self.rows, offset))
         self.assertEqual(self.pass_on(5).unwrap(), [newest])
@@ -85,7 +89,7 @@
         # An asker that was cut off for long comes back. The reader cannot know what
         # it has; a difference from another version would make a state that never was.
         changed(self.reader, 4, self.rows)
-        self.asker.take_in(self.pass_on(4).unwrap(), 5, 1.0, listed=False)
+        self.asker.take_in(Reading(self.pass_on(4).unwrap(), 5, 1.0, listed=False))
         for offset in range(5, 6 + KEPT_VERSIONS):
             newest = changed(self.reader, offset, with_row_changed(self.rows, offset % 20))
         self.assertEqual(self.pass_on(5).unwrap(), [newest])
@@ -103,7 +107,7 @@
         changed(self.reader, 4, self.rows)
         weights = documents.parse(b'{"model": "m", "version": 2}').unwrap()
         record = DocumentRecord(5, "version/m", weights)
-        self.reader.take_in([record], 6, 1.0, listed=False)
+        self.reader.take_in(Reading([record], 6, 1.0, listed=False))
         self.assertEqual(self.pass_on(5).unwrap(), [record])
 
     def test_any_offset_can_be_continued_after_the_history_expired(self):
@@ -111,7 +115,7 @@
         # from before would all read the store themselves.
         changed(self.asker, 4, self.rows)
         newest = DocumentRecord(80, "config", make_document(80, self.rows[:5]))
-        self.reader.take_in([newest], 90, 2.0, listed=True)
+        self.reader.take_in(Reading([newest], 90, 2.0, listed=True))
         self.assertEqual(self.pass_on(5).unwrap(), [newest])
 
     def test_an_older_version_brings_nothing(self):
@@ -121,7 +125,7 @@
 
     def test_an_answer_that_is_cut_or_fits_no_version_makes_no_state(self):
         changed(self.reader, 4, self.rows)
-        self.asker.take_in(self.pass_on(4).unwrap(), 5, 1.0, listed=False)
+        self.asker.take_in(Reading(self.pass_on(4).unwrap(), 5, 1.0, listed=False))
         changed(self.reader, 5, with_row_changed(self.rows, 3))
         (packed,) = self.reader.pack_since(5, self.asker.held)
         for value in (b"", packed.value[:-3], packed.value[:20], b"x" * 40):
