--- a/agaterail/cmd/gateway.py
+++ b/agaterail/cmd/gateway.py
@@ -34,15 +34,20 @@
 logger = logs.get_logger("main")
 
 
-def gateway(settings_file: str = "", started_at: float | None = None) -> int:
+def gateway(
+    settings_file: str = "", started_at: float | None = None, processor_at: float = 0.0
+) -> int:
     """Run the gateway until SIGTERM; returns the exit status.
 
     Parameters
     ----------
     started_at
         Time at which the process began to import; that of the call if not said.
+    processor_at
+        Processor time of the process at that moment, in seconds.
     """
-    stages = StartStages(boot_now() if started_at is None else started_at, boot_now)
+    began = boot_now() if started_at is None else started_at
+    stages = StartStages(began, processor_at, boot_now)
     path = settings_file or os.environ.get(names.SETTINGS_VARIABLE, "")
     if not path:
         print(
--- a/agaterail/gateway/startstages.py
+++ b/agaterail/gateway/startstages.py
@@ -29,10 +29,15 @@
     ----------
     started_at
         Time at which the process began.
+    processor_at
+        Processor time of the process at that moment, in seconds.
     """
 
-    def __init__(self, started_at: float, now: Callable[[], float]) -> None:
+    def __init__(
+        self, started_at: float, processor_at: float, now: Callable[[], float]
+    ) -> None:
         self.started_at = started_at
+        self.processor_at = processor_at
         self.now = now
 
     def reached(self, sentence: str, **fields: object) -> None:
@@ -41,7 +46,7 @@
             sentence,
             **fields,
             start_s=round(self.now() - self.started_at, 3),
-            processor_s=round(time.process_time(), 3),
+            processor_s=round(time.process_time() - self.processor_at, 3),
         )
 
     def await_ready(self, daemon: Daemon) -> None:
--- a/tests/test_agaterail/test_gateway/test_startstages.py
+++ b/tests/test_agaterail/test_gateway/test_startstages.py
@@ -15,13 +15,13 @@
 
     def setUp(self):
         self.clock = 12.5
-        self.stages = StartStages(10.0, lambda: self.clock)
+        self.stages = StartStages(10.0, 0.1, lambda: self.clock)
         patch = mock.patch.object(startstages.logger, "info")
         self.info = patch.start()
         self.addCleanup(patch.stop)
 
     def test_a_stage_says_its_age_and_the_processor_time(self):
-        with mock.patch.object(startstages.time, "process_time", lambda: 0.4):
+        with mock.patch.object(startstages.time, "process_time", lambda: 0.5):
             self.stages.reached("Listening.", host="h")
         self.info.assert_called_once_with("Listening.", host="h", start_s=2.5, processor_s=0.4)
 
