--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -183,3 +183,15 @@
                 self.assertEqual((answer.status, answer.body), (500, b"failed"))
                 self.assertIn("server-stamp", answer.head)
                 self.fleet.stop()
+
+
+class RefusedTest(ForwarderTest):
+    def test_a_target_that_refused_is_left_alone_for_a_moment(self):
+        """Its pause ends at once, as reading its refusal counts as a success."""
+        engine, _ = self.start()
+        engine.refuse = True
+        self.ask_stream()
+        daemon = self.fleet.daemons[0]
+        target = daemon.book.targets[engine.instance]
+        self.assertEqual(target.refusals, 1)
+        self.assertFalse(target.is_usable(daemon.now()))
