--- a/tests/test_tools/test_soak_proxy.py
+++ b/tests/test_tools/test_soak_proxy.py
@@ -5,7 +5,8 @@
 import gevent.socket
 
 from standins.platform_engine import PlatformTargetStandIn
-from tools.soak.proxy import CONNECT_TIMEOUT_S, Proxy
+from tools.soak.connecting import CONNECT_TIMEOUT_S
+from tools.soak.proxy import Proxy
 
 
 class ProxyTest(unittest.TestCase):
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -13,10 +13,10 @@
 if TYPE_CHECKING:
     from tools.soak.world import Gateway, World
 
+from tools.soak.connecting import connect
 from tools.soak.world import HOST, MODEL
 
 TIME_LIMIT_S = 2.0
-CONNECT_TIMEOUT_S = 1.0
 PAUSE_S = 0.05
 KINDS = ("safe", "unsafe", "resumed", "once")
 
@@ -91,12 +91,9 @@
         self.gateway = self.random.choice(ready or self.world.gateways)
         host, _, port = self.gateway.front.rpartition(":")
         try:
-            self.sock = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
+            self.sock = connect((host, int(port)))
         except OSError:
             return False  # nobody listens; another gateway is tried next time
-        # A request is bounded by its own time limit: left in force, the bound of the
-        # connect ended streams that paused, and the gateway was blamed for the cut.
-        self.sock.settimeout(None)
         return True
 
     def _drop(self) -> None:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -9,8 +9,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from tools.soak.connecting import connect
+
 CHUNK_BYTES = 65536
-CONNECT_TIMEOUT_S = 1.0
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
@@ -53,12 +54,10 @@
             _reset(inner)
             return
         try:
-            outer = socket.create_connection(self.target, timeout=CONNECT_TIMEOUT_S)
+            outer = connect(self.target)
         except OSError:
             _reset(inner)
             return
-        # Left in force, the timeout of the connect would end connections that pause.
-        outer.settimeout(None)
         self.open |= {inner, outer}
         ways = [
             gevent.spawn(self._pass, inner, outer, False),
