--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -132,6 +132,7 @@
             self.samples.clear()
             self.waiting.clear()
             self.mean_wait = self.level = self.chance = 0.0
+        self.strain = self.pace.strain(now)
         for _ in range(min(MOST_PERIODS, periods)):
             self._step(now)
         self._log_change()
@@ -139,7 +140,6 @@
     def _step(self, now: float) -> None:
         before = self.level
         self.mean_wait = self._mean(now)
-        self.strain = self.pace.strain(now)
         self.level = max(self.mean_wait, _wait_of_strain(self.strain))
         if self.chance <= 0.0 and self.level < START_WAIT:
             return
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -20,7 +20,6 @@
 
 logger = logs.get_logger("state")
 
-
 # Two waits of a read and a slow call: as long as readings are no older, a change that
 # is read was made just now.
 REGULAR_READING_S = 2.0
--- a/tools/measure_desired.py
+++ b/tools/measure_desired.py
@@ -19,6 +19,7 @@
 from agaterail.gateway.controlstore import DocumentRecord, Reading
 from agaterail.gateway.relayed.documents import KEPT_VERSIONS, DocumentFeed
 from agaterail.platform.desired import DesiredDecoder
+from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -30,7 +31,6 @@
 
 NAME_CHARACTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
 KEY_LENGTH, NAME_LENGTH = 20, 7
-MS_PER_S = 1e3
 MB = 1e6
 
 Made = TypeVar("Made")
