--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -339,14 +339,7 @@
 
 
 class SupersededVersionsTest(unittest.TestCase):
-    """Large versions follow each other faster than one read after the other brings them.
-
-    A caller whose key was taken away by the newest is served, one whose route it adds
-    gets 404: the host reads an older version and counts that reading as fresh. The
-    store bounds an answer to a megabyte and says at which offset the log ends; the
-    client dropped that offset. Evidence: of three versions written during one read, the first
-    came back alone, and the reading was confirmed as of that moment.
-    """
+    """A read that was cut counted as the log's end: revoked keys served, new routes denied."""
 
     def setUp(self):
         self.fleet = Fleet()
--- a/tests/test_agaterail/test_gateway/test_directfollower.py
+++ b/tests/test_agaterail/test_gateway/test_directfollower.py
@@ -27,10 +27,7 @@
         return self.daemon.feeds.relay.feeds[Feed.OPERATORS].failing
 
     def test_a_read_that_timed_out_sends_no_peers_to_the_store(self):
-        # A reader's answers fill its slow link, and a read of the store times out
-        # behind them. Sent elsewhere, all its askers read half a megabyte each from
-        # the store, whose answers to the other readers then timed out too. Evidence:
-        # 57 of 71 hosts had a version from the store 2 s late, beside readers that had it.
+        """A read that timed out behind a reader's own answers sent its askers to the store."""
         late = StoreError(StoreErrorKind.UNANSWERED, "timed out", timed_out=True)
         self.assertFalse(self.sends_elsewhere(late))
 
--- a/tests/test_agaterail/test_gateway/test_front.py
+++ b/tests/test_agaterail/test_gateway/test_front.py
@@ -165,10 +165,7 @@
         self.assertNotIn(b"Connection: close", answer)
 
     def test_heads_of_large_answers_go_before_their_bodies(self):
-        # Routes that were added are served late: a reader has news for all its askers
-        # at once, which take its link a second; whoever hears nothing for 0.35 s asks
-        # the next reader, where it queues again. Evidence: 55 of 64 questions to one
-        # reader timed out in a second in which it sent thirty answers of 24 KB.
+        """Askers gave up on an answer that queued, and asked again elsewhere."""
         sent, due = [], gevent.event.Event()
 
         def handle(_inbound, caller):
--- a/tests/test_agaterail/test_gateway/test_membership.py
+++ b/tests/test_agaterail/test_gateway/test_membership.py
@@ -135,10 +135,7 @@
         self.assertEqual(choose_readers(ranked, 6.0), ("1:1", "2:2"))
 
     def test_readers_have_ample_links_where_there_are_any(self):
-        # Routes that were added are denied: all readers have links of 5 Mbit/s, a state
-        # of half a megabyte takes 1.3 s to reach them and another to reach their
-        # askers, and 8 of 71 hosts have 100 Mbit/s. Evidence: 3.4 s after the first
-        # host the last one had a version, in a play in which no reader had a fast link.
+        """News was late through readers with slow links, beside daemons with fast ones."""
         slow = {n: member_name("s", f"s{n}:1", "b", 5.0) for n in range(8)}
         fast = {n: member_name("f", f"f{n}:1", "b", 100.0) for n in range(20, 22)}
         readers = choose_readers(slow | fast, 71.0)
--- a/tests/test_agaterail/test_gateway/test_peerasker.py
+++ b/tests/test_agaterail/test_gateway/test_peerasker.py
@@ -19,14 +19,7 @@
 
 
 class BusyReaderTest(unittest.TestCase):
-    """Callers are refused on added routes, since their host's readers are left alone.
-
-    A reader takes a second and more for a large record, in which its former reading
-    grows older than that of a reader on a sound connection could be. Hosts took its
-    news, called it cut off and turned to the next one and to the store, all at once.
-    Evidence: 670 times in a day a peer was left alone for an old reading of the desired
-    state, beside a store and a network without faults.
-    """
+    """A reader with a large record on its way was taken for one that is cut off."""
 
     def setUp(self):
         self.fleet = Fleet()
--- a/tests/test_agaterail/test_gateway/test_relayed/test_documents.py
+++ b/tests/test_agaterail/test_gateway/test_relayed/test_documents.py
@@ -24,16 +24,7 @@
 
 
 class LargeStateTest(unittest.TestCase):
-    """A route that was added is denied, a moved one goes to its former service.
-
-    Operators publish a state of some thousand routes and then change single rows, one
-    version after the other. Each version is acknowledged and read from the store in
-    time, but some hosts have it in force seconds after the others: each version was
-    passed on whole, and encoded anew, to each of twenty hosts that ask one reader.
-    Evidence: while one version was the newest, a reader passed on 44 MB in 127 answers
-    of up to 745 KB, later of up to 2.2 MB, over a link of 10 Mbit/s; questions took 1.6
-    to 6.6 s, and two of three hosts gave up and read the store themselves.
-    """
+    """Each version of a large state was passed on whole, and was in force seconds late."""
 
     # Sent to each of 410 daemons at 2,100 changes a day, half of the 5 KB/s that a
     # daemon may use is 100 KB a change. A row has 250 bytes; ten times that leaves room
--- a/tests/test_agaterail/test_platform/test_desired.py
+++ b/tests/test_agaterail/test_platform/test_desired.py
@@ -96,13 +96,7 @@
 
 
 class SuccessiveVersionsTest(unittest.TestCase):
-    """A route that was added is denied by hosts that are still at work on older versions.
-
-    Versions of a state of some thousand rows that differ in one come several a second.
-    A host with a tenth of a core decoded each of them whole, which took it up to half a
-    second, and answered no caller meanwhile. Evidence: `decode_ms` of 350 for 2,850
-    routes in the hosts' logs, where the first version of a process had 2.
-    """
+    """Unchanged rows were decoded with each version, and no caller answered meanwhile."""
 
     def setUp(self):
         self.decoder = DesiredDecoder()
