--- a/tests/test_agaterail/test_gateway/test_peerfeed.py
+++ b/tests/test_agaterail/test_gateway/test_peerfeed.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -39,7 +40,10 @@
 
     def test_rubbish_is_no_answer(self):
         whole = encode_answer(Relay(), Question({}, (), 0.0), ("1.2.3.4:5",), now=10.0)
-        for body in (b"", b"[]", b"\x80", whole[:-1], whole + b"x"):
+        wrong_type = msgspec.msgpack.encode({"feeds": 1, "readers": []})
+        unknown_feed = msgspec.msgpack.encode({"feeds": {"x": {}}, "readers": []})
+        cut, longer = whole[:-1], whole + b"x"
+        for body in (b"", b"[]", b"\x80", cut, longer, wrong_type, unknown_feed):
             self.assertIsInstance(decode_answer(body).failure(), str)
 
     @given(st.floats(0.0, 5.0), st.floats(0.0, 2.0), st.floats(0.0, 2.0))
