Messages with keyword-only fields are decoded by other daemons

A batch of claims, and the verdicts on it, could be encoded but not decoded: cattrs passes the fields of a tuple to the class by position, and ClaimBatch, Verdict and Finish take keywords only. The owner of the partition dropped the batch ("Dropped a message.") and the sender appended its claims itself. Fields are still encoded by position, so that older daemons read what they read before; they are now passed by keyword.

Before: the two tests fail with TypeError (HandClaims, ClaimVerdicts); after: pass, over all registered message types.

--- a/agaterail/peers/__init__.py
+++ b/agaterail/peers/__init__.py
@@ -62,6 +62,22 @@
     return converter.structure(fields, resolve_annotations(kind))
 
 
+def _structure_fields(values: Any, kind: Any) -> Any:
+    """Build an attrs class from its fields by position.
+
+    cattrs passes them to the class by position too, which keyword-only fields do not allow.
+    """
+    fields = attrs.fields(resolve_annotations(kind))
+    named = {
+        field.alias: converter.structure(value, field.type)
+        for field, value in zip(fields, values, strict=False)
+    }
+    return kind(**named)
+
+
+converter.register_structure_hook_func(attrs.has, _structure_fields)
+
+
 def _resolve_field_types(kind: Any) -> None:
     if attrs.has(kind):
         attrs.resolve_types(kind)
