The losses command reads standard input

Arguments were refused without paths for each command that accepts paths, against the help of losses and docs/OPERATIONS.md. Commands that read standard input are marked.

--- a/agaterail/cmd/arguments.py
+++ b/agaterail/cmd/arguments.py
@@ -34,19 +34,26 @@
     ----------
     values, switches
         Names of the flags that require a value, and of the boolean flags.
-    paths
-        Whether the command requires paths.
+    paths, optional_paths
+        Whether the command accepts paths, and whether it runs without one.
     """
 
     values: frozenset[str]
     switches: frozenset[str]
     paths: bool
+    optional_paths: bool = False
 
     def has_flag(self, name: str) -> bool:
         """Return whether the command accepts a flag."""
         return name in self.values or name in self.switches
 
 
+def reads_standard_input(command: Callable[..., int]) -> Callable[..., int]:
+    """Mark a command that reads standard input if it gets no paths (decorator)."""
+    command.reads_standard_input = True  # type: ignore[attr-defined]
+    return command
+
+
 def signature_of(command: Callable[..., int]) -> CommandSignature:
     """Derive the accepted flags and paths from the parameters of a command.
 
@@ -65,7 +72,8 @@
             values |= {field.name for field in fields if field.default is not False}
         else:
             (switches if parameter.default == SWITCH_OFF else values).add(parameter.name)
-    return CommandSignature(frozenset(values), frozenset(switches), paths)
+    optional_paths = getattr(command, "reads_standard_input", False)
+    return CommandSignature(frozenset(values), frozenset(switches), paths, optional_paths)
 
 
 def check(
@@ -127,7 +135,7 @@
 
 
 def _path_problems(paths: list[str], signature: CommandSignature) -> list[str]:
-    if signature.paths and not paths:
+    if signature.paths and not signature.optional_paths and not paths:
         return ["At least one table file or directory is required."]
     if paths and not signature.paths:
         return [f"{argument!r}: this command accepts only flags" for argument in paths]
--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -100,6 +100,7 @@
             return _usage_error(f"--around: {around!r} is not a number of seconds.")
         return print_trace(request_id, paths, seconds)
 
+    @arguments.reads_standard_input
     def losses(self, *paths: str, slot: str = "2") -> int:
         """Group requests that got no complete answer in time by cause and route.
 
