During an outage of the store one feed at a time probes it

Each daemon read all three feeds with a backoff of their own, daemons that are not readers up to once a second each, and looked up readers although the join just before had failed.

StoreBackoff is shared by the feeds: while the store does not answer, one feed probes and its success releases the others. The lookup of readers follows a successful join only.

--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -10,24 +10,24 @@
 from agaterail import logs
 from agaterail.gateway.controlstore import NEVER, STORE, Arrival, Feed, Reading, StoreErrorKind
 from agaterail.gateway.feedtimes import DIRECT_WAITS_S, PEER_WAIT_S, REQUIRED_FEEDS
+from agaterail.gateway.storebackoff import max_backoff_s
 
 if TYPE_CHECKING:
-    from agaterail.gateway.controlstore import StoreError
+    from returns.result import Result
+
+    from agaterail.gateway.controlstore import FeedSlice, StoreError
     from agaterail.gateway.feedhub import FeedHub
 
 logger = logs.get_logger("feeds")
 
-# Exponential backoff between failed reads, with jitter. The end of an outage of seconds
-# is detected within half a second, at three calls per second and daemon at most. In a
-# large fleet daemons that are not readers back off longer, as they make most of the calls.
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.5
-LARGE_FLEET_MAX_BACKOFF_S = 1.0
+# In larger fleets, daemons that are not readers read the store less often.
 LARGE_FLEET_DAEMONS = 16
 # Pause between successful reads of daemons that are not readers. A read returns with the
 # first record and engines write tens of records per second: without the pause, a daemon
 # that falls back to the store for a second makes ten reads.
 LARGE_FLEET_READ_PAUSE_S = 0.25
+# Failures in which the store answered; they concern one feed only.
+ANSWERED_KINDS = (StoreErrorKind.MALFORMED, StoreErrorKind.CONFLICT)
 # A feed whose reading is older than this is read once, whatever peers answer: a reader
 # that started later than this daemon cannot continue from this daemon's offset.
 MAX_READING_AGE_S = 6.0
@@ -38,8 +38,6 @@
 
     Attributes
     ----------
-    failures
-        Consecutive failed reads.
     behind
         Whether the last read ended before the end of the feed.
     answered_at
@@ -49,7 +47,6 @@
     def __init__(self, hub: FeedHub, feed: Feed) -> None:
         self.hub = hub
         self.feed = feed
-        self.failures = 0
         self.behind = False
         self.answered_at = NEVER
 
@@ -61,24 +58,19 @@
             return
         daemon = hub.daemon
         sent_at = daemon.now()
+        wait_s = hub.store_backoff.wait_s(self.feed, sent_at)
+        if wait_s > 0.0:
+            hub.store_answered.wait(min(wait_s, PEER_WAIT_S))
+            return
         offset = hub.offsets.get(self.feed)
         # Desired states may be published faster than the link can transfer them all. Only
         # the newest record of each key matters, and that is what a listing returns.
         listed = offset is None or (self.behind and self.feed is Feed.OPERATORS)
-        if offset is None or listed:
-            answer = daemon.store.listing(self.feed)
-        else:
-            answer = daemon.store.follow(self.feed, offset, self._wait_s(sent_at))
+        answer = self._read(None if listed else offset, sent_at)
         if not isinstance(answer, Success):
             self._handle_error(answer.failure())
             return
-        hub.relay.feeds[self.feed].failing = False
-        if self.failures:
-            logger.info("Store reachable again.", feed=self.feed.value, failures=self.failures)
-            self.failures = 0
-            hub.poller.selector.reset()
-            if self.feed is Feed.TARGETS:
-                daemon.registry.store_returned(daemon.now())
+        self._record_answer()
         found = answer.unwrap()
         now = self.answered_at = daemon.now()
         self.behind = found.end > found.next_offset
@@ -98,6 +90,31 @@
         if self._is_throttled():
             gevent.sleep(LARGE_FLEET_READ_PAUSE_S)
 
+    def _read(self, offset: int | None, sent_at: float) -> Result[FeedSlice, StoreError]:
+        """Read from an offset on, or the newest record of each key if it is None."""
+        store, backoff = self.hub.daemon.store, self.hub.store_backoff
+        is_probe = backoff.in_outage
+        backoff.probes += is_probe
+        try:
+            if offset is None:
+                return store.listing(self.feed)
+            return store.follow(self.feed, offset, self._wait_s(sent_at))
+        finally:
+            backoff.probes -= is_probe
+
+    def _record_answer(self) -> None:
+        hub = self.hub
+        hub.relay.feeds[self.feed].failing = False
+        was_in_outage = hub.store_backoff.in_outage
+        failures = hub.store_backoff.record_success(self.feed)
+        if failures:
+            logger.info("Store reachable again.", feed=self.feed.value, failures=failures)
+            hub.poller.selector.reset()
+        if was_in_outage:
+            hub.daemon.registry.store_returned(hub.daemon.now())
+            hub.store_answered.set()
+            hub.store_answered.clear()
+
     def _is_due(self) -> bool:
         hub = self.hub
         for_callers = self.feed in REQUIRED_FEEDS or hub.daemon.membership.is_reader
@@ -107,6 +124,8 @@
 
     def _wait_s(self, now: float) -> float:
         """Return how long a read waits for new records."""
+        if self.hub.store_backoff.in_outage:
+            return 0.0
         wait_s = DIRECT_WAITS_S[self.feed]
         # The first read after a pause returns at once. If it waited, the daemons that
         # poll this one would meanwhile consider it cut off from the store.
@@ -116,26 +135,30 @@
         daemon = self.hub.daemon
         return daemon.rules.daemons >= LARGE_FLEET_DAEMONS and not daemon.membership.is_reader
 
-    def _max_backoff_s(self) -> float:
-        return LARGE_FLEET_MAX_BACKOFF_S if self._is_throttled() else MAX_BACKOFF_S
-
     def _handle_error(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.EXPIRED:
             # The store compacted the feed: only the newest record of each key is left.
             logger.info("Offset expired, listing the feed.", feed=self.feed.value)
+            self._record_answer()
             self.hub.reset(self.feed)
             return
-        if not self.failures:
+        daemon = self.hub.daemon
+        is_reader = daemon.membership.is_reader
+        failures = self.hub.store_backoff.record_failure(
+            self.feed,
+            daemon.now(),
+            max_backoff_s(daemon.rules.daemons, is_reader or not self._is_throttled()),
+            daemon.random.random(),
+            answered=error.kind in ANSWERED_KINDS,
+        )
+        if failures == 1:
             logger.warning(
                 "Store lost.",
                 feed=self.feed.value,
                 error=error.kind.value,
                 reason=error.reason,
             )
-        self.failures += 1
         # A timeout may be caused by this daemon's own answers to peers on a slow link, so
         # it does not send the peers away: this daemon can still relay records of other
         # readers, and peers detect a silent store by the time of its last data.
         self.hub.relay.feeds[self.feed].failing = not error.timed_out
-        pause = min(self._max_backoff_s(), INITIAL_BACKOFF_S * 2 ** (self.failures - 1))
-        gevent.sleep(pause * (0.5 + self.hub.daemon.random.random()))
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -8,10 +8,11 @@
 
 from agaterail import logs
 from agaterail.gateway.controlstore import NEVER, DesiredPublished, Feed, LeaseChanged
-from agaterail.gateway.directfollower import MAX_BACKOFF_S, DirectFollower
+from agaterail.gateway.directfollower import DirectFollower
 from agaterail.gateway.peerpoller import PeerPoller
 from agaterail.gateway.peerresponder import PeerResponder
 from agaterail.gateway.relay import Relay
+from agaterail.gateway.storebackoff import MAX_BACKOFF_S, StoreBackoff
 from agaterail.util.address import Address
 from agaterail.util.greenlets import run_forever
 
@@ -46,6 +47,10 @@
         Pulsed when records arrive, to answer waiting peers.
     wake_direct
         Pulsed when direct reads may be due, to end their sleep.
+    store_backoff
+        Backoff of the direct reads of all feeds.
+    store_answered
+        Pulsed when the store answers again after a failed read.
     readers
         Addresses of the daemons that read the store.
     """
@@ -57,6 +62,8 @@
         self.read_at = dict.fromkeys(Feed, NEVER)
         self.new_records = gevent.event.Event()
         self.wake_direct = gevent.event.Event()
+        self.store_backoff = StoreBackoff()
+        self.store_answered = gevent.event.Event()
         self.readers: tuple[str, ...] = ()
         daemon.store.on_data = lambda feed: self.relay.feeds[feed].record_contact(daemon.now())
         address = Address(daemon.settings.ip, daemon.settings.peer_ports[0])
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -151,11 +151,11 @@
         answer = self.daemon.store.join(self.member, ttl_s, self.generation)
         if isinstance(answer, Success):
             self._apply_membership(answer.unwrap(), sent_at + ttl_s)
+            self._refresh_readers(self.daemon.now())
         elif self.daemon.now() >= self.valid_until and self.daemon.budget.share:
             logger.warning("Fleet membership expired.", reason=answer.failure().kind.value)
             self.daemon.budget.share = 0.0
             self.ranks = frozenset()
-        self._refresh_readers(self.daemon.now())
 
     def leave(self) -> None:
         """Give up the share and leave the fleet."""
--- a/agaterail/gateway/peerpoller.py
+++ b/agaterail/gateway/peerpoller.py
@@ -57,6 +57,9 @@
         # slow link or CPU. Otherwise the daemons that poll this reader would wait for that
         # although another reader already has the version.
         is_reader = self.daemon.membership.is_reader and len(hub.offsets) == len(Feed)
+        if not available and hub.store_backoff.in_outage:
+            self._poll_in_outage()
+            return
         if not available or (hub.reads_directly and not is_reader):
             gevent.sleep(PEER_WAIT_S)
             return
@@ -76,6 +79,19 @@
             hub.wake_direct.set()
             hub.wake_direct.clear()
 
+    def _poll_in_outage(self) -> None:
+        """Ask any reader whether it reads the store again; this costs the store no call."""
+        others = [address for address in self.hub.readers if address != self.own_address]
+        if others:
+            address = self.daemon.random.choice(others)
+            sent_at = self.daemon.now()
+            answer = self.poll(address)
+            if not isinstance(answer, str) and not self.apply_answer(address, answer, sent_at):
+                logger.info("Peer reads the store again.", peer=address)
+                self.selector.reset()
+                return
+        gevent.sleep(PEER_WAIT_S)
+
     def poll(self, address: str) -> PeerAnswer | str:
         """Return a peer's answer, or the reason why the poll failed."""
         # After a failed poll, the next peer must answer immediately with what it has.
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -33,7 +33,7 @@
 
     Faults are attributes: ``down`` answers 503, ``delay_s`` delays each answer,
     ``lose_writes`` executes appends but answers them only 30 s later.
-    ``reads`` counts the answered reads per topic.
+    ``calls_by_name`` counts all calls, ``reads`` the answered reads per topic.
     """
 
     def __init__(self) -> None:
@@ -47,16 +47,18 @@
         self.delay_s = 0.0
         self.lose_writes = False
         self.calls = 0
+        self.calls_by_name: Counter[str] = Counter()
         self.reads: Counter[str] = Counter()
 
     def route(self, call: Call) -> Answer:
         """Answer one call."""
+        name = call.path.rpartition("/log-")[2]
         self.calls += 1
+        self.calls_by_name[name] += 1
         if self.delay_s:
             gevent.sleep(self.delay_s)
         if self.down:
             return Answer(503)
-        name = call.path.rpartition("/log-")[2]
         handler = getattr(self, f"_{name.replace('-', '_')}", None)
         if handler is None:
             return Answer(404)
