Refusals and complete failures of a target add up; newer weights are asked for at once

Reading a refusal to its end released its connection as after a success, which reset the target's failures, refusals and pause: a full engine was tried again every 0.1 s by each daemon, and an engine that refused never reached the three tries after which it is left alone. The same held for a complete 5xx that is repeated elsewhere. Both are now released without that reset.

An engine that refuses only because it has newer weights than its registration says is not full. The answer names the version, so the request is sent to the same engine once more, and the engine is not paused.

Five tests fail on the former code.

--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -163,7 +163,7 @@
         failed = head.status >= MIN_SERVER_ERROR_STATUS
         if failed and self.retry_state.may_run_again():
             self.target_failure = answer
-            attempt.finish()
+            attempt.finish(healthy=False)
             return AttemptOutcome.FAILED
         attempt.finish(healthy=not failed)
         self._send_buffered(answer)
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -49,6 +49,8 @@
     ----------
     tried
         Targets that are not tried again.
+    resent
+        Targets that refused only since they have newer weights, and may be tried again.
     may_have_run
         Targets that may have run the request, including those of open attempts.
     sends
@@ -57,6 +59,7 @@
 
     route: Route
     tried: set[str] = attrs.field(factory=set)
+    resent: set[str] = attrs.field(factory=set)
     may_have_run: set[str] = attrs.field(factory=set)
     sends: int = 0
     refusals: int = 0
@@ -86,6 +89,11 @@
         else:
             self.may_have_run.add(instance)
 
+    def allow_resend(self, instance: str) -> None:
+        """Allow one more send to a target that refused."""
+        self.resent.add(instance)
+        self.tried.discard(instance)
+
     def may_try_another(self, left_s: float) -> bool:
         """Return whether another target may be tried, regardless of the retry budget.
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from agaterail.gateway.daemon import Daemon
+    from agaterail.gateway.inbound import AnswerHead
     from agaterail.gateway.placement import Choice
     from agaterail.gateway.requestcontext import RequestContext
     from agaterail.gateway.targetconnection import TargetConnection
@@ -77,12 +78,18 @@
     def _handle_refusal(self, attempt: Attempt) -> None:
         head = attempt.head
         assert head is not None
-        attempt.target.record_refusal(self.daemon.now())
+        resend = self._learned_newer_weights(attempt, head)
+        if resend:
+            self.retry_state.allow_resend(attempt.instance)
+        else:
+            attempt.target.record_refusal(self.daemon.now())
         self.log(
             "Refused by the target.",
             attempt.choice,
             status=head.status,
             instance=head.instance or None,
+            has_weights=head.weights_version,
+            resend=resend,
         )
         try:
             attempt.read_rest(self.daemon.now() + CONNECT_TIMEOUT_S)
@@ -90,7 +97,23 @@
             self.log("Could not read the rest of a refusal.", attempt.choice, error=str(error))
             attempt.abandon()
             return
-        attempt.finish()
+        attempt.finish(healthy=False)
+
+    def _learned_newer_weights(self, attempt: Attempt, head: AnswerHead) -> bool:
+        """Return whether an engine refused only since it has newer weights than expected.
+
+        This daemon has recorded them by now. The engine itself is not full, so the
+        request can be sent to it again.
+        """
+        expected = attempt.choice.weights_version
+        if expected is None or head.weights_version is None:
+            return False
+        is_same = head.instance in ("", attempt.instance)
+        return (
+            is_same
+            and head.weights_version > expected
+            and attempt.instance not in self.retry_state.resent
+        )
 
     def _record_outcome(self, instance: str, outcome: AttemptOutcome) -> None:
         self.retry_state.record_outcome(instance, outcome)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -43,7 +43,8 @@
     in the middle of the event with that number, ``error`` answers 500,
     ``doubled`` sends every answer to a plain request twice, and ``pause_before``
     sends nothing for ``pause_s`` before the event with that number, or before
-    the head of the answer if 0.
+    the head of the answer if 0. With ``newer_each_time``, each request for other
+    weights is refused and followed by a load.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
@@ -60,6 +61,7 @@
         self.pause_before: int | None = None
         self.pause_s = 1.3
         self.on_loaded: Callable[[], object] = lambda: None
+        self.newer_each_time = False
         self.loading = False
         self.orders = 0
         self.fence = -1
@@ -134,7 +136,9 @@
             return self._send(sock, self._order(json.loads(body)), {})
         version = headers.get("expect-version")
         if version not in (None, str(self.version)):
-            return self._send(sock, 421, {"Weight-Versions": str(self.version)})
+            held = self.version
+            self.version += self.newer_each_time
+            return self._send(sock, 421, {"Weight-Versions": str(held)})
         if self.refuse or self.loading:
             return self._send(sock, 503, {"Not-Run": "1"})
         run = Run(
--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -5,7 +5,7 @@
 import gevent
 
 from agaterail.gateway.gracefulstop import GracefulStop
-from tests.gateway_fleet import LLM, PLAIN, Fleet
+from tests.gateway_fleet import LLM, MODEL, PLAIN, Fleet
 
 ALL_EVENTS = [b"data: r1-%d" % number for number in range(1, 9)]
 # Time within which an engine must notice that its stream was abandoned.
@@ -187,11 +187,56 @@
 
 class RefusedTest(ForwarderTest):
     def test_a_refusal_pauses_the_target(self):
-        """The pause ends at once because reading the refusal counts as a success."""
-        engine, _ = self.start()
+        """Reading a refusal to its end counted as a success, which ended the pause."""
+        engine, other = self.start()
         engine.refuse = True
+        # The answer ends within the pause.
+        other.work_s = other.event_s = 0.0
         self.ask_stream()
         daemon = self.fleet.daemons[0]
         target = daemon.registry.targets[engine.instance]
         self.assertEqual(target.refusals, 1)
         self.assertFalse(target.is_usable(daemon.now()))
+
+    def test_consecutive_refusals_add_up(self):
+        """Each refusal reset the count, so that a full engine was tried every 0.1 s."""
+        engine, _ = self.start()
+        engine.refuse = True
+        daemon = self.fleet.daemons[0]
+        target = daemon.registry.targets[engine.instance]
+        for number in range(3):
+            self.fleet.wait(lambda: target.is_usable(daemon.now()))
+            self.fleet.ask("/resumed/x", request_id=f"f{number}", stream=True)
+        self.assertEqual(target.refusals, 3)
+
+    def test_own_failures_of_a_plain_target_add_up(self):
+        """A complete 5xx that is retried elsewhere reset the failures of its target."""
+        target, other = self.start(PLAIN)
+        deregister(self.fleet, other)
+        target.error = True
+        daemon = self.fleet.daemons[0]
+        known = daemon.registry.targets[target.instance]
+        for number in range(3):
+            self.fleet.wait(lambda: known.is_usable(daemon.now()))
+            self.fleet.ask("/safe/x", request_id=f"f{number}")
+        self.assertEqual(known.failures, 3)
+
+
+class NewerWeightsTest(ForwarderTest):
+    def test_a_request_is_sent_again_to_an_engine_with_newer_weights(self):
+        """While the store was away, each engine that had loaded refused each daemon once."""
+        engine, other = self.start()
+        deregister(self.fleet, other)
+        engine.version = 2
+        answer = self.ask_stream()
+        self.assertEqual(answer.events, ALL_EVENTS)
+        target = self.fleet.daemons[0].registry.targets[engine.instance]
+        self.assertEqual((target.refusals, target.weights_of(MODEL)), (0, 2))
+
+    def test_an_engine_that_refuses_the_second_send_too_is_not_sent_a_third(self):
+        engine, other = self.start()
+        deregister(self.fleet, other)
+        engine.version = 2
+        engine.newer_each_time = True
+        self.assertEqual(self.ask_stream().status, 503)
+        self.assertEqual(engine.version, 4)
