Engines that only refuse are used if there is no other; index of targets by service

Since refusals add up, a pause lasts up to 0.8 s. When all engines are full or loading at once, all were paused and each prompt was refused without being sent, although a full engine accepts again within tens of milliseconds. Targets whose pause comes from refusals alone are now the last resort; failing ones are not.

The index of targets by service was rebuilt at each registration, which is quadratic at a start: 123 entries are built into it 123 times. It now changes with the target only.

--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -102,11 +102,7 @@
     targets: Sequence[Target], excluded: Collection[str], rules: PlacementRules, now: float
 ) -> Choice | None:
     """Return the usable target with the fewest of this daemon's requests."""
-    usable = [
-        target
-        for target in targets
-        if target.instance not in excluded and target.is_usable(now)
-    ]
+    usable = _usable([item for item in targets if item.instance not in excluded], now)
     if not usable:
         return None
     best = min(usable, key=lambda target: _load_cost(target, rules.domain))
@@ -129,13 +125,13 @@
     same prefix go to the same engine from every daemon without coordination. The
     first engine has the prefix cached; any other must prefill or fetch it.
     """
-    usable = [
+    allowed = [
         target
         for target in targets
         if target.instance not in excluded
-        and target.is_usable(now)
         and _weights_allow(target, inbound.model, history, rules, now)
     ]
+    usable = _usable(allowed, now)
     # A cordoned engine refuses prompts or soon will.
     usable = [item for item in usable if _accepts_prompts(item, now)] or usable
     if not usable:
@@ -172,6 +168,16 @@
     )
 
 
+def _usable(targets: Sequence[Target], now: float) -> list[Target]:
+    """Return the usable targets, or those that only refuse if there is no other.
+
+    A full engine accepts requests again within tens of milliseconds. If all are paused,
+    one more refusal costs less than a failed request.
+    """
+    usable = [item for item in targets if item.is_usable(now)]
+    return usable or [item for item in targets if item.is_only_refusing(now)]
+
+
 def _weights_allow(
     target: Target,
     model: str,
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -104,6 +104,11 @@
         """Return whether a new request may be sent to the target."""
         return self.registration.ready and not self.gone and now >= self.backoff_until
 
+    def is_only_refusing(self, now: float) -> bool:
+        """Return whether only its refusals keep new requests from the target."""
+        is_paused = self.refusals > 0 and self.failures == 0 and now < self.backoff_until
+        return self.registration.ready and not self.gone and is_paused
+
     def is_failing(self, now: float) -> bool:
         """Return whether the target is in backoff after a failure."""
         return self.failures > 0 and now < self.backoff_until
@@ -148,15 +153,17 @@
         """Add or update a registration; a restart discards earlier observations."""
         known = self.targets.get(registration.instance)
         if known is not None and known.registration.born == registration.born:
+            if known.registration.service != registration.service:
+                self._remove_from_index(known)
+                self._add_to_index(known, registration.service)
             known.registration = registration
             known.lapsed_at = None
-            self._rebuild_index()
             return known
         if known is not None:
             self._drop(known)
         target = Target(registration=registration)
         self.targets[registration.instance] = target
-        self._rebuild_index()
+        self._add_to_index(target, registration.service)
         return target
 
     def remove(self, instance: str, now: float) -> None:
@@ -168,7 +175,6 @@
             target.lapsed_at = now
             return
         self._drop(target)
-        self._rebuild_index()
 
     def store_returned(self, now: float) -> None:
         """Record that the store answers again after an outage."""
@@ -181,8 +187,6 @@
         gone = [item for item in self.targets.values() if item.lapsed_at is not None]
         for target in gone:
             self._drop(target)
-        if gone:
-            self._rebuild_index()
         return gone
 
     def of_service(self, service: str) -> list[Target]:
@@ -195,9 +199,16 @@
     def _drop(self, target: Target) -> None:
         target.gone = True
         self.targets.pop(target.instance, None)
+        self._remove_from_index(target)
         self.on_gone(target)
 
-    def _rebuild_index(self) -> None:
-        self.by_service = {}
-        for target in self.targets.values():
-            self.by_service.setdefault(target.registration.service, []).append(target)
+    def _add_to_index(self, target: Target, service: str) -> None:
+        self.by_service.setdefault(service, []).append(target)
+
+    def _remove_from_index(self, target: Target) -> None:
+        service = target.registration.service
+        left = [item for item in self.by_service.get(service, []) if item is not target]
+        if left:
+            self.by_service[service] = left
+        else:
+            self.by_service.pop(service, None)
--- a/tests/test_agaterail/test_gateway/test_placement.py
+++ b/tests/test_agaterail/test_gateway/test_placement.py
@@ -54,6 +54,27 @@
             if target is not gone:
                 self.assertIs(self.choose(make_inbound(f"h{number}")).target, target)
 
+    def test_a_refusing_engine_is_used_if_there_is_no_other(self):
+        """All engines were full for a moment, and no prompt was sent for up to 0.8 s."""
+        for engine in self.engines:
+            engine.record_refusal(0.0)
+        self.assertIsNotNone(self.choose(now=0.01))
+        self.engines[0].refusals, self.engines[0].backoff_until = 0, 0.0
+        for number in range(20):
+            chosen = self.choose(make_inbound(f"h{number}"), now=0.01)
+            self.assertIs(chosen.target, self.engines[0])
+
+    def test_a_failing_engine_is_not_used_even_if_there_is_no_other(self):
+        for engine in self.engines:
+            engine.record_refusal(0.0)
+            engine.record_failure(0.0)
+        self.assertIsNone(self.choose(now=0.01))
+
+    def test_a_refusing_plain_target_is_used_if_there_is_no_other(self):
+        for target in self.engines:
+            target.record_refusal(0.0)
+        self.assertIsNotNone(choose_least_loaded(self.engines, (), RULES, 0.01))
+
     def test_a_long_queue_at_the_first_engine_moves_a_request(self):
         first = self.choose().target
         first.prefill_tokens = 50000
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -60,6 +60,17 @@
         self.assertTrue(old.gone)
         self.assertEqual(new.weights_of("m"), 1)
 
+    def test_targets_are_found_by_their_present_service(self):
+        self.registry.put(make_registration("i-1", service="s", born=1))
+        self.registry.put(make_registration("i-2", service="s", born=1))
+        self.registry.put(make_registration("i-1", service="t", born=1))
+        self.registry.put(make_registration("i-2", service="t", born=2))
+        self.assertEqual(self.registry.of_service("s"), [])
+        found = [item.instance for item in self.registry.of_service("t")]
+        self.assertEqual(found, ["i-1", "i-2"])
+        self.registry.remove("i-1", now=0.0)
+        self.assertEqual([item.instance for item in self.registry.of_service("t")], ["i-2"])
+
     def test_a_heartbeat_keeps_observations(self):
         target = self.registry.put(make_registration(born=1))
         target.record_failure(0.0)
