The demand of the whole fleet paces loads, and the next in line takes over the lease

How many engines load at once follows from the offered prompts. The holder multiplied its own by the number of daemons: with 195 daemons it sees eight prompts in the window of 5 s. Daemons now report their prompts with the polls that they make anyway (some 20 bytes), and a reader answers with the average over the daemons that polled it; without an answer of the last 3 s the own prompts count as before. Malformed reports and estimates are ignored with a log line. Former releases ignore the parameter and answer without the field.

On a grown deployment with the first in line cut off from the store and the store slow, versions named at 18.7 and 22.7 s were ordered from 28 s on: the platform reassigns a place after 6.2 s without a join. Loads that started late then took 18 of 30 engines at once. Daemons with other places (first partitions) now take the lease when loads are wanted and nobody has held it for 2 s per place, not in an outage of the store. The conditional append and the gap between hosts hold as before.

--- a/agaterail/gateway/demand.py
+++ b/agaterail/gateway/demand.py
@@ -2,34 +2,131 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
+import attrs
+
 from agaterail.gateway.placement import PREFILL_MS_PER_TOKEN
 
 # Long enough to average out bursts of single callers, short enough to detect an
 # overload before the engines' queues exceed an objective.
 WINDOW_S = 5.0
+# Reports about a longer interval say too little about the present.
+MAX_REPORT_S = 10.0
+MAX_REPORT_TOKENS = 1_000_000_000
+# A reader estimates the fleet's demand only from reports that cover more time than one
+# daemon can observe in a window itself.
+MIN_REPORTED_S = 2.0 * WINDOW_S
+# An estimate of the fleet's demand is used for a few polls.
+MAX_ESTIMATE_AGE_S = 3.0
+# Weight of one reader's estimate; each hears from a part of the daemons.
+SMOOTHING = 0.3
+
+
+@attrs.frozen
+class DemandReport:
+    """Prompt tokens offered to one daemon within an interval."""
+
+    tokens: int
+    elapsed_s: float
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the values are plausible."""
+        return 0 <= self.tokens <= MAX_REPORT_TOKENS and 0.0 < self.elapsed_s <= MAX_REPORT_S
 
 
 class Demand:
-    """Prompt tokens offered to this daemon within a sliding window."""
+    """Prompt tokens offered to this daemon, and to a daemon of the fleet on average.
+
+    A daemon of a large fleet sees a few prompts in a window, which says little about the
+    fleet. Daemons therefore report their prompts with the polls of their peers, and get
+    the average over many daemons with the answers.
+
+    Attributes
+    ----------
+    total_tokens
+        Tokens of all prompts since the start.
+    fleet_tokens_per_s
+        Tokens per second and daemon according to the peers; None if unknown.
+    """
 
     def __init__(self) -> None:
         self.offers: deque[tuple[float, int]] = deque()
         self.tokens = 0
+        self.total_tokens = 0
+        self.reported_tokens = 0
+        self.reported_at: float | None = None
+        self.fleet_tokens_per_s: float | None = None
+        self.estimated_at = float("-inf")
 
     def record(self, tokens: int, now: float) -> None:
         """Record the prompt of a request."""
         if tokens:
             self.offers.append((now, tokens))
             self.tokens += tokens
+            self.total_tokens += tokens
         self._expire(now)
 
     def engines_needed(self, now: float) -> float:
-        """Return the number of engines that would be busy with a cold cache."""
+        """Return the engines that one daemon's prompts keep busy with a cold cache."""
         self._expire(now)
-        return self.tokens * PREFILL_MS_PER_TOKEN / (WINDOW_S * 1e3)
+        tokens_per_s = self.tokens / WINDOW_S
+        if self.fleet_tokens_per_s is not None:
+            if now - self.estimated_at <= MAX_ESTIMATE_AGE_S:
+                tokens_per_s = self.fleet_tokens_per_s
+            else:
+                self.fleet_tokens_per_s = None
+        return tokens_per_s * PREFILL_MS_PER_TOKEN * 1e-3
+
+    def next_report(self, now: float) -> DemandReport | None:
+        """Return the prompts since the last report; None if there is no valid interval."""
+        if self.reported_at is None or now - self.reported_at > MAX_REPORT_S:
+            self.reported_tokens = self.total_tokens
+            self.reported_at = now
+            return None
+        report = DemandReport(self.total_tokens - self.reported_tokens, now - self.reported_at)
+        return report if report.is_valid else None
+
+    def record_reported(self, sent_at: float, report: DemandReport) -> None:
+        """Record that a peer has received a report that was sent at this time."""
+        self.reported_tokens += report.tokens
+        self.reported_at = sent_at
+
+    def record_estimate(self, tokens_per_s: float, now: float) -> None:
+        """Take over a peer's estimate of the average daemon."""
+        former = self.fleet_tokens_per_s
+        if former is None:
+            former = tokens_per_s
+        self.fleet_tokens_per_s = former + SMOOTHING * (tokens_per_s - former)
+        self.estimated_at = now
 
     def _expire(self, now: float) -> None:
         while self.offers and self.offers[0][0] < now - WINDOW_S:
             self.tokens -= self.offers.popleft()[1]
+
+
+class FleetDemand:
+    """Average demand of the daemons that poll this one."""
+
+    def __init__(self) -> None:
+        self.reports: deque[tuple[float, DemandReport]] = deque()
+
+    def add(self, report: DemandReport, now: float) -> None:
+        """Add a valid report of a peer."""
+        self.reports.append((now, report))
+
+    def tokens_per_s(self, now: float) -> float | None:
+        """Return the tokens per second of an average daemon; None if unknown."""
+        while self.reports and self.reports[0][0] < now - WINDOW_S:
+            self.reports.popleft()
+        elapsed_s = sum(report.elapsed_s for _, report in self.reports)
+        if elapsed_s < MIN_REPORTED_S:
+            return None
+        return sum(report.tokens for _, report in self.reports) / elapsed_s
+
+
+def is_plausible_rate(tokens_per_s: float) -> bool:
+    """Return whether a peer's estimate can be used."""
+    return math.isfinite(tokens_per_s) and 0.0 <= tokens_per_s <= MAX_REPORT_TOKENS
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -130,6 +130,11 @@
         """Return whether this daemon is first in line for the lease."""
         return FIRST_RANK in self.ranks
 
+    @property
+    def rank(self) -> int | None:
+        """Return this daemon's place in line for the lease; None if it has none."""
+        return min(self.ranks, default=None)
+
     @property
     def is_reader(self) -> bool:
         """Return whether this daemon reads the store for others."""
--- a/agaterail/gateway/peerpoller.py
+++ b/agaterail/gateway/peerpoller.py
@@ -10,6 +10,7 @@
 from agaterail import logs
 from agaterail.gateway import peerprotocol
 from agaterail.gateway.controlstore import Arrival, Feed, Reading
+from agaterail.gateway.demand import is_plausible_rate
 from agaterail.gateway.feedtimes import PEER_WAIT_S, REQUIRED_FEEDS, max_silence_s
 from agaterail.gateway.peerprotocol import PeerQuery
 from agaterail.gateway.peerselector import PeerSelector
@@ -97,7 +98,11 @@
         # After a failed poll, the next peer must answer immediately with what it has.
         wait_s = 0.0 if self.selector.consecutive_failures else PEER_WAIT_S
         base_offsets = self.hub.relay.base_offsets() if self.differences_applied else ()
-        query = peerprotocol.encode_query(PeerQuery(self.hub.offsets, base_offsets, wait_s))
+        demand, sent_at = self.daemon.demand, self.daemon.now()
+        offered = demand.next_report(sent_at)
+        query = peerprotocol.encode_query(
+            PeerQuery(self.hub.offsets, base_offsets, wait_s, offered)
+        )
         called = self.connections.to(address).call(
             "GET", query, timeout_s=wait_s + PEER_TIMEOUT_MARGIN_S
         )
@@ -107,6 +112,8 @@
         status, body = called.unwrap()
         if status != OK:
             return f"status {status}"
+        if offered is not None:
+            demand.record_reported(sent_at, offered)
         decoded = peerprotocol.decode_answer(body)
         return decoded.unwrap() if isinstance(decoded, Success) else str(decoded.failure())
 
@@ -118,6 +125,7 @@
         # polls them to former readers.
         if answer.readers and not self.daemon.membership.is_reader:
             self.hub.set_readers(answer.readers)
+        self._apply_demand(answer)
         problem = ""
         for feed in Feed:
             news = answer.feeds.get(feed)
@@ -143,6 +151,15 @@
                 problem = f"peer's reading of {feed.value} is {news.age_s:.2f} s old"
         return problem
 
+    def _apply_demand(self, answer: PeerAnswer) -> None:
+        rate = answer.offered_tokens_per_s
+        if rate is None:
+            return
+        if is_plausible_rate(rate):
+            self.daemon.demand.record_estimate(rate, self.daemon.now())
+        else:
+            logger.info("Ignored a peer's estimate of the demand.", rate=rate)
+
     def _apply_news(
         self, feed: Feed, news: FeedNews, answered_at: float, arrival: Arrival
     ) -> str:
--- a/agaterail/gateway/peerprotocol.py
+++ b/agaterail/gateway/peerprotocol.py
@@ -8,18 +8,24 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from agaterail import logs
 from agaterail.gateway.controlstore import Feed
+from agaterail.gateway.demand import DemandReport
 from agaterail.gateway.relayed import PackedRecord
 
 if TYPE_CHECKING:
     from agaterail.gateway.relay import Relay
 
+logger = logs.get_logger("feeds")
+
 # The version in the path changes with the format of the answers. Daemons of another
 # release then answer 404, which counts as a failed poll.
 PATH = b"/feeds/2"
 # Upper bound of ``known_s``: a record that has been known for longer existed before any
 # daemon started.
 MAX_KNOWN_S = 3600.0
+# Length to which a peer's text is cut in the log.
+MAX_LOGGED = 60
 
 
 @attrs.frozen
@@ -34,11 +40,14 @@
         Offsets of records that it has and that differences may start from.
     wait_s
         Longest time to wait for new records.
+    offered
+        Prompts offered to the polling daemon since its last report; None if not given.
     """
 
     offsets: dict[Feed, int]
     base_offsets: tuple[int, ...]
     wait_s: float
+    offered: DemandReport | None = None
 
 
 @attrs.frozen
@@ -75,11 +84,15 @@
         Addresses of the daemons that read the store, as the peer knows them.
     waited_s
         Seconds for which the peer delayed the answer to wait for new records.
+    offered_tokens_per_s
+        Prompt tokens per second offered to an average daemon; None if unknown, and from
+        daemons of a former release.
     """
 
     feeds: dict[Feed, FeedNews]
     readers: tuple[str, ...]
     waited_s: float = 0.0
+    offered_tokens_per_s: float | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerAnswer)
@@ -89,6 +102,8 @@
     """Return the path and query string of a query."""
     pairs = [f"{feed.value}={offset}" for feed, offset in query.offsets.items()]
     pairs.append("held=" + ",".join(map(str, query.base_offsets)))
+    if query.offered is not None:
+        pairs.append(f"offered={query.offered.tokens}:{query.offered.elapsed_s:.3f}")
     return f"{PATH.decode()}?wait={query.wait_s:.3f}&" + "&".join(pairs)
 
 
@@ -103,7 +118,26 @@
     found = dict(pair.split("=", 1) for pair in query.decode("ascii").split("&"))
     offsets = {feed: int(found[feed.value]) for feed in Feed if feed.value in found}
     base_offsets = tuple(map(int, filter(None, found.get("held", "").split(","))))
-    return PeerQuery(offsets, base_offsets, float(found.get("wait", "0")))
+    offered = _decode_offered(found.get("offered", ""))
+    return PeerQuery(offsets, base_offsets, float(found.get("wait", "0")), offered)
+
+
+def _decode_offered(text: str) -> DemandReport | None:
+    """Return a report, or None if there is none or it is malformed.
+
+    It is no reason to refuse the query, which does not depend on it.
+    """
+    if not text:
+        return None
+    tokens, _, elapsed_s = text.partition(":")
+    try:
+        report = DemandReport(int(tokens), float(elapsed_s))
+    except ValueError:
+        report = None
+    if report is None or not report.is_valid:
+        logger.info("Ignored a peer's report of its prompts.", report=text[:MAX_LOGGED])
+        return None
+    return report
 
 
 def encode_answer(
@@ -112,6 +146,7 @@
     readers: tuple[str, ...],
     now: float,
     waited_s: float = 0.0,
+    offered_tokens_per_s: float | None = None,
 ) -> bytes:
     """Return the body of the answer to a query."""
     feeds: dict[Feed, FeedNews] = {}
@@ -128,7 +163,8 @@
             next_offset=relayed_feed.next_offset,
             records=tuple(records),
         )
-    return msgspec.msgpack.encode(PeerAnswer(feeds, readers, waited_s))
+    answer = PeerAnswer(feeds, readers, waited_s, offered_tokens_per_s)
+    return msgspec.msgpack.encode(answer)
 
 
 def decode_answer(body: bytes) -> Result[PeerAnswer, str]:
--- a/agaterail/gateway/peerresponder.py
+++ b/agaterail/gateway/peerresponder.py
@@ -8,6 +8,7 @@
 
 from agaterail import logs
 from agaterail.gateway import peerprotocol
+from agaterail.gateway.demand import FleetDemand
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.feedtimes import PEER_WAIT_S, REQUIRED_FEEDS, max_silence_s
 from agaterail.gateway.httpserver import HttpServer
@@ -66,6 +67,7 @@
         self.hub = hub
         self.now = now
         self.stats = AnswerStats()
+        self.fleet_demand = FleetDemand()
         self.handlers: dict[bytes, Callable[[bytes], bytes]] = {
             peerprotocol.PATH: self._answer_poll
         }
@@ -91,11 +93,18 @@
     def _answer_poll(self, query: bytes) -> bytes:
         peer_query = peerprotocol.decode_query(query)
         received_at = self.now()
+        if peer_query.offered is not None:
+            self.fleet_demand.add(peer_query.offered, received_at)
         if not self.hub.relay.has_new_records(peer_query.offsets) and not self._is_stale():
             self.hub.new_records.wait(min(peer_query.wait_s, PEER_WAIT_S))
         now = self.now()
         body = peerprotocol.encode_answer(
-            self.hub.relay, peer_query, self.hub.readers, now, now - received_at
+            self.hub.relay,
+            peer_query,
+            self.hub.readers,
+            now,
+            now - received_at,
+            self.fleet_demand.tokens_per_s(now),
         )
         self.stats.add(len(body), self.now() - now)
         return body
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -37,6 +37,10 @@
 logger = logs.get_logger("weights")
 
 PERIOD_S = 0.1
+# Daemons that are next in line take the lease when loads are wanted and nobody has held it
+# for this long per place. The first in line may be cut off, and the platform reassigns its
+# place only after several seconds.
+TAKEOVER_DELAY_S = 2.0
 
 
 @attrs.frozen
@@ -54,6 +58,8 @@
     ----------
     announced
         Newest record of another holder that announces its loads; None if there is none.
+    unled_since
+        Time since which loads are wanted and nobody holds the lease; None if neither.
     """
 
     period_s = PERIOD_S
@@ -68,6 +74,7 @@
         self.announced: LeaseEntry | None = None
         self.accepted_orders: dict[str, AcceptedOrder] = {}
         self.lease_read = False
+        self.unled_since: float | None = None
         self.calls_in_flight: set[str] = set()
         self.store_retry_at = 0.0
         self.time_of_day = time.time
@@ -83,7 +90,7 @@
         wanted = find_outdated(engines, desired_versions)
         conditions = self._conditions(wanted, now)
         self._set_cordons(engines, desired_versions, conditions, now)
-        leads = self.daemon.membership.leads and not self.daemon.stopping
+        leads = self._leads(bool(wanted), now) and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
         if leads or holds:
             self.announcer.update(wanted, now)
@@ -101,6 +108,21 @@
                 self.plan.record_order(load, now, REFUSED_POLL_S, may_be_loading=True)
                 gevent.spawn(self._order, load)
 
+    def _leads(self, has_wanted: bool, now: float) -> bool:
+        """Return whether this daemon may take the lease now."""
+        if not has_wanted or self.lease.is_held(now):
+            self.unled_since = None
+        elif self.unled_since is None:
+            self.unled_since = now
+        rank = self.daemon.membership.rank
+        if rank is None:
+            return False
+        if not rank:
+            return True
+        if self.unled_since is None or self.daemon.feeds.store_backoff.in_outage:
+            return False
+        return now - self.unled_since >= rank * TAKEOVER_DELAY_S
+
     def _set_cordons(
         self,
         engines: list[Target],
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -81,7 +81,7 @@
         self.engines = make_engines()
         self.records = []
         self.holder = self.make_controller(self.engines, demand=14.0)
-        self.holder.daemon.membership.leads = True
+        self.holder.daemon.membership.rank = 0
         self.holder.daemon.engine_control = FakeEngines(self.holder.daemon, load_s=1.9)
         self.holder.on_lease(None, 0, 0.0)
 
--- a/tests/test_agaterail/test_gateway/test_peerprotocol.py
+++ b/tests/test_agaterail/test_gateway/test_peerprotocol.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from agaterail.gateway.controlstore import Feed, FeedRecord, Reading
+from agaterail.gateway.demand import DemandReport
 from agaterail.gateway.peerprotocol import (
     PeerQuery,
     decode_answer,
@@ -38,6 +39,25 @@
         self.assertNotIn(Feed.LEASE, answer.feeds)
         self.assertEqual((answer.readers, answer.waited_s), (("1.2.3.4:5",), 0.25))
 
+    def test_reports_and_estimates_of_the_demand_round_trip(self):
+        original = PeerQuery({Feed.LEASE: 2}, (), 0.6, DemandReport(12345, 0.625))
+        query = decode_query(encode_query(original).partition("?")[2].encode())
+        self.assertEqual(query, original)
+        body = encode_answer(Relay(), query, (), 10.0, offered_tokens_per_s=88.5)
+        self.assertEqual(decode_answer(body).unwrap().offered_tokens_per_s, 88.5)
+
+    def test_a_malformed_report_does_not_fail_the_poll(self):
+        for report in ("x", "1:", "-1:0.5", "1:nan", "1:inf", "1:0", f"{10**12}:1", "1:99"):
+            with self.subTest(report=report):
+                query = decode_query(f"lease=2&held=&wait=0.6&offered={report}".encode())
+                self.assertEqual(query, PeerQuery({Feed.LEASE: 2}, (), 0.6))
+
+    def test_answers_of_a_former_release_have_no_estimate(self):
+        body = msgspec.msgpack.encode({"feeds": {}, "readers": ["a:1"], "waited_s": 0.1})
+        self.assertIsNone(decode_answer(body).unwrap().offered_tokens_per_s)
+        newer = msgspec.msgpack.encode({"feeds": {}, "readers": [], "added_later": 1})
+        self.assertEqual(decode_answer(newer).unwrap().readers, ())
+
     def test_malformed_answers_are_rejected(self):
         whole = encode_answer(Relay(), PeerQuery({}, (), 0.0), ("1.2.3.4:5",), now=10.0)
         wrong_type = msgspec.msgpack.encode({"feeds": 1, "readers": []})
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -9,7 +9,7 @@
 from agaterail.gateway.controlstore import LeaseEntry
 from agaterail.gateway.enginecontrol import EngineReport, OrderOutcome
 from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
-from agaterail.gateway.weightscontroller import WeightsController
+from agaterail.gateway.weightscontroller import TAKEOVER_DELAY_S, WeightsController
 from agaterail.gateway.weightsplan import DRAIN_S, should_have_loaded
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
@@ -26,7 +26,8 @@
         ),
         boot="b1",
         stopping=False,
-        membership=SimpleNamespace(leads=False),
+        membership=SimpleNamespace(rank=None),
+        feeds=SimpleNamespace(store_backoff=SimpleNamespace(in_outage=False)),
         freshness=SimpleNamespace(age_s=lambda _now: 0.0),
         demand=SimpleNamespace(engines_needed=lambda _now: 0.0),
         rules=SimpleNamespace(daemons=1.0),
@@ -72,6 +73,51 @@
         self.assertEqual(count_cordoned(self.engines), 0)
 
 
+class TakeoverTest(unittest.TestCase):
+    """For eight seconds nobody ordered loads, as the first in line was cut off."""
+
+    def setUp(self):
+        engines = [make_target(f"i-{number}", weights={"m": 1}) for number in range(5)]
+        self.daemon = make_daemon(engines)
+        self.daemon.membership.rank = 2
+        self.records = []
+        self.daemon.store = SimpleNamespace(append_lease=self.append)
+        self.controller = WeightsController(self.daemon)
+        self.controller.on_lease(None, 0, 0.0)
+
+    def append(self, entry, at):
+        self.records.append(entry)
+        return Success(at)
+
+    def advance(self, until):
+        while self.daemon.clock < until:
+            self.controller.step()
+            self.daemon.clock += 0.1
+
+    def test_a_daemon_takes_the_lease_in_its_turn(self):
+        self.advance(2 * TAKEOVER_DELAY_S)
+        self.assertEqual(self.records, [])
+        self.advance(2 * TAKEOVER_DELAY_S + 0.3)
+        self.assertTrue(self.records)
+
+    def test_no_turn_comes_while_another_host_holds_the_lease(self):
+        self.advance(2 * TAKEOVER_DELAY_S - 0.2)
+        for end in range(1, 9):
+            self.controller.on_lease(LeaseEntry("there", "b7"), end, self.daemon.clock)
+            self.advance(self.daemon.clock + 1.0)
+        self.assertEqual(self.records, [])
+
+    def test_no_turn_comes_in_an_outage_of_the_store(self):
+        self.daemon.feeds.store_backoff.in_outage = True
+        self.advance(10.0)
+        self.assertEqual(self.records, [])
+
+    def test_a_daemon_without_a_place_never_takes_the_lease(self):
+        self.daemon.membership.rank = None
+        self.advance(10.0)
+        self.assertEqual(self.records, [])
+
+
 class SharedLoadTimeTest(unittest.TestCase):
     """Loaded engines stayed idle while callers waited at the others.
 
@@ -148,7 +194,7 @@
     def simulate(self, load_s, demand):
         engines = [make_target(f"i-{number}", weights={"m": 1}) for number in range(5)]
         daemon = make_daemon(engines)
-        daemon.membership.leads = True
+        daemon.membership.rank = 0
         daemon.demand = SimpleNamespace(engines_needed=lambda _now: demand)
         daemon.engine_control = FakeEngines(daemon, load_s)
         daemon.store = SimpleNamespace(append_lease=lambda _entry, at: Success(at))
--- a/tests/test_agaterail/test_platform/test_feedrecords.py
+++ b/tests/test_agaterail/test_platform/test_feedrecords.py
@@ -15,7 +15,6 @@
 from agaterail.util.address import Address
 from standins.platform_store import PlatformStoreStandIn
 
-
 LOADS = (EngineLoad("i-1", "m", 2), EngineLoad("i-2", "m", 3))
 
 
