The demand is not underestimated while prompts begin to arrive

Rates were taken over 5 s also in the first seconds after a start or of the traffic. The own window begins with the first prompt; reports of many daemons are averaged over 2.5 s.

--- a/agaterail/gateway/demand.py
+++ b/agaterail/gateway/demand.py
@@ -12,6 +12,10 @@
 # Long enough to average out bursts of single callers, short enough to detect an
 # overload before the engines' queues exceed an objective.
 WINDOW_S = 5.0
+# At a start the window is as long as prompts have arrived, but not shorter than this.
+MIN_WINDOW_S = 1.0
+# Reports of many daemons need a shorter window, which follows a rise of the demand sooner.
+FLEET_WINDOW_S = 2.5
 # Reports about a longer interval say too little about the present.
 MAX_REPORT_S = 10.0
 MAX_REPORT_TOKENS = 1_000_000_000
@@ -46,6 +50,8 @@
 
     Attributes
     ----------
+    first_offer_at
+        Time of the first prompt; None before it.
     total_tokens
         Tokens of all prompts since the start.
     fleet_tokens_per_s
@@ -54,6 +60,7 @@
 
     def __init__(self) -> None:
         self.offers: deque[tuple[float, int]] = deque()
+        self.first_offer_at: float | None = None
         self.tokens = 0
         self.total_tokens = 0
         self.reported_tokens = 0
@@ -64,6 +71,8 @@
     def record(self, tokens: int, now: float) -> None:
         """Record the prompt of a request."""
         if tokens:
+            if self.first_offer_at is None:
+                self.first_offer_at = now
             self.offers.append((now, tokens))
             self.tokens += tokens
             self.total_tokens += tokens
@@ -72,7 +81,8 @@
     def engines_needed(self, now: float) -> float:
         """Return the engines that one daemon's prompts keep busy with a cold cache."""
         self._expire(now)
-        tokens_per_s = self.tokens / WINDOW_S
+        first_at = now if self.first_offer_at is None else self.first_offer_at
+        tokens_per_s = self.tokens / min(WINDOW_S, max(MIN_WINDOW_S, now - first_at))
         if self.fleet_tokens_per_s is not None:
             if now - self.estimated_at <= MAX_ESTIMATE_AGE_S:
                 tokens_per_s = self.fleet_tokens_per_s
@@ -119,7 +129,7 @@
 
     def tokens_per_s(self, now: float) -> float | None:
         """Return the tokens per second of an average daemon; None if unknown."""
-        while self.reports and self.reports[0][0] < now - WINDOW_S:
+        while self.reports and self.reports[0][0] < now - FLEET_WINDOW_S:
             self.reports.popleft()
         elapsed_s = sum(report.elapsed_s for _, report in self.reports)
         if elapsed_s < MIN_REPORTED_S:
