Each of 500 daemons gets a share of the fleet's partitions

256 partitions were dealt to the fleet: of 410 daemons 154 got none, took themselves for a fleet of one and had no fixed part of the retry budget. There are 16 topics now, 512 partitions at 32 a topic; the ranks, whose holders look up the readers, stay those of the first eight. The stand-in of the store deals partitions evenly.

The test fails on the former code with a share of 0.0.

--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -38,8 +38,8 @@
 READER_GRACE_S = 5.0
 UNKNOWN_GENERATION = -1
 # Lower bound of the share from which the fleet size is estimated: smaller shares give no
-# plausible estimate. Caps the estimate at 500 daemons.
-MIN_SHARE = 0.002
+# plausible estimate. Caps the estimate at 1,000 daemons.
+MIN_SHARE = 0.001
 FIRST_RANK = 0
 ADDRESS_SEPARATOR = "@"
 LINK_SEPARATOR = "~"
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -42,9 +42,12 @@
     Feed.LEASE: LEASE_TOPIC,
 }
 FLEET_GROUP = "agaterail"
-# The number of partitions over all topics is the granularity of the fleet's shares:
-# 8 topics x 16 partitions give each of 100 daemons at least one.
-FLEET_TOPICS = tuple(f"agaterail-fleet-{number}" for number in range(8))
+# The number of partitions over all topics is the granularity of the fleet's shares. A
+# daemon without a partition would not know the size of the fleet: 16 topics x 32
+# partitions give each of 500 daemons at least one.
+FLEET_TOPICS = tuple(f"agaterail-fleet-{number}" for number in range(16))
+# The first partitions of these topics are the ranks, whose holders look up the readers.
+RANKED_TOPICS = FLEET_TOPICS[:8]
 
 # The store answers in about 4 ms, and in 250 ms when it is slow. A connection can also
 # go silent permanently: the call then times out, and the next one opens a new connection.
@@ -298,7 +301,7 @@
 
 def _assigned_ranks(assigned: list[tuple[str, int]]) -> frozenset[int]:
     return frozenset(
-        number for number, topic in enumerate(FLEET_TOPICS) if (topic, PARTITION) in assigned
+        number for number, topic in enumerate(RANKED_TOPICS) if (topic, PARTITION) in assigned
     )
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -36,8 +36,9 @@
     ``calls_by_name`` counts all calls, ``reads`` the answered reads per topic.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, partitions: int = PARTITIONS) -> None:
         super().__init__()
+        self.partitions = partitions
         self.topics: dict[tuple[str, int], list[bytes]] = {}
         self.first_offsets: dict[tuple[str, int], int] = {}
         self.changed = gevent.event.Event()
@@ -172,16 +173,16 @@
         return members
 
     def _assignments(self, group: str) -> list[tuple[str, int, str]]:
-        """Return rows of topic, partition and member, assigned round-robin."""
+        """Return rows of topic, partition and member, evenly distributed."""
         members = self._live_members(group)
         topics = sorted({topic for member in members.values() for topic in member.topics})
         names = sorted(members)
-        partitions = [(topic, part) for topic in topics for part in range(PARTITIONS)]
-        # Offset by the topic, so that the first partitions of all topics do not go to
-        # the same member.
+        # By partition first, so that the first partitions of all topics do not go to the
+        # same member.
+        partitions = [(topic, part) for part in range(self.partitions) for topic in topics]
         return [
-            (topic, part, names[(part + topics.index(topic)) % len(names)])
-            for topic, part in partitions
+            (topic, part, names[number % len(names)])
+            for number, (topic, part) in enumerate(partitions)
         ]
 
 
--- a/tests/test_agaterail/test_gateway/test_membership.py
+++ b/tests/test_agaterail/test_gateway/test_membership.py
@@ -14,6 +14,9 @@
     member_name,
     reader_count,
 )
+from agaterail.platform.store import PlatformStore
+from agaterail.util.address import Address
+from standins.platform_store import PlatformStoreStandIn
 
 
 class FakeStore:
@@ -120,6 +123,30 @@
         self.assertEqual(len(hub.readers), 3)
 
 
+class ShareTest(unittest.TestCase):
+    """Of 410 daemons 154 got no partition and took themselves for a fleet of one."""
+
+    DAEMONS = 410
+    PARTITIONS = 32
+
+    def test_each_daemon_of_a_large_fleet_has_a_partition(self):
+        stand_in = PlatformStoreStandIn(partitions=self.PARTITIONS)
+        address = stand_in.start()
+        self.addCleanup(stand_in.stop)
+        store = PlatformStore(Address.parse(address), self.PARTITIONS)
+        for number in range(self.DAEMONS):
+            store.join(f"member-{number}", 60.0, 0).unwrap()
+        shares, ranks = [], set()
+        for number in range(0, self.DAEMONS, 41):
+            found = store.join(f"member-{number}", 60.0, 0).unwrap()
+            shares.append(found.share)
+            ranks |= found.ranks
+        self.assertGreater(min(shares), 0.0)
+        for share in shares:
+            self.assertLess(1.0 / share, 2 * self.DAEMONS)
+        self.assertLessEqual(max(ranks, default=0), 7)
+
+
 class MemberNameTest(unittest.TestCase):
     def test_member_name_round_trip(self):
         name = member_name("edge-1", "10.0.0.1:7340", "ab12")
