--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -142,6 +142,7 @@
             weights=None if choice is None else choice.weights_version,
             saves=context.saves,
             **self._outdated_weights_fields(choice),
+            **self._plan_fields(),
             **fields,
         )
 
@@ -156,6 +157,12 @@
             "age_assumed": named.assumed,
         }
 
+    def _plan_fields(self) -> dict[str, object]:
+        """Return log fields about the announced loads, for requests to engines."""
+        if not self.context.route.prompted:
+            return {}
+        return self.daemon.weights.plan_fields(self.daemon.now())
+
     def _connect_to_next(self) -> tuple[Choice, TargetConnection] | Failure:
         """Connect to the next target, or return why that is not possible."""
         while True:
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -58,6 +58,8 @@
     ----------
     announced
         Newest record of another holder that announces its loads; None if there is none.
+    announced_end, announced_at
+        End of the lease's log after that record, and when it was read.
     unled_since
         Time since which loads are wanted and nobody holds the lease; None if neither.
     """
@@ -72,6 +74,8 @@
         self.load_time = LoadTime(bounds.version_s)
         self.announcer = LoadAnnouncer()
         self.announced: LeaseEntry | None = None
+        self.announced_end = 0
+        self.announced_at = 0.0
         self.accepted_orders: dict[str, AcceptedOrder] = {}
         self.lease_read = False
         self.unled_since: float | None = None
@@ -196,15 +200,17 @@
                 newest.naming, now, time_of_day, written_after
             )
         if newest is not None and newest.boot != self.lease.boot:
-            self._apply_announcement(newest, end)
+            self._apply_announcement(newest, end, now)
         if newest is not None or not self.lease_read:
             self.lease.observe(newest, end, now)
         elif self.lease.end is None or end > self.lease.end:
             self.lease.skip_records(end, now)
         self.lease_read = True
 
-    def _apply_announcement(self, newest: LeaseEntry, end: int) -> None:
+    def _apply_announcement(self, newest: LeaseEntry, end: int, now: float) -> None:
         """Take over the loads that another host announces."""
+        if self.announced is None or end != self.announced_end:
+            self.announced_end, self.announced_at = end, now
         former, self.announced = self.announced, None if newest.planned is None else newest
         for load in newest.loaded:
             target = self.daemon.registry.targets.get(load.instance)
@@ -220,6 +226,16 @@
                 loaded=len(newest.loaded),
             )
 
+    def plan_fields(self, now: float) -> dict[str, object]:
+        """Return log fields about the announced loads that placement follows."""
+        if self.announced is None or not self.announced.planned:
+            return {}
+        return {
+            "plan": self.announced_end,
+            "plan_age_s": round(now - self.announced_at, 3),
+            "plan_loads": len(self.announced.planned),
+        }
+
     def release(self) -> None:
         """Release the lease so that another host can take over quickly."""
         now = self.daemon.now()
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -127,6 +127,16 @@
         self.assertEqual(engines[3].weights_of("m"), 2)
         self.assertEqual(count_cordoned(engines), 0)
 
+    def test_log_fields_tell_the_plan_and_its_age(self):
+        other = self.make_controller(make_engines(), 0.0)
+        self.assertEqual(other.plan_fields(0.0), {})
+        load = EngineLoad("i-3", "m", 2)
+        for now in (1.0, 2.0):
+            other.on_lease(LeaseEntry("there", "b7", planned=(load,)), 5, now)
+        self.assertEqual(
+            other.plan_fields(2.5), {"plan": 5, "plan_age_s": 1.5, "plan_loads": 1}
+        )
+
     def test_a_holder_that_announces_nothing_is_followed_by_estimate(self):
         """Hosts are updated one by one, so a holder may run the former release."""
         engines = make_engines()
