A rollout goes on when a newer version changes the order of the engines

Lines of the holder: Loads announced with one planned engine each second, no order. Which engines come first depends on the version. An engine that was announced for version 3 stays cordoned; for version 4 another one is first, takes the only slot, and may not be ordered since it is not announced; a cordon expires after 6 s.

Loads are now chosen among the engines that may be ordered.

--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -104,9 +104,9 @@
             return
         if self.lease.needs_renewal(now) and not self._acquire(now):
             return
-        for load in self.plan.next_loads(engines, desired_versions, conditions, now):
-            if not self.announcer.may_order(load.target.instance, now):
-                continue
+        for load in self.plan.next_loads(
+            engines, desired_versions, conditions, now, self.announcer.may_order
+        ):
             if load.target.instance not in self.calls_in_flight:
                 self.calls_in_flight.add(load.target.instance)
                 self.plan.record_order(load, now, REFUSED_POLL_S, may_be_loading=True)
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -9,7 +9,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from agaterail.gateway.targets import Target
 
@@ -236,14 +236,26 @@
         desired_versions: Mapping[str, int],
         conditions: RolloutConditions,
         now: float,
+        may_order: Callable[[str, float], bool] = lambda _instance, _now: True,
     ) -> list[WantedLoad]:
-        """Return the loads to order now."""
+        """Return the loads to order now.
+
+        Parameters
+        ----------
+        may_order
+            Whether an engine may be ordered at this time. The order of engines changes
+            with the version, so that the first ones are not always those that may.
+        """
         wanted = find_outdated(engines, desired_versions)
         self._drop_completed(wanted)
         wanted = _reachable(wanted, now)
         most = max_concurrent_loads(_count_serving(engines, now), len(wanted), conditions)
         free = most - sum(order.may_be_loading for order in self.pending.values())
-        due = [load for load in wanted if self._is_due(load, now)]
+        due = [
+            load
+            for load in wanted
+            if self._is_due(load, now) and may_order(load.target.instance, now)
+        ]
         # An engine that already counts as loading needs no additional slot.
         repeated = [load for load in due if self._may_be_loading(load)]
         new = [load for load in due if not self._may_be_loading(load)]
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -3,12 +3,20 @@
 import unittest
 from types import SimpleNamespace
 
+import attrs
+import gevent
 from returns.result import Success
 
 from agaterail.gateway.controlstore import EngineLoad, LeaseEntry
 from agaterail.gateway.loadannouncer import MIN_PERIOD_S, LoadAnnouncer, cordon_announced
+from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
 from agaterail.gateway.weightscontroller import WeightsController
-from agaterail.gateway.weightsplan import RolloutConditions, find_outdated, start_cordon
+from agaterail.gateway.weightsplan import (
+    DRAIN_S,
+    RolloutConditions,
+    find_outdated,
+    start_cordon,
+)
 from tests.test_agaterail.test_gateway.test_targets import make_target
 from tests.test_agaterail.test_gateway.test_weightscontroller import (
     FakeEngines,
@@ -19,6 +27,7 @@
 LIGHT = RolloutConditions(outdated_for_s=0.0, allowed_s=15.0, demand=1.0, load_s=1.9)
 ENGINES = 30
 STEP_S = 0.1
+LONG_VERSION_S = 100.0
 
 
 def make_engines():
@@ -70,6 +79,24 @@
         self.assertEqual(cordoned, ["i-1", "i-2"])
 
 
+class VersionedEngines(FakeEngines):
+    """Engines that report the version that they were last ordered to load."""
+
+    def __init__(self, daemon, load_s):
+        super().__init__(daemon, load_s)
+        self.ordered = {}
+
+    def report(self, target):
+        report = super().report(target).unwrap()
+        if report.loading or target.instance not in self.ordered:
+            return Success(report)
+        return Success(attrs.evolve(report, weights={"m": self.ordered[target.instance]}))
+
+    def order(self, target, order):
+        self.ordered[target.instance] = order.version
+        return super().order(target, order)
+
+
 class OnePlanTest(unittest.TestCase):
     """For 14 s of a rollout daemons kept prompts from up to 18 of 30 engines.
 
@@ -82,7 +109,7 @@
         self.records = []
         self.holder = self.make_controller(self.engines, demand=14.0)
         self.holder.daemon.membership.rank = 0
-        self.holder.daemon.engine_control = FakeEngines(self.holder.daemon, load_s=1.9)
+        self.holder.daemon.engine_control = VersionedEngines(self.holder.daemon, load_s=1.9)
         self.holder.on_lease(None, 0, 0.0)
 
     def make_controller(self, engines, demand):
@@ -118,6 +145,36 @@
                 cordoned = {item.instance for item in engines if item.cordoned_at is not None}
                 self.assertEqual(cordoned, planned)
 
+    def test_loads_go_on_when_a_newer_version_changes_their_order(self):
+        """Nothing was ordered for 6 s: the next engine in the new order was not announced."""
+        for steps in range(1, 5):
+            with self.subTest(steps_between_versions=steps):
+                engines = make_engines()[:5]
+                holder = self.make_controller(engines, demand=4.5)
+                daemon = holder.daemon
+                daemon.settings.bounds.version_s = LONG_VERSION_S  # one load at a time
+                daemon.membership.rank = 0
+                daemon.engine_control = VersionedEngines(daemon, load_s=1.9)
+                holder.on_lease(None, 0, 0.0)
+                for version in range(2, 8):
+                    history = VersionHistory((DesiredVersion(version, 0.0),))
+                    daemon.state.weights = {"m": history}
+                    for _ in range(steps):
+                        self.advance(holder, daemon.clock + STEP_S)
+                        gevent.sleep(0)
+                most_idle_s = idle_s = 0.0
+                while any(item.weights_of("m") != 7 for item in engines):
+                    before = len(daemon.engine_control.done_at)
+                    self.advance(holder, daemon.clock + STEP_S)
+                    gevent.sleep(0)
+                    now = daemon.clock
+                    is_busy = any(now < at for at in daemon.engine_control.done_at.values())
+                    changed = len(daemon.engine_control.done_at) != before
+                    idle_s = 0.0 if is_busy or changed else idle_s + STEP_S
+                    most_idle_s = max(most_idle_s, idle_s)
+                    self.assertLess(now, 60.0)
+                self.assertLess(most_idle_s, DRAIN_S + 1.0)
+
     def test_a_completed_load_is_known_before_the_registration_reports_it(self):
         engines = make_engines()
         other = self.make_controller(engines, 0.0)
