A completed load of a former version occupies no slot of the next rollout

Pending orders were dropped only for engines that are not outdated, and are looked at only while some are: the last load of version 2 was still pending when version 3 was named, took the only slot as one that may be loading, and its poll was held back since its engine was not announced.

Pending orders of a version that the engine holds are dropped, and engines that were ordered are polled whether announced or not.

--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -243,22 +243,22 @@
         Parameters
         ----------
         may_order
-            Whether an engine may be ordered at this time. The order of engines changes
-            with the version, so that the first ones are not always those that may.
+            Whether an engine may get its first order at this time. The order of engines
+            changes with the version, so that the first ones are not always those that may.
         """
         wanted = find_outdated(engines, desired_versions)
         self._drop_completed(wanted)
         wanted = _reachable(wanted, now)
         most = max_concurrent_loads(_count_serving(engines, now), len(wanted), conditions)
         free = most - sum(order.may_be_loading for order in self.pending.values())
-        due = [
-            load
-            for load in wanted
-            if self._is_due(load, now) and may_order(load.target.instance, now)
-        ]
+        due = [load for load in wanted if self._is_due(load, now)]
         # An engine that already counts as loading needs no additional slot.
         repeated = [load for load in due if self._may_be_loading(load)]
-        new = [load for load in due if not self._may_be_loading(load)]
+        new = [
+            load
+            for load in due
+            if not self._may_be_loading(load) and may_order(load.target.instance, now)
+        ]
         return repeated + new[: max(0, free)]
 
     def record_order(
@@ -276,7 +276,10 @@
     def _drop_completed(self, wanted: list[WantedLoad]) -> None:
         outdated_instances = {load.target.instance for load in wanted}
         for instance, order in list(self.pending.items()):
-            if instance not in outdated_instances or order.target.gone:
+            held = order.target.weights_of(order.model)
+            # A completed load of a former version would otherwise occupy a slot.
+            completed = held is not None and held >= order.version
+            if instance not in outdated_instances or completed or order.target.gone:
                 del self.pending[instance]
 
     def _is_due(self, load: WantedLoad, now: float) -> bool:
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -145,35 +145,57 @@
                 cordoned = {item.instance for item in engines if item.cordoned_at is not None}
                 self.assertEqual(cordoned, planned)
 
+    def start_small_holder(self):
+        """Return a holder that loads one engine at a time, and its engines."""
+        engines = make_engines()[:5]
+        holder = self.make_controller(engines, demand=4.5)
+        holder.daemon.settings.bounds.version_s = LONG_VERSION_S
+        holder.daemon.membership.rank = 0
+        holder.daemon.engine_control = VersionedEngines(holder.daemon, load_s=1.9)
+        holder.on_lease(None, 0, 0.0)
+        return holder, engines
+
+    def name_version(self, holder, version):
+        history = VersionHistory((DesiredVersion(version, holder.daemon.clock),))
+        holder.daemon.state.weights = {"m": history}
+
+    def advance_once(self, holder):
+        self.advance(holder, holder.daemon.clock + STEP_S)
+        gevent.sleep(0)
+
+    def roll_out(self, holder, engines, version):
+        """Advance until all engines hold a version; return the longest idle time."""
+        done_at = holder.daemon.engine_control.done_at
+        most_idle_s = idle_s = 0.0
+        while any(item.weights_of("m") != version for item in engines):
+            before = dict(done_at)
+            self.advance_once(holder)
+            now = holder.daemon.clock
+            is_busy = any(now < at for at in done_at.values()) or done_at != before
+            idle_s = 0.0 if is_busy else idle_s + STEP_S
+            most_idle_s = max(most_idle_s, idle_s)
+            self.assertLess(now, LONG_VERSION_S)
+        return most_idle_s
+
     def test_loads_go_on_when_a_newer_version_changes_their_order(self):
         """Nothing was ordered for 6 s: the next engine in the new order was not announced."""
         for steps in range(1, 5):
             with self.subTest(steps_between_versions=steps):
-                engines = make_engines()[:5]
-                holder = self.make_controller(engines, demand=4.5)
-                daemon = holder.daemon
-                daemon.settings.bounds.version_s = LONG_VERSION_S  # one load at a time
-                daemon.membership.rank = 0
-                daemon.engine_control = VersionedEngines(daemon, load_s=1.9)
-                holder.on_lease(None, 0, 0.0)
+                holder, engines = self.start_small_holder()
                 for version in range(2, 8):
-                    history = VersionHistory((DesiredVersion(version, 0.0),))
-                    daemon.state.weights = {"m": history}
+                    self.name_version(holder, version)
                     for _ in range(steps):
-                        self.advance(holder, daemon.clock + STEP_S)
-                        gevent.sleep(0)
-                most_idle_s = idle_s = 0.0
-                while any(item.weights_of("m") != 7 for item in engines):
-                    before = len(daemon.engine_control.done_at)
-                    self.advance(holder, daemon.clock + STEP_S)
-                    gevent.sleep(0)
-                    now = daemon.clock
-                    is_busy = any(now < at for at in daemon.engine_control.done_at.values())
-                    changed = len(daemon.engine_control.done_at) != before
-                    idle_s = 0.0 if is_busy or changed else idle_s + STEP_S
-                    most_idle_s = max(most_idle_s, idle_s)
-                    self.assertLess(now, 60.0)
-                self.assertLess(most_idle_s, DRAIN_S + 1.0)
+                        self.advance_once(holder)
+                self.assertLess(self.roll_out(holder, engines, 7), DRAIN_S + 1.0)
+
+    def test_a_completed_rollout_leaves_no_slot_occupied(self):
+        """The last load of a version counted as running, and the next version never began."""
+        holder, engines = self.start_small_holder()
+        for version in range(2, 6):
+            self.name_version(holder, version)
+            self.assertLess(self.roll_out(holder, engines, version), DRAIN_S + 1.0)
+            for _ in range(20):
+                self.advance_once(holder)
 
     def test_a_completed_load_is_known_before_the_registration_reports_it(self):
         engines = make_engines()
