--- a/agaterail/gateway/demand.py
+++ b/agaterail/gateway/demand.py
@@ -54,8 +54,11 @@
         Time of the first prompt; None before it.
     total_tokens
         Tokens of all prompts since the start.
-    fleet_tokens_per_s
-        Tokens per second and daemon according to the peers; None if unknown.
+    reported_tokens, reported_at
+        Part of them that peers were told of, and when.
+    fleet_tokens_per_s, estimated_at
+        Tokens per second and daemon according to the peers, and when they said so; None if
+        unknown.
     """
 
     def __init__(self) -> None:
--- a/agaterail/gateway/loadannouncer.py
+++ b/agaterail/gateway/loadannouncer.py
@@ -33,6 +33,8 @@
         Loads that are planned or ordered.
     announced_since
         Time since which each engine's load has been announced.
+    announced_loaded, announced_at
+        Completed loads of the last announcement, and its time.
     recent
         Completed loads, and when they were seen.
     """
