One exponential backoff for all pauses; long series of failures do not overflow

Six places computed initial * 2 ** failures and then took the smaller of it and the longest pause. From the 1,025th failure in a row the power exceeds a float and OverflowError is raised: a reader of the store reaches it in an outage of about nine minutes, and since refusals add up, an engine that refuses for long reaches it too; the request then ended with an internal error. All six call util.backoff, which bounds the doublings. Pauses are the same as before up to there.

--- a/agaterail/controllers/tables.py
+++ b/agaterail/controllers/tables.py
@@ -12,6 +12,7 @@
 from agaterail.controllers import Controller
 from agaterail.events import TablesChanged
 from agaterail.tables_reader import TablesReader
+from agaterail.util.backoff import backoff_s
 
 if TYPE_CHECKING:
     from agaterail.application import Application
@@ -104,7 +105,7 @@
         if self.log_up is not False:
             logger.warning("Log does not answer.", reason=reason)
         self.log_up = False
-        limit_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self.failures)
+        limit_s = backoff_s(self.failures, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         self.failures = min(self.failures + 1, 10)
         # Half of the backoff is jitter, so that daemons do not retry the log in
         # lockstep.
--- a/agaterail/gateway/peerselector.py
+++ b/agaterail/gateway/peerselector.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from agaterail.util.backoff import backoff_s
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -82,8 +84,7 @@
         """
         before = self.failures.get(address, 0)
         self.failures[address] = before + 1
-        pause = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0**before)
-        self.backoff_until[address] = now + pause
+        self.backoff_until[address] = now + backoff_s(before, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         self.consecutive_failures += 1
         if (
             others < MIN_OTHER_READERS
--- a/agaterail/gateway/storebackoff.py
+++ b/agaterail/gateway/storebackoff.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from agaterail.util.backoff import backoff_s
+
 if TYPE_CHECKING:
     from agaterail.gateway.controlstore import Feed
 
@@ -94,7 +96,7 @@
         """
         self.failures[feed] = self.failures.get(feed, 0) + 1
         failures = self.failures[feed] if answered else max(self.failures.values())
-        pause_s = min(longest_s, INITIAL_BACKOFF_S * 2.0 ** (failures - 1)) * (0.5 + number)
+        pause_s = backoff_s(failures - 1, INITIAL_BACKOFF_S, longest_s) * (0.5 + number)
         self.retry_at[feed] = now + pause_s
         if not answered:
             self.in_outage = True
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from agaterail.util.backoff import backoff_s
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -120,17 +122,15 @@
 
     def record_failure(self, now: float) -> None:
         """Start a backoff that doubles with each consecutive failure."""
+        pause_s = backoff_s(self.failures, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         self.failures += 1
-        backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (self.failures - 1))
-        self.backoff_until = max(self.backoff_until, now + backoff_s)
+        self.backoff_until = max(self.backoff_until, now + pause_s)
 
     def record_refusal(self, now: float) -> None:
         """Start the shorter backoff of a full or loading target."""
+        pause_s = backoff_s(self.refusals, INITIAL_REFUSAL_BACKOFF_S, MAX_REFUSAL_BACKOFF_S)
         self.refusals += 1
-        backoff_s = INITIAL_REFUSAL_BACKOFF_S * 2 ** (self.refusals - 1)
-        self.backoff_until = max(
-            self.backoff_until, now + min(MAX_REFUSAL_BACKOFF_S, backoff_s)
-        )
+        self.backoff_until = max(self.backoff_until, now + pause_s)
 
 
 class TargetRegistry:
--- a/agaterail/targets.py
+++ b/agaterail/targets.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from agaterail.util.backoff import backoff_s
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -86,7 +88,7 @@
         state = self.states.get(address)
         if state is None or now < state.refusing_until:
             return False
-        pause_s = min(MAX_REFUSAL_PAUSE_S, INITIAL_REFUSAL_PAUSE_S * 2.0**state.refusals)
+        pause_s = backoff_s(state.refusals, INITIAL_REFUSAL_PAUSE_S, MAX_REFUSAL_PAUSE_S)
         state.refusals += 1
         state.refusing_until = now + pause_s
         return True
