One sliding window for the demand, the fleet's reports and the pace of streams

Three classes kept a deque of timed entries and their sums. Demand kept two counters of which only the difference was used, and reset its estimate as a side effect of reading it; the age of the estimate says the same.

--- a/agaterail/gateway/demand.py
+++ b/agaterail/gateway/demand.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
 import attrs
 
 from agaterail.gateway.placement import PREFILL_MS_PER_TOKEN
+from agaterail.util.slidingsums import SlidingSums
 
 # Long enough to average out bursts of single callers, short enough to detect an
 # overload before the engines' queues exceed an objective.
@@ -52,92 +52,80 @@
     ----------
     first_offer_at
         Time of the first prompt; None before it.
-    total_tokens
-        Tokens of all prompts since the start.
-    reported_tokens, reported_at
-        Part of them that peers were told of, and when.
+    unreported_tokens, reported_at
+        Tokens that no peer was told of yet, and time of the last report.
     fleet_tokens_per_s, estimated_at
-        Tokens per second and daemon according to the peers, and when they said so; None if
-        unknown.
+        Tokens per second and daemon according to the peers, and when they said so.
     """
 
     def __init__(self) -> None:
-        self.offers: deque[tuple[float, int]] = deque()
+        self.offered = SlidingSums(WINDOW_S)
         self.first_offer_at: float | None = None
-        self.tokens = 0
-        self.total_tokens = 0
-        self.reported_tokens = 0
+        self.unreported_tokens = 0
         self.reported_at: float | None = None
-        self.fleet_tokens_per_s: float | None = None
+        self.fleet_tokens_per_s = 0.0
         self.estimated_at = float("-inf")
 
     def record(self, tokens: int, now: float) -> None:
         """Record the prompt of a request."""
-        if tokens:
-            if self.first_offer_at is None:
-                self.first_offer_at = now
-            self.offers.append((now, tokens))
-            self.tokens += tokens
-            self.total_tokens += tokens
-        self._expire(now)
+        if not tokens:
+            return
+        if self.first_offer_at is None:
+            self.first_offer_at = now
+        self.offered.add(0.0, tokens, now)
+        self.unreported_tokens += tokens
 
     def engines_needed(self, now: float) -> float:
         """Return the engines that one daemon's prompts keep busy with a cold cache."""
-        self._expire(now)
-        first_at = now if self.first_offer_at is None else self.first_offer_at
-        tokens_per_s = self.tokens / min(WINDOW_S, max(MIN_WINDOW_S, now - first_at))
-        if self.fleet_tokens_per_s is not None:
-            if now - self.estimated_at <= MAX_ESTIMATE_AGE_S:
-                tokens_per_s = self.fleet_tokens_per_s
-            else:
-                self.fleet_tokens_per_s = None
+        fresh = self._has_fresh_estimate(now)
+        tokens_per_s = self.fleet_tokens_per_s if fresh else self._own_tokens_per_s(now)
         return tokens_per_s * PREFILL_MS_PER_TOKEN * 1e-3
 
     def next_report(self, now: float) -> DemandReport | None:
         """Return the prompts since the last report; None if there is no valid interval."""
         if self.reported_at is None or now - self.reported_at > MAX_REPORT_S:
-            self.reported_tokens = self.total_tokens
+            self.unreported_tokens = 0
             self.reported_at = now
             return None
-        report = DemandReport(self.total_tokens - self.reported_tokens, now - self.reported_at)
+        report = DemandReport(self.unreported_tokens, now - self.reported_at)
         return report if report.is_valid else None
 
     def record_reported(self, sent_at: float, report: DemandReport) -> None:
         """Record that a peer has received a report that was sent at this time."""
-        self.reported_tokens += report.tokens
+        self.unreported_tokens -= report.tokens
         self.reported_at = sent_at
 
     def record_estimate(self, tokens_per_s: float, now: float) -> None:
         """Take over a peer's estimate of the average daemon."""
-        former = self.fleet_tokens_per_s
-        if former is None:
-            former = tokens_per_s
+        former = self.fleet_tokens_per_s if self._has_fresh_estimate(now) else tokens_per_s
         self.fleet_tokens_per_s = former + SMOOTHING * (tokens_per_s - former)
         self.estimated_at = now
 
-    def _expire(self, now: float) -> None:
-        while self.offers and self.offers[0][0] < now - WINDOW_S:
-            self.tokens -= self.offers.popleft()[1]
+    def _has_fresh_estimate(self, now: float) -> bool:
+        return now - self.estimated_at <= MAX_ESTIMATE_AGE_S
+
+    def _own_tokens_per_s(self, now: float) -> float:
+        self.offered.expire(now)
+        first_at = now if self.first_offer_at is None else self.first_offer_at
+        return self.offered.count / min(WINDOW_S, max(MIN_WINDOW_S, now - first_at))
 
 
 class FleetDemand:
     """Average demand of the daemons that poll this one."""
 
     def __init__(self) -> None:
-        self.reports: deque[tuple[float, DemandReport]] = deque()
+        self.reports = SlidingSums(FLEET_WINDOW_S)
 
     def add(self, report: DemandReport, now: float) -> None:
         """Add a valid report of a peer."""
-        self.reports.append((now, report))
+        self.reports.add(report.elapsed_s, report.tokens, now)
 
     def tokens_per_s(self, now: float) -> float | None:
         """Return the tokens per second of an average daemon; None if unknown."""
-        while self.reports and self.reports[0][0] < now - FLEET_WINDOW_S:
-            self.reports.popleft()
-        elapsed_s = sum(report.elapsed_s for _, report in self.reports)
-        if elapsed_s < MIN_REPORTED_S:
+        self.reports.expire(now)
+        if self.reports.seconds < MIN_REPORTED_S:
             return None
-        return sum(report.tokens for _, report in self.reports) / elapsed_s
+        return self.reports.count / self.reports.seconds
 
 
 def is_plausible_rate(tokens_per_s: float) -> bool:
--- a/agaterail/gateway/streampace.py
+++ b/agaterail/gateway/streampace.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from agaterail.util.slidingsums import SlidingSums
+
 if TYPE_CHECKING:
     from agaterail.gateway.desired import Route
 
@@ -54,16 +56,11 @@
 
     def __init__(self) -> None:
         self.lengths: dict[str, _StreamLengths] = {}
-        self.recent: deque[tuple[float, float, int]] = deque()
-        self.seconds = 0.0
-        self.events = 0
+        self.recent = SlidingSums(WINDOW_S)
 
     def record(self, seconds: float, events: int, now: float) -> None:
         """Record events of a stream and the seconds since its previous ones."""
-        self.recent.append((now, seconds, events))
-        self.seconds += seconds
-        self.events += events
-        self._expire(now)
+        self.recent.add(seconds, events, now)
 
     def record_end(self, route: Route, events: int) -> None:
         """Record the number of events of a completed stream."""
@@ -78,10 +75,10 @@
 
         The result is the highest ratio of all routes, or 0 if there is too little data.
         """
-        self._expire(now)
-        if self.events < MIN_EVENTS:
+        self.recent.expire(now)
+        if self.recent.count < MIN_EVENTS:
             return 0.0
-        pace_s = self.seconds / self.events
+        pace_s = self.recent.seconds / self.recent.count
         return max(
             (self._timeout_ratio(item, pace_s, now) for item in self.lengths.values()),
             default=0.0,
@@ -90,11 +87,3 @@
     def _timeout_ratio(self, lengths: _StreamLengths, pace_s: float, now: float) -> float:
         long = lengths.long_count(now)
         return 0.0 if long is None else long * pace_s / lengths.route.timeout_s
-
-    def _expire(self, now: float) -> None:
-        while self.recent and self.recent[0][0] < now - WINDOW_S:
-            _, seconds, events = self.recent.popleft()
-            self.seconds -= seconds
-            self.events -= events
-        if not self.recent:
-            self.seconds = 0.0
