The backoff of the store derives the outage and knows the size of a large fleet

in_outage and blocked_until were set and cleared together; the time alone says both. Whether a fleet is large was decided in the follower, and the longest pause was asked for with "is a reader" for small fleets too. Pauses are the same; tests keep their assertions.

--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -10,7 +10,7 @@
 from agaterail import logs
 from agaterail.gateway.controlstore import NEVER, STORE, Arrival, Feed, Reading, StoreErrorKind
 from agaterail.gateway.feedtimes import DIRECT_WAITS_S, PEER_WAIT_S, REQUIRED_FEEDS
-from agaterail.gateway.storebackoff import max_backoff_s
+from agaterail.gateway.storebackoff import LARGE_FLEET_DAEMONS, max_backoff_s
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -20,8 +20,6 @@
 
 logger = logs.get_logger("feeds")
 
-# In larger fleets, daemons that are not readers read the store less often.
-LARGE_FLEET_DAEMONS = 16
 # Pause between successful reads of daemons that are not readers. A read returns with the
 # first record and engines write tens of records per second: without the pause, a daemon
 # that falls back to the store for a second makes ten reads.
@@ -143,11 +141,10 @@
             self.hub.reset(self.feed)
             return
         daemon = self.hub.daemon
-        is_reader = daemon.membership.is_reader
         failures = self.hub.store_backoff.record_failure(
             self.feed,
             daemon.now(),
-            max_backoff_s(daemon.rules.daemons, is_reader or not self._is_throttled()),
+            max_backoff_s(daemon.rules.daemons, daemon.membership.is_reader),
             daemon.random.random(),
             answered=error.kind in ANSWERED_KINDS,
         )
--- a/agaterail/gateway/storebackoff.py
+++ b/agaterail/gateway/storebackoff.py
@@ -15,9 +15,10 @@
 # within half a second.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5
-# Daemons that are not readers make most of the calls in a large fleet. All of them
-# together probe the store at about this rate, but each at least once per
+# Daemons that are not readers make most of the calls in a fleet of this size and more. All
+# of them together probe the store at about this rate, but each at least once per
 # MAX_FLEET_BACKOFF_S.
+LARGE_FLEET_DAEMONS = 16
 LARGE_FLEET_MAX_BACKOFF_S = 1.0
 FLEET_PROBES_PER_S = 50.0
 MAX_FLEET_BACKOFF_S = 2.0
@@ -33,7 +34,7 @@
     is_reader
         Whether other daemons depend on this one's readings.
     """
-    if is_reader:
+    if is_reader or daemons < LARGE_FLEET_DAEMONS:
         return MAX_BACKOFF_S
     share_s = daemons / FLEET_PROBES_PER_S
     return min(MAX_FLEET_BACKOFF_S, max(LARGE_FLEET_MAX_BACKOFF_S, share_s))
@@ -53,31 +54,33 @@
     retry_at
         Time before which each feed is not read again.
     blocked_until
-        Time before which no feed is read.
-    in_outage
-        Whether the store did not answer the last read of any feed.
+        Time before which no feed is read; None if the store answered the last read.
     probes
         Reads in flight that were sent during the outage.
     """
 
     failures: dict[Feed, int] = attrs.field(factory=dict)
     retry_at: dict[Feed, float] = attrs.field(factory=dict)
-    blocked_until: float = 0.0
-    in_outage: bool = False
+    blocked_until: float | None = None
     probes: int = 0
 
+    @property
+    def in_outage(self) -> bool:
+        """Return whether the store did not answer the last read of any feed."""
+        return self.blocked_until is not None
+
     def wait_s(self, feed: Feed, now: float) -> float:
         """Return how long a feed must not be read; infinite while a probe is in flight."""
         if self.probes:
             return float("inf")
-        return max(0.0, self.retry_at.get(feed, 0.0) - now, self.blocked_until - now)
+        blocked_until = now if self.blocked_until is None else self.blocked_until
+        return max(0.0, self.retry_at.get(feed, now) - now, blocked_until - now)
 
     def record_success(self, feed: Feed) -> int:
         """End an outage for all feeds; return the failed reads of this feed before."""
         if self.in_outage:
             self.retry_at.clear()
-        self.in_outage = False
-        self.blocked_until = 0.0
+        self.blocked_until = None
         return self.failures.pop(feed, 0)
 
     def record_failure(
@@ -99,6 +102,5 @@
         pause_s = backoff_s(failures - 1, INITIAL_BACKOFF_S, longest_s) * (0.5 + number)
         self.retry_at[feed] = now + pause_s
         if not answered:
-            self.in_outage = True
             self.blocked_until = now + pause_s
         return self.failures[feed]
