A received announcement is one value, and the choice of cordons is one chain

The record, the end of its log and the time of its reading were three attributes that were set together. Cordoning had two nested branches that ended in the same call. The same engines are cordoned; tests keep their assertions.

--- a/agaterail/gateway/loadannouncer.py
+++ b/agaterail/gateway/loadannouncer.py
@@ -5,12 +5,15 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import attrs
+
 from agaterail.gateway.controlstore import EngineLoad
 from agaterail.gateway.weightsplan import PROPAGATION_DELAY_S, start_cordon
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from agaterail.gateway.controlstore import LeaseEntry
     from agaterail.gateway.targets import Target
     from agaterail.gateway.weightsplan import RolloutConditions, WantedLoad
 
@@ -20,6 +23,33 @@
 RECENT_LOAD_S = 5.0
 
 
+@attrs.frozen
+class ReceivedAnnouncement:
+    """Loads that another host announced.
+
+    Attributes
+    ----------
+    end
+        End of the lease's log after the record.
+    received_at
+        Time at which the record was first read.
+    """
+
+    entry: LeaseEntry
+    end: int
+    received_at: float
+
+    @property
+    def planned(self) -> tuple[EngineLoad, ...]:
+        """Return the planned loads."""
+        return self.entry.planned or ()
+
+    @property
+    def is_release(self) -> bool:
+        """Return whether its writer released the lease with it."""
+        return self.entry.released_idle_s is not None
+
+
 class LoadAnnouncer:
     """The lease holder's announced loads; does no I/O.
 
@@ -103,14 +133,15 @@
     now: float,
 ) -> None:
     """Cordon exactly the engines whose announced load is not known to be complete."""
-    pending = set()
-    for load in planned:
-        target = targets.get(load.instance)
-        held = None if target is None else target.weights_of(load.model)
-        if target is not None and held is not None and held < load.version:
-            pending.add(load.instance)
-            if target.cordoned_at is None:
-                start_cordon(target, conditions, now)
+    pending = {load.instance for load in planned if _is_pending(load, targets)}
     for target in targets.values():
         if target.instance not in pending:
             target.cordoned_at = None
+        elif target.cordoned_at is None:
+            start_cordon(target, conditions, now)
+
+
+def _is_pending(load: EngineLoad, targets: Mapping[str, Target]) -> bool:
+    target = targets.get(load.instance)
+    held = None if target is None else target.weights_of(load.model)
+    return held is not None and held < load.version
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -12,8 +12,13 @@
 from agaterail import logs
 from agaterail.gateway.controlstore import NEVER, EngineLoad, LeaseEntry, StoreErrorKind
 from agaterail.gateway.enginecontrol import InFlightPolicy, OrderOutcome, WeightsOrder
-from agaterail.gateway.loadannouncer import LoadAnnouncer, cordon_announced
+from agaterail.gateway.loadannouncer import (
+    LoadAnnouncer,
+    ReceivedAnnouncement,
+    cordon_announced,
+)
 from agaterail.gateway.loadtime import LoadTime
+from agaterail.gateway.membership import FIRST_RANK
 from agaterail.gateway.orderlease import OrderLease
 from agaterail.gateway.versionhistory import record_ages
 from agaterail.gateway.weightsplan import (
@@ -57,9 +62,7 @@
     Attributes
     ----------
     announced
-        Newest record of another holder that announces its loads; None if there is none.
-    announced_end, announced_at
-        End of the lease's log after that record, and when it was read.
+        Loads in the newest record of another host; None if it announces none.
     unled_since
         Time since which loads are wanted and nobody holds the lease; None if neither.
     """
@@ -73,9 +76,7 @@
         self.plan = WeightsPlan()
         self.load_time = LoadTime(bounds.version_s)
         self.announcer = LoadAnnouncer()
-        self.announced: LeaseEntry | None = None
-        self.announced_end = 0
-        self.announced_at = 0.0
+        self.announced: ReceivedAnnouncement | None = None
         self.accepted_orders: dict[str, AcceptedOrder] = {}
         self.lease_read = False
         self.unled_since: float | None = None
@@ -94,7 +95,7 @@
         wanted = find_outdated(engines, desired_versions)
         conditions = self._conditions(wanted, now)
         self._set_cordons(engines, desired_versions, conditions, now)
-        leads = self._leads(bool(wanted), now) and not self.daemon.stopping
+        leads = self._may_lead(bool(wanted), now) and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
         if leads or holds:
             self.announcer.update(wanted, now)
@@ -112,7 +113,7 @@
                 self.plan.record_order(load, now, REFUSED_POLL_S, may_be_loading=True)
                 gevent.spawn(self._order, load)
 
-    def _leads(self, has_wanted: bool, now: float) -> bool:
+    def _may_lead(self, has_wanted: bool, now: float) -> bool:
         """Return whether this daemon may take the lease now."""
         if not has_wanted or self.lease.is_held(now):
             self.unled_since = None
@@ -121,7 +122,7 @@
         rank = self.daemon.membership.rank
         if rank is None:
             return False
-        if not rank:
+        if rank == FIRST_RANK:
             return True
         if self.unled_since is None or self.daemon.feeds.store_backoff.in_outage:
             return False
@@ -135,21 +136,17 @@
         now: float,
     ) -> None:
         """Cordon the engines that load next, by this daemon's plan or the holder's."""
-        announced = self.announced
-        is_released = announced is not None and announced.released_idle_s is not None
-        is_held = self.lease.is_held(now)
-        if announced is None or self.lease.fencing is not None:
+        announced = None if self.lease.fencing is not None else self.announced
+        is_released = announced is not None and announced.is_release
+        if not self.lease.is_held(now) and not is_released:
             # While no host holds the lease, nobody can order a load, and a cordon would
             # only reduce capacity.
-            if is_held:
-                cordon(engines, desired_versions, conditions, now)
-            else:
-                uncordon_all(engines)
-        elif is_held or is_released:
-            targets = {target.instance: target for target in engines}
-            cordon_announced(targets, announced.planned or (), conditions, now)
-        else:
             uncordon_all(engines)
+        elif announced is None:
+            cordon(engines, desired_versions, conditions, now)
+        else:
+            targets = {target.instance: target for target in engines}
+            cordon_announced(targets, announced.planned, conditions, now)
 
     def _conditions(self, wanted: list[WantedLoad], now: float) -> RolloutConditions:
         weights = self.daemon.state.weights
@@ -209,9 +206,11 @@
 
     def _apply_announcement(self, newest: LeaseEntry, end: int, now: float) -> None:
         """Take over the loads that another host announces."""
-        if self.announced is None or end != self.announced_end:
-            self.announced_end, self.announced_at = end, now
-        former, self.announced = self.announced, None if newest.planned is None else newest
+        former = self.announced
+        if newest.planned is None:
+            self.announced = None
+        elif former is None or former.end != end:
+            self.announced = ReceivedAnnouncement(newest, end, now)
         for load in newest.loaded:
             target = self.daemon.registry.targets.get(load.instance)
             if target is not None:
@@ -231,8 +230,8 @@
         if self.announced is None or not self.announced.planned:
             return {}
         return {
-            "plan": self.announced_end,
-            "plan_age_s": round(now - self.announced_at, 3),
+            "plan": self.announced.end,
+            "plan_age_s": round(now - self.announced.received_at, 3),
             "plan_loads": len(self.announced.planned),
         }
 
