--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -128,7 +128,7 @@
     @property
     def leads(self) -> bool:
         """Return whether this daemon is first in line for the lease."""
-        return FIRST_RANK in self.ranks
+        return self.rank == FIRST_RANK
 
     @property
     def rank(self) -> int | None:
--- a/agaterail/peers/__init__.py
+++ b/agaterail/peers/__init__.py
@@ -59,7 +59,7 @@
 
 def decode_message(kind: Any, fields: Any) -> Any:
     """Build a message from its fields; raises the exceptions of cattrs."""
-    return converter.structure(fields, resolve_annotations(kind))
+    return converter.structure(fields, kind)
 
 
 def _structure_fields(values: Any, kind: Any) -> Any:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -47,14 +47,12 @@
         self.down = False
         self.delay_s = 0.0
         self.lose_writes = False
-        self.calls = 0
         self.calls_by_name: Counter[str] = Counter()
         self.reads: Counter[str] = Counter()
 
     def route(self, call: Call) -> Answer:
         """Answer one call."""
         name = call.path.rpartition("/log-")[2]
-        self.calls += 1
         self.calls_by_name[name] += 1
         if self.delay_s:
             gevent.sleep(self.delay_s)
