A lease record that announces nothing is not logged as an announcement

During a rolling update each renewal by a holder of the former release, one a second, wrote "Loads announced." with no loads on every host. The test fails on the former code.

--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -216,7 +216,8 @@
             if target is not None:
                 target.record_weights(load.model, load.version)
         planned = newest.planned or ()
-        if former is None or former.planned != planned or newest.loaded:
+        announces = newest.planned is not None or former is not None
+        if announces and (former is None or former.planned != planned or newest.loaded):
             logger.info(
                 "Loads announced.",
                 holder=newest.host,
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -2,6 +2,7 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import attrs
 import gevent
@@ -224,6 +225,14 @@
         self.advance(other, 0.1)
         self.assertEqual(count_cordoned(engines), 12)
 
+    def test_a_record_that_announces_nothing_is_not_logged_as_announcement(self):
+        """Each renewal by a holder of the former release was logged on every host."""
+        other = self.make_controller(make_engines(), 0.0)
+        with mock.patch("agaterail.gateway.weightscontroller.logger") as logger:
+            for end in range(1, 4):
+                other.on_lease(LeaseEntry("there", "b7"), end, 0.0)
+        logger.info.assert_not_called()
+
     def test_a_release_leaves_only_the_ordered_engines_cordoned(self):
         load = EngineLoad("i-3", "m", 2)
         engines = make_engines()
