Allowances in the metrics; a relayed registration is logged in one line a reading

Change: the daemon that read a registration from the store logs it; the others log one line a reading, with the first eight targets. Retry-After is logged with three digits.

--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -110,7 +110,7 @@
         if feed is Feed.LEASE:
             self._apply_lease(changes, now, previous_offset, previous_read_at)
         elif feed is Feed.TARGETS and reading.listed:
-            self.daemon.state.apply_listing(changes, next_offset, now)
+            self.daemon.state.apply_listing(changes, next_offset, now, reading.arrival)
         else:
             self.daemon.state.apply(changes, now, at_start, reading.arrival, previous_read_at)
             self._observe_delay(changes, reading.arrival)
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -139,6 +139,7 @@
             return 0.0
         cost = workspace.allowance.cost(inbound.stated_tokens)
         refused = self.daemon.allowances.admit(workspace.name, workspace.allowance, cost)
+        self.daemon.metrics.record_allowance(workspace.name, admitted=refused is None)
         if refused is None:
             return cost
         return Failure(ErrorKind.RATE_LIMITED, refused.detail, refused.retry_after_s)
@@ -197,7 +198,7 @@
             runs=None if context is None else context.retry_state.runs,
             reading_age_s=round(self.daemon.freshness.age_s(self.daemon.now()), 3),
             desired=None if desired is None else desired.version,
-            retry_after_s=hint,
+            retry_after_s=None if hint is None else round(hint, 3),
         )
         caller.send_answer(status, lines, b"")
 
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -21,6 +21,9 @@
 PREFIX = "agaterail"
 # Latency objectives range from 0.1 to 0.5 s, time limits up to 15 s.
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.5, 6.0, 15.0)
+# Metrics with a label for each of thousands of workspaces would cost megabytes.
+MAX_WORKSPACE_LABELS = 32
+OTHER_WORKSPACES = "other"
 OK = 200
 NOT_FOUND = 404
 CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4; charset=utf-8"
@@ -44,6 +47,13 @@
             ("outcome",),
             registry=registry,
         )
+        self.allowances = Counter(
+            f"{PREFIX}_allowance_requests",
+            "Requests of workspaces that have an allowance, by what it allowed.",
+            ("workspace", "outcome"),
+            registry=registry,
+        )
+        self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
             "From the first byte of a request to that of its answer.",
@@ -75,6 +85,7 @@
                 ("targets_cordoned", "Engines that load new weights next."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
+                ("allowances_exhausted", "Workspaces whose allowance is used up."),
                 ("lease_seconds", "Seconds for which orders may still be given."),
                 ("store_calls", "Calls to the platform's store since the start."),
                 ("channels_opened", "Connections to targets opened since the start."),
@@ -82,6 +93,13 @@
             )
         }
 
+    def record_allowance(self, workspace: str, admitted: bool) -> None:
+        """Count a request; only the first workspaces have a label of their own."""
+        if len(self.workspace_labels) < MAX_WORKSPACE_LABELS:
+            self.workspace_labels.add(workspace)
+        label = workspace if workspace in self.workspace_labels else OTHER_WORKSPACES
+        self.allowances.labels(label, "admitted" if admitted else "refused").inc()
+
     def render(self, daemon: Daemon) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self._update_gauges(daemon)
@@ -102,6 +120,7 @@
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
             ),
             "fleet_share": daemon.budget.share,
+            "allowances_exhausted": len(daemon.allowances.exhausted),
             "lease_seconds": daemon.weights.lease.remaining_s(now),
             "store_calls": daemon.store.calls,
             "channels_opened": daemon.connection_pool.opened,
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from agaterail import logs
-from agaterail.gateway.controlstore import NEVER, DesiredPublished, TargetChanged, WeightsNamed
+from agaterail.gateway.controlstore import (
+    NEVER,
+    STORE,
+    DesiredPublished,
+    TargetChanged,
+    WeightsNamed,
+)
 from agaterail.gateway.targets import TargetRegistry
 from agaterail.gateway.versionhistory import VersionHistory
 from agaterail.util.units import MS_PER_S
@@ -26,6 +32,8 @@
 # Number of removed targets whose offset is kept as a tombstone. Reads are overtaken by
 # seconds, in which far fewer targets are removed.
 MAX_TOMBSTONES = 1024
+# Instances that a line about relayed registrations names.
+MAX_LOGGED_TARGETS = 8
 
 
 class GatewayState:
@@ -92,14 +100,17 @@
         previous_read_at
             Time at which the previous read was sent; the changes were made after it.
         """
+        registered = []
         for change in changes:
             if isinstance(change, DesiredPublished):
                 self._apply_desired(change, now, arrival)
             elif isinstance(change, WeightsNamed):
                 known_at = self._earliest_naming_time(now, at_start, previous_read_at)
                 self._apply_weights(change, now, known_at, at_start)
-            elif isinstance(change, TargetChanged):
-                self._apply_target(change, now)
+            elif isinstance(change, TargetChanged) and self._apply_target(change, now):
+                registered.append(change)
+        if registered:
+            _log_registered(registered, arrival)
 
     def log_staleness(self, now: float) -> None:
         """Log when the desired state becomes possibly outdated, and when it is confirmed."""
@@ -113,7 +124,13 @@
             reading_age_s=self.freshness.age_s(now),
         )
 
-    def apply_listing(self, changes: Sequence[Change], next_offset: int, now: float) -> None:
+    def apply_listing(
+        self,
+        changes: Sequence[Change],
+        next_offset: int,
+        now: float,
+        arrival: Arrival | None = None,
+    ) -> None:
         """Apply a listing of the targets at an offset; targets not on it are removed."""
         listed = {change.instance for change in changes if isinstance(change, TargetChanged)}
         # Tombstones are renewed too: an older listing that was overtaken by this one may
@@ -124,7 +141,7 @@
             for instance in known
             if instance not in listed
         ]
-        self.apply([*changes, *removed], now)
+        self.apply([*changes, *removed], now, arrival=arrival)
 
     def _apply_desired(
         self, change: DesiredPublished, now: float, arrival: Arrival | None
@@ -216,9 +233,10 @@
         if at_start:
             self._restore_ages(change.model, now)
 
-    def _apply_target(self, change: TargetChanged, now: float) -> None:
+    def _apply_target(self, change: TargetChanged, now: float) -> bool:
+        """Apply a change of one target; return whether its registration is new."""
         if change.offset < self.target_offsets.get(change.instance, -1):
-            return
+            return False
         # Removed first, so that the dict is ordered by the time of the last change.
         self.target_offsets.pop(change.instance, None)
         self.target_offsets[change.instance] = change.offset
@@ -233,22 +251,37 @@
                     offset=change.offset,
                 )
             self._trim_tombstones()
-            return
+            return False
         changed = known is None or known.registration != change.entry
         self.registry.put(change.entry)
-        if changed:
-            logger.info(
-                "Target registered.",
-                target=change.instance,
-                service=change.entry.service,
-                address=change.entry.address,
-                ready=change.entry.ready,
-                born=change.entry.born,
-                weights=change.entry.weights,
-                offset=change.offset,
-            )
+        return changed
 
     def _trim_tombstones(self) -> None:
         removed = [name for name in self.target_offsets if name not in self.registry.targets]
         for name in removed[:-MAX_TOMBSTONES]:
             del self.target_offsets[name]
+
+
+def _log_registered(changes: Sequence[TargetChanged], arrival: Arrival | None) -> None:
+    """Log new registrations: each one where it was read, one line where it was relayed."""
+    if arrival is not None and arrival.source != STORE:
+        logger.info(
+            "Targets registered.",
+            source=arrival.source,
+            count=len(changes),
+            targets=[change.instance for change in changes[:MAX_LOGGED_TARGETS]],
+            offset=changes[-1].offset,
+        )
+        return
+    for change in changes:
+        assert change.entry is not None
+        logger.info(
+            "Target registered.",
+            target=change.instance,
+            service=change.entry.service,
+            address=change.entry.address,
+            ready=change.entry.ready,
+            born=change.entry.born,
+            weights=change.entry.weights,
+            offset=change.offset,
+        )
--- a/tests/test_agaterail/test_gateway/test_state.py
+++ b/tests/test_agaterail/test_gateway/test_state.py
@@ -8,7 +8,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from agaterail.gateway import state
-from agaterail.gateway.controlstore import DesiredPublished, TargetChanged, WeightsNamed
+from agaterail.gateway.controlstore import (
+    Arrival,
+    DesiredPublished,
+    TargetChanged,
+    WeightsNamed,
+)
 from agaterail.gateway.freshness import Freshness
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.targets import TargetRegistry
@@ -261,3 +266,23 @@
 
 class VersionsMachineTest(VersionsMachine.TestCase):
     pass
+
+
+class RegistrationLogTest(unittest.TestCase):
+    """A registration is told once by its reader, not by each daemon of the fleet."""
+
+    def lines(self, source):
+        found = GatewayState(Freshness(5.0, 2.0), TargetRegistry(2.0))
+        changes = [
+            TargetChanged(number, f"i-{number}", make_registration(f"i-{number}"))
+            for number in range(12)
+        ]
+        with mock.patch.object(state, "logger") as logger:
+            found.apply(changes, 0.0, arrival=Arrival(source, 0.0, 0.0, 0.0))
+        return logger.info.call_args_list
+
+    def test_reader_logs_each_registration(self):
+        self.assertEqual(len(self.lines("store")), 12)
+
+    def test_other_daemons_log_one_line(self):
+        self.assertEqual(len(self.lines("10.0.0.1:1")), 1)
