The soak has a workspace over its allowance, whose runs are counted

Two callers of their own send what its rate and burst don't cover; in any window of 4 s no more runs reach targets than the bound. The other callers, their keys and random draws are as before.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -11,6 +11,8 @@
 from gevent import socket
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from tools.soak.testbed import Gateway, Testbed
 
 from tools.soak.connecting import connect
@@ -19,6 +21,7 @@
 DEADLINE_S = 2.0
 MEAN_PAUSE_S = 0.05
 KINDS = ("safe", "unsafe", "resumed", "once")
+KEYS = ("k0", "k1", "k2")
 
 
 @attrs.define
@@ -45,9 +48,12 @@
 class Caller:
     """Sends one request at a time, over a persistent connection where possible."""
 
-    def __init__(self, testbed: Testbed, number: int, seed: int) -> None:
+    def __init__(
+        self, testbed: Testbed, number: int, seed: int, keys: Sequence[str] = KEYS
+    ) -> None:
         self.testbed = testbed
         self.number = number
+        self.keys = keys
         self.random = random.Random(seed * 1000 + number)
         self.requests: list[CallerRequest] = []
         self.sock: socket.socket | None = None
@@ -68,7 +74,7 @@
         if self.random.random() < 0.1:
             kind = f"v{self.testbed.version}"
         name = f"c{self.number}x{len(self.requests)}"
-        key = self.random.choice(["k0", "k1", "k2"])
+        key = self.random.choice(self.keys)
         request = CallerRequest(
             name, kind, key, self.gateway.name, self.gateway.start_count, time.monotonic()
         )
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -6,7 +6,18 @@
 
 import attrs
 
-from tools.soak.testbed import DRAIN_S, LEASE_S, REVOKE_S
+from tools.soak.testbed import (
+    ALLOWANCE_OVERAGE,
+    ALLOWANCE_SLACK,
+    ALLOWANCE_WINDOW_S,
+    DRAIN_S,
+    LEASE_S,
+    LIMITED_BURST,
+    LIMITED_KEY,
+    LIMITED_RATE_PER_S,
+    LIMITED_WORKSPACE,
+    REVOKE_S,
+)
 
 if TYPE_CHECKING:
     from standins.platform_engine import Run
@@ -14,7 +25,11 @@
     from tools.soak.testbed import Testbed
 
 STREAM_EVENTS = 8
-WORKSPACE_BY_KEY = {"k0": "w1", "k1": "w1", "k2": "w2"}
+WORKSPACE_BY_KEY = {"k0": "w1", "k1": "w1", "k2": "w2", LIMITED_KEY: LIMITED_WORKSPACE}
+# Runs of the limited workspace in any window.
+MAX_LIMITED_RUNS = (LIMITED_RATE_PER_S * ALLOWANCE_WINDOW_S + LIMITED_BURST) * (
+    1.0 + ALLOWANCE_OVERAGE
+) + ALLOWANCE_SLACK
 MIN_SERVED_RATIO = 0.9
 
 
@@ -49,6 +64,7 @@
         for request in self.requests:
             self._check_executions(request, runs.get(request.request_id, []))
             self._check_answer(request)
+        self._check_allowance(runs)
         self._check_versions()
         self._check_orders()
         self._check_drained()
@@ -95,6 +111,24 @@
         elif request.raw_answer.partition(b"\r\n\r\n")[2].count(b" " + name) != 20:
             self.problems.append(f"{request.request_id}: received an unexpected answer")
 
+    def _check_allowance(self, runs: dict[str, list[Run]]) -> None:
+        times = sorted(
+            run.started_at
+            for request in self.requests
+            if request.key == LIMITED_KEY and not request.kind.startswith("v")
+            for run in runs.get(request.request_id, ())
+        )
+        start = 0
+        for end, at in enumerate(times):
+            while times[start] <= at - ALLOWANCE_WINDOW_S:
+                start += 1
+            if end - start + 1 > MAX_LIMITED_RUNS:
+                self.problems.append(
+                    f"{end - start + 1} runs of {LIMITED_WORKSPACE} within"
+                    f" {ALLOWANCE_WINDOW_S:.0f} s, {MAX_LIMITED_RUNS:.0f} allowed"
+                )
+                return
+
     def _check_versions(self) -> None:
         newest: dict[tuple[str, int], int] = {}
         for request in sorted(self.requests, key=lambda item: item.sent_at):
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,7 +11,7 @@
 from tools.soak.callers import Caller
 from tools.soak.checks import RunChecker
 from tools.soak.faults import FaultInjector
-from tools.soak.testbed import Testbed
+from tools.soak.testbed import LIMITED_KEY, Testbed
 
 if TYPE_CHECKING:
     import pathlib
@@ -21,6 +21,7 @@
 START_TIMEOUT_S_PER_GATEWAY = 0.4
 RECOVERY_S = 7.0
 POST_RECOVERY_S = 2.0
+LIMITED_CALLERS = 2
 
 
 @attrs.frozen
@@ -58,6 +59,10 @@
         if start_problems:
             return SoakResult(seed, 0, 0, 0, start_problems)
         all_callers = [Caller(testbed, number, seed) for number in range(callers)]
+        all_callers += [
+            Caller(testbed, callers + number, seed, (LIMITED_KEY,))
+            for number in range(LIMITED_CALLERS)
+        ]
         caller_greenlets = [gevent.spawn(caller.run) for caller in all_callers]
         injector = FaultInjector(testbed, seed, in_rounds)
         injector.run(seconds)
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -24,6 +24,13 @@
 PLAIN_SERVICE, LLM_SERVICE = "plain-service", "llm-service"
 REVOKE_S = 5.0
 LEASE_S = 3.0
+# A workspace whose callers send more than its allowance, in requests.
+LIMITED_WORKSPACE, LIMITED_KEY = "w3", "k3"
+LIMITED_RATE_PER_S = 10.0
+LIMITED_BURST = 10.0
+ALLOWANCE_WINDOW_S = 4.0
+ALLOWANCE_OVERAGE = 0.1
+ALLOWANCE_SLACK = 8.0
 DRAIN_S = 2.0
 GRACE_S = 6.0
 READINESS_PERIOD_S = 0.5
@@ -115,8 +122,16 @@
             ],
             "limits": {"header_timeout_ms": 1000, "idle_timeout_ms": 5000},
             "tenants": [
-                {"name": name, "api_keys": keys, "isolated": name == "w2"}
-                for name, keys in workspaces.items()
+                *(
+                    {"name": name, "api_keys": keys, "isolated": name == "w2"}
+                    for name, keys in workspaces.items()
+                ),
+                {
+                    "name": LIMITED_WORKSPACE,
+                    "api_keys": [LIMITED_KEY],
+                    "rate_per_s": LIMITED_RATE_PER_S,
+                    "burst": LIMITED_BURST,
+                },
             ],
         }
         self.store.put("keyed.op", "config", json.dumps(desired).encode())
@@ -224,6 +239,9 @@
                 "budget_ratio": 0.2,
                 "budget_extra": 100,
                 "budget_window_s": 10,
+                "quota_window_s": ALLOWANCE_WINDOW_S,
+                "quota_overage": ALLOWANCE_OVERAGE,
+                "quota_slack": ALLOWANCE_SLACK,
             },
             "platform": {
                 "address": self.store_proxy.address,
