All daemons name the same coordinator, and a silent one is replaced

Daemons estimate the size of the fleet differently, so some readers know three readers and others four; a coordinator that saw another list granted nothing. Change: the first two readers coordinate. One that does not answer is left out by the asking daemon, and its replacement grants once it has seen the same. Without any answer the rest of the last credit is used first. An account that was idle for 3 s is opened anew.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -38,12 +38,12 @@
 # a small workspace would be refused although its window has room. The rest covers
 # spending that was not reported yet.
 TOLERATED_BURST_FRACTION = 0.3
-# Without an answer of the coordinator for this long, a daemon falls back from its last
-# share by demand to an equal share.
-DEMAND_SHARE_S = 3.0
-# Fraction of the share by demand that it uses until then: the coordinator may be away
-# for this daemon alone, and grants the others the whole rate.
-FALLBACK_FRACTION = 0.5
+# Without an answer of the coordinator, a daemon uses the rest of its last credit and then
+# its last share of the spending, for this long. After that it uses an equal share.
+LAST_GRANT_S = 2.0
+# Fraction of the last share that it uses: the coordinator may be away for this daemon
+# alone, and grants the others the whole rate.
+LAST_SHARE_FRACTION = 0.5
 # Time constant of the spending by which shares are computed. A daemon of a large fleet
 # sends a request of one workspace only every few seconds.
 SHARE_WINDOW_S = 5.0
@@ -55,6 +55,9 @@
 START_FRACTION = 0.2
 # A level that the former coordinator told is known for this long.
 LEVEL_VALID_S = 1.0
+# An account that was not used for this long is opened anew: another coordinator may have
+# taken its place meanwhile.
+ACCOUNT_VALID_S = 3.0
 # The coordinator forgets a daemon that has not reported for this long.
 FORGET_S = 20.0
 
@@ -187,11 +190,12 @@
 
     def __init__(self, bucket: TokenBucket, now: float) -> None:
         self.bucket = bucket
-        self.opened_at = now
+        self.opened_at = self.used_at = now
         self.daemons: dict[str, _Daemon] = {}
 
     def settle(self, daemon: str, report: SpendingReport, now: float) -> Grant:
         """Charge what a daemon has spent and return its new credit."""
+        self.used_at = now
         self.bucket.refill(now)
         self._adopt_level(report, now)
         known = self._record(daemon, report, now)
@@ -267,7 +271,7 @@
         """Charge what a daemon has spent and return its new credit."""
         size = allowance.bucket_size(self.tolerance)
         account = self.accounts.get(report.workspace)
-        if account is None:
+        if account is None or now - account.used_at > ACCOUNT_VALID_S:
             bucket = self._new_bucket(allowance.rate_per_s, size, report.level, now)
             account = self.accounts[report.workspace] = LedgerAccount(bucket, now)
         elif (account.bucket.rate, account.bucket.burst) != (allowance.rate_per_s, size):
@@ -401,12 +405,14 @@
             over the time in which the shares allow them.
         """
         share = 1.0 / max(1.0, daemons)
-        if now - self.answered_at <= DEMAND_SHARE_S:
-            share = max(share, FALLBACK_FRACTION * self.share)
-        rate = allowance.rate_per_s * share
+        if now - self.answered_at <= LAST_GRANT_S:
+            if self.total + cost <= self.limit:
+                return 0.0
+            share = max(share, LAST_SHARE_FRACTION * self.share)
+        rate, burst = allowance.rate_per_s * share, max(1.0, allowance.burst * share)
         if self.fallback is None:
-            self.fallback = TokenBucket(rate, now, max(1.0, allowance.burst * share))
-            self.fallback.level = -number * cost
+            self.fallback = TokenBucket(rate, now, burst)
+            self.fallback.level = 1.0 if number * cost < burst else -number * cost
         elif self.fallback.rate != rate:
-            self.fallback.set_rate(rate, now, max(1.0, allowance.burst * share))
+            self.fallback.set_rate(rate, now, burst)
         return self.fallback.take(cost, now)
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -35,7 +35,10 @@
 # Daemons are 1 to 2 ms apart. A request waits no longer than this for an answer; then it
 # is decided by the daemon's share.
 ASK_TIMEOUT_S = 0.08
-PEER_BACKOFF_S = 0.5
+PEER_BACKOFF_S = 1.0
+# Daemons estimate the size of the fleet differently and know lists of readers of
+# different lengths, which begin alike.
+COORDINATORS = 2
 MAX_CREDITS = 32768
 MAX_REPORTS_PER_MESSAGE = 64
 OK = 200
@@ -60,8 +63,8 @@
 class AllowanceController:
     """Decides whether a workspace's allowance covers a request.
 
-    A hash of the workspace's name selects its coordinator among the daemons that read
-    the platform's store for the others. Without an answer of the coordinator, a daemon
+    A hash of the workspace's name selects its coordinator among the first daemons that
+    read the platform's store for the others. Without an answer of the coordinator, a daemon
     decides by its share of the allowance.
 
     Parameters
@@ -174,12 +177,17 @@
         return credit
 
     def _coordinator(self, workspace: str) -> str:
-        """Return the address of a workspace's coordinator; empty if there is none."""
-        readers = self.readers()
-        return choose_by_hash(workspace, readers) if readers else ""
+        """Return the address of a workspace's coordinator; empty if there is none.
+
+        One that does not answer is replaced. Its replacement grants nothing before it
+        has seen the same.
+        """
+        readers, now = self.readers()[:COORDINATORS], self.now()
+        answering = [item for item in readers if now >= self.backoff_until.get(item, 0.0)]
+        return choose_by_hash(workspace, answering) if answering else ""
 
     def _follow_readers(self, now: float) -> None:
-        readers = frozenset(self.readers())
+        readers = frozenset(self.readers()[:COORDINATORS])
         if readers == self.known_readers:
             return
         kept = [name for name in self.ledger.accounts if self._coordinates(name)]
@@ -197,11 +205,12 @@
             verdict = credit.check(cost, self.now())
             if verdict is not Verdict.ASK:
                 return verdict  # the answer to another request covers this one
-            coordinator = self._coordinator(workspace)
-            reports = [credit.report(workspace, self.now(), cost)]
-            if coordinator and self._exchange(coordinator, reports):
-                verdict = credit.check(cost, self.now())
-                return Verdict.REFUSE if verdict is Verdict.ASK else verdict
+            for _ in range(COORDINATORS):
+                coordinator = self._coordinator(workspace)
+                reports = [credit.report(workspace, self.now(), cost)]
+                if coordinator and self._exchange(coordinator, reports):
+                    verdict = credit.check(cost, self.now())
+                    return Verdict.REFUSE if verdict is Verdict.ASK else verdict
             now = self.now()
             wait_s = credit.take_fallback(cost, allowance, self.daemons(), self.number(), now)
             credit.retry_at = now + wait_s
