A daemon that the store turns away asks daemons other than the readers

Cause: the store turned away the two readers that these daemons knew. Daemons with the store read it themselves; the others know no address but the readers'. Change: daemons tell their address with each poll, readers name three of the daemons that polled last, and a daemon in an outage asks those too.

--- a/agaterail/gateway/peerpoller.py
+++ b/agaterail/gateway/peerpoller.py
@@ -40,6 +40,8 @@
     differences_applied
         Whether the last differences could be applied; otherwise whole documents are
         requested.
+    pollers
+        Daemons that poll the same readers as this one, as the last answer named them.
     """
 
     def __init__(self, hub: FeedHub, daemon: Daemon, own_address: str) -> None:
@@ -49,6 +51,7 @@
         self.selector = PeerSelector(poll_count=daemon.random.randrange(1 << 16))
         self.connections = ConnectionsByAddress(PEER_TIMEOUT_MARGIN_S)
         self.differences_applied = True
+        self.pollers: tuple[str, ...] = ()
 
     def step(self) -> None:
         """Poll one reader, or sleep if this daemon reads the store itself."""
@@ -81,8 +84,13 @@
             hub.wake_direct.clear()
 
     def _poll_in_outage(self) -> None:
-        """Ask any reader whether it reads the store again; this costs the store no call."""
-        others = [address for address in self.hub.readers if address != self.own_address]
+        """Ask any daemon whether it reads the store; this costs the store no call.
+
+        The store may be out of reach for this daemon and for all readers, and serve the
+        others, which read it directly then.
+        """
+        readers = [item for item in self.hub.readers if item != self.own_address]
+        others = [*self.pollers, *self.daemon.random.sample(readers, min(1, len(readers)))]
         if others:
             address = self.daemon.random.choice(others)
             sent_at = self.daemon.now()
@@ -101,7 +109,7 @@
         demand, sent_at = self.daemon.demand, self.daemon.now()
         offered = demand.next_report(sent_at)
         query = peerprotocol.encode_query(
-            PeerQuery(self.hub.offsets, base_offsets, wait_s, offered)
+            PeerQuery(self.hub.offsets, base_offsets, wait_s, offered, self.own_address)
         )
         called = self.connections.to(address).call(
             "GET", query, timeout_s=wait_s + PEER_TIMEOUT_MARGIN_S
@@ -126,6 +134,7 @@
         if answer.readers and not self.daemon.membership.is_reader:
             self.hub.set_readers(answer.readers)
         self._apply_demand(answer)
+        self.pollers = answer.pollers or self.pollers
         problem = ""
         for feed in Feed:
             news = answer.feeds.get(feed)
--- a/agaterail/gateway/peerprotocol.py
+++ b/agaterail/gateway/peerprotocol.py
@@ -42,12 +42,15 @@
         Longest time to wait for new records.
     offered
         Prompts offered to the polling daemon since its last report; None if not given.
+    sender
+        Address at which the polling daemon answers its peers; empty if not given.
     """
 
     offsets: dict[Feed, int]
     base_offsets: tuple[int, ...]
     wait_s: float
     offered: DemandReport | None = None
+    sender: str = ""
 
 
 @attrs.frozen
@@ -87,12 +90,15 @@
     offered_tokens_per_s
         Prompt tokens per second offered to an average daemon; None if unknown, and from
         daemons of a former release.
+    pollers
+        Addresses of some of the daemons that poll the peer.
     """
 
     feeds: dict[Feed, FeedNews]
     readers: tuple[str, ...]
     waited_s: float = 0.0
     offered_tokens_per_s: float | None = None
+    pollers: tuple[str, ...] = ()
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerAnswer)
@@ -104,6 +110,8 @@
     pairs.append("held=" + ",".join(map(str, query.base_offsets)))
     if query.offered is not None:
         pairs.append(f"offered={query.offered.tokens}:{query.offered.elapsed_s:.3f}")
+    if query.sender:
+        pairs.append(f"from={query.sender}")
     return f"{PATH.decode()}?wait={query.wait_s:.3f}&" + "&".join(pairs)
 
 
@@ -119,7 +127,8 @@
     offsets = {feed: int(found[feed.value]) for feed in Feed if feed.value in found}
     base_offsets = tuple(map(int, filter(None, found.get("held", "").split(","))))
     offered = _decode_offered(found.get("offered", ""))
-    return PeerQuery(offsets, base_offsets, float(found.get("wait", "0")), offered)
+    wait_s = float(found.get("wait", "0"))
+    return PeerQuery(offsets, base_offsets, wait_s, offered, found.get("from", ""))
 
 
 def _decode_offered(text: str) -> DemandReport | None:
@@ -147,6 +156,7 @@
     now: float,
     waited_s: float = 0.0,
     offered_tokens_per_s: float | None = None,
+    pollers: tuple[str, ...] = (),
 ) -> bytes:
     """Return the body of the answer to a query."""
     feeds: dict[Feed, FeedNews] = {}
@@ -163,7 +173,7 @@
             next_offset=relayed_feed.next_offset,
             records=tuple(records),
         )
-    answer = PeerAnswer(feeds, readers, waited_s, offered_tokens_per_s)
+    answer = PeerAnswer(feeds, readers, waited_s, offered_tokens_per_s, pollers)
     return msgspec.msgpack.encode(answer)
 
 
--- a/agaterail/gateway/peerresponder.py
+++ b/agaterail/gateway/peerresponder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -27,6 +28,8 @@
 OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
 # Answers from this size on take more than a few packets, so their heads are sent first.
 LARGE_ANSWER_BYTES = 4096
+MAX_POLLERS = 64
+POLLERS_IN_ANSWER = 3
 
 
 @attrs.define
@@ -59,6 +62,8 @@
 
     Attributes
     ----------
+    pollers
+        Addresses of the daemons that have polled lately, the last one at the end.
     handlers
         Functions by path that return the body of the answer to a query string.
     """
@@ -68,6 +73,7 @@
         self.now = now
         self.stats = AnswerStats()
         self.fleet_demand = FleetDemand()
+        self.pollers: dict[str, None] = {}
         self.handlers: dict[bytes, Callable[[bytes], bytes]] = {
             peerprotocol.PATH: self._answer_poll
         }
@@ -95,6 +101,7 @@
         received_at = self.now()
         if peer_query.offered is not None:
             self.fleet_demand.add(peer_query.offered, received_at)
+        self._record_poller(peer_query.sender)
         if not self.hub.relay.has_new_records(peer_query.offsets) and not self._is_stale():
             self.hub.new_records.wait(min(peer_query.wait_s, PEER_WAIT_S))
         now = self.now()
@@ -105,10 +112,26 @@
             now,
             now - received_at,
             self.fleet_demand.tokens_per_s(now),
+            self._some_pollers(peer_query.sender),
         )
         self.stats.add(len(body), self.now() - now)
         return body
 
+    def _record_poller(self, address: str) -> None:
+        if not address:
+            return
+        # Removed first, so that the dict is ordered by the time of the last poll.
+        self.pollers.pop(address, None)
+        self.pollers[address] = None
+        if len(self.pollers) > MAX_POLLERS:
+            del self.pollers[next(iter(self.pollers))]
+
+    def _some_pollers(self, asking: str) -> tuple[str, ...]:
+        """Return the daemons that have polled last and are no readers themselves."""
+        left_out = {asking, *self.hub.readers}
+        others = (address for address in reversed(self.pollers) if address not in left_out)
+        return tuple(itertools.islice(others, POLLERS_IN_ANSWER))
+
     def log_stats(self) -> None:
         """Log and reset the totals, once per new desired state."""
         stats, self.stats = self.stats, AnswerStats()
--- a/tests/test_agaterail/test_gateway/test_peerpoller.py
+++ b/tests/test_agaterail/test_gateway/test_peerpoller.py
@@ -6,7 +6,9 @@
 
 from agaterail.gateway.controlstore import Feed
 from agaterail.gateway.peerprotocol import FeedNews, PeerAnswer
-from tests.gateway_fleet import BOUNDS, Fleet
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+from tests.gateway_fleet import BOUNDS, Fleet, free_port
 from tests.large_state import make_rows, make_state
 
 PEER = "127.0.0.1:9"
@@ -73,3 +75,32 @@
         stale = PeerAnswer({}, ("10.0.0.8:1", "10.0.0.9:1"))
         daemon.feeds.poller.apply_answer(PEER, stale, daemon.now())
         self.assertEqual(daemon.feeds.readers, found)
+
+
+class ReadersOutOfReachTest(unittest.TestCase):
+    """The store turned away all readers and a third of the daemons, and served the others."""
+
+    def setUp(self):
+        self.fleet = Fleet(gateways=4)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.wait(lambda: all(item.feeds.poller.pollers for item in self.polling))
+        self.fleet.wait(lambda: all(len(item.feeds.readers) == 2 for item in self.polling))
+
+    @property
+    def polling(self):
+        return [item for item in self.fleet.daemons if not item.membership.is_reader]
+
+    def cut_off(self, daemon):
+        daemon.store.connections = HttpConnections(Address("127.0.0.1", free_port()), 0.1)
+
+    def test_a_daemon_without_the_store_keeps_its_keys(self):
+        self.fleet.wait(lambda: len(self.polling) == 2)
+        cut, _ = self.polling
+        for daemon in self.fleet.daemons:
+            if daemon is cut or daemon.membership.is_reader:
+                self.cut_off(daemon)
+        accepted = []
+        for _ in range(90):
+            gevent.sleep(0.1)
+            accepted.append(cut.freshness.allows_keys(cut.now()))
+        self.assertTrue(all(accepted), accepted)
