Engines load only while the requests in flight leave free slots on the others

Cause: the engines that can be spared were counted by the prefill that is offered. Change: each daemon averages how many engines' slots its requests fill; loads and drains ahead leave two fifths of the other engines' slots free. A rollout that is late goes on as before. The new tests fail on the former code.

--- a/agaterail/gateway/demand.py
+++ b/agaterail/gateway/demand.py
@@ -12,6 +12,8 @@
 # Long enough to average out bursts of single callers, short enough to detect an
 # overload before the engines' queues exceed an objective.
 WINDOW_S = 5.0
+# Time constant of the average of the prompts in flight, which last for about as long.
+OCCUPIED_WINDOW_S = 2.0
 # At a start the window is as long as prompts have arrived, but not shorter than this.
 MIN_WINDOW_S = 1.0
 # Reports of many daemons need a shorter window, which follows a rise of the demand sooner.
@@ -56,6 +58,9 @@
         Tokens that no peer was told of yet, and time of the last report.
     fleet_tokens_per_s, estimated_at
         Tokens per second and daemon according to the peers, and when they said so.
+    occupied, sampled_at
+        Moving average of the engines whose slots this daemon's prompts fill, and time of
+        its last sample.
     """
 
     def __init__(self) -> None:
@@ -65,6 +70,14 @@
         self.reported_at: float | None = None
         self.fleet_tokens_per_s = 0.0
         self.estimated_at = float("-inf")
+        self.occupied = 0.0
+        self.sampled_at = 0.0
+
+    def record_occupied(self, engines: float, now: float) -> None:
+        """Record how many engines' slots this daemon's prompts fill now."""
+        weight = 1.0 - math.exp((self.sampled_at - now) / OCCUPIED_WINDOW_S)
+        self.occupied += weight * (engines - self.occupied)
+        self.sampled_at = now
 
     def record(self, tokens: int, now: float) -> None:
         """Record the prompt of a request."""
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -92,6 +92,7 @@
             model: item.newest for model, item in self.daemon.state.weights.items()
         }
         self._measure_loads(now)
+        self._record_occupied(now)
         wanted = find_outdated(engines, desired_versions)
         conditions = self._conditions(wanted, now)
         self._set_cordons(engines, desired_versions, conditions, now)
@@ -156,8 +157,20 @@
             allowed_s=self.daemon.settings.bounds.version_s,
             demand=self.daemon.demand.engines_needed(now) * self.daemon.rules.daemons,
             load_s=self.load_time.load_s,
+            occupied=self.daemon.demand.occupied * self.daemon.rules.daemons,
         )
 
+    def _record_occupied(self, now: float) -> None:
+        """Sample how many engines' slots this daemon's requests fill."""
+        desired = self.daemon.state.desired
+        occupied = 0.0
+        for service in () if desired is None else desired.services.values():
+            if service.engine is not None and service.engine.slots:
+                targets = self.daemon.registry.of_service(service.name)
+                in_flight = sum(target.in_flight for target in targets)
+                occupied += in_flight / service.engine.slots
+        self.daemon.demand.record_occupied(occupied, now)
+
     def _measure_loads(self, now: float) -> None:
         for instance, order in list(self.accepted_orders.items()):
             held = order.load.target.weights_of(order.load.model)
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -23,6 +23,10 @@
 # Engines beyond those that load at once drain ahead only if the others stay below this
 # utilization; at full utilization prompts queue.
 MAX_UTILIZATION = 0.7
+# Engines load only if the requests in flight leave this fraction of the other engines'
+# slots free. Requests are placed without knowing the engines' queues, and with fewer free
+# slots many of them wait although other engines have some.
+FREE_SLOTS_FRACTION = 0.4
 # A rollout should complete within this fraction of the allowed time, which leaves time
 # to repeat one failed order.
 ROLLOUT_DEADLINE_FRACTION = 0.85
@@ -94,18 +98,32 @@
         after a load.
     load_s
         Expected time of a load, in seconds.
+    occupied
+        Engines whose slots the requests in flight fill.
     """
 
     outdated_for_s: float
     allowed_s: float
     demand: float
     load_s: float
+    occupied: float = 0.0
 
     @property
     def unavailable_s(self) -> float:
         """Return the seconds for which a load takes an engine out of service."""
         return DRAIN_S + self.load_s + PROPAGATION_DELAY_S
 
+    def spare(self, serving: int, utilization: float = 1.0) -> int:
+        """Return how many engines the offered prompts can do without.
+
+        Parameters
+        ----------
+        utilization
+            Fraction of the time for which the other engines may prefill prompts.
+        """
+        needed = max(self.demand / utilization, self.occupied / (1.0 - FREE_SLOTS_FRACTION))
+        return int(serving - needed)
+
 
 def max_concurrent_loads(
     serving: int, outdated_count: int, conditions: RolloutConditions
@@ -116,7 +134,7 @@
     are no spare engines; then only as many load as are needed to meet the deadline,
     because an answer from outdated weights is better than a late one.
     """
-    spare = min(int(serving - conditions.demand), round(serving * MAX_LOADING_FRACTION))
+    spare = min(conditions.spare(serving), round(serving * MAX_LOADING_FRACTION))
     left_s = max(
         conditions.unavailable_s,
         conditions.allowed_s * ROLLOUT_DEADLINE_FRACTION - conditions.outdated_for_s,
@@ -191,8 +209,8 @@
     if cordoned and all(may_interrupt(target, now) for target in cordoned):
         # All cordoned engines are loading by now. The next ones can drain meanwhile if
         # there are enough spare engines.
-        needed = conditions.demand / MAX_UTILIZATION
-        ahead = min(2 * most, int(serving - needed), max_cordoned(serving))
+        ahead = min(2 * most, conditions.spare(serving, MAX_UTILIZATION))
+        ahead = min(ahead, max_cordoned(serving))
         most = max(most, ahead)
     uncordoned = (load.target for load in wanted if load.target.cordoned_at is None)
     for target in itertools.islice(uncordoned, max(0, most - len(cordoned))):
--- a/tests/test_agaterail/test_gateway/test_loadannouncer.py
+++ b/tests/test_agaterail/test_gateway/test_loadannouncer.py
@@ -23,6 +23,7 @@
     FakeEngines,
     count_cordoned,
     make_daemon,
+    make_demand,
 )
 
 LIGHT = RolloutConditions(outdated_for_s=0.0, allowed_s=15.0, demand=1.0, load_s=1.9)
@@ -115,7 +116,7 @@
 
     def make_controller(self, engines, demand):
         daemon = make_daemon(engines)
-        daemon.demand = SimpleNamespace(engines_needed=lambda _now: demand)
+        daemon.demand = make_demand(demand)
         daemon.registry.targets = {target.instance: target for target in engines}
         daemon.state.apply_version_ages = lambda *_: None
         daemon.store = SimpleNamespace(append_lease=self.append)
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -7,6 +7,8 @@
 from returns.result import Success
 
 from agaterail.gateway.controlstore import LeaseEntry
+from agaterail.gateway.demand import Demand
+from agaterail.gateway.desired import EngineTraits
 from agaterail.gateway.enginecontrol import EngineReport, OrderOutcome
 from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
 from agaterail.gateway.weightscontroller import TAKEOVER_DELAY_S, WeightsController
@@ -15,6 +17,7 @@
 
 SERVICE = "s"
 VERSION_S = 8.0
+ENGINE = EngineTraits(slots=8, kv_tokens=0, kv_bytes_per_token=0.0, link_mbps=0.0)
 
 
 def make_daemon(engines):
@@ -29,11 +32,11 @@
         membership=SimpleNamespace(rank=None),
         feeds=SimpleNamespace(store_backoff=SimpleNamespace(in_outage=False)),
         freshness=SimpleNamespace(age_s=lambda _now: 0.0),
-        demand=SimpleNamespace(engines_needed=lambda _now: 0.0),
+        demand=Demand(),
         rules=SimpleNamespace(daemons=1.0),
         state=SimpleNamespace(
             desired=SimpleNamespace(
-                services={SERVICE: SimpleNamespace(name=SERVICE, engine=object())}
+                services={SERVICE: SimpleNamespace(name=SERVICE, engine=ENGINE)}
             ),
             weights={"m": VersionHistory((DesiredVersion(2, 0.0),))},
         ),
@@ -43,6 +46,12 @@
     return daemon
 
 
+def make_demand(engines):
+    demand = Demand()
+    demand.engines_needed = lambda _now: engines
+    return demand
+
+
 def count_cordoned(engines):
     return sum(target.cordoned_at is not None for target in engines)
 
@@ -195,7 +204,7 @@
         engines = [make_target(f"i-{number}", weights={"m": 1}) for number in range(5)]
         daemon = make_daemon(engines)
         daemon.membership.rank = 0
-        daemon.demand = SimpleNamespace(engines_needed=lambda _now: demand)
+        daemon.demand = make_demand(demand)
         daemon.engine_control = FakeEngines(daemon, load_s)
         daemon.store = SimpleNamespace(append_lease=lambda _entry, at: Success(at))
         controller = WeightsController(daemon)
--- a/tests/test_agaterail/test_gateway/test_weightsplan.py
+++ b/tests/test_agaterail/test_gateway/test_weightsplan.py
@@ -10,6 +10,7 @@
     max_concurrent_loads,
     may_interrupt,
 )
+from tests.slot_fleet import late_part
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
 LIGHT = RolloutConditions(outdated_for_s=0.0, allowed_s=15.0, demand=1.0, load_s=1.9)
@@ -157,3 +158,38 @@
         cordoned = [item for item in self.engines if item.cordoned_at is not None]
         self.assertFalse(may_interrupt(cordoned[0], 10.9))
         self.assertTrue(may_interrupt(cordoned[0], 11.1))
+
+
+class FreeSlotsTest(unittest.TestCase):
+    """Engines loaded while the requests in flight needed the slots of the others."""
+
+    ENGINES = 70
+    OCCUPIED = 35.0
+    MAX_LATE = 0.05
+
+    def conditions(self, outdated_for_s=0.0):
+        return RolloutConditions(
+            outdated_for_s=outdated_for_s,
+            allowed_s=20.0,
+            demand=22.0,
+            load_s=1.9,
+            occupied=self.OCCUPIED,
+        )
+
+    def test_callers_get_their_first_tokens_in_time_during_a_rollout(self):
+        loading = max_concurrent_loads(self.ENGINES, self.ENGINES, self.conditions())
+        self.assertGreater(loading, 1)
+        late = late_part(self.ENGINES - loading, self.OCCUPIED)
+        self.assertLess(late, self.MAX_LATE)
+
+    def test_engines_that_drain_ahead_leave_free_slots_too(self):
+        engines = make_engines(self.ENGINES)
+        for step in range(20):
+            cordon(engines, {"m": 2}, self.conditions(), step * 0.1)
+        cordoned = sum(engine.cordoned_at is not None for engine in engines)
+        late = late_part(self.ENGINES - cordoned, self.OCCUPIED)
+        self.assertLess(late, self.MAX_LATE)
+
+    def test_a_late_rollout_goes_on_without_free_slots(self):
+        late = max_concurrent_loads(self.ENGINES, self.ENGINES, self.conditions(14.0))
+        self.assertGreater(late, 30)
