--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -40,6 +40,7 @@
 # different lengths, which begin alike.
 COORDINATORS = 2
 MAX_CREDITS = 32768
+MAX_AMOUNT = 10**15
 MAX_REPORTS_PER_MESSAGE = 64
 OK = 200
 
@@ -325,7 +326,14 @@
         workspace, *numbers = value.split(":")
         if name != "r" or len(numbers) != 4:
             raise ValueError("report is malformed")
-        total, acknowledged, need = (float(int(number)) for number in numbers[:3])
-        level = float(int(numbers[3])) if numbers[3] else None
+        total, acknowledged, need = map(_parse_amount, numbers[:3])
+        level = _parse_amount(numbers[3]) if numbers[3] else None
         reports.append(SpendingReport(unquote(workspace), total, acknowledged, need, level))
     return unquote(daemon), reports
+
+
+def _parse_amount(text: str) -> float:
+    amount = int(text)
+    if abs(amount) > MAX_AMOUNT:
+        raise ValueError("amount is implausible")
+    return float(amount)
