--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -223,7 +223,9 @@
 
     def _record(self, daemon: str, report: SpendingReport, now: float) -> _Daemon:
         known = self.daemons.get(daemon)
-        if known is None:
+        # A daemon that dropped its credit counts from zero again.
+        is_new = known is not None and not report.acknowledged and report.total < known.total
+        if known is None or is_new:
             known = self.daemons[daemon] = _Daemon(report.acknowledged, seen_at=now)
         spent = report.total - known.total
         self.bucket.charge(spent)
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -171,8 +171,8 @@
         credit = self.credits.get(workspace)
         if credit is None:
             if len(self.credits) >= MAX_CREDITS:
-                self.credits.clear()
-                self.locks.clear()
+                oldest = next(iter(self.credits))
+                del self.credits[oldest], self.locks[oldest]
             credit = self.credits[workspace] = WorkspaceCredit()
             self.locks[workspace] = RLock()
         return credit
--- a/tests/test_agaterail/test_decisions/test_allowances.py
+++ b/tests/test_agaterail/test_decisions/test_allowances.py
@@ -161,9 +161,13 @@
         grant = self.ledger.settle("a", report, self.allowance, 100.0)
         self.assertEqual(grant.level, 70.0)
 
+    def test_daemon_that_counts_from_zero_again_gets_nothing_back(self):
+        self.settle("a", 60.0)
+        self.assertEqual(self.settle("a", 5.0, acknowledged=0.0).level, 35.0)
+
     def test_refund_fills_the_bucket(self):
         self.settle("a", 60.0)
-        self.assertEqual(self.settle("a", 20.0).level, 80.0)
+        self.assertEqual(self.settle("a", 20.0, acknowledged=60.0).level, 80.0)
 
     def test_lower_rate_applies_at_once(self):
         self.settle("a", 0.0)
