A coordinator that was suspended does not grant what its replacement has granted

Cause: a host that was suspended kept its accounts, and refilled them for the time in which another coordinator granted the same rate. Change: it drops its accounts after a pause of 0.5 s; an account that was not used for a second takes over lower levels that daemons know.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -55,9 +55,9 @@
 START_FRACTION = 0.2
 # A level that the former coordinator told is known for this long.
 LEVEL_VALID_S = 1.0
-# An account that was not used for this long is opened anew: another coordinator may have
-# taken its place meanwhile.
-ACCOUNT_VALID_S = 3.0
+# Another coordinator may have taken the place of one whose account was not used for this
+# long.
+ACCOUNT_VALID_S = 1.0
 # The coordinator forgets a daemon that has not reported for this long.
 FORGET_S = 20.0
 
@@ -190,6 +190,7 @@
 
     def __init__(self, bucket: TokenBucket, now: float) -> None:
         self.bucket = bucket
+        # For a while after this, daemons may know lower levels than this account has.
         self.opened_at = self.used_at = now
         self.daemons: dict[str, _Daemon] = {}
 
@@ -273,10 +274,12 @@
         """Charge what a daemon has spent and return its new credit."""
         size = allowance.bucket_size(self.tolerance)
         account = self.accounts.get(report.workspace)
-        if account is None or now - account.used_at > ACCOUNT_VALID_S:
+        if account is None:
             bucket = self._new_bucket(allowance.rate_per_s, size, report.level, now)
             account = self.accounts[report.workspace] = LedgerAccount(bucket, now)
-        elif (account.bucket.rate, account.bucket.burst) != (allowance.rate_per_s, size):
+        elif now - account.used_at > ACCOUNT_VALID_S:
+            account.opened_at = now
+        if (account.bucket.rate, account.bucket.burst) != (allowance.rate_per_s, size):
             account.bucket.set_rate(allowance.rate_per_s, now, size)
         return account.settle(daemon, report, now)
 
@@ -292,7 +295,7 @@
         return bucket
 
     def keep_only(self, workspaces: Collection[str], now: float) -> None:
-        """Drop the other accounts, since the coordinators have changed."""
+        """Drop the other accounts, which another coordinator may have kept lately."""
         for name in self.accounts.keys() - set(workspaces):
             del self.accounts[name]
         self.responsible_since = now
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -36,6 +36,8 @@
 # is decided by the daemon's share.
 ASK_TIMEOUT_S = 0.08
 PEER_BACKOFF_S = 1.0
+# Peers replace a coordinator that pauses for longer than this.
+MAX_PAUSE_S = 0.5
 # Daemons estimate the size of the fleet differently and know lists of readers of
 # different lengths, which begin alike.
 COORDINATORS = 2
@@ -113,6 +115,7 @@
         self.backoff_until: dict[str, float] = {}
         self.exhausted: set[str] = set()
         self.messages = 0
+        self.stepped_at = now()
 
     def admit(self, workspace: str, allowance: Allowance, cost: float) -> OverAllowance | None:
         """Charge a request; return why it is not covered, or None if it is."""
@@ -143,6 +146,10 @@
     def step(self) -> None:
         """Report what was spent, and follow changes of the coordinators."""
         now = self.now()
+        if now - self.stepped_at > MAX_PAUSE_S:
+            # This host was suspended. Another one may have coordinated meanwhile.
+            self.ledger.keep_only((), now)
+        self.stepped_at = now
         self._follow_readers(now)
         due: dict[str, list[str]] = {}
         for workspace, credit in self.credits.items():
--- a/tests/test_agaterail/test_decisions/test_allowances.py
+++ b/tests/test_agaterail/test_decisions/test_allowances.py
@@ -17,7 +17,15 @@
     Verdict,
     WorkspaceCredit,
 )
-from tests.allowance_fleet import TOLERANCE, CreditFleet, Load, bound, play, tokens
+from tests.allowance_fleet import (
+    TOLERANCE,
+    CreditFleet,
+    Load,
+    Outcome,
+    bound,
+    play,
+    tokens,
+)
 
 FLEETS = (8, 69, 200, 410)
 RATES = {"small": 30e3, "middle": 120e3, "large": 450e3, "largest": 690e3}
@@ -118,6 +126,26 @@
         self.check(fleet)
 
 
+class PausingWorkspaceTest(unittest.TestCase):
+    """A workspace got its whole burst again after each pause of a second."""
+
+    def test_bursts_with_pauses_stay_within_the_bound(self):
+        ledger, allowance = FleetLedger(TOLERANCE), tokens(100e3)
+        ledger.responsible_since = -100.0
+        sent, total = Outcome(), 0.0
+        for step in range(240):
+            now = step * 0.1
+            if step % 12 < 2:
+                need = 200e3
+                while need > 1e3:
+                    report = SpendingReport("w", total, total, need)
+                    if ledger.settle("a", report, allowance, now).credit >= need:
+                        total += need
+                        sent.sent.append((now, need))
+                    need /= 2
+        self.assertLessEqual(sent.worst_window(TOLERANCE.window_s), bound(allowance))
+
+
 class LedgerTest(unittest.TestCase):
     def setUp(self):
         self.ledger = FleetLedger(Tolerance(window_s=8.0))
@@ -234,7 +262,7 @@
             admitted += 1
         self.assertEqual(admitted, 3)
 
-    def test_unused_account_is_opened_anew(self):
+    def test_unused_account_takes_over_a_lower_level(self):
         # Another coordinator took over for a while and has spent the bucket.
         ledger = FleetLedger(Tolerance(window_s=8.0))
         ledger.settle("a", SpendingReport("w", 0.0, 0.0), self.allowance, 100.0)
--- a/tests/test_agaterail/test_gateway/test_allowancecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_allowancecontroller.py
@@ -71,9 +71,20 @@
         ]
         return sum(answer is None for answer in answers)
 
-    def test_burst_is_admitted_and_the_rest_gets_a_hint(self):
+    def pass_time(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.controller.step()
+            self.time += 0.1
+
+    def test_a_coordinator_that_was_suspended_does_not_grant_the_burst(self):
+        # Another daemon coordinated meanwhile and has granted it.
+        self.pass_time(60.0)
+        self.time += 4.0
         self.controller.step()
-        self.time += 60.0
+        self.assertLessEqual(self.admitted(20), 2)
+
+    def test_burst_is_admitted_and_the_rest_gets_a_hint(self):
+        self.pass_time(60.0)
         self.assertEqual(self.admitted(20), 10)
         refused = self.controller.admit(self.workspace, ALLOWANCE, 1.0)
         self.assertAlmostEqual(refused.retry_after_s, 1.0, places=3)
@@ -81,8 +92,7 @@
         self.assertEqual(self.admitted(3), 1)
 
     def test_unused_runs_are_given_back(self):
-        self.controller.step()
-        self.time += 60.0
+        self.pass_time(60.0)
         self.admitted(10)
         self.controller.refund(self.workspace, 4.0)
         self.time += 0.9
