--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -36,6 +36,9 @@
 # is decided by the daemon's share.
 ASK_TIMEOUT_S = 0.08
 PEER_BACKOFF_S = 1.0
+# A caller whose request a share does not cover comes back after this time at the latest; a
+# coordinator is likely to answer by then.
+MAX_SHARE_RETRY_S = 0.5
 # Peers replace a coordinator that pauses for longer than this.
 MAX_PAUSE_S = 0.5
 # Daemons estimate the size of the fleet differently and know lists of readers of
@@ -221,7 +224,7 @@
                     return Verdict.REFUSE if verdict is Verdict.ASK else verdict
             now = self.now()
             wait_s = credit.take_fallback(cost, allowance, self.daemons(), self.number(), now)
-            credit.retry_at = now + wait_s
+            credit.retry_at = now + min(wait_s, MAX_SHARE_RETRY_S)
             return Verdict.REFUSE if wait_s > 0.0 else Verdict.ADMIT
 
     def _report_batch(self, coordinator: str, workspaces: Sequence[str]) -> None:
--- a/tests/test_agaterail/test_gateway/test_allowancecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_allowancecontroller.py
@@ -109,6 +109,13 @@
         self.time += 60.0
         self.assertIn(self.admitted(20), range(1, 5))
 
+    def test_caller_comes_back_soon_if_a_share_does_not_cover_its_request(self):
+        # All daemons have just started, and none knows a coordinator yet.
+        self.readers = ()
+        self.admitted(5)
+        refused = self.controller.admit(self.workspace, ALLOWANCE, 5.0)
+        self.assertLessEqual(refused.retry_after_s, 0.5)
+
     def test_silent_coordinator_is_replaced(self):
         other = next(
             name for name in map(str, range(99)) if self.coordinator(name) == READERS[1]
