Large requests of a workspace over its allowance are not refused more than small ones

Cause: while the bucket is low a request was admitted only if all of its cost was left, and what was granted counted against it until the next report. Change: the level may become negative by one request, as for the limits of routes.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -47,8 +47,8 @@
 # Time constant of the spending by which shares are computed. A daemon of a large fleet
 # sends a request of one workspace only every few seconds.
 SHARE_WINDOW_S = 5.0
-# A daemon whose request exceeds the level does not ask again for at least and at most
-# this long. A hint is an estimate: other daemons ask for the same tokens.
+# While the bucket is empty, a daemon does not ask again for at least and at most this
+# long. A hint is an estimate: other daemons ask for the same tokens.
 MIN_RETRY_S = 0.1
 MAX_REFUSED_S = 0.5
 # A new coordinator starts a bucket with this fraction, unless a daemon knows the level.
@@ -158,7 +158,7 @@
     credit
         Amount that the daemon may spend beyond the reported total.
     retry_after_s
-        Seconds until the bucket holds the amount that was needed; 0 if it was granted.
+        Seconds until the bucket holds tokens again; 0 if the need was granted.
     share
         Fraction of the fleet's spending that this daemon had lately.
     level
@@ -209,11 +209,12 @@
             if credit <= level:
                 return Grant(credit, 0.0, share, level)
         available = level - self._reserved(now)
-        if report.need <= available:
+        # The level may become negative by one request, so that large requests are not
+        # refused more often than small ones.
+        if available > 0.0:
             known.reserved = report.need
             return Grant(report.need, 0.0, share, level)
-        wait_s = (report.need - available) / self.bucket.rate
-        return Grant(0.0, max(MIN_RETRY_S, wait_s), share, level)
+        return Grant(0.0, max(MIN_RETRY_S, -available / self.bucket.rate), share, level)
 
     def _adopt_level(self, report: SpendingReport, now: float) -> None:
         """Lower the level of a new account to what other daemons know of it."""
@@ -322,10 +323,10 @@
         Total up to which the credit covers requests.
     valid_until
         Time until which the credit may be used.
-    refused_until, refused_cost
-        Requests of this cost and more need not be asked for before that time.
+    refused_until
+        Time before which the coordinator need not be asked again.
     retry_at
-        Time at which the bucket should hold what was refused.
+        Time at which the bucket should hold tokens again.
     unreported_since
         Time of the first spending after the last report; None if there is none.
     share
@@ -338,7 +339,6 @@
         self.limit = 0.0
         self.valid_until = float("-inf")
         self.refused_until = float("-inf")
-        self.refused_cost = 0.0
         self.retry_at = float("-inf")
         self.unreported_since: float | None = None
         self.share = 0.0
@@ -350,7 +350,7 @@
         """Return whether the credit covers a request, or whether to ask for more."""
         if now < self.valid_until and self.total + cost <= self.limit:
             return Verdict.ADMIT
-        if now < self.refused_until and cost >= self.refused_cost:
+        if now < self.refused_until:
             return Verdict.REFUSE
         return Verdict.ASK
 
@@ -390,7 +390,6 @@
         self.answered_at = now
         self.fallback = None
         if grant.retry_after_s > 0.0:
-            self.refused_cost = report.need
             self.refused_until = now + min(MAX_REFUSED_S, grant.retry_after_s)
             self.retry_at = now + grant.retry_after_s
         else:
