--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -20,7 +20,6 @@
 import attrs
 
 from agaterail.limits import TokenBucket
-from agaterail.util.slidingsums import SlidingSums
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -35,13 +34,10 @@
 CREDIT_VALID_S = 1.5
 # A daemon reports its spending after this time at the latest.
 REPORT_DELAY_S = 0.3
-# Fraction of the tolerance by which the limits are enlarged. Sizes of requests vary, and
+# Fraction of the tolerance by which the burst is enlarged. Sizes of requests vary, and
 # a small workspace would be refused although its window has room. The rest covers
 # spending that was not reported yet.
-TOLERATED_FRACTION = 0.15
-# Fraction of the tolerance by which a single request may exceed what is left. If its whole
-# cost had to be left, large requests would be refused more often than small ones.
-DEBT_FRACTION = 0.4
+TOLERATED_BURST_FRACTION = 0.3
 # Without an answer of the coordinator, a daemon uses the rest of its last credit and then
 # its last share of the spending, for this long. After that it uses an equal share.
 LAST_GRANT_S = 2.0
@@ -121,48 +117,11 @@
             return 1.0
         return float(self.plain_tokens if stated_tokens is None else stated_tokens)
 
-    def limits(self, tolerance: Tolerance) -> FleetLimits:
-        """Return the limits that the coordinator enforces."""
+    def bucket_size(self, tolerance: Tolerance) -> float:
+        """Return the burst plus the part of the tolerance that callers may use."""
         allowed = self.rate_per_s * tolerance.window_s + self.burst
         tolerated = allowed * tolerance.overage + tolerance.slack
-        used = TOLERATED_FRACTION * tolerated
-        return FleetLimits(
-            rate_per_s=self.rate_per_s,
-            bucket_size=self.burst + used,
-            in_window=allowed + used,
-            debt=DEBT_FRACTION * tolerated,
-            window_s=tolerance.window_s,
-        )
-
-
-@attrs.frozen(kw_only=True)
-class FleetLimits:
-    """Limits of one workspace's spending over all daemons.
-
-    Attributes
-    ----------
-    rate_per_s
-        Rate of the allowance.
-    bucket_size
-        Amount that may be spent at once.
-    in_window
-        Amount that may be spent in any window.
-    debt
-        Amount by which one request may exceed what is left.
-    window_s
-        Length of the window in seconds.
-    """
-
-    rate_per_s: float
-    bucket_size: float
-    in_window: float
-    debt: float
-    window_s: float
-
-    @property
-    def refill_per_s(self) -> float:
-        """Return the rate at which the limit of the window can be used up evenly."""
-        return self.in_window / self.window_s
+        return self.burst + TOLERATED_BURST_FRACTION * tolerated
 
 
 @attrs.frozen
@@ -179,8 +138,8 @@
         Total at the last report that any coordinator answered.
     need
         Cost of the requests that are waiting for this report; 0 if none.
-    level, window_left
-        Amounts that were lately left in the bucket and in the window; None if not known.
+    level
+        Amount that was lately left in the bucket; None if that is not known.
     """
 
     workspace: str
@@ -188,7 +147,6 @@
     acknowledged: float
     need: float = 0.0
     level: float | None = None
-    window_left: float | None = None
 
 
 @attrs.frozen
@@ -203,15 +161,14 @@
         Seconds until the bucket holds tokens again; 0 if the need was granted.
     share
         Fraction of the fleet's spending that this daemon had lately.
-    level, window_left
-        Amounts left in the bucket and in the window.
+    level
+        Amount left in the bucket, for the log.
     """
 
     credit: float
     retry_after_s: float
     share: float
     level: float
-    window_left: float = math.inf
 
 
 @attrs.define
@@ -229,79 +186,42 @@
 
 
 class LedgerAccount:
-    """Spending of one workspace, and the credits that daemons have of its limits.
-
-    A bucket spreads the spending, and a sliding window holds it within the limit. The
-    bucket refills as fast as the window allows on average.
+    """Bucket of one workspace, and the credits that daemons have of it."""
 
-    Attributes
-    ----------
-    opened_at
-        Time since which this account has seen all spending. For a while after it, daemons
-        may know lower amounts than it has.
-    left_at_open
-        What was left in the window at that time.
-    """
-
-    def __init__(self, limits: FleetLimits, level: float, left: float, now: float) -> None:
-        self.limits = limits
-        self.bucket = TokenBucket(limits.refill_per_s, now, limits.bucket_size)
-        self.bucket.level = min(limits.bucket_size, level)
-        self.window = SlidingSums(limits.window_s)
+    def __init__(self, bucket: TokenBucket, now: float) -> None:
+        self.bucket = bucket
+        # For a while after this, daemons may know lower levels than this account has.
         self.opened_at = self.used_at = now
-        self.left_at_open = left
         self.daemons: dict[str, _Daemon] = {}
 
     def settle(self, daemon: str, report: SpendingReport, now: float) -> Grant:
         """Charge what a daemon has spent and return its new credit."""
-        if now - self.used_at > ACCOUNT_VALID_S:
-            self.left_at_open = self._window_left(now)
-            self.window = SlidingSums(self.limits.window_s)
-            self.opened_at = now
         self.used_at = now
         self.bucket.refill(now)
-        self._adopt_amounts(report, now)
+        self._adopt_level(report, now)
         known = self._record(daemon, report, now)
         share = self._share(known, now)
         known.reserved = 0.0
-        level, window_left = self.bucket.level, self._window_left(now)
-        left = min(level, window_left)
-        if left >= AMPLE_FRACTION * self.bucket.burst:
+        level = self.bucket.level
+        if level >= AMPLE_FRACTION * self.bucket.burst:
             fraction = min(MAX_CREDIT_FRACTION, OVERLAP / self._count_active(now))
-            credit = max(report.need, fraction * left)
-            if credit <= left:
-                return Grant(credit, 0.0, share, level, window_left)
-        available = left - self._reserved(now)
-        missing = max(-available, report.need - self.limits.debt - available)
-        if missing <= 0.0:
+            credit = max(report.need, fraction * level)
+            if credit <= level:
+                return Grant(credit, 0.0, share, level)
+        available = level - self._reserved(now)
+        # The level may become negative by one request, so that large requests are not
+        # refused more often than small ones.
+        if available > 0.0:
             known.reserved = report.need
-            return Grant(report.need, 0.0, share, level, window_left)
-        wait_s = max(MIN_RETRY_S, missing / self.bucket.rate)
-        return Grant(0.0, wait_s, share, level, window_left)
-
-    def set_limits(self, limits: FleetLimits, now: float) -> None:
-        """Change the limits; windows that began under a higher limit may still use it."""
-        if limits.in_window < self.limits.in_window:
-            self.window = SlidingSums(limits.window_s)
-            self.opened_at = now
-            self.left_at_open = limits.bucket_size
-        self.limits = limits
-        self.bucket.set_rate(limits.refill_per_s, now, limits.bucket_size)
-
-    def _window_left(self, now: float) -> float:
-        self.window.expire(now)
-        limits = self.limits
-        since_open = self.left_at_open + limits.rate_per_s * (now - self.opened_at)
-        return min(limits.in_window, since_open) - self.window.count
-
-    def _adopt_amounts(self, report: SpendingReport, now: float) -> None:
-        """Lower the amounts of a new account to what daemons know of them."""
+            return Grant(report.need, 0.0, share, level)
+        return Grant(0.0, max(MIN_RETRY_S, -available / self.bucket.rate), share, level)
+
+    def _adopt_level(self, report: SpendingReport, now: float) -> None:
+        """Lower the level of a new account to what other daemons know of it."""
         age_s = now - self.opened_at
-        if age_s > LEVEL_VALID_S or report.level is None or report.window_left is None:
-            return
-        self.bucket.level = min(self.bucket.level, report.level + self.bucket.rate * age_s)
-        left_at_open = report.window_left + self.window.count
-        self.left_at_open = min(self.left_at_open, left_at_open)
+        if report.level is not None and age_s <= LEVEL_VALID_S:
+            known = report.level + self.bucket.rate * age_s
+            self.bucket.level = min(self.bucket.level, known)
 
     def _record(self, daemon: str, report: SpendingReport, now: float) -> _Daemon:
         known = self.daemons.get(daemon)
@@ -312,7 +232,6 @@
         spent = report.total - known.total
         self.bucket.charge(spent)
         self.bucket.refund(0.0)
-        self.window.add(0.0, round(spent), now)
         known.recent = known.recent_at(now) + max(0.0, spent)
         known.total = report.total
         known.seen_at = now
@@ -354,24 +273,27 @@
         self, daemon: str, report: SpendingReport, allowance: Allowance, now: float
     ) -> Grant:
         """Charge what a daemon has spent and return its new credit."""
-        limits = allowance.limits(self.tolerance)
+        size = allowance.bucket_size(self.tolerance)
         account = self.accounts.get(report.workspace)
         if account is None:
-            account = self._open(limits, report, now)
-            self.accounts[report.workspace] = account
-        elif account.limits != limits:
-            account.set_limits(limits, now)
+            bucket = self._new_bucket(allowance.rate_per_s, size, report.level, now)
+            account = self.accounts[report.workspace] = LedgerAccount(bucket, now)
+        elif now - account.used_at > ACCOUNT_VALID_S:
+            account.opened_at = now
+        if (account.bucket.rate, account.bucket.burst) != (allowance.rate_per_s, size):
+            account.bucket.set_rate(allowance.rate_per_s, now, size)
         return account.settle(daemon, report, now)
 
-    def _open(self, limits: FleetLimits, report: SpendingReport, now: float) -> LedgerAccount:
-        if report.level is not None and report.window_left is not None:
-            # What daemons have spent since then is not reported yet.
-            left = report.window_left - limits.rate_per_s * LEVEL_VALID_S
-            return LedgerAccount(limits, report.level, left, now)
-        # Nobody knows what was spent before this daemon was responsible.
-        left = START_FRACTION * limits.bucket_size
-        left += limits.rate_per_s * max(0.0, now - self.responsible_since)
-        return LedgerAccount(limits, left, left, now)
+    def _new_bucket(
+        self, rate_per_s: float, size: float, known_level: float | None, now: float
+    ) -> TokenBucket:
+        if known_level is None:
+            bucket = TokenBucket(rate_per_s, self.responsible_since, size)
+            bucket.level = START_FRACTION * size
+        else:
+            bucket = TokenBucket(rate_per_s, now, size)
+            bucket.level = min(size, known_level)
+        return bucket
 
     def keep_only(self, workspaces: Collection[str], now: float) -> None:
         """Drop the other accounts, which another coordinator may have kept lately."""
@@ -422,16 +344,8 @@
         self.share = 0.0
         self.answered_at = float("-inf")
         self.level: float | None = None
-        self.window_left: float | None = None
         self.fallback: TokenBucket | None = None
 
-    @property
-    def left(self) -> float | None:
-        """Return what the fleet had left as of the last answer; None if not known."""
-        if self.level is None or self.window_left is None:
-            return None
-        return min(self.level, self.window_left)
-
     def check(self, cost: float, now: float) -> Verdict:
         """Return whether the credit covers a request, or whether to ask for more."""
         if now < self.valid_until and self.total + cost <= self.limit:
@@ -458,15 +372,8 @@
     def report(self, workspace: str, now: float, need: float = 0.0) -> SpendingReport:
         """Return a report of the spending so far."""
         self.unreported_since = None
-        is_recent = now - self.answered_at <= LEVEL_VALID_S
-        return SpendingReport(
-            workspace,
-            self.total,
-            self.acknowledged,
-            need,
-            level=self.level if is_recent else None,
-            window_left=self.window_left if is_recent else None,
-        )
+        level = self.level if now - self.answered_at <= LEVEL_VALID_S else None
+        return SpendingReport(workspace, self.total, self.acknowledged, need, level)
 
     def record_unanswered(self, report: SpendingReport, now: float) -> None:
         """Record that a report may not have arrived."""
@@ -479,7 +386,7 @@
         self.limit = report.total + grant.credit
         self.valid_until = sent_at + CREDIT_VALID_S
         self.share = grant.share
-        self.level, self.window_left = grant.level, grant.window_left
+        self.level = grant.level
         self.answered_at = now
         self.fallback = None
         if grant.retry_after_s > 0.0:
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -122,7 +122,7 @@
 
     def admit(self, workspace: str, allowance: Allowance, cost: float) -> OverAllowance | None:
         """Charge a request; return why it is not covered, or None if it is."""
-        if cost > allowance.limits(self.tolerance).bucket_size:
+        if cost > max(allowance.burst, allowance.bucket_size(self.tolerance)):
             return OverAllowance(
                 f"The request costs {cost:.0f} {allowance.unit.value}, more than the burst"
                 f" of {allowance.burst:.0f}.",
@@ -291,7 +291,6 @@
             "Allowance exhausted." if exhausted else "Allowance available.",
             workspace=workspace,
             level=None if credit.level is None else round(credit.level),
-            window_left=None if credit.window_left is None else round(credit.window_left),
             share=round(credit.share, 4),
             age_s=round(min(3600.0, self.now() - credit.answered_at), 3),
             coordinator=self._coordinator(workspace),
@@ -300,7 +299,7 @@
     def _describe(
         self, allowance: Allowance, credit: WorkspaceCredit, cost: float, now: float
     ) -> str:
-        level = "unknown" if credit.left is None else f"{credit.left:.0f}"
+        level = "unknown" if credit.level is None else f"{credit.level:.0f}"
         age_s = min(3600.0, now - credit.answered_at)
         source = f"share {credit.share:.4f}" if credit.fallback else "coordinator"
         return (
@@ -313,7 +312,7 @@
     """Return the path and query string of a daemon's reports."""
     pairs = [f"daemon={quote(daemon, safe='')}"]
     for item in reports:
-        values = (item.total, item.acknowledged, item.need, item.level, item.window_left)
+        values = (item.total, item.acknowledged, item.need, item.level)
         numbers = ":".join("" if value is None else f"{value:.0f}" for value in values)
         pairs.append(f"r={quote(item.workspace, safe='')}:{numbers}")
     return f"{PATH.decode()}?" + "&".join(pairs)
@@ -335,11 +334,11 @@
     for pair in rest:
         name, _, value = pair.partition("=")
         workspace, *numbers = value.split(":")
-        if name != "r" or len(numbers) != 5:
+        if name != "r" or len(numbers) != 4:
             raise ValueError("report is malformed")
-        amounts = map(_parse_amount, numbers[:3])
-        left = (_parse_amount(number) if number else None for number in numbers[3:])
-        reports.append(SpendingReport(unquote(workspace), *amounts, *left))
+        total, acknowledged, need = map(_parse_amount, numbers[:3])
+        level = _parse_amount(numbers[3]) if numbers[3] else None
+        reports.append(SpendingReport(unquote(workspace), total, acknowledged, need, level))
     return unquote(daemon), reports
 
 
