A coordinator that hears of a part of the fleet grants a part of the allowance

Cause: hosts that lose the platform's store keep the former list of readers, and the host that keeps the store counts itself as the whole fleet; two coordinators granted the rate at once for seconds. Change: daemons make contact with the coordinators they know twice a second; one that hears of half of the fleet or less grants that part. The size of the fleet is the largest of the last 15 s. Bucket, start and share use smaller parts of the tolerance.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -37,13 +37,13 @@
 # Fraction of the tolerance by which the burst is enlarged. Sizes of requests vary, and
 # a small workspace would be refused although its window has room. The rest covers
 # spending that was not reported yet.
-TOLERATED_BURST_FRACTION = 0.3
+TOLERATED_BURST_FRACTION = 0.1
 # Without an answer of the coordinator, a daemon uses the rest of its last credit and then
 # its last share of the spending, for this long. After that it uses an equal share.
 LAST_GRANT_S = 2.0
 # Fraction of the last share that it uses: the coordinator may be away for this daemon
 # alone, and grants the others the whole rate.
-LAST_SHARE_FRACTION = 0.5
+LAST_SHARE_FRACTION = 0.3
 # Time constant of the spending by which shares are computed. A daemon of a large fleet
 # sends a request of one workspace only every few seconds.
 SHARE_WINDOW_S = 5.0
@@ -52,12 +52,15 @@
 MIN_RETRY_S = 0.1
 MAX_REFUSED_S = 0.5
 # A new coordinator starts a bucket with this fraction, unless a daemon knows the level.
-START_FRACTION = 0.2
+START_FRACTION = 0.1
 # A level that the former coordinator told is known for this long.
 LEVEL_VALID_S = 1.0
 # Another coordinator may have taken the place of one whose account was not used for this
 # long.
 ACCOUNT_VALID_S = 1.0
+# A daemon that takes this one for a coordinator makes contact more often than this.
+CONTACT_VALID_S = 1.5
+MAJORITY = 0.5
 # The coordinator forgets a daemon that has not reported for this long.
 FORGET_S = 20.0
 
@@ -259,6 +262,9 @@
 
     Attributes
     ----------
+    heard_at
+        Time of the last contact of each daemon that takes this one for a coordinator, in
+        the order of these times.
     responsible_since
         Time since which this daemon coordinates its current workspaces. Another
         coordinator may have granted more before it.
@@ -267,12 +273,55 @@
     def __init__(self, tolerance: Tolerance) -> None:
         self.tolerance = tolerance
         self.accounts: dict[str, LedgerAccount] = {}
+        self.heard_at: dict[str, float] = {}
         self.responsible_since = 0.0
 
+    def record_contact(self, daemon: str, now: float) -> None:
+        """Record that a daemon takes this one for a coordinator."""
+        self.heard_at.pop(daemon, None)
+        self.heard_at[daemon] = now
+
+    def fleet_fraction(self, daemons: float, now: float) -> float:
+        """Return the fraction of an allowance that this daemon may grant.
+
+        Daemons that know different coordinators do not exceed an allowance together: the
+        coordinator of at least half of the fleet grants all of it, and any other the
+        part of the daemons that it hears of.
+
+        Parameters
+        ----------
+        daemons
+            Number of daemons in the fleet.
+        """
+        while self.heard_at:
+            oldest = next(iter(self.heard_at))
+            if now - self.heard_at[oldest] <= CONTACT_VALID_S:
+                break
+            del self.heard_at[oldest]
+        heard = max(1, len(self.heard_at)) / max(1.0, daemons)
+        return 1.0 if heard > MAJORITY else heard
+
     def settle(
-        self, daemon: str, report: SpendingReport, allowance: Allowance, now: float
+        self,
+        daemon: str,
+        report: SpendingReport,
+        allowance: Allowance,
+        now: float,
+        fraction: float = 1.0,
     ) -> Grant:
-        """Charge what a daemon has spent and return its new credit."""
+        """Charge what a daemon has spent and return its new credit.
+
+        Parameters
+        ----------
+        fraction
+            Fraction of the allowance that this daemon may grant.
+        """
+        if fraction < 1.0:
+            allowance = attrs.evolve(
+                allowance,
+                rate_per_s=allowance.rate_per_s * fraction,
+                burst=allowance.burst * fraction,
+            )
         size = allowance.bucket_size(self.tolerance)
         account = self.accounts.get(report.workspace)
         if account is None:
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -39,6 +39,8 @@
 # A caller whose request a share does not cover comes back after this time at the latest; a
 # coordinator is likely to answer by then.
 MAX_SHARE_RETRY_S = 0.5
+CONTACT_PERIOD_S = 0.5
+FLEET_SIZE_VALID_S = 15.0
 # Peers replace a coordinator that pauses for longer than this.
 MAX_PAUSE_S = 0.5
 # Daemons estimate the size of the fleet differently and know lists of readers of
@@ -87,6 +89,8 @@
         Returns the number of daemons in the fleet.
     number
         Returns a random number from 0 to 1.
+    has_allowances
+        Returns whether any workspace has an allowance.
     """
 
     period_s = PERIOD_S
@@ -101,6 +105,7 @@
         daemons: Callable[[], float],
         now: Callable[[], float],
         number: Callable[[], float],
+        has_allowances: Callable[[], bool] = lambda: True,
     ) -> None:
         self.name = name
         self.own_address = own_address
@@ -110,6 +115,7 @@
         self.daemons = daemons
         self.now = now
         self.number = number
+        self.has_allowances = has_allowances
         self.ledger = FleetLedger(tolerance)
         self.known_readers: frozenset[str] = frozenset()
         self.credits: dict[str, WorkspaceCredit] = {}
@@ -119,6 +125,9 @@
         self.exhausted: set[str] = set()
         self.messages = 0
         self.stepped_at = now()
+        self.contact_at = 0.0
+        self.fleet_size = 0.0
+        self.sized_at = 0.0
 
     def admit(self, workspace: str, allowance: Allowance, cost: float) -> OverAllowance | None:
         """Charge a request; return why it is not covered, or None if it is."""
@@ -154,6 +163,7 @@
             self.ledger.keep_only((), now)
         self.stepped_at = now
         self._follow_readers(now)
+        self._make_contact(now)
         due: dict[str, list[str]] = {}
         for workspace, credit in self.credits.items():
             if credit.is_report_due(now) and not self.locks[workspace].locked():
@@ -175,8 +185,29 @@
         """
         daemon, reports = decode_query(query)
         now = self.now()
+        self.ledger.record_contact(daemon, now)
         return msgspec.msgpack.encode([self._settle(daemon, item, now) for item in reports])
 
+    def _make_contact(self, now: float) -> None:
+        """Tell the coordinators from time to time that this daemon takes them for such."""
+        self.ledger.record_contact(self.name, now)
+        if now < self.contact_at or not self.has_allowances():
+            return
+        self.contact_at = now + CONTACT_PERIOD_S
+        for address in self.readers()[:COORDINATORS]:
+            if address != self.own_address:
+                gevent.spawn(self._call, address, (), now)
+
+    def _fleet_size(self, now: float) -> float:
+        """Return the largest size of the fleet lately.
+
+        Daemons that lose the platform's store lose their membership, but not their callers.
+        """
+        daemons = self.daemons()
+        if daemons >= self.fleet_size or now - self.sized_at > FLEET_SIZE_VALID_S:
+            self.fleet_size, self.sized_at = daemons, now
+        return self.fleet_size
+
     def _credit(self, workspace: str) -> WorkspaceCredit:
         credit = self.credits.get(workspace)
         if credit is None:
@@ -281,7 +312,8 @@
         allowance = self.allowance_of(report.workspace)
         if allowance is None or not self._coordinates(report.workspace):
             return None
-        return self.ledger.settle(daemon, report, allowance, now)
+        fraction = self.ledger.fleet_fraction(self._fleet_size(now), now)
+        return self.ledger.settle(daemon, report, allowance, now, fraction)
 
     def _log_change(self, workspace: str, credit: WorkspaceCredit, exhausted: bool) -> None:
         if exhausted == (workspace in self.exhausted):
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -121,6 +121,9 @@
             daemons=lambda: self.rules.daemons,
             now=self.now,
             number=self.random.random,
+            has_allowances=lambda: (
+                self.state.desired is not None and self.state.desired.has_allowances
+            ),
         )
         self.feeds.peer_responder.handlers[allowancecontroller.PATH] = self.allowances.answer
         self.readiness = make_readiness_server(
--- a/agaterail/gateway/desired.py
+++ b/agaterail/gateway/desired.py
@@ -174,6 +174,11 @@
         """Return whether requests need an API key."""
         return bool(self.workspaces)
 
+    @property
+    def has_allowances(self) -> bool:
+        """Return whether any workspace has an allowance."""
+        return any(item.allowance is not None for item in self.workspaces)
+
     def match(self, host: str, path: bytes) -> Route | None:
         """Return the route whose prefix is the longest match of the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/tests/test_agaterail/test_decisions/test_allowances.py
+++ b/tests/test_agaterail/test_decisions/test_allowances.py
@@ -201,7 +201,7 @@
 
     def test_new_coordinator_starts_with_a_part_of_the_burst(self):
         self.ledger.keep_only((), 99.0)
-        self.assertEqual(self.settle("a", 0.0).level, 30.0)
+        self.assertEqual(self.settle("a", 0.0).level, 20.0)
 
     def test_new_coordinator_starts_with_the_level_that_a_daemon_knows(self):
         self.ledger.keep_only((), 100.0)
@@ -222,6 +222,18 @@
         self.allowance = Allowance(rate_per_s=1.0, burst=10.0)
         self.assertEqual(self.settle("a", 0.0).level, 10.0)
 
+    def test_coordinators_of_two_parts_of_the_fleet_share_the_allowance(self):
+        # Daemons knew different lists of readers, and two coordinators granted all of it.
+        granted = 0.0
+        for size in (4, 6):
+            ledger = FleetLedger(Tolerance(window_s=8.0))
+            for number in range(size):
+                ledger.record_contact(str(number), 100.0)
+            granted += ledger.fleet_fraction(10.0, 100.0)
+        self.assertLessEqual(granted, 1.4)
+        self.assertEqual(ledger.fleet_fraction(10.0, 100.0), 1.0)
+        self.assertEqual(ledger.fleet_fraction(10.0, 110.0), 0.1)
+
     def test_share_follows_the_spending(self):
         self.settle("a", 30.0)
         self.settle("b", 10.0)
@@ -269,7 +281,9 @@
 
     def test_fallback_keeps_the_last_share_for_a_while(self):
         self.apply(Grant(0.0, 0.0, 0.5, 100.0))
-        self.assertEqual(self.credit.take_fallback(30.0, self.allowance, 50.0, 1.0, 1.0), 12.4)
+        self.assertEqual(
+            self.credit.take_fallback(30.0, self.allowance, 50.0, 1.0, 1.0), 31.0 / 1.5
+        )
 
     def test_fallback_uses_the_rest_of_the_last_credit(self):
         self.apply(Grant(3.0, 0.0, 0.5, 100.0))
--- a/tests/test_agaterail/test_gateway/test_allowancecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_allowancecontroller.py
@@ -47,13 +47,14 @@
     def setUp(self):
         self.time = 100.0
         self.readers = ()
+        self.daemons = 1.0
         self.controller = AllowanceController(
             name="h.1",
             own_address=READERS[0],
             tolerance=Tolerance(window_s=8.0),
             readers=lambda: self.readers,
             allowance_of=lambda _name: ALLOWANCE,
-            daemons=lambda: 4.0,
+            daemons=lambda: self.daemons,
             now=lambda: self.time,
             number=lambda: 0.5,
         )
@@ -83,6 +84,15 @@
         self.controller.step()
         self.assertLessEqual(self.admitted(20), 2)
 
+    def test_a_coordinator_that_hears_of_few_daemons_grants_their_part(self):
+        # The platform's store counts one daemon only, as the others cannot reach it.
+        self.daemons = 10.0
+        self.pass_time(60.0)
+        self.controller.admit(self.workspace, ALLOWANCE, 1.0)
+        self.daemons = 1.0
+        self.pass_time(10.0)
+        self.assertLessEqual(self.admitted(20), 2)
+
     def test_burst_is_admitted_and_the_rest_gets_a_hint(self):
         self.pass_time(60.0)
         self.assertEqual(self.admitted(20), 10)
@@ -106,7 +116,7 @@
         self.assertIn("more than the burst of 10", refused.detail)
 
     def test_share_decides_without_readers(self):
-        self.readers = ()
+        self.readers, self.daemons = (), 4.0
         self.assertEqual(self.admitted(5), 1)
         self.time += 60.0
         self.assertIn(self.admitted(20), range(1, 5))
