--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 import socket
 
 import attrs
@@ -21,6 +22,8 @@
 HOST = "h.example"
 MODEL = "m1"
 PLAIN, LLM = "plain-service", "llm-service"
+# Below the range of ephemeral ports, and apart from that of the soak's gateways.
+PORTS = range(5_000, 10_000)
 BOUNDS = Bounds(
     config_s=2.0,
     revoke_s=5.0,
@@ -34,9 +37,15 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free port that no outgoing connection takes before a daemon binds it."""
+    while True:
+        port = secrets.choice(PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # in use; draw another port
+        return port
 
 
 def route_row(name, prefix, service, kind, **fields):
