Allowances: one clamp in the bucket, and no scan of all workspaces ten times a second

Found by reading the change again: a daemon without allowances looked through all workspaces each 0.1 s; the desired state derives it once now. TokenBucket.charge keeps the level within the burst, so that refund uses it and the ledger calls no refund of nothing. A counter of messages that nothing read is gone. Same behaviour.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -234,7 +234,6 @@
             known = self.daemons[daemon] = _Daemon(report.acknowledged, seen_at=now)
         spent = report.total - known.total
         self.bucket.charge(spent)
-        self.bucket.refund(0.0)
         known.recent = known.recent_at(now) + max(0.0, spent)
         known.total = report.total
         known.seen_at = now
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -123,7 +123,6 @@
         self.peers = ConnectionsByAddress(ASK_TIMEOUT_S)
         self.backoff_until: dict[str, float] = {}
         self.exhausted: set[str] = set()
-        self.messages = 0
         self.stepped_at = now()
         self.contact_at = 0.0
         self.fleet_size = 0.0
@@ -286,7 +285,6 @@
     ) -> list[Grant | None]:
         if now < self.backoff_until.get(coordinator, 0.0):
             return []
-        self.messages += 1
         called = self.peers.to(coordinator).call(
             "GET", encode_query(self.name, reports), timeout_s=ASK_TIMEOUT_S
         )
--- a/agaterail/gateway/desired.py
+++ b/agaterail/gateway/desired.py
@@ -155,6 +155,7 @@
     routes_by_host: dict[str, list[Route]] = attrs.field(init=False)
     workspace_by_key: dict[str, Workspace] = attrs.field(init=False)
     workspace_by_name: dict[str, Workspace] = attrs.field(init=False)
+    has_allowances: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Index routes by host, longest prefix first, and workspaces by key."""
@@ -168,17 +169,14 @@
         object.__setattr__(self, "workspace_by_key", by_key)
         by_name = {item.name: item for item in self.workspaces}
         object.__setattr__(self, "workspace_by_name", by_name)
+        limited = any(item.allowance is not None for item in self.workspaces)
+        object.__setattr__(self, "has_allowances", limited)
 
     @property
     def has_workspaces(self) -> bool:
         """Return whether requests need an API key."""
         return bool(self.workspaces)
 
-    @property
-    def has_allowances(self) -> bool:
-        """Return whether any workspace has an allowance."""
-        return any(item.allowance is not None for item in self.workspaces)
-
     def match(self, host: str, path: bytes) -> Route | None:
         """Return the route whose prefix is the longest match of the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/agaterail/limits.py
+++ b/agaterail/limits.py
@@ -53,12 +53,12 @@
         return 0.0
 
     def charge(self, amount: float) -> None:
-        """Take tokens that are spent already, whether there are any or not."""
-        self.level -= amount
+        """Take tokens that are spent already; a negative amount returns some."""
+        self.level = min(self.burst, self.level - amount)
 
     def refund(self, amount: float) -> None:
         """Return the tokens of a request that did not run."""
-        self.level = min(self.burst, self.level + amount)
+        self.charge(-amount)
 
     def refill(self, now: float) -> None:
         """Add the tokens of the time since the last refill."""
