Targets: record and log the limit that a target names in its answers

Nothing acts on it yet. An answer without a limit ends it only if its request was sent after the last naming, as answers on different connections overtake each other.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -35,6 +35,8 @@
         Whether an event of the stream was relayed.
     last_event_at
         Time of the latest event.
+    sent_at
+        Time at which the request was sent.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.has_events = False
         self.last_event_at = 0.0
         self.is_open = True
+        self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
         self.target.in_flight += 1
         self._begin_prefill()
@@ -85,6 +88,9 @@
         if self.head is None:
             self.head = self.connection.read_head(self.context.inbound.request_id, deadline)
             self._record_weights(self.head)
+            self.daemon.notices.record(
+                self.target, self.head, self.sent_at, self.context.inbound.request_id
+            )
         return self.head
 
     def read_rest(self, deadline: float) -> bytes:
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -35,6 +35,7 @@
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.shedding import LoadShedder
 from agaterail.gateway.state import GatewayState
+from agaterail.gateway.targetnotices import TargetNotices
 from agaterail.gateway.targets import TargetRegistry
 from agaterail.gateway.weightscontroller import WeightsController
 from agaterail.platform import names, requests
@@ -94,6 +95,7 @@
         )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
+        self.notices = TargetNotices(self.now)
         self.shedders: dict[str, LoadShedder] = {}
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -122,6 +122,11 @@
         Seconds for which the target keeps an idle connection open; None if not given.
     weights_version
         Weights version that produced the answer; None if not given.
+    rate_limit_per_s
+        Requests per second that the target takes from all daemons together; None if it
+        names no limit.
+    malformed
+        What the target says of itself that cannot be read; empty if nothing.
     """
 
     status: int
@@ -133,3 +138,5 @@
     retry_after_s: float | None = None
     weights_version: int | None = None
     instance: str = ""
+    rate_limit_per_s: float | None = None
+    malformed: str = ""
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agaterail.decisions.ratelimits import RateLimit
+
 # Exponential backoff of a failing target. 250 ms is half of the shortest objective of a
 # stream: one request soon retries the target, and the others use different ones
 # meanwhile.
@@ -61,6 +63,8 @@
         Time at which a cordoned target should have loaded.
     heard_at
         Time at which bytes last arrived from it on any connection.
+    rate_limit
+        Limit that it names in its answers; None if it names none.
     lapsed_at
         Time at which its registration was found missing shortly after an outage of the
         store; None if it is present.
@@ -76,6 +80,7 @@
     cordoned_at: float | None = None
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
+    rate_limit: RateLimit | None = None
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -27,6 +27,7 @@
 INSTANCE = b"instance-id"
 WEIGHTS_VERSION = b"weight-versions"  # a single integer despite the plural
 RETRY_AFTER = b"retry-after"
+RATE_LIMIT = b"server-limit"  # requests per second from all hosts together
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -11,14 +11,16 @@
 from agaterail.platform import names
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from agaterail.gateway.inbound import AttemptHead, InboundRequest
 
 PROMPT_PART = re.compile(r"([0-9A-Fa-f]+):(\d{1,12})")
 DECIMAL = re.compile(rb"\d{1,15}")
+DECIMAL_FRACTION = re.compile(rb"\d{1,6}(\.\d{1,9})?")
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 S_PER_MS = 1e-3
+MAX_SHOWN = 40  # characters of a malformed value
 
 
 def decode_request(inbound: InboundRequest) -> Result[InboundRequest, str]:
@@ -88,6 +90,7 @@
     )
     keep_alive = KEEP_ALIVE_TIMEOUT.search(by_name.get(names.KEEP_ALIVE, b"").lower())
     version = by_name.get(names.WEIGHTS_VERSION, b"").strip()
+    rate_limit, malformed = _decode_rate_limit(by_name, headers)
     return AnswerHead(
         status=status,
         not_run=names.NOT_RUN in by_name or status == 421,
@@ -98,6 +101,8 @@
         retry_after_s=_parse_retry_after(by_name.get(names.RETRY_AFTER)),
         weights_version=int(version) if DECIMAL.fullmatch(version) else None,
         instance=by_name.get(names.INSTANCE, b"").decode("latin-1"),
+        rate_limit_per_s=rate_limit,
+        malformed=malformed,
     )
 
 
@@ -145,6 +150,19 @@
     return Success(inbound)
 
 
+def _decode_rate_limit(
+    by_name: Mapping[bytes, bytes], headers: Sequence[tuple[bytes, bytes]]
+) -> tuple[float | None, str]:
+    """Return the requests per second that a target names, and what is malformed of it."""
+    value = by_name.get(names.RATE_LIMIT)
+    if value is None:
+        return None, ""
+    values = {value.strip() for name, value in headers if name.lower() == names.RATE_LIMIT}
+    if len(values) > 1 or not DECIMAL_FRACTION.fullmatch(value.strip()):
+        return None, f"rate limit {b', '.join(sorted(values)).decode('latin-1')[:MAX_SHOWN]!r}"
+    return float(value), ""
+
+
 def _parse_retry_after(value: bytes | None) -> float | None:
     try:
         return None if value is None else float(value)
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_targetnotices.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from agaterail.gateway import targetnotices
+from agaterail.gateway.targetnotices import TargetNotices
+from agaterail.gateway.targets import Registration, Target
+from agaterail.platform.requests import decode_answer_head
+
+
+class TargetNoticesTest(unittest.TestCase):
+    def setUp(self):
+        self.time = 100.0
+        self.notices = TargetNotices(lambda: self.time)
+        registration = Registration(
+            instance="t-1", service="s", address="10.0.0.1:1", domain="z1", ready=True
+        )
+        self.target = Target(registration=registration)
+
+    def record(self, *headers, status=200):
+        head = decode_answer_head(status, headers)
+        with mock.patch.object(targetnotices.logger, "info") as info:
+            self.notices.record(self.target, head, sent_at=self.time - 0.1, request_id="r1")
+        return [call.args[0] for call in info.call_args_list]
+
+    def limit(self):
+        limit = self.target.rate_limit
+        return None if limit is None else limit.rate_per_s
+
+    def test_each_change_of_a_limit_is_logged_once(self):
+        self.assertEqual(self.record((b"Server-Limit", b"1.6")), ["Target named a limit."])
+        self.assertEqual(self.record((b"Server-Limit", b"1.6")), [])
+        self.assertEqual(self.record((b"Server-Limit", b"2")), ["Target named a limit."])
+        self.time += 1.0
+        self.assertEqual(self.record(), ["Limit of a target ended."])
+        self.assertEqual(self.record(), [])
+
+    def test_malformed_limit_leaves_the_former_in_force(self):
+        self.record((b"Server-Limit", b"1.6"))
+        malformed = [b"", b"-1", b"nan", b"inf", b"1e12", b"1000000000000", b"\xff", b"1,6"]
+        for value in malformed:
+            with self.subTest(value):
+                self.record((b"Server-Limit", value))
+                self.assertEqual(self.limit(), 1.6)
+        self.record((b"Server-Limit", b"1"), (b"server-limit", b"2"))
+        self.assertEqual(self.limit(), 1.6)
+
+    def test_malformed_notices_are_logged_once(self):
+        lines = [self.record((b"Server-Limit", b"-1")) for _ in range(3)]
+        self.assertEqual(lines, [["Ignored a malformed notice of a target."], [], []])
+
+    def test_answer_of_another_instance_is_ignored(self):
+        self.record((b"Server-Limit", b"1.6"), (b"Instance-Id", b"t-2"), status=421)
+        self.assertIsNone(self.limit())
