--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -44,7 +44,12 @@
     ``doubled`` sends every answer to a plain request twice, and ``pause_before``
     sends nothing for ``pause_s`` before the event with that number, or before
     the head of the answer if 0. With ``newer_each_time``, each request for other
-    weights is refused and followed by a load.
+    weights is refused and followed by a load. ``rate_limit`` is named in all answers.
+
+    Attributes
+    ----------
+    arrivals
+        Times at which requests arrived, also those that were refused.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
@@ -62,6 +67,8 @@
         self.pause_s = 1.3
         self.on_loaded: Callable[[], object] = lambda: None
         self.newer_each_time = False
+        self.rate_limit: float | None = None
+        self.arrivals: list[float] = []
         self.loading = False
         self.orders = 0
         self.fence = -1
@@ -134,6 +141,7 @@
             return self._send(sock, 421, {"Instance-Id": self.instance})
         if path == "/agaterail/order":
             return self._send(sock, self._order(json.loads(body)), {})
+        self.arrivals.append(time.monotonic())
         version = headers.get("expect-version")
         if version not in (None, str(self.version)):
             held = self.version
@@ -177,7 +185,7 @@
             "Transfer-Encoding": "chunked",
         }
         head["Weight-Versions"] = str(self.version)
-        sock.sendall(_head(200, head))
+        sock.sendall(self._head(200, head))
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_s)
             if self.pause_before == number and self._client_disconnects(sock, run):
@@ -241,11 +249,12 @@
         self, sock: socket.socket, status: int, headers: dict[str, str], body: bytes = b""
     ) -> bool:
         all_headers = {**headers, "Content-Length": str(len(body))}
-        sock.sendall(_head(status, all_headers) + body)
+        sock.sendall(self._head(status, all_headers) + body)
         return True
 
-
-def _head(status: int, headers: dict[str, str]) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    def _head(self, status: int, headers: dict[str, str]) -> bytes:
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if self.rate_limit is not None:
+            lines.append(f"Server-Limit: {self.rate_limit}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
