Coordinators: select and call them apart from the allowances that use them

The choice of a coordinator, its replacement, contacts and the fraction of the fleet that it hears of move from the controller and the ledger of allowances to parts of their own; their tests move along, with the same assertions.

--- a/agaterail/decisions/allowances.py
+++ b/agaterail/decisions/allowances.py
@@ -58,9 +58,6 @@
 # Another coordinator may have taken the place of one whose account was not used for this
 # long.
 ACCOUNT_VALID_S = 1.0
-# A daemon that takes this one for a coordinator makes contact more often than this.
-CONTACT_VALID_S = 1.5
-MAJORITY = 0.5
 # The coordinator forgets a daemon that has not reported for this long.
 FORGET_S = 20.0
 
@@ -261,9 +258,6 @@
 
     Attributes
     ----------
-    heard_at
-        Time of the last contact of each daemon that takes this one for a coordinator, in
-        the order of these times.
     responsible_since
         Time since which this daemon coordinates its current workspaces. Another
         coordinator may have granted more before it.
@@ -272,34 +266,8 @@
     def __init__(self, tolerance: Tolerance) -> None:
         self.tolerance = tolerance
         self.accounts: dict[str, LedgerAccount] = {}
-        self.heard_at: dict[str, float] = {}
         self.responsible_since = 0.0
 
-    def record_contact(self, daemon: str, now: float) -> None:
-        """Record that a daemon takes this one for a coordinator."""
-        self.heard_at.pop(daemon, None)
-        self.heard_at[daemon] = now
-
-    def fleet_fraction(self, daemons: float, now: float) -> float:
-        """Return the fraction of an allowance that this daemon may grant.
-
-        Daemons that know different coordinators do not exceed an allowance together: the
-        coordinator of at least half of the fleet grants all of it, and any other the
-        part of the daemons that it hears of.
-
-        Parameters
-        ----------
-        daemons
-            Number of daemons in the fleet.
-        """
-        while self.heard_at:
-            oldest = next(iter(self.heard_at))
-            if now - self.heard_at[oldest] <= CONTACT_VALID_S:
-                break
-            del self.heard_at[oldest]
-        heard = max(1, len(self.heard_at)) / max(1.0, daemons)
-        return 1.0 if heard > MAJORITY else heard
-
     def settle(
         self,
         daemon: str,
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -21,6 +21,7 @@
 )
 from agaterail.gateway.allowancecontroller import AllowanceController
 from agaterail.gateway.connectionpool import ConnectionPool
+from agaterail.gateway.coordinators import Coordinators
 from agaterail.gateway.demand import Demand
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.feedhub import FeedHub
@@ -114,14 +115,18 @@
             self.now,
         )
         self.feeds.peer_responder.handlers[kvsavecontroller.PATH] = self.kv_saves.answer
-        self.allowances = AllowanceController(
+        self.coordinators = Coordinators(
             name=f"{settings.host}.{self.boot}",
             own_address=str(self.feeds.peer_responder.server.address),
-            tolerance=bounds.allowances,
             readers=lambda: self.feeds.readers,
-            allowance_of=self._allowance_of,
             daemons=lambda: self.rules.daemons,
             now=self.now,
+        )
+        self.allowances = AllowanceController(
+            self.coordinators,
+            tolerance=bounds.allowances,
+            allowance_of=self._allowance_of,
+            now=self.now,
             number=self.random.random,
             has_allowances=lambda: (
                 self.state.desired is not None and self.state.desired.has_allowances
@@ -151,6 +156,7 @@
         self.subscriptions = [
             self.timers.every(self.weights.period_s, self.weights.step),
             self.timers.every(HOUSEKEEPING_PERIOD_S, self.housekeep),
+            self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
         ]
         self.readiness.start()
--- a/tests/test_agaterail/test_decisions/test_allowances.py
+++ b/tests/test_agaterail/test_decisions/test_allowances.py
@@ -222,18 +222,6 @@
         self.allowance = Allowance(rate_per_s=1.0, burst=10.0)
         self.assertEqual(self.settle("a", 0.0).level, 10.0)
 
-    def test_coordinators_of_two_parts_of_the_fleet_share_the_allowance(self):
-        # Daemons knew different lists of readers, and two coordinators granted all of it.
-        granted = 0.0
-        for size in (4, 6):
-            ledger = FleetLedger(Tolerance(window_s=8.0))
-            for number in range(size):
-                ledger.record_contact(str(number), 100.0)
-            granted += ledger.fleet_fraction(10.0, 100.0)
-        self.assertLessEqual(granted, 1.4)
-        self.assertEqual(ledger.fleet_fraction(10.0, 100.0), 1.0)
-        self.assertEqual(ledger.fleet_fraction(10.0, 110.0), 0.1)
-
     def test_share_follows_the_spending(self):
         self.settle("a", 30.0)
         self.settle("b", 10.0)
--- a/tests/test_agaterail/test_gateway/test_allowancecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_allowancecontroller.py
@@ -10,6 +10,7 @@
     decode_query,
     encode_query,
 )
+from agaterail.gateway.coordinators import Coordinators
 from tests.gateway_fleet import Fleet, make_desired
 
 ALLOWANCE = Allowance(rate_per_s=1.0, burst=10.0)
@@ -48,14 +49,18 @@
         self.time = 100.0
         self.readers = ()
         self.daemons = 1.0
-        self.controller = AllowanceController(
+        self.coordinators = Coordinators(
             name="h.1",
             own_address=READERS[0],
-            tolerance=Tolerance(window_s=8.0),
             readers=lambda: self.readers,
-            allowance_of=lambda _name: ALLOWANCE,
             daemons=lambda: self.daemons,
             now=lambda: self.time,
+        )
+        self.controller = AllowanceController(
+            self.coordinators,
+            tolerance=Tolerance(window_s=8.0),
+            allowance_of=lambda _name: ALLOWANCE,
+            now=lambda: self.time,
             number=lambda: 0.5,
         )
         self.workspace = next(
@@ -64,7 +69,7 @@
 
     def coordinator(self, name):
         self.readers = READERS
-        return self.controller._coordinator(name)
+        return self.coordinators.of(name)
 
     def admitted(self, count, cost=1.0):
         answers = [
@@ -72,16 +77,20 @@
         ]
         return sum(answer is None for answer in answers)
 
+    def step(self):
+        self.coordinators.step()
+        self.controller.step()
+
     def pass_time(self, seconds):
         for _ in range(round(seconds / 0.1)):
-            self.controller.step()
+            self.step()
             self.time += 0.1
 
     def test_a_coordinator_that_was_suspended_does_not_grant_the_burst(self):
         # Another daemon coordinated meanwhile and has granted it.
         self.pass_time(60.0)
         self.time += 4.0
-        self.controller.step()
+        self.step()
         self.assertLessEqual(self.admitted(20), 2)
 
     def test_a_coordinator_that_hears_of_few_daemons_grants_their_part(self):
@@ -135,15 +144,15 @@
         query = encode_query("h.2", [SpendingReport(other, 0.0, 0.0, 1.0)])
         query = query.partition("?")[2].encode()
         self.assertEqual(self.controller.answer(query), b"\x91\xc0")
-        self.controller.backoff_until[READERS[1]] = self.time + 1.0
+        self.coordinators.backoff_until[READERS[1]] = self.time + 1.0
         self.assertNotEqual(self.controller.answer(query), b"\x91\xc0")
 
     def test_lists_that_begin_alike_name_the_same_coordinator(self):
         for name in map(str, range(20)):
             self.readers = READERS
-            expected = self.controller._coordinator(name)
+            expected = self.coordinators.of(name)
             self.readers = (*READERS, "10.0.0.9:1")
-            self.assertEqual(self.controller._coordinator(name), expected)
+            self.assertEqual(self.coordinators.of(name), expected)
 
     def test_former_coordinator_grants_nothing(self):
         query = encode_query("h.2", [SpendingReport(self.workspace, 0.0, 0.0, 1.0)])
@@ -211,9 +220,9 @@
         # The coordinator's peer server is gone; its callers and the others' are served.
         self.publish(2, rate_per_s=300.0, burst=300)
         first = self.fleet.daemons[0]
-        coordinator = first.allowances._coordinator("w1")
+        coordinator = first.coordinators.of("w1")
         for daemon in self.fleet.daemons:
-            if daemon.allowances.own_address == coordinator:
+            if daemon.coordinators.own_address == coordinator:
                 daemon.feeds.peer_responder.server.close()
         gevent.sleep(0.1)
         statuses, _ = self.ask_all(9)
