Tests: a port is given to one daemon only

Ports are drawn before any is bound, so the same one may be drawn twice for one daemon (three draws of 5,000, some 40 fleets a run). What was given is not given again.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -24,6 +24,7 @@
 PLAIN, LLM = "plain-service", "llm-service"
 # Below the range of ephemeral ports, and apart from that of the soak's gateways.
 PORTS = range(5_000, 10_000)
+_GIVEN_PORTS: set[int] = set()
 BOUNDS = Bounds(
     config_s=2.0,
     revoke_s=5.0,
@@ -40,11 +41,14 @@
     """Return a free port that no outgoing connection takes before a daemon binds it."""
     while True:
         port = secrets.choice(PORTS)
+        if port in _GIVEN_PORTS:
+            continue  # given already, and perhaps not bound yet
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue  # in use; draw another port
+        _GIVEN_PORTS.add(port)
         return port
 
 
