Daemons keep the limits that targets name together

Cause: no daemon read the limit; the rate at a limited engine did not change when it was named. The class: a target says what it can bear, and the sender keeps to constants of its own.

A daemon that heard a limit now sends each request with a permit of the target's coordinator, one of the daemons that keep the allowances of workspaces already: a bucket of two at the rate of the limit, for all daemons. A permit is spent when it is granted and valid for 0.3 s, so that nothing is reported or given back, and a daemon that is frozen or dies with one costs one request. A denied request goes to another target at once, is refused if there is none, with the time of the next permit; it is no wait for the load shedder. Hedges, resumptions and second attempts need permits too.

--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -48,7 +48,9 @@
     return wait_s >= left_s
 
 
-def retry_after_s(left_s: float, number: float, overloaded: bool = False) -> float:
+def retry_after_s(
+    left_s: float, number: float, overloaded: bool = False, earliest_s: float = 0.0
+) -> float:
     """Return the retry hint for a refused caller, in seconds.
 
     Parameters
@@ -59,7 +61,11 @@
         Random number from 0 to 1.
     overloaded
         Whether the request was refused because the engines are overloaded.
+    earliest_s
+        Seconds until a target takes requests again; 0 if that is not known.
     """
     longest = MAX_OVERLOAD_RETRY_AFTER_S if overloaded else MAX_RETRY_AFTER_S
     hint = min(longest, max(0.0, left_s) * RETRY_FRACTION)
-    return hint * (1.0 - RETRY_JITTER * number)
+    return max(
+        hint * (1.0 - RETRY_JITTER * number), earliest_s * (1.0 + RETRY_JITTER * number)
+    )
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -38,6 +38,7 @@
 MAX_CREDITS = 32768
 MAX_AMOUNT = 10**15
 MAX_REPORTS_PER_MESSAGE = 64
+OK = 200
 
 _DECODER = msgspec.msgpack.Decoder(list[Grant | None])
 
@@ -222,8 +223,12 @@
         )
         if not isinstance(called, Success):
             return []
+        status, body = called.unwrap()
+        if status != OK:
+            self.coordinators.record_failure(coordinator, f"status {status}")
+            return []
         try:
-            grants = _DECODER.decode(called.unwrap())
+            grants = _DECODER.decode(body)
         except msgspec.MsgspecError as error:
             self.coordinators.record_failure(coordinator, str(error))
             return []
--- a/agaterail/gateway/coordinators.py
+++ b/agaterail/gateway/coordinators.py
@@ -30,7 +30,6 @@
 # different lengths, which begin alike.
 COORDINATORS = 2
 CONTACT_PATH = "/allowances/1"
-OK = 200
 
 
 class Coordinators:
@@ -118,25 +117,25 @@
         answering = [item for item in readers if now >= self.backoff_until.get(item, 0.0)]
         return choose_by_hash(account, answering) if answering else ""
 
+    def replaces(self, account: str) -> bool:
+        """Return whether an account is another daemon's that does not answer this one."""
+        readers = self.readers()[:COORDINATORS]
+        return bool(readers) and choose_by_hash(account, readers) != self.own_address
+
     def coordinates(self, account: str) -> bool:
         """Return whether this daemon coordinates an account."""
         return self.of(account) == self.own_address
 
-    def call(self, coordinator: str, query: str) -> Result[bytes, str]:
-        """Return the body of a coordinator's answer, or the reason why there is none."""
+    def call(self, coordinator: str, query: str) -> Result[tuple[int, bytes], str]:
+        """Return the status and body of an answer, or the reason why there is none."""
         now = self.now()
         if now < self.backoff_until.get(coordinator, 0.0):
             return Failure("in backoff")
         called = self.peers.to(coordinator).call("GET", query, timeout_s=ASK_TIMEOUT_S)
         if isinstance(called, Success):
-            status, body = called.unwrap()
-            if status == OK:
-                return Success(body)
-            reason = f"status {status}"
-        else:
-            reason = called.failure().reason
-        self.record_failure(coordinator, reason)
-        return Failure(reason)
+            return Success(called.unwrap())
+        self.record_failure(coordinator, called.failure().reason)
+        return Failure(called.failure().reason)
 
     def record_failure(self, coordinator: str, reason: str) -> None:
         """Replace a coordinator for a while."""
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -18,6 +18,7 @@
     cachedirectives,
     kvsavecontroller,
     placement,
+    targetlimitcontroller,
 )
 from agaterail.gateway.allowancecontroller import AllowanceController
 from agaterail.gateway.connectionpool import ConnectionPool
@@ -36,6 +37,7 @@
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.shedding import LoadShedder
 from agaterail.gateway.state import GatewayState
+from agaterail.gateway.targetlimitcontroller import TargetLimitController
 from agaterail.gateway.targetnotices import TargetNotices
 from agaterail.gateway.targets import TargetRegistry
 from agaterail.gateway.weightscontroller import WeightsController
@@ -43,7 +45,7 @@
 from agaterail.timers import GeventTimerService
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from agaterail.decisions.allowances import Allowance
     from agaterail.gateway.cachedirectives import CacheDirectives
@@ -133,6 +135,18 @@
             ),
         )
         self.feeds.peer_responder.handlers[allowancecontroller.PATH] = self.allowances.answer
+        self.target_limits = TargetLimitController(
+            self.coordinators,
+            self.metrics,
+            has_limits=lambda: any(
+                target.rate_limit is not None for target in self.registry.targets.values()
+            ),
+            now=self.now,
+            number=self.random.random,
+        )
+        self.feeds.peer_responder.handlers[targetlimitcontroller.PATH] = (
+            self.target_limits.answer
+        )
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -195,7 +209,9 @@
     def choose(self, context: RequestContext, now: float) -> Choice | None:
         """Return the next target for a request."""
         targets = self.registry.of_service(context.service)
-        tried = context.retry_state.tried
+        tried: Collection[str] = context.retry_state.tried
+        if not context.retry_state.may_ask_for_permit:
+            tried = {*tried, *(item.instance for item in targets if item.rate_limit)}
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -53,6 +53,12 @@
             ("workspace", "outcome"),
             registry=registry,
         )
+        self.permits = Counter(
+            f"{PREFIX}_target_permits",
+            "Requests to targets that name a limit, by who decided on them and how.",
+            ("source", "outcome"),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -28,6 +28,8 @@
 # A target refuses when it is full or loading weights. Passing every refused request
 # on to further targets would soon fill those too.
 MAX_REFUSALS = 3
+# Asking for a permit takes a few milliseconds.
+MAX_DENIALS = 3
 
 
 class AttemptOutcome(enum.Enum):
@@ -55,6 +57,8 @@
         Targets that may have run the request, including those of open attempts.
     sends
         Number of times the request was sent to a target, including refused sends.
+    denials
+        Number of targets that were chosen and whose limit left no room.
     """
 
     route: Route
@@ -64,6 +68,7 @@
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
+    denials: int = 0
     last_outcome: AttemptOutcome | None = None
 
     @property
@@ -89,6 +94,16 @@
         else:
             self.may_have_run.add(instance)
 
+    def record_denial(self, instance: str) -> None:
+        """Record that a target's limit left no room for the request."""
+        self.denials += 1
+        self.tried.add(instance)
+
+    @property
+    def may_ask_for_permit(self) -> bool:
+        """Return whether the request may be tried at one more target with a limit."""
+        return self.denials < MAX_DENIALS
+
     def allow_resend(self, instance: str) -> None:
         """Allow one more send to a target that refused."""
         self.resent.add(instance)
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -172,7 +172,7 @@
                 return self._give_up(now, "no attempts left")
             choice = self.daemon.choose(self.context, now)
             if choice is None:
-                return self._give_up(now, "no usable target")
+                return self._no_usable_target(now)
             self.choice = choice
             wait_s = self.daemon.expected_wait_s(self.context, choice)
             if would_miss_deadline(wait_s, left):
@@ -182,6 +182,8 @@
                 return overload
             if not self._charge_run():
                 return self._give_up(now, "allowance exhausted")
+            if not self._get_permit(choice):
+                continue
             self.context.target = choice.target.instance
             connection = self._connect(choice, left, now)
             if connection is None:
@@ -207,6 +209,21 @@
         context.charged_runs += 1
         return True
 
+    def _get_permit(self, choice: Choice) -> bool:
+        """Return whether the chosen target's limit leaves room for the request."""
+        target = choice.target
+        if self.daemon.target_limits.admit(target):
+            return True
+        self.retry_state.record_denial(target.instance)
+        self.log(
+            "No permit for the target.",
+            choice,
+            limit_per_s=None if target.rate_limit is None else target.rate_limit.rate_per_s,
+            wait_s=round(target.permits.denied_until - self.daemon.now(), 3),
+            coordinator=self.daemon.coordinators.of(target.instance),
+        )
+        return False
+
     def _connect(self, choice: Choice, left: float, now: float) -> TargetConnection | None:
         timeout_s = min(CONNECT_TIMEOUT_S, left * CONNECT_TIMEOUT_FRACTION)
         idempotent = self.context.route.idempotent
@@ -270,9 +287,30 @@
         )
         return self.daemon.encode(context.inbound, head), context.inbound.body
 
-    def _give_up(self, now: float, reason: str) -> Failure:
+    def _no_usable_target(self, now: float) -> Failure:
+        """Return a failure that names what keeps the request from the targets."""
+        targets = self.daemon.registry.of_service(self.context.service)
+        waits_s = [
+            target.permits.denied_until - now
+            for target in targets
+            if target.is_over_limit(now)
+        ]
+        reason = "no usable target"
+        if waits_s:
+            reason += f", {len(waits_s)} of {len(targets)} over their limits"
+        return self._give_up(now, reason, earliest_s=min(waits_s, default=0.0))
+
+    def _give_up(self, now: float, reason: str, earliest_s: float = 0.0) -> Failure:
+        """Return a failure.
+
+        Parameters
+        ----------
+        earliest_s
+            Seconds until a target takes requests again; 0 if that is not known.
+        """
         kind = self.retry_state.error_kind()
-        if kind is ErrorKind.NO_TARGET and self.choice is not None:
+        if kind is ErrorKind.NO_TARGET and (self.choice is not None or earliest_s):
             kind = ErrorKind.OVERLOADED
         number = self.daemon.random.random()
-        return Failure(kind, reason, retry_after_s(self.context.deadline - now, number))
+        hint_s = retry_after_s(self.context.deadline - now, number, earliest_s=earliest_s)
+        return Failure(kind, reason, hint_s)
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from agaterail.decisions.ratelimits import TargetPermits
 from agaterail.util.backoff import backoff_s
 
 if TYPE_CHECKING:
@@ -65,6 +66,8 @@
         Time at which bytes last arrived from it on any connection.
     rate_limit
         Limit that it names in its answers; None if it names none.
+    permits
+        Permits to send to it while it names a limit.
     lapsed_at
         Time at which its registration was found missing shortly after an outage of the
         store; None if it is present.
@@ -81,6 +84,7 @@
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
     rate_limit: RateLimit | None = None
+    permits: TargetPermits = attrs.field(factory=TargetPermits)
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
@@ -109,17 +113,25 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether a new request may be sent to the target."""
-        return self.registration.ready and not self.gone and now >= self.backoff_until
+        return self._is_allowed(now) and now >= self.backoff_until
+
+    def is_over_limit(self, now: float) -> bool:
+        """Return whether no more requests fit into the limit that the target names."""
+        return self.rate_limit is not None and now < self.permits.denied_until
 
     def is_only_refusing(self, now: float) -> bool:
         """Return whether only its refusals keep new requests from the target."""
         is_paused = self.refusals > 0 and self.failures == 0 and now < self.backoff_until
-        return self.registration.ready and not self.gone and is_paused
+        return self._is_allowed(now) and is_paused
 
     def is_failing(self, now: float) -> bool:
         """Return whether the target is in backoff after a failure."""
         return self.failures > 0 and now < self.backoff_until
 
+    def _is_allowed(self, now: float) -> bool:
+        """Return whether the target itself lets this daemon send a new request."""
+        return self.registration.ready and not self.gone and not self.is_over_limit(now)
+
     def record_success(self) -> None:
         """Reset the backoff."""
         self.failures = self.refusals = 0
--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -3,10 +3,141 @@
 import unittest
 
 import gevent
+from returns.result import Failure, Success
 
+from agaterail.decisions.ratelimits import PermitRequest, RateLimit
+from agaterail.gateway.coordinators import Coordinators
+from agaterail.gateway.metrics import GatewayMetrics
+from agaterail.gateway.targetlimitcontroller import (
+    TargetLimitController,
+    decode_query,
+    encode_query,
+)
+from agaterail.gateway.targets import Registration, Target
 from tests.gateway_fleet import LLM, MODEL, Fleet
 
 LIMIT_PER_S = 2.0
+READERS = ("10.0.0.1:1", "10.0.0.2:1")
+
+
+class QueryTest(unittest.TestCase):
+    def test_round_trip(self):
+        demand = PermitRequest(rate_per_s=1.6, age_s=0.25)
+        path, _, query = encode_query("host.1&2", "i-1:2&3", demand).partition("?")
+        self.assertEqual(path, "/target-permits/1")
+        self.assertEqual(decode_query(query.encode()), ("host.1&2", "i-1:2&3", demand))
+
+    def test_malformed_queries_are_rejected(self):
+        for query in (
+            b"",
+            b"daemon=a",
+            b"daemon=a&target=:1:2",
+            b"daemon=a&target=i:1",
+            b"daemon=a&target=i:x:2",
+            b"daemon=a&target=i:-1:2",
+            b"daemon=a&target=i:1:2&target=j:1:2",
+            b"daemon=a&target=i:9999999999999:2",
+        ):
+            with self.subTest(query), self.assertRaises(ValueError):
+                decode_query(query)
+
+
+class ControllerTest(unittest.TestCase):
+    """Decisions of one daemon about its own requests."""
+
+    def setUp(self):
+        self.time = 100.0
+        self.readers = READERS
+        self.daemons = 4.0
+        self.called = []
+        self.answer = Failure("timed out")
+        self.coordinators = Coordinators(
+            name="h.1",
+            own_address=READERS[0],
+            readers=lambda: self.readers,
+            daemons=lambda: self.daemons,
+            now=lambda: self.time,
+        )
+        self.coordinators.call = self.call
+        self.controller = TargetLimitController(
+            self.coordinators,
+            GatewayMetrics(),
+            has_limits=lambda: True,
+            now=lambda: self.time,
+            number=lambda: 0.5,
+        )
+        names = list(map(str, range(99)))
+        self.own = self.target(next(n for n in names if self.coordinators.coordinates(n)))
+        self.other = self.target(
+            next(n for n in names if not self.coordinators.coordinates(n))
+        )
+
+    def call(self, coordinator, _query):
+        self.called.append(coordinator)
+        if isinstance(self.answer, Failure):
+            self.coordinators.record_failure(coordinator, self.answer.failure())
+        return self.answer
+
+    def target(self, instance):
+        registration = Registration(
+            instance=instance, service="s", address="10.0.0.9:1", domain="z1", ready=True
+        )
+        target = Target(registration=registration)
+        target.rate_limit = RateLimit(
+            rate_per_s=LIMIT_PER_S, since=self.time, heard_at=self.time
+        )
+        return target
+
+    def admitted(self, target, seconds):
+        count = 0
+        for _ in range(round(seconds * 20)):
+            self.time += 0.05
+            self.coordinators.step()
+            if target.is_usable(self.time):
+                count += self.controller.admit(target)
+        return count
+
+    def test_target_without_a_limit_needs_no_permit(self):
+        self.own.rate_limit = None
+        self.assertTrue(self.controller.admit(self.own))
+        self.assertEqual(self.called, [])
+
+    def test_own_permits_follow_the_limit(self):
+        for name in ("h.2", "h.3", "h.4"):
+            self.coordinators.record_contact(name)
+        self.admitted(self.own, 1.5)
+        self.assertLessEqual(self.admitted(self.own, 1.0), 3)
+        self.assertGreaterEqual(self.admitted(self.own, 1.0), 1)
+
+    def test_denied_target_gets_no_requests_until_a_permit_may_be_available(self):
+        self.answer = Success((200, b"\xcb?\xe0\x00\x00\x00\x00\x00\x00"))  # 0.5 s
+        self.assertFalse(self.controller.admit(self.other))
+        self.assertFalse(self.other.is_usable(self.time + 0.4))
+        self.assertTrue(self.other.is_usable(self.time + 0.6))
+
+    def test_daemon_without_an_answer_sends_rarely(self):
+        # The other daemons may go on at the limit, or do the same.
+        self.readers = READERS[1:]
+        self.assertEqual(self.admitted(self.other, 1.9), 0)
+        self.assertIn(self.admitted(self.other, 8.0), range(3, 6))
+
+    def test_coordinator_of_a_former_build_keeps_its_other_duties(self):
+        self.answer = Success((404, b""))
+        self.admitted(self.other, 1.0)
+        self.assertEqual(len(self.called), 1)
+        self.assertEqual(self.coordinators.backoff_until, {})
+
+    def test_malformed_answer_counts_as_none(self):
+        self.answer = Success((200, b"\xc1"))
+        self.assertFalse(self.controller.admit(self.other))
+        self.assertEqual(self.admitted(self.other, 1.0), 0)
+
+    def test_replacement_grants_only_what_it_sees_missing(self):
+        query = encode_query("h.2", self.other.instance, PermitRequest(LIMIT_PER_S, 0.0))
+        query = query.partition("?")[2].encode()
+        self.assertEqual(self.controller.answer(query), b"\xc0")
+        self.coordinators.record_failure(READERS[1], "timed out")
+        self.assertNotEqual(self.controller.answer(query), b"\xc0")
 
 
 class FleetTest(unittest.TestCase):
@@ -50,3 +181,23 @@
             # What the rule of the platform allows in a window of 2 s.
             self.assertLessEqual(len(target.arrivals) - count, 1.5 * 2.0 * LIMIT_PER_S + 5)
         self.assertEqual({answer.status for answer in answers}, {200})
+
+    def test_prompt_is_refused_at_once_while_all_engines_are_at_their_limits(self):
+        for name in ("e-0", "e-1", "e-2"):
+            self.fleet.targets[name].rate_limit = 0.5
+        self.ask_for(1.0)
+        answers = self.ask_for(1.0)
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertGreaterEqual(len(refused), len(answers) // 2)
+        for answer in refused:
+            self.assertIn("retry-after", answer.head)
+
+    def test_limit_ends_with_an_answer_that_names_none(self):
+        for name in ("e-0", "e-1", "e-2"):
+            self.fleet.targets[name].rate_limit = LIMIT_PER_S
+        self.ask_for(1.0)
+        for name in ("e-0", "e-1", "e-2"):
+            self.fleet.targets[name].rate_limit = None
+        self.ask_for(2.5)
+        answers = self.ask_for(1.0)
+        self.assertEqual({answer.status for answer in answers}, {200})
