Targets: record and log the rest that a target asks for

The rest is kept with the target and logged when it begins and ends; a gauge counts such targets. Nothing acts on it yet. A Retry-After that is no plain number (nan, inf, a date, two values) is logged once as malformed and counts as none; it was read as a number before.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -198,6 +198,7 @@
         for target in self.registry.expire(self.now()):
             logger.info("Target expired.", target=target.instance)
         self.state.log_staleness(self.now())
+        self.notices.step()
         self.connection_pool.close_stale()
         stores = [spec.address for spec in self._kv_stores()]
         self.kv_saves.set_stores(stores, self.greenlets.spawn)
--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 
@@ -104,6 +106,13 @@
     last_event_id: str = ""
 
 
+class Notice(enum.Enum):
+    """What a target says of itself in the head of an answer."""
+
+    RATE_LIMIT = "rate_limit"
+    RETRY_AFTER = "retry_after"
+
+
 @attrs.frozen(kw_only=True)
 class AnswerHead:
     """Status and headers of a target's answer.
@@ -125,8 +134,10 @@
     rate_limit_per_s
         Requests per second that the target takes from all daemons together; None if it
         names no limit.
+    retry_after_s
+        Seconds after which the target takes requests again; None if not given.
     malformed
-        What the target says of itself that cannot be read; empty if nothing.
+        Notices that cannot be read, with what the target sent.
     """
 
     status: int
@@ -139,4 +150,4 @@
     weights_version: int | None = None
     instance: str = ""
     rate_limit_per_s: float | None = None
-    malformed: str = ""
+    malformed: tuple[tuple[Notice, str], ...] = ()
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -89,6 +89,10 @@
                 ("targets_usable", "Targets that a request may be sent to."),
                 ("targets_known", "Targets that are registered."),
                 ("targets_cordoned", "Engines that load new weights next."),
+                (
+                    "targets_resting",
+                    "Targets that want no requests of this daemon for a time.",
+                ),
                 ("targets_limited", "Targets that name a limit of requests per second."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
@@ -123,6 +127,7 @@
             "targets_usable": sum(target.is_usable(now) for target in targets),
             "targets_known": len(targets),
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
+            "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
--- a/agaterail/gateway/targetnotices.py
+++ b/agaterail/gateway/targetnotices.py
@@ -6,9 +6,10 @@
 
 from agaterail import logs
 from agaterail.decisions.ratelimits import updated_limit
+from agaterail.gateway.inbound import Notice
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from agaterail.gateway.inbound import AnswerHead
     from agaterail.gateway.targets import Target
@@ -16,18 +17,25 @@
 logger = logs.get_logger("targets")
 
 
+# Statuses with which a target turns a request away and may say for how long.
+REST_STATUSES = (429, 503)
+
+
 class TargetNotices:
     """Updates targets by their answers and logs what changes.
 
     Attributes
     ----------
+    resting
+        Targets that asked for rest, until the end of it is logged.
     reported_malformed
-        Ids of the targets whose malformed notices were logged.
+        Targets and malformed notices that were logged.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
         self.now = now
-        self.reported_malformed: set[str] = set()
+        self.resting: dict[str, Target] = {}
+        self.reported_malformed: set[tuple[str, Notice]] = set()
 
     def record(
         self, target: Target, head: AnswerHead, sent_at: float, request_id: str
@@ -41,11 +49,33 @@
         """
         if head.instance not in ("", target.instance):
             return  # another target at a reused address
-        if head.malformed:
-            self._log_malformed(target, head, request_id)
-            return
-        self.reported_malformed.discard(target.instance)
-        self._record_limit(target, head, sent_at, request_id)
+        malformed = dict(head.malformed)
+        self._log_malformed(target, malformed, request_id)
+        if Notice.RATE_LIMIT not in malformed:
+            self._record_limit(target, head, sent_at, request_id)
+        if head.status in REST_STATUSES and head.retry_after_s:
+            self._record_rest(target, head.retry_after_s, request_id)
+
+    def step(self) -> None:
+        """Log the ends of rests."""
+        now = self.now()
+        for instance, target in list(self.resting.items()):
+            if now >= target.rest_until or target.gone:
+                del self.resting[instance]
+                logger.info("Rest of a target ended.", target=instance, gone=target.gone)
+
+    def _record_rest(self, target: Target, rest_s: float, request_id: str) -> None:
+        now = self.now()
+        if now >= target.rest_until:
+            logger.info(
+                "Target asked for rest.",
+                target=target.instance,
+                request=request_id,
+                rest_s=rest_s,
+                in_flight=target.in_flight,
+            )
+        self.resting[target.instance] = target
+        target.rest_until = max(target.rest_until, now + rest_s)
 
     def _record_limit(
         self, target: Target, head: AnswerHead, sent_at: float, request_id: str
@@ -66,13 +96,21 @@
             heard_s=None if known is None else round(now - known.heard_at, 3),
         )
 
-    def _log_malformed(self, target: Target, head: AnswerHead, request_id: str) -> None:
-        if target.instance in self.reported_malformed:
-            return
-        self.reported_malformed.add(target.instance)
-        logger.info(
-            "Ignored a malformed notice of a target.",
-            target=target.instance,
-            request=request_id,
-            notice=head.malformed,
-        )
+    def _log_malformed(
+        self, target: Target, malformed: Mapping[Notice, str], request_id: str
+    ) -> None:
+        """Log each malformed notice once, until it is well-formed or absent again."""
+        instance = target.instance
+        for notice in Notice:
+            key = (instance, notice)
+            if notice not in malformed:
+                self.reported_malformed.discard(key)
+            elif key not in self.reported_malformed:
+                self.reported_malformed.add(key)
+                logger.info(
+                    "Ignored a malformed notice of a target.",
+                    target=instance,
+                    request=request_id,
+                    notice=notice.value,
+                    value=malformed[notice],
+                )
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -66,6 +66,8 @@
         Time at which bytes last arrived from it on any connection.
     rate_limit
         Limit that it names in its answers; None if it names none.
+    rest_until
+        Time until which it wants no requests of this daemon.
     permits
         Permits to send to it while it names a limit.
     lapsed_at
@@ -84,6 +86,7 @@
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
     rate_limit: RateLimit | None = None
+    rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from agaterail.gateway.inbound import Notice
+
 # Headers, lower case as the parsers deliver them.
 REQUEST_ID = b"request-id"
 DEADLINE = b"deadline-ms"  # a timeout in milliseconds, not a point in time
@@ -33,6 +35,8 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 
+NOTICES = {Notice.RATE_LIMIT: RATE_LIMIT, Notice.RETRY_AFTER: RETRY_AFTER}
+
 HOP_BY_HOP = frozenset(
     {
         CONNECTION,
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from agaterail.gateway.inbound import AnswerHead, PromptPart
+from agaterail.gateway.inbound import AnswerHead, Notice, PromptPart
 from agaterail.platform import names
 
 if TYPE_CHECKING:
@@ -90,7 +90,9 @@
     )
     keep_alive = KEEP_ALIVE_TIMEOUT.search(by_name.get(names.KEEP_ALIVE, b"").lower())
     version = by_name.get(names.WEIGHTS_VERSION, b"").strip()
-    rate_limit, malformed = _decode_rate_limit(by_name, headers)
+    malformed: dict[Notice, str] = {}
+    rate_limit = _decode_notice(headers, by_name, Notice.RATE_LIMIT, malformed)
+    retry_after = _decode_notice(headers, by_name, Notice.RETRY_AFTER, malformed)
     return AnswerHead(
         status=status,
         not_run=names.NOT_RUN in by_name or status == 421,
@@ -98,11 +100,11 @@
         headers=passed_on,
         has_server_stamp=names.SERVER_STAMP in by_name,
         keep_alive_s=None if keep_alive is None else float(keep_alive.group(1)),
-        retry_after_s=_parse_retry_after(by_name.get(names.RETRY_AFTER)),
+        retry_after_s=retry_after,
         weights_version=int(version) if DECIMAL.fullmatch(version) else None,
         instance=by_name.get(names.INSTANCE, b"").decode("latin-1"),
         rate_limit_per_s=rate_limit,
-        malformed=malformed,
+        malformed=tuple(malformed.items()),
     )
 
 
@@ -150,21 +152,19 @@
     return Success(inbound)
 
 
-def _decode_rate_limit(
-    by_name: Mapping[bytes, bytes], headers: Sequence[tuple[bytes, bytes]]
-) -> tuple[float | None, str]:
-    """Return the requests per second that a target names, and what is malformed of it."""
-    value = by_name.get(names.RATE_LIMIT)
+def _decode_notice(
+    headers: Sequence[tuple[bytes, bytes]],
+    by_name: Mapping[bytes, bytes],
+    notice: Notice,
+    malformed: dict[Notice, str],
+) -> float | None:
+    """Return the number of a notice, or None if it is absent or malformed."""
+    header = names.NOTICES[notice]
+    value = by_name.get(header)
     if value is None:
-        return None, ""
-    values = {value.strip() for name, value in headers if name.lower() == names.RATE_LIMIT}
+        return None
+    values = {item.strip() for name, item in headers if name.lower() == header}
     if len(values) > 1 or not DECIMAL_FRACTION.fullmatch(value.strip()):
-        return None, f"rate limit {b', '.join(sorted(values)).decode('latin-1')[:MAX_SHOWN]!r}"
-    return float(value), ""
-
-
-def _parse_retry_after(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else float(value)
-    except ValueError:
-        return None  # a date or an invalid value counts as absent
+        malformed[notice] = b", ".join(sorted(values)).decode("latin-1")[:MAX_SHOWN]
+        return None
+    return float(value)
--- a/tests/test_agaterail/test_gateway/test_targetnotices.py
+++ b/tests/test_agaterail/test_gateway/test_targetnotices.py
@@ -46,6 +46,33 @@
         self.record((b"Server-Limit", b"1"), (b"server-limit", b"2"))
         self.assertEqual(self.limit(), 1.6)
 
+    def test_rest_is_logged_when_it_begins_and_ends(self):
+        rest = (b"Retry-After", b"3")
+        self.assertEqual(self.record(rest, status=503), ["Target asked for rest."])
+        self.time += 1.0
+        self.assertEqual(self.record(rest, status=503), [])
+        self.assertEqual(self.target.rest_until, 104.0)
+        with mock.patch.object(targetnotices.logger, "info") as info:
+            self.notices.step()
+            self.time += 3.1
+            self.notices.step()
+            self.notices.step()
+        self.assertEqual(info.call_count, 1)
+
+    def test_malformed_rest_is_none(self):
+        for value in (b"", b"-1", b"nan", b"inf", b"1e12", b"Thu, 01 Jan 2026 00:00:00 GMT"):
+            with self.subTest(value):
+                self.record((b"Retry-After", value), status=503)
+                self.assertLess(self.target.rest_until, self.time)
+
+    def test_malformed_rest_does_not_hide_a_limit(self):
+        self.record((b"Retry-After", b"soon"), (b"Server-Limit", b"1.6"), status=503)
+        self.assertEqual(self.limit(), 1.6)
+
+    def test_success_asks_for_no_rest(self):
+        self.record((b"Retry-After", b"3"))
+        self.assertLess(self.target.rest_until, self.time)
+
     def test_malformed_notices_are_logged_once(self):
         lines = [self.record((b"Server-Limit", b"-1")) for _ in range(3)]
         self.assertEqual(lines, [["Ignored a malformed notice of a target."], [], []])
