--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -466,6 +466,46 @@
         fleet.wait(lambda: not shedder.waiting)
 
 
+class RestTest(unittest.TestCase):
+    """Engines that turn requests away and ask for rest."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+        self.engines = [self.fleet.targets[name] for name in ("e-0", "e-1")]
+
+    def ask(self, number):
+        return self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
+
+    def test_engine_gets_no_requests_while_it_rests(self):
+        # Guards against a rest that is shortened, or forgotten when an older stream ends.
+        self.ask(0)
+        home = next(engine for engine in self.engines if engine.runs)
+        home.event_s = 0.1
+        older = gevent.spawn(self.ask, 1)
+        self.fleet.wait(lambda: len(home.runs) == 2)
+        home.refuse, home.rest_s = True, 30.0
+        answers = [self.ask(2)]
+        before = len(home.arrivals)
+        answers += [self.ask(3 + number) for number in range(12)]
+        self.assertTrue(older.get().whole_stream)
+        answers += [self.ask(15 + number) for number in range(6)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertLessEqual(len(home.arrivals) - before, 2)
+
+    def test_prompt_is_refused_at_once_while_all_engines_rest(self):
+        # Guards against a fallback to engines that have asked for rest.
+        for engine in self.engines:
+            engine.refuse, engine.rest_s = True, 5.0
+        self.assertEqual(self.ask(0).status, 503)
+        before = sum(len(engine.arrivals) for engine in self.engines)
+        answer = self.ask(1)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(sum(len(engine.arrivals) for engine in self.engines), before)
+        hint = float(answer.head.partition("retry-after: ")[2].split("\r\n")[0])
+        self.assertGreater(hint, 4.0)
+
+
 class IsolationTest(unittest.TestCase):
     def test_isolated_workspace_shares_no_cache(self):
         # Two workspaces send the same prompt. In a shared scope the engine would reuse the
