Targets that asked for rest get no requests until its end

Cause: the pause after a refusal was the daemon's own, 0.1 to 0.8 s, and it ended early twice over: with the success of a stream that had begun before the refusal, and if all targets of a service paused. The rest that a target asks for is now a thing of its own beside the backoff: no success ends it, no lack of other targets, and no newer weights learned with the refusal. A request that has chosen already looks again once it has its connection. If all targets rest or are over their limits the request is refused at once; Retry-After is the earliest end, spread.

--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -172,7 +172,8 @@
     """Return the usable targets, or those that only refuse if there is no other.
 
     A full engine accepts requests again within tens of milliseconds. If all are paused,
-    one more refusal costs less than a failed request.
+    one more refusal costs less than a failed request. A target that asked for rest or is
+    over its limit is left alone even so.
     """
     usable = [item for item in targets if item.is_usable(now)]
     return usable or [item for item in targets if item.is_only_refusing(now)]
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -111,6 +112,7 @@
         is_same = head.instance in ("", attempt.instance)
         return (
             is_same
+            and attempt.target.wants_requests(self.daemon.now())
             and head.weights_version > expected
             and attempt.instance not in self.retry_state.resent
         )
@@ -188,6 +190,10 @@
             connection = self._connect(choice, left, now)
             if connection is None:
                 continue
+            if not choice.target.wants_requests(self.daemon.now()):
+                # Another request learned this while this one was connecting.
+                self.daemon.connection_pool.release_unused(choice.target, connection)
+                continue
             if self.retry_state.sends and not self.daemon.budget.try_consume(
                 self.context.service, now
             ):
@@ -290,15 +296,14 @@
     def _no_usable_target(self, now: float) -> Failure:
         """Return a failure that names what keeps the request from the targets."""
         targets = self.daemon.registry.of_service(self.context.service)
-        waits_s = [
-            target.permits.denied_until - now
-            for target in targets
-            if target.is_over_limit(now)
-        ]
+        over_limit = sum(target.is_over_limit(now) for target in targets)
+        resting = sum(now < target.rest_until for target in targets)
         reason = "no usable target"
-        if waits_s:
-            reason += f", {len(waits_s)} of {len(targets)} over their limits"
-        return self._give_up(now, reason, earliest_s=min(waits_s, default=0.0))
+        if over_limit or resting:
+            reason += f", of {len(targets)} {over_limit} over their limits, {resting} resting"
+        earliest = min((target.takes_requests_at(now) for target in targets), default=math.inf)
+        earliest_s = max(0.0, earliest - now) if math.isfinite(earliest) else 0.0
+        return self._give_up(now, reason, earliest_s)
 
     def _give_up(self, now: float, reason: str, earliest_s: float = 0.0) -> Failure:
         """Return a failure.
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -116,25 +117,37 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether a new request may be sent to the target."""
-        return self._is_allowed(now) and now >= self.backoff_until
+        return now >= self.takes_requests_at(now) and now >= self.backoff_until
+
+    def is_only_refusing(self, now: float) -> bool:
+        """Return whether only this daemon's backoff from its refusals keeps requests away."""
+        is_paused = self.refusals > 0 and self.failures == 0 and now < self.backoff_until
+        return now >= self.takes_requests_at(now) and is_paused
+
+    def wants_requests(self, now: float) -> bool:
+        """Return whether the target takes requests and has not asked for rest."""
+        return self.registration.ready and not self.gone and now >= self.rest_until
 
     def is_over_limit(self, now: float) -> bool:
         """Return whether no more requests fit into the limit that the target names."""
         return self.rate_limit is not None and now < self.permits.denied_until
 
-    def is_only_refusing(self, now: float) -> bool:
-        """Return whether only its refusals keep new requests from the target."""
-        is_paused = self.refusals > 0 and self.failures == 0 and now < self.backoff_until
-        return self._is_allowed(now) and is_paused
+    def takes_requests_at(self, now: float) -> float:
+        """Return when the target takes a request again, or infinity if that is not known.
+
+        This is what the target itself has said. Unlike a backoff, it holds although
+        requests that began earlier succeed, and although there is no other target.
+        """
+        if not self.registration.ready or self.gone:
+            return math.inf
+        return max(
+            self.rest_until, self.permits.denied_until if self.is_over_limit(now) else now
+        )
 
     def is_failing(self, now: float) -> bool:
         """Return whether the target is in backoff after a failure."""
         return self.failures > 0 and now < self.backoff_until
 
-    def _is_allowed(self, now: float) -> bool:
-        """Return whether the target itself lets this daemon send a new request."""
-        return self.registration.ready and not self.gone and not self.is_over_limit(now)
-
     def record_success(self) -> None:
         """Reset the backoff."""
         self.failures = self.refusals = 0
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -29,6 +29,23 @@
     def test_a_draining_target_gets_no_new_requests(self):
         self.assertFalse(make_target(ready=False).is_usable(0.0))
 
+    def test_success_of_an_older_request_ends_no_rest(self):
+        target = make_target()
+        target.rest_until = 13.0
+        target.record_refusal(10.0)
+        target.record_success()
+        self.assertFalse(target.is_usable(12.9))
+        self.assertFalse(target.is_only_refusing(12.9))
+        self.assertTrue(target.is_usable(13.0))
+
+    def test_time_at_which_a_target_takes_requests_again(self):
+        target = make_target()
+        self.assertEqual(target.takes_requests_at(10.0), 10.0)
+        target.rest_until = 13.0
+        self.assertEqual(target.takes_requests_at(10.0), 13.0)
+        target.gone = True
+        self.assertEqual(target.takes_requests_at(10.0), float("inf"))
+
     def test_an_answer_may_know_newer_weights_than_the_registration(self):
         target = make_target(weights={"m": 1})
         target.record_weights("m", 2)
