Targets that say in an answer that they leave get no new requests

From the first such answer the target gets no new request and no load of weights, in touch with the store or not, until it starts anew; requests under way end. A registration of the same start that is read again does not end it.

--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -31,7 +31,7 @@
     engine's own queue were multiplied by the number of daemons, a single long
     prompt would look like a queue of several seconds.
     """
-    serving = [item for item in engines if item.registration.ready] or [target]
+    serving = [item for item in engines if item.is_ready] or [target]
     mean = sum(item.prefill_tokens for item in serving) / len(serving)
     tokens = target.prefill_tokens + mean * max(0.0, daemons - 1.0)
     return tokens * PREFILL_MS_PER_TOKEN * 1e-3
--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -111,6 +111,7 @@
 
     RATE_LIMIT = "rate_limit"
     RETRY_AFTER = "retry_after"
+    LEAVING = "leaving"
 
 
 @attrs.frozen(kw_only=True)
@@ -136,6 +137,8 @@
         names no limit.
     retry_after_s
         Seconds after which the target takes requests again; None if not given.
+    leaving
+        Whether the target says that it leaves.
     malformed
         Notices that cannot be read, with what the target sent.
     """
@@ -150,4 +153,5 @@
     weights_version: int | None = None
     instance: str = ""
     rate_limit_per_s: float | None = None
+    leaving: bool = False
     malformed: tuple[tuple[Notice, str], ...] = ()
--- a/agaterail/gateway/targetnotices.py
+++ b/agaterail/gateway/targetnotices.py
@@ -49,6 +49,15 @@
         """
         if head.instance not in ("", target.instance):
             return  # another target at a reused address
+        if head.leaving and not target.leaving:
+            target.leaving = True
+            logger.info(
+                "Target leaves.",
+                target=target.instance,
+                request=request_id,
+                registered_ready=target.registration.ready,
+                in_flight=target.in_flight,
+            )
         malformed = dict(head.malformed)
         self._log_malformed(target, malformed, request_id)
         if Notice.RATE_LIMIT not in malformed:
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -24,6 +24,7 @@
 # within tens of milliseconds to 2 s, so its backoff starts shorter.
 INITIAL_REFUSAL_BACKOFF_S = 0.1
 MAX_REFUSAL_BACKOFF_S = 0.8
+MAX_LEFT = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +68,8 @@
         Time at which bytes last arrived from it on any connection.
     rate_limit
         Limit that it names in its answers; None if it names none.
+    leaving
+        Whether it said in an answer that it leaves. This holds until it starts anew.
     rest_until
         Time until which it wants no requests of this daemon.
     permits
@@ -87,6 +90,7 @@
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
     rate_limit: RateLimit | None = None
+    leaving: bool = False
     rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
     gone: bool = False
@@ -102,6 +106,11 @@
         """Return the address at which it listens."""
         return self.registration.address
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether it is registered as ready and has not said that it leaves."""
+        return self.registration.ready and not self.leaving and not self.gone
+
     def weights_of(self, model: str) -> int | None:
         """Return the newest known weights version of a model."""
         known = self.registration.weights.get(model)
@@ -126,7 +135,7 @@
 
     def wants_requests(self, now: float) -> bool:
         """Return whether the target takes requests and has not asked for rest."""
-        return self.registration.ready and not self.gone and now >= self.rest_until
+        return self.is_ready and now >= self.rest_until
 
     def is_over_limit(self, now: float) -> bool:
         """Return whether no more requests fit into the limit that the target names."""
@@ -138,7 +147,7 @@
         This is what the target itself has said. Unlike a backoff, it holds although
         requests that began earlier succeed, and although there is no other target.
         """
-        if not self.registration.ready or self.gone:
+        if not self.is_ready:
             return math.inf
         return max(
             self.rest_until, self.permits.denied_until if self.is_over_limit(now) else now
@@ -173,6 +182,12 @@
     alive; these reappear soon after the store recovers. Targets whose registration vanishes
     during an outage, or is found missing right after it, are therefore kept for
     ``lapse_grace_s`` after the recovery and dropped only then.
+
+    Attributes
+    ----------
+    left
+        Start times of targets that said that they leave and then vanished. Their
+        registration may be read once more.
     """
 
     def __init__(self, lapse_grace_s: float) -> None:
@@ -180,6 +195,7 @@
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
         self.returned_at: float | None = None
+        self.left: dict[str, int] = {}
         self.on_gone: Callable[[Target], None] = lambda _target: None
 
     def put(self, registration: Registration) -> Target:
@@ -195,6 +211,7 @@
         if known is not None:
             self._drop(known)
         target = Target(registration=registration)
+        target.leaving = self.left.get(registration.instance) == registration.born
         self.targets[registration.instance] = target
         self._add_to_index(target, registration.service)
         return target
@@ -231,10 +248,17 @@
 
     def _drop(self, target: Target) -> None:
         target.gone = True
+        if target.leaving:
+            self._remember_left(target)
         self.targets.pop(target.instance, None)
         self._remove_from_index(target)
         self.on_gone(target)
 
+    def _remember_left(self, target: Target) -> None:
+        self.left[target.instance] = target.registration.born
+        if len(self.left) > MAX_LEFT:
+            del self.left[next(iter(self.left))]
+
     def _add_to_index(self, target: Target, service: str) -> None:
         self.by_service.setdefault(service, []).append(target)
 
--- a/agaterail/gateway/weightsplan.py
+++ b/agaterail/gateway/weightsplan.py
@@ -174,7 +174,7 @@
     """
     wanted = []
     for target in engines:
-        if not target.registration.ready or target.gone:
+        if not target.is_ready:
             continue
         for model, version in desired_versions.items():
             held = target.weights_of(model)
@@ -319,10 +319,7 @@
 
 
 def _count_serving(engines: Iterable[Target], now: float) -> int:
-    return sum(
-        target.registration.ready and not target.gone and not target.is_failing(now)
-        for target in engines
-    )
+    return sum(target.is_ready and not target.is_failing(now) for target in engines)
 
 
 def _tie_breaker(load: WantedLoad) -> bytes:
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -29,13 +29,18 @@
 INSTANCE = b"instance-id"
 WEIGHTS_VERSION = b"weight-versions"  # a single integer despite the plural
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 RATE_LIMIT = b"server-limit"  # requests per second from all hosts together
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 
-NOTICES = {Notice.RATE_LIMIT: RATE_LIMIT, Notice.RETRY_AFTER: RETRY_AFTER}
+NOTICES = {
+    Notice.RATE_LIMIT: RATE_LIMIT,
+    Notice.RETRY_AFTER: RETRY_AFTER,
+    Notice.LEAVING: LEAVING,
+}
 
 HOP_BY_HOP = frozenset(
     {
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -45,7 +45,7 @@
     sends nothing for ``pause_s`` before the event with that number, or before
     the head of the answer if 0. With ``newer_each_time``, each request for other
     weights is refused and followed by a load. ``rate_limit`` is named in all answers;
-    ``rest_s`` is asked for with each 503.
+    ``rest_s`` is asked for with each 503, and ``leaving`` is said in all answers.
 
     Attributes
     ----------
@@ -70,6 +70,7 @@
         self.newer_each_time = False
         self.rate_limit: float | None = None
         self.rest_s: float | None = None
+        self.leaving = False
         self.arrivals: list[float] = []
         self.loading = False
         self.orders = 0
@@ -259,6 +260,8 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if self.rate_limit is not None:
             lines.append(f"Server-Limit: {self.rate_limit}")
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         if self.rest_s is not None and status == 503:
             lines.append(f"Retry-After: {self.rest_s}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -506,6 +506,29 @@
         self.assertGreater(hint, 4.0)
 
 
+class LeavingTest(unittest.TestCase):
+    """Engines that say in their answers that they leave."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+        self.engines = [self.fleet.targets[name] for name in ("e-0", "e-1")]
+
+    def ask(self, number):
+        return self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
+
+    def test_engine_that_leaves_gets_no_new_requests(self):
+        # Guards against waiting for the registration, which may say it late or never.
+        self.ask(0)
+        home = next(engine for engine in self.engines if engine.runs)
+        home.leaving = True
+        self.assertTrue(self.ask(1).whole_stream)
+        before = len(home.arrivals)
+        for number in range(2, 8):
+            self.assertTrue(self.ask(number).whole_stream)
+        self.assertEqual(len(home.arrivals), before)
+
+
 class IsolationTest(unittest.TestCase):
     def test_isolated_workspace_shares_no_cache(self):
         # Two workspaces send the same prompt. In a shared scope the engine would reuse the
--- a/tests/test_agaterail/test_gateway/test_targetnotices.py
+++ b/tests/test_agaterail/test_gateway/test_targetnotices.py
@@ -73,6 +73,18 @@
         self.record((b"Retry-After", b"3"))
         self.assertLess(self.target.rest_until, self.time)
 
+    def test_leaving_is_logged_once_and_holds(self):
+        leaving = (b"Server-Leaving", b"1")
+        self.assertEqual(self.record(leaving), ["Target leaves."])
+        self.assertEqual(self.record(leaving), [])
+        self.assertEqual(self.record(), [])
+        self.assertTrue(self.target.leaving)
+
+    def test_malformed_leaving_is_ignored(self):
+        self.assertEqual(len(self.record((b"Server-Leaving", b"yes"))), 1)
+        self.record((b"Server-Leaving", b"1"), (b"server-leaving", b"0"))
+        self.assertFalse(self.target.leaving)
+
     def test_malformed_notices_are_logged_once(self):
         lines = [self.record((b"Server-Limit", b"-1")) for _ in range(3)]
         self.assertEqual(lines, [["Ignored a malformed notice of a target."], [], []])
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -88,6 +88,15 @@
         self.registry.remove("i-1", now=0.0)
         self.assertEqual([item.instance for item in self.registry.of_service("t")], ["i-2"])
 
+    def test_target_that_leaves_leaves_until_it_starts_anew(self):
+        # Its registration lapses and is read again, or a heartbeat still says ready.
+        target = self.registry.put(make_registration(born=7))
+        target.leaving = True
+        self.assertTrue(self.registry.put(make_registration(born=7)).leaving)
+        self.registry.remove("i-1", 0.0)
+        self.assertFalse(self.registry.put(make_registration(born=7)).is_usable(1.0))
+        self.assertTrue(self.registry.put(make_registration(born=8)).is_usable(1.0))
+
     def test_a_heartbeat_keeps_observations(self):
         target = self.registry.put(make_registration(born=1))
         target.record_failure(0.0)
