--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -17,7 +17,7 @@
 
 PROMPT_PART = re.compile(r"([0-9A-Fa-f]+):(\d{1,12})")
 DECIMAL = re.compile(rb"\d{1,15}")
-DECIMAL_FRACTION = re.compile(rb"\d{1,6}(\.\d{1,9})?")
+DECIMAL_FRACTION = re.compile(rb"\d{1,6}(\.\d{1,20})?")
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 S_PER_MS = 1e-3
 MAX_SHOWN = 40  # characters of a malformed value
--- a/tests/test_agaterail/test_gateway/test_targetnotices.py
+++ b/tests/test_agaterail/test_gateway/test_targetnotices.py
@@ -36,6 +36,12 @@
         self.assertEqual(self.record(), ["Limit of a target ended."])
         self.assertEqual(self.record(), [])
 
+    def test_number_of_many_decimal_places_is_read(self):
+        self.record((b"Server-Limit", b"1.6000000000000001"))
+        self.record((b"Retry-After", b"1.455390372567487702"), status=503)
+        self.assertEqual(self.limit(), 1.6)
+        self.assertAlmostEqual(self.target.rest_until, 101.45539, places=4)
+
     def test_malformed_limit_leaves_the_former_in_force(self):
         self.record((b"Server-Limit", b"1.6"))
         malformed = [b"", b"-1", b"nan", b"inf", b"1e12", b"1000000000000", b"\xff", b"1,6"]
