Soak: engines that name limits, ask for rest and leave

A schedule of their own beside the other faults, seeded, so that the seeds of the regression runs keep their faults.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -35,6 +35,16 @@
         self.outcome, self.ended_at = outcome, time.monotonic()
 
 
+@attrs.frozen
+class Notice:
+    """What a target said of itself in the head of one answer."""
+
+    at: float
+    request_id: str
+    kind: str
+    value: float
+
+
 class PlatformTargetStandIn:
     """Target that records the requests it executes.
 
@@ -50,7 +60,9 @@
     Attributes
     ----------
     arrivals
-        Times at which requests arrived, also those that were refused.
+        Times and ids of the requests that arrived, also of those that were refused.
+    notices
+        What was said in which answer.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
@@ -71,7 +83,8 @@
         self.rate_limit: float | None = None
         self.rest_s: float | None = None
         self.leaving = False
-        self.arrivals: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.notices: list[Notice] = []
         self.loading = False
         self.orders = 0
         self.fence = -1
@@ -144,14 +157,15 @@
             return self._send(sock, 421, {"Instance-Id": self.instance})
         if path == "/agaterail/order":
             return self._send(sock, self._order(json.loads(body)), {})
-        self.arrivals.append(time.monotonic())
+        request_id = headers.get("request-id", "")
+        self.arrivals.append((time.monotonic(), request_id))
         version = headers.get("expect-version")
         if version not in (None, str(self.version)):
             held = self.version
             self.version += self.newer_each_time
             return self._send(sock, 421, {"Weight-Versions": str(held)})
         if self.refuse or self.loading:
-            return self._send(sock, 503, {"Not-Run": "1"})
+            return self._send(sock, 503, {"Not-Run": "1", "Request-Id": request_id})
         run = Run(
             headers.get("request-id", ""),
             method,
@@ -258,10 +272,14 @@
     def _head(self, status: int, headers: dict[str, str]) -> bytes:
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
-        if self.rate_limit is not None:
-            lines.append(f"Server-Limit: {self.rate_limit}")
-        if self.leaving:
-            lines.append("Server-Leaving: 1")
-        if self.rest_s is not None and status == 503:
-            lines.append(f"Retry-After: {self.rest_s}")
+        said = {
+            "Server-Limit": self.rate_limit,
+            "Server-Leaving": 1 if self.leaving else None,
+            "Retry-After": self.rest_s if status == 503 else None,
+        }
+        for name, value in said.items():
+            if value is not None:
+                lines.append(f"{name}: {value}")
+                request_id = headers.get("Request-Id", "")
+                self.notices.append(Notice(time.monotonic(), request_id, name, value))
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -13,6 +13,8 @@
 # 136: the target stand-in executed a request that was cut within its head.
 SEEDS = (1, 136)
 SECONDS = 5.0
+# Long enough for a limit that an engine names to bind for a whole window.
+NOTICES_SEED, NOTICES_SECONDS = 11, 12.0
 
 
 class SoakTest(unittest.TestCase):
@@ -22,6 +24,11 @@
                 result = soak(seed, SECONDS, 3, 8, pathlib.Path(folder))
                 self.assertEqual(result.problems, [])
 
+    def test_guarantees_hold_while_engines_name_limits_rest_and_leave(self):
+        with tempfile.TemporaryDirectory() as folder:
+            result = soak(NOTICES_SEED, NOTICES_SECONDS, 4, 16, pathlib.Path(folder))
+            self.assertEqual(result.problems, [])
+
     def test_slow_start_is_reported_as_problem(self):
         """A slow start aborted a series of seeds without showing how far the start came."""
         limits = mock.patch.multiple(run, START_TIMEOUT_S=0.0, START_TIMEOUT_S_PER_GATEWAY=0.0)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,6 +11,7 @@
 from tools.soak.callers import Caller
 from tools.soak.checks import RunChecker
 from tools.soak.faults import FaultInjector
+from tools.soak.notices import NoticeChecker, NoticeInjector
 from tools.soak.testbed import LIMITED_KEY, Testbed
 
 if TYPE_CHECKING:
@@ -65,7 +66,9 @@
         ]
         caller_greenlets = [gevent.spawn(caller.run) for caller in all_callers]
         injector = FaultInjector(testbed, seed, in_rounds)
+        notices = gevent.spawn(NoticeInjector(testbed, seed).run, seconds)
         injector.run(seconds)
+        notices.join()
         for gateway in testbed.gateways:
             testbed.start(gateway)
         gevent.sleep(RECOVERY_S)
@@ -82,6 +85,7 @@
             recovery_deadline,
         )
         problems = checker.check()
+        problems += NoticeChecker(testbed, checker.requests, injector.intervals).check()
     finally:
         testbed.stop()
     served = sum(item.status == 200 and item.complete for item in finished)
