Story and losses: what targets said of themselves

A refusal for want of a target names no target, so its story left out why; it now shows the notices of the host's targets shortly before. Losses count such refusals as a cause of their own.

--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -29,6 +29,7 @@
 
     OVERLOAD = "refused, prompts would be late"
     NO_USABLE_TARGET = "refused, no usable target"
+    TARGETS_AT_LIMIT = "refused, targets at their limits or resting"
     TARGETS_REFUSED = "refused by the targets"
     STALE_STATE = "refused for want of a fresh reading"
     OTHER_REFUSAL = "refused otherwise"
@@ -55,6 +56,8 @@
     "target_timeout": Cause.SILENT_TARGET,
     "target_lost": Cause.LOST_TARGET,
 }
+# In the detail of a failure; the numbers of targets follow.
+AT_LIMIT_DETAIL = "no usable target, of "
 DENIALS = frozenset({"no_route", "unauthenticated", "bad_request"})
 
 
@@ -101,6 +104,8 @@
     """Return why the line's request was lost or late; None if it was not."""
     if event == "Request failed.":
         kind = str(fields.get("kind"))
+        if str(fields.get("detail")).startswith(AT_LIMIT_DETAIL):
+            return Cause.TARGETS_AT_LIMIT
         return None if kind in DENIALS else CAUSE_OF_KIND.get(kind, Cause.OTHER_REFUSAL)
     if event == "Stream cut.":
         at_limit = float(fields.get("left_s", 1.0)) < TIME_LIMIT_MARGIN_S
--- a/agaterail/requesttrace.py
+++ b/agaterail/requesttrace.py
@@ -14,6 +14,9 @@
 PREFIX_FIELDS = frozenset({"timestamp", "host", "part", "event", "level", "request"})
 # Parts whose lines name no request but describe state that decisions depend on.
 STATE_PARTS = frozenset({"state", "feeds", "weights", "fleet", "stop", "main"})
+# Lines of this part describe targets and name the request whose answer told of it.
+NOTICE_PART = "targets"
+NO_USABLE_TARGET = "no usable target"
 
 
 @attrs.frozen(order=True)
@@ -75,7 +78,8 @@
     ----------
     around_s
         State changes are included from this many seconds before the request's first
-        line up to its last, if they name one of its targets or no target.
+        line up to its last, if they name one of its targets or no target. For a request
+        that found no usable target, the notices of all targets are included.
     """
     lines = list(lines)
     request_lines = sorted(line for line in lines if line.request == request_id)
@@ -83,20 +87,30 @@
         return []
     hosts = {line.host for line in request_lines}
     targets = {line.target for line in request_lines} | {""}
+    found_no_target = any(
+        str(dict(line.fields).get("detail")).startswith(NO_USABLE_TARGET)
+        for line in request_lines
+    )
     start = seconds_of_day(request_lines[0].timestamp) - around_s
     end = seconds_of_day(request_lines[-1].timestamp)
     state_lines = [
         line
         for line in lines
-        if not line.request
+        if line.request != request_id
         and line.host in hosts
-        and line.part in STATE_PARTS
-        and line.target in targets
+        and _is_about_state(line)
+        and (line.target in targets or (found_no_target and line.part == NOTICE_PART))
         and start <= seconds_of_day(line.timestamp) <= end
     ]
     return sorted([*request_lines, *state_lines])
 
 
+def _is_about_state(line: LogLine) -> bool:
+    if line.request:
+        return line.part == NOTICE_PART
+    return line.part in STATE_PARTS or line.part == NOTICE_PART
+
+
 def seconds_of_day(timestamp: str) -> float:
     """Return the time of day of a timestamp in seconds; NaN if it cannot be parsed.
 
--- a/tests/test_agaterail/test_losses.py
+++ b/tests/test_agaterail/test_losses.py
@@ -53,6 +53,14 @@
             ("Stream complete.", late | {"rank": 2}, Cause.LATE_ELSEWHERE),
             ("Stream complete.", late | {"rank": 0}, Cause.LATE_HOME),
             ("Request failed.", {"kind": "internal"}, Cause.OTHER_REFUSAL),
+            (
+                "Request failed.",
+                {
+                    "kind": "overloaded",
+                    "detail": "no usable target, of 5 3 over their limits, 2 resting",
+                },
+                Cause.TARGETS_AT_LIMIT,
+            ),
         ):
             with self.subTest(cause=cause):
                 self.assertIs(cause_of(event, fields), cause)
--- a/tests/test_agaterail/test_requesttrace.py
+++ b/tests/test_agaterail/test_requesttrace.py
@@ -42,6 +42,24 @@
             ],
         )
 
+    def test_a_request_without_a_target_is_traced_to_what_targets_said(self):
+        texts = [
+            line(
+                4.5, "a", "Target asked for rest.", part="targets", request="r7", target="t1"
+            ),
+            line(
+                4.6, "c", "Target asked for rest.", part="targets", request="r8", target="t1"
+            ),
+            line(5.0, "a", "Request failed.", request="r1", detail="no usable target, of 1"),
+            line(5.1, "a", "Request failed.", request="r2", detail="retry budget exhausted"),
+        ]
+        lines = parse_log_lines(texts)
+        self.assertEqual(
+            [item.event for item in trace_request(lines, "r1", 2.0)],
+            ["Target asked for rest.", "Request failed."],
+        )
+        self.assertEqual(len(trace_request(lines, "r2", 2.0)), 1)
+
     def test_the_trace_of_an_unknown_request_is_empty(self):
         self.assertEqual(trace_request(parse_log_lines(self.texts), "r9", 2.0), [])
 
