A request may ask for permits at eight targets, and denials in a row pause for longer

Each request asked for the first three engines of its order, was denied, and gave up; by the daemon's next request the denials had passed. Denials in a row now double the pause, so that requests come to the engines later in the order, and a request asks for eight. The test failed before with two of five engines (503).

--- a/agaterail/decisions/ratelimits.py
+++ b/agaterail/decisions/ratelimits.py
@@ -14,6 +14,7 @@
 import attrs
 
 from agaterail.limits import TokenBucket
+from agaterail.util.backoff import backoff_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -176,6 +177,9 @@
     ----------
     denied_until
         Time before which no permit is asked for.
+    denials
+        Number of consecutive denials. The pause after them grows, so that requests come
+        to ask for permits for other targets, which may have some left.
     answered_at
         Time of the last answer of a coordinator.
     slots
@@ -184,6 +188,7 @@
 
     def __init__(self) -> None:
         self.denied_until = float("-inf")
+        self.denials = 0
         self.answered_at = float("-inf")
         self.slots: PermitSlots | None = None
 
@@ -191,8 +196,11 @@
         """Apply a coordinator's answer; return whether a request may be sent."""
         self.answered_at, self.slots = now, None
         if wait_s > 0.0:
-            self.deny(wait_s, now)
+            pause_s = backoff_s(self.denials, MIN_WAIT_S, MAX_WAIT_S)
+            self.denials += 1
+            self.deny(max(wait_s, pause_s), now)
             return False
+        self.denials = 0
         return now - asked_at <= PERMIT_VALID_S
 
     def take_slot(self, limit: RateLimit, daemons: float, number: float, now: float) -> bool:
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -29,7 +29,7 @@
 # on to further targets would soon fill those too.
 MAX_REFUSALS = 3
 # Asking for a permit takes a few milliseconds.
-MAX_DENIALS = 3
+MAX_DENIALS = 8
 
 
 class AttemptOutcome(enum.Enum):
--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -5,7 +5,7 @@
 import gevent
 from returns.result import Failure, Success
 
-from agaterail.decisions.ratelimits import PermitRequest, RateLimit
+from agaterail.decisions.ratelimits import PermitRequest, RateLimit, TargetPermits
 from agaterail.gateway.coordinators import Coordinators
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.targetlimitcontroller import (
@@ -192,6 +192,24 @@
         for answer in refused:
             self.assertIn("retry-after", answer.head)
 
+    def test_request_takes_the_last_permit_of_a_service(self):
+        # Guards against refusals while engines later in a prompt's order have permits left.
+        for number in (3, 4):
+            self.fleet.add_target(f"e-{number}", LLM, MODEL)
+        daemon = self.fleet.daemons[0]
+        self.fleet.wait(lambda: len(daemon.registry.targets) == 7)
+        engines = daemon.registry.of_service(LLM)
+        limit = RateLimit(rate_per_s=LIMIT_PER_S, since=0.0, heard_at=0.0)
+        for number, free in enumerate(engines):
+            for target in engines:
+                target.rate_limit, target.permits = limit, TargetPermits()
+            waits_s = {target.instance: 0.01 for target in engines} | {free.instance: 0.0}
+            daemon.target_limits._ask = lambda name, _limit, waits_s=waits_s: waits_s[name]
+            with self.subTest(free.instance):
+                answer = self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
+                self.assertEqual(answer.status, 200)
+                self.assertIn(f"s-{free.instance}\r", answer.head)
+
     def test_limit_ends_with_an_answer_that_names_none(self):
         for name in ("e-0", "e-1", "e-2"):
             self.fleet.targets[name].rate_limit = LIMIT_PER_S
