One line a request names the targets that denied it a permit

A line for each denial, up to eight a request, would use up the lines a second that a process may write. The request's own lines carry the list now, and its target's limit.

--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -196,6 +196,7 @@
             route=None if context is None else context.route.name,
             sends=None if context is None else context.retry_state.sends,
             runs=None if context is None else context.retry_state.runs,
+            denied=None if context is None else context.retry_state.denied or None,
             reading_age_s=round(self.daemon.freshness.age_s(self.daemon.now()), 3),
             desired=None if desired is None else desired.version,
             retry_after_s=None if hint is None else round(hint, 3),
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -57,8 +57,8 @@
         Targets that may have run the request, including those of open attempts.
     sends
         Number of times the request was sent to a target, including refused sends.
-    denials
-        Number of targets that were chosen and whose limit left no room.
+    denied
+        Targets that were chosen and whose limits left no room.
     """
 
     route: Route
@@ -68,7 +68,7 @@
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
-    denials: int = 0
+    denied: list[str] = attrs.field(factory=list)
     last_outcome: AttemptOutcome | None = None
 
     @property
@@ -96,13 +96,13 @@
 
     def record_denial(self, instance: str) -> None:
         """Record that a target's limit left no room for the request."""
-        self.denials += 1
+        self.denied.append(instance)
         self.tried.add(instance)
 
     @property
     def may_ask_for_permit(self) -> bool:
         """Return whether the request may be tried at one more target with a limit."""
-        return self.denials < MAX_DENIALS
+        return len(self.denied) < MAX_DENIALS
 
     def allow_resend(self, instance: str) -> None:
         """Allow one more send to a target that refused."""
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -20,6 +20,7 @@
     from agaterail.gateway.placement import Choice
     from agaterail.gateway.requestcontext import RequestContext
     from agaterail.gateway.targetconnection import TargetConnection
+    from agaterail.gateway.targets import Target
 
 logger = logs.get_logger("forward")
 
@@ -143,11 +144,22 @@
             candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
             saves=context.saves,
+            **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
             **self._plan_fields(),
             **fields,
         )
 
+    def _permit_fields(self, choice: Choice | None) -> dict[str, object]:
+        """Return log fields about limits of targets, if any were in the way."""
+        limit = None if choice is None else choice.target.rate_limit
+        fields: dict[str, object] = {}
+        if limit is not None:
+            fields["limit_per_s"] = limit.rate_per_s
+        if self.retry_state.denied:
+            fields["denied"] = list(self.retry_state.denied)
+        return fields
+
     def _outdated_weights_fields(self, choice: Choice | None) -> dict[str, object]:
         """Return log fields about outdated weights at the chosen target, if any."""
         named = None if choice is None else choice.outdated_by
@@ -184,7 +196,7 @@
                 return overload
             if not self._charge_run():
                 return self._give_up(now, "allowance exhausted")
-            if not self._get_permit(choice):
+            if not self._get_permit(choice.target):
                 continue
             self.context.target = choice.target.instance
             connection = self._connect(choice, left, now)
@@ -215,19 +227,11 @@
         context.charged_runs += 1
         return True
 
-    def _get_permit(self, choice: Choice) -> bool:
-        """Return whether the chosen target's limit leaves room for the request."""
-        target = choice.target
+    def _get_permit(self, target: Target) -> bool:
+        """Return whether the limit that a target names leaves room for the request."""
         if self.daemon.target_limits.admit(target):
             return True
         self.retry_state.record_denial(target.instance)
-        self.log(
-            "No permit for the target.",
-            choice,
-            limit_per_s=None if target.rate_limit is None else target.rate_limit.rate_per_s,
-            wait_s=round(target.permits.denied_until - self.daemon.now(), 3),
-            coordinator=self.daemon.coordinators.of(target.instance),
-        )
         return False
 
     def _connect(self, choice: Choice, left: float, now: float) -> TargetConnection | None:
