--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -50,6 +50,7 @@
         self.readers = READERS
         self.daemons = 4.0
         self.called = []
+        self.contacts = ()
         self.answer = Failure("timed out")
         self.coordinators = Coordinators(
             name="h.1",
@@ -93,6 +94,8 @@
         for _ in range(round(seconds * 20)):
             self.time += 0.05
             self.coordinators.step()
+            for name in self.contacts:
+                self.coordinators.record_contact(name)
             if target.is_usable(self.time):
                 count += self.controller.admit(target)
         return count
@@ -103,8 +106,7 @@
         self.assertEqual(self.called, [])
 
     def test_own_permits_follow_the_limit(self):
-        for name in ("h.2", "h.3", "h.4"):
-            self.coordinators.record_contact(name)
+        self.contacts = ("h.2", "h.3", "h.4")
         self.admitted(self.own, 1.5)
         self.assertLessEqual(self.admitted(self.own, 1.0), 3)
         self.assertGreaterEqual(self.admitted(self.own, 1.0), 1)
