Slots for targets with a limit follow the largest fleet of the last 15 s

Found by reading the change: a daemon that keeps the store while the others lose it counts itself as the whole fleet, and without a coordinator sent a target its whole limit while the others went on with their slots. The fraction that a coordinator may grant had the guard already; both use it now. The test failed before: 16 requests in 8 s where 3 to 5 are a quarter of the limit.

--- a/agaterail/gateway/coordinators.py
+++ b/agaterail/gateway/coordinators.py
@@ -94,6 +94,7 @@
             self._notify(now, suspended=True)
         self.stepped_at = now
         self.follow()
+        self._record_fleet_size(now)
         self._make_contact(now)
 
     def follow(self) -> None:
@@ -149,7 +150,20 @@
     def fleet_fraction(self) -> float:
         """Return the fraction of the fleet's amounts that this daemon may grant."""
         now = self.now()
-        return self.contacts.fleet_fraction(self._fleet_size(now), now)
+        return self.contacts.fleet_fraction(self.largest_fleet(), now)
+
+    def largest_fleet(self) -> float:
+        """Return the largest number of daemons lately.
+
+        Daemons that lose the platform's store lose their membership, but not their callers.
+        """
+        self._record_fleet_size(self.now())
+        return self.fleet_size
+
+    def _record_fleet_size(self, now: float) -> None:
+        daemons = self.daemons()
+        if daemons >= self.fleet_size or now - self.sized_at > FLEET_SIZE_VALID_S:
+            self.fleet_size, self.sized_at = daemons, now
 
     def _make_contact(self, now: float) -> None:
         """Tell the coordinators from time to time that this daemon takes them for such."""
@@ -161,16 +175,6 @@
             if address != self.own_address:
                 gevent.spawn(self.call, address, query_path(CONTACT_PATH, self.name, ()))
 
-    def _fleet_size(self, now: float) -> float:
-        """Return the largest size of the fleet lately.
-
-        Daemons that lose the platform's store lose their membership, but not their callers.
-        """
-        daemons = self.daemons()
-        if daemons >= self.fleet_size or now - self.sized_at > FLEET_SIZE_VALID_S:
-            self.fleet_size, self.sized_at = daemons, now
-        return self.fleet_size
-
 
 def query_path(path: str, daemon: str, rows: tuple[str, ...]) -> str:
     """Return the path and query string of a daemon's message to a coordinator."""
--- a/agaterail/gateway/targetlimitcontroller.py
+++ b/agaterail/gateway/targetlimitcontroller.py
@@ -79,7 +79,7 @@
         now, permits = self.now(), target.permits
         if wait_s is None:
             source = "slot"
-            daemons = self.coordinators.daemons()
+            daemons = self.coordinators.largest_fleet()
             admitted = permits.take_slot(limit, daemons, self.number(), now)
         else:
             source = "coordinator"
--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -123,6 +123,13 @@
         self.assertEqual(self.admitted(self.other, 1.9), 0)
         self.assertIn(self.admitted(self.other, 8.0), range(3, 6))
 
+    def test_slots_stay_rare_when_most_daemons_lose_the_store(self):
+        # The store counts only the daemons that reach it; the others go on sending.
+        self.admitted(self.other, 0.1)
+        self.readers, self.daemons = READERS[1:], 1.0
+        self.admitted(self.other, 2.0)
+        self.assertIn(self.admitted(self.other, 8.0), range(3, 6))
+
     def test_coordinator_of_a_former_build_keeps_its_other_duties(self):
         self.answer = Success((404, b""))
         self.admitted(self.other, 1.0)
