Soak: a gateway that two faults start is started once

Starting a process switches greenlets; two faults that end at the same time both found the gateway not running and started one each, and the first was forgotten: it kept the ports for a moment and was never stopped. The test failed before (2 processes of 1).

--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -5,7 +5,9 @@
 import unittest
 from unittest import mock
 
-from tools.soak import run
+import gevent
+
+from tools.soak import run, testbed
 from tools.soak.run import soak
 
 # Regression seeds, each with the cause of its failure:
@@ -29,6 +31,21 @@
             result = soak(NOTICES_SEED, NOTICES_SECONDS, 4, 16, pathlib.Path(folder))
             self.assertEqual(result.problems, [])
 
+    def test_gateway_that_two_faults_start_is_started_once(self):
+        """A second process of a gateway went on after the run, as nobody knew it."""
+        started = []
+
+        def start_slowly(*_, **__):
+            gevent.sleep(0.01)
+            started.append(mock.Mock(poll=lambda: None))
+            return started[-1]
+
+        gateway = testbed.Gateway("g-0", "", mock.Mock(), "", "")
+        bed = testbed.Testbed.__new__(testbed.Testbed)
+        with mock.patch.object(testbed.subprocess, "Popen", start_slowly):
+            gevent.joinall([gevent.spawn(bed.start, gateway) for _ in range(2)])
+        self.assertEqual(len(started), 1)
+
     def test_slow_start_is_reported_as_problem(self):
         """A slow start aborted a series of seeds without showing how far the start came."""
         limits = mock.patch.multiple(run, START_TIMEOUT_S=0.0, START_TIMEOUT_S_PER_GATEWAY=0.0)
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -14,6 +14,7 @@
 
 import attrs
 import gevent
+from gevent.lock import RLock
 
 from standins.platform_engine import PlatformTargetStandIn
 from standins.platform_store import PlatformStoreStandIn
@@ -50,6 +51,7 @@
     process: subprocess.Popen[bytes] | None = None
     ready: bool = False
     start_count: int = 0
+    start_lock: RLock = attrs.field(factory=RLock)
 
     @property
     def last_line(self) -> str:
@@ -175,16 +177,18 @@
 
     def start(self, gateway: Gateway) -> None:
         """Start a gateway process unless it is running."""
-        if gateway.running:
-            return
-        gateway.start_count += 1
-        gateway.process = subprocess.Popen(
-            [sys.executable, "-m", "agaterail.gateway"],
-            cwd=ROOT,
-            env={**os.environ, "AGATERAIL_NODE_FILE": gateway.settings},
-            stdout=gateway.log,
-            stderr=gateway.log,
-        )
+        # Popen switches greenlets, and two faults may end at the same time.
+        with gateway.start_lock:
+            if gateway.running:
+                return
+            gateway.start_count += 1
+            gateway.process = subprocess.Popen(
+                [sys.executable, "-m", "agaterail.gateway"],
+                cwd=ROOT,
+                env={**os.environ, "AGATERAIL_NODE_FILE": gateway.settings},
+                stdout=gateway.log,
+                stderr=gateway.log,
+            )
 
     def signal(self, gateway: Gateway, number: int) -> None:
         """Send a signal to a gateway process if it is running."""
