A prompt that was denied a permit is not shed for it

Found by reading the change: a request that goes on to the next target after a denial met the load shedder again, so that with eight denials a chance of 0.2 to be refused became 0.87. The decision is made once, before the first target is asked for. The test failed before (3 decisions for one prompt at three engines).

--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -252,6 +252,8 @@
         """
         if not self.context.route.prompted or self.retry_state.sends:
             return None
+        if self.retry_state.denied:
+            return None  # decided before the first target was asked for
         random = self.daemon.random
         shedder = self.daemon.shedder_of(self.context.service)
         if not shedder.should_refuse(random.random(), now):
--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import gevent
 from returns.result import Failure, Success
@@ -221,6 +222,19 @@
                 self.assertEqual(answer.status, 200)
                 self.assertIn(f"s-{free.instance}\r", answer.head)
 
+    def test_denied_prompt_is_not_shed_more_often(self):
+        # Guards against a chance of being refused at each target that a prompt asks for.
+        daemon = self.fleet.daemons[0]
+        engines = daemon.registry.of_service(LLM)
+        limit = RateLimit(rate_per_s=LIMIT_PER_S, since=0.0, heard_at=0.0)
+        for target in engines:
+            target.rate_limit = limit
+        daemon.target_limits._ask = lambda _name, _limit: 0.01
+        with mock.patch.object(daemon.shedder_of(LLM), "should_refuse") as should_refuse:
+            should_refuse.return_value = False
+            self.assertEqual(self.fleet.ask("/once/x", stream=True).status, 503)
+        self.assertEqual(should_refuse.call_count, 1)
+
     def test_limit_ends_with_an_answer_that_names_none(self):
         for name in ("e-0", "e-1", "e-2"):
             self.fleet.targets[name].rate_limit = LIMIT_PER_S
