--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -466,8 +466,8 @@
         fleet.wait(lambda: not shedder.waiting)
 
 
-class RestTest(unittest.TestCase):
-    """Engines that turn requests away and ask for rest."""
+class TwoEnginesTestCase(unittest.TestCase):
+    """One daemon with two engines."""
 
     def setUp(self):
         self.fleet = Fleet()
@@ -477,6 +477,10 @@
     def ask(self, number):
         return self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
 
+
+class RestTest(TwoEnginesTestCase):
+    """Engines that turn requests away and ask for rest."""
+
     def test_engine_gets_no_requests_while_it_rests(self):
         # Guards against a rest that is shortened, or forgotten when an older stream ends.
         self.ask(0)
@@ -506,17 +510,9 @@
         self.assertGreater(hint, 4.0)
 
 
-class LeavingTest(unittest.TestCase):
+class LeavingTest(TwoEnginesTestCase):
     """Engines that say in their answers that they leave."""
 
-    def setUp(self):
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.stop)
-        self.engines = [self.fleet.targets[name] for name in ("e-0", "e-1")]
-
-    def ask(self, number):
-        return self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
-
     def test_engine_that_leaves_gets_no_new_requests(self):
         # Guards against waiting for the registration, which may say it late or never.
         self.ask(0)
