Daemons log and count services that none of their connects reaches

The logs of the incident name each failed connect, and nothing says whether the host or the targets are at fault, since when, or when a way is back. Connects are judged together now: three targets (or all of a smaller service) that fail within 2 s, with no connect completed in between, mean a lost path; the next completed connect ends it. One line at each change, one gauge. No decision reads it yet.

--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -28,11 +28,22 @@
 
 
 class ConnectionPool:
-    """Idle connections by target; the most recently used one is reused first."""
+    """Idle connections by target; the most recently used one is reused first.
+
+    Attributes
+    ----------
+    connect
+        Opens a connection.
+    on_connected, on_connect_failed
+        Called with the target, and after a failure with the error.
+    """
 
     def __init__(self, decode: Callable[..., AnswerHead], now: Callable[[], float]) -> None:
         self.decode = decode
         self.now = now
+        self.connect = TargetConnection.connect
+        self.on_connected: Callable[[Target], None] = lambda _target: None
+        self.on_connect_failed: Callable[[Target, OSError], None] = lambda *_: None
         self.idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -59,12 +70,25 @@
             ) and not connection.is_stale(keep_alive_fraction):
                 return connection
             connection.close()
+        return self.open(target, connect_timeout_s)
+
+    def open(self, target: Target, connect_timeout_s: float) -> TargetConnection:
+        """Return a new connection.
+
+        Raises
+        ------
+        OSError
+            If the connection could not be established.
+        """
         self.opened += 1
-        connection = TargetConnection.connect(
-            target.address, connect_timeout_s, self.decode, self.now
-        )
+        try:
+            connection = self.connect(target.address, connect_timeout_s, self.decode, self.now)
+        except OSError as error:
+            self.on_connect_failed(target, error)
+            raise
         connection.on_data = lambda: self._record_heard(target)
         self._record_heard(target)
+        self.on_connected(target)
         return connection
 
     def release(self, target: Target, connection: TargetConnection) -> None:
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -32,6 +32,7 @@
 from agaterail.gateway.kvsavecontroller import KvSaveController
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
+from agaterail.gateway.pathcontroller import PathController
 from agaterail.gateway.placement import PlacementRules
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.retrybudget import RetryBudget
@@ -102,6 +103,9 @@
         self.shedders: dict[str, LoadShedder] = {}
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
+        self.paths = PathController(self.registry, self.now)
+        self.connection_pool.on_connected = self.paths.record_success
+        self.connection_pool.on_connect_failed = self.paths.record_failure
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -94,6 +94,7 @@
                     "Targets that want no requests of this daemon for a time.",
                 ),
                 ("targets_limited", "Targets that name a limit of requests per second."),
+                ("services_without_path", "Services that no new connection reaches."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
@@ -129,6 +130,7 @@
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
+            "services_without_path": len(daemon.paths.lost_services),
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
             ),
--- /dev/null
+++ b/tests/test_agaterail/test_gateway/test_pathcontroller.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from agaterail.gateway import pathcontroller
+from agaterail.gateway.pathcontroller import PathController
+from agaterail.gateway.targets import Registration, TargetRegistry
+
+SERVICE = "s"
+
+
+def make_registry(count=3, service=SERVICE):
+    registry = TargetRegistry(lapse_grace_s=0.0)
+    for number in range(count):
+        registry.put(
+            Registration(
+                instance=f"{service}-{number}",
+                service=service,
+                address=f"10.0.0.{number + 1}:1",
+                domain="z1",
+                ready=True,
+            )
+        )
+    return registry
+
+
+class BeliefTest(unittest.TestCase):
+    def setUp(self):
+        self.time = 100.0
+        self.registry = make_registry()
+        self.targets = self.registry.of_service(SERVICE)
+        self.paths = PathController(self.registry, lambda: self.time)
+
+    def fail_all(self):
+        for target in self.targets:
+            self.paths.record_failure(target, ConnectionRefusedError())
+
+    def test_a_service_is_lost_while_no_connect_succeeds(self):
+        self.fail_all()
+        self.assertEqual(self.paths.lost_services, [SERVICE])
+        self.assertTrue(self.paths.is_lost(SERVICE))
+        self.paths.record_success(self.targets[0])
+        self.assertFalse(self.paths.is_lost(SERVICE))
+
+    def test_other_services_are_not_concerned(self):
+        self.fail_all()
+        self.assertFalse(self.paths.is_lost("other"))
+
+    def test_loss_and_return_are_logged_once(self):
+        with mock.patch.object(pathcontroller, "logger") as logger:
+            self.fail_all()
+            self.fail_all()
+            self.time += 4.0
+            self.paths.record_success(self.targets[0])
+            self.paths.record_success(self.targets[1])
+        lines = [(call.args[0], call.kwargs.get("lost_s")) for call in logger.info.mock_calls]
+        self.assertEqual(
+            lines, [("Path to a service lost.", None), ("Path to a service regained.", 4.0)]
+        )
