--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -51,6 +51,7 @@
         self.choice = choice
         self.target = choice.target
         self.connection = connection
+        self.pool = daemon.relays.pool if choice.relayed else daemon.connection_pool
         self.head: AnswerHead | None = None
         self.body_parts: list[bytes] = []
         self.buffered = b""
@@ -87,10 +88,7 @@
         """
         if self.head is None:
             self.head = self.connection.read_head(self.context.inbound.request_id, deadline)
-            self._record_weights(self.head)
-            self.daemon.notices.record(
-                self.target, self.head, self.sent_at, self.context.inbound.request_id
-            )
+            self._record_head(self.head)
         return self.head
 
     def read_rest(self, deadline: float) -> bytes:
@@ -158,7 +156,7 @@
         if self._end():
             if healthy:
                 self.target.record_success()
-            self.daemon.connection_pool.release(self.target, self.connection)
+            self.pool.release(self.target, self.connection)
 
     def abandon(self) -> None:
         """Close the connection at once, so that the target stops working."""
@@ -186,6 +184,16 @@
             shedder.end(pending, self.daemon.now(), first_token)
             self.target.prefill_tokens -= self.context.inbound.prompt_tokens
 
+    def _record_head(self, head: AnswerHead) -> None:
+        if self.choice.relayed:
+            # What the head says of a target concerns the daemon that forwarded it.
+            if not head.not_run:
+                self.daemon.relays.record_forwarded(self.context.service, self.instance)
+            return
+        self._record_weights(head)
+        request_id = self.context.inbound.request_id
+        self.daemon.notices.record(self.target, head, self.sent_at, request_id)
+
     def _record_weights(self, head: AnswerHead) -> None:
         if head.weights_version is not None and (head.not_run or self.is_stream):
             self.target.record_weights(self.context.inbound.model, head.weights_version)
--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -57,11 +57,8 @@
         OSError
             If the connection could not be established; nothing was sent.
         """
-        keep_alive_fraction = (
-            IDEMPOTENT_KEEP_ALIVE_FRACTION if idempotent else AT_MOST_ONCE_KEEP_ALIVE_FRACTION
-        )
-        max_silence_s = IDEMPOTENT_MAX_SILENCE_S if idempotent else AT_MOST_ONCE_MAX_SILENCE_S
-        is_alive = self.now() - target.heard_at < max_silence_s
+        keep_alive_fraction = _keep_alive_fraction(idempotent)
+        is_alive = self._sends(target, idempotent)
         idle = self.idle.get(target.instance, [])
         while idle and is_alive:
             connection = idle.pop()
@@ -91,6 +88,15 @@
         self.on_connected(target)
         return connection
 
+    def has_live(self, target: Target, idempotent: bool) -> bool:
+        """Return whether ``acquire`` needs no new connection."""
+        keep_alive_fraction = _keep_alive_fraction(idempotent)
+        return self._sends(target, idempotent) and any(
+            self._is_within_idle_limit(connection, keep_alive_fraction)
+            and not connection.is_stale(keep_alive_fraction)
+            for connection in self.idle.get(target.instance, [])
+        )
+
     def release(self, target: Target, connection: TargetConnection) -> None:
         """Return a connection to the pool after its answer was read completely."""
         if connection.finish():
@@ -101,6 +107,9 @@
 
     def release_unused(self, target: Target, connection: TargetConnection) -> None:
         """Return a connection to the pool on which nothing was sent since ``acquire``."""
+        if target.gone:
+            connection.close()
+            return
         connection.idle_since = self.now()
         self.idle.setdefault(target.instance, []).append(connection)
 
@@ -127,9 +136,18 @@
     def _record_heard(self, target: Target) -> None:
         target.heard_at = self.now()
 
+    def _sends(self, target: Target, idempotent: bool) -> bool:
+        """Return whether a target sent data lately."""
+        max_silence_s = IDEMPOTENT_MAX_SILENCE_S if idempotent else AT_MOST_ONCE_MAX_SILENCE_S
+        return self.now() - target.heard_at < max_silence_s
+
     def _is_within_idle_limit(
         self, connection: TargetConnection, keep_alive_fraction: float
     ) -> bool:
         if connection.keep_alive_s is not None:
             return True
         return self.now() - connection.idle_since < DEFAULT_KEEP_ALIVE_S * keep_alive_fraction
+
+
+def _keep_alive_fraction(idempotent: bool) -> float:
+    return IDEMPOTENT_KEEP_ALIVE_FRACTION if idempotent else AT_MOST_ONCE_KEEP_ALIVE_FRACTION
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import secrets
 import time
@@ -18,6 +19,7 @@
     cachedirectives,
     kvsavecontroller,
     placement,
+    relayprotocol,
     targetlimitcontroller,
 )
 from agaterail.gateway.allowancecontroller import AllowanceController
@@ -35,6 +37,8 @@
 from agaterail.gateway.pathcontroller import PathController
 from agaterail.gateway.placement import PlacementRules
 from agaterail.gateway.readiness import make_readiness_server
+from agaterail.gateway.relaycontroller import RelayController
+from agaterail.gateway.relayresponder import RelayResponder
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.shedding import LoadShedder
 from agaterail.gateway.state import GatewayState
@@ -57,6 +61,7 @@
     from agaterail.gateway.kvstoreindex import CacheFeed
     from agaterail.gateway.placement import Choice
     from agaterail.gateway.requestcontext import RequestContext
+    from agaterail.gateway.targets import Target
     from agaterail.timers import Subscription
 
 logger = logs.get_logger("gateway")
@@ -103,9 +108,7 @@
         self.shedders: dict[str, LoadShedder] = {}
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
-        self.paths = PathController(self.registry, self.now)
-        self.connection_pool.on_connected = self.paths.record_success
-        self.connection_pool.on_connect_failed = self.paths.record_failure
+        self.paths = PathController(self.registry, self.connection_pool, self.now, self.random)
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
@@ -158,10 +161,51 @@
         self.greenlets = Group()
         self.subscriptions: list[Subscription] = []
         handler = RequestHandler(self)
+        self._add_relays(handler)
         self.caller_server = HttpServer(
             settings.caller_listen, handler.handle, self._limits, self.now
         )
 
+    def _add_relays(self, handler: RequestHandler) -> None:
+        """Forward for other daemons, and let them forward for this one."""
+        responder = self.feeds.peer_responder
+        self.relays = RelayController(
+            str(responder.server.address),
+            self._known_daemons,
+            self.paths.fraction,
+            decode=requests.decode_answer_head,
+            encode_relayed=requests.encode_relayed,
+            now=self.now,
+            rng=self.random,
+        )
+        self.relay_responder = RelayResponder(
+            functools.partial(handler.handle, relayed=True),
+            self._forwarding_obstacle,
+            self.paths.fraction,
+            self._known_daemons,
+            self.metrics,
+            self.now,
+            self.random,
+        )
+        responder.handlers[relayprotocol.STATUS_PATH] = self.relay_responder.answer
+        responder.prefix_handlers[relayprotocol.REQUEST_PREFIX] = self.relay_responder.handle
+
+    def _known_daemons(self) -> list[str]:
+        """Return the addresses of the other daemons that this one knows."""
+        feeds = self.feeds
+        known = (*feeds.poller.pollers, *feeds.peer_responder.pollers, *feeds.readers)
+        return [item for item in dict.fromkeys(known) if item != feeds.poller.own_address]
+
+    def _forwarding_obstacle(self, service: str) -> str:
+        """Return why this daemon cannot forward to a service; empty if it can."""
+        now = self.now()
+        if self.stopping:
+            return "stopping"
+        if self.paths.is_lost(service):
+            return "no path"
+        targets = self.registry.of_service(service)
+        return "" if any(item.is_usable(now) for item in targets) else "no usable target"
+
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should open new connections."""
@@ -176,6 +220,8 @@
             self.timers.every(HOUSEKEEPING_PERIOD_S, self.housekeep),
             self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
+            self.timers.every(self.paths.period_s, self.paths.step),
+            self.timers.every(self.relays.period_s, self.relays.step),
         ]
         self.readiness.start()
         self.caller_server.start()
@@ -203,6 +249,7 @@
             logger.info("Target expired.", target=target.instance)
         self.state.log_staleness(self.now())
         self.notices.step()
+        self.relay_responder.step()
         self.connection_pool.close_stale()
         stores = [spec.address for spec in self._kv_stores()]
         self.kv_saves.set_stores(stores, self.greenlets.spawn)
@@ -217,11 +264,22 @@
         tried: Collection[str] = context.retry_state.tried
         if not context.retry_state.may_ask_for_permit:
             tried = {*tried, *(item.instance for item in targets if item.rate_limit)}
+        if context.service in self.paths.outages:
+            tried = {*tried, *self._unreached(targets, context.route.idempotent)}
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
         return placement.choose_engine(context.inbound, targets, tried, self.rules, named, now)
 
+    def _unreached(self, targets: Collection[Target], idempotent: bool) -> list[str]:
+        """Return the targets that neither a new nor an open connection reaches."""
+        pool, paths = self.connection_pool, self.paths
+        return [
+            item.instance
+            for item in targets
+            if not paths.reaches(item) and not pool.has_live(item, idempotent)
+        ]
+
     def expected_wait_s(self, context: RequestContext, choice: Choice) -> float:
         """Return the expected wait for a first token at the chosen target."""
         if not context.route.prompted:
@@ -250,6 +308,15 @@
         found = None if desired is None else desired.workspace_by_name.get(workspace)
         return None if found is None else found.allowance
 
+    def peer_limits(self) -> CallerLimits:
+        """Return the limits of peers' requests, some of which callers have sent."""
+        callers, peers = self._limits(), CallerLimits()
+        return attrs.evolve(
+            peers,
+            max_header_bytes=callers.max_header_bytes + peers.max_header_bytes,
+            max_body_bytes=max(callers.max_body_bytes, peers.max_body_bytes),
+        )
+
     def _limits(self) -> CallerLimits:
         desired = self.state.desired
         return CallerLimits() if desired is None else desired.limits
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -67,7 +67,7 @@
         self.readers: tuple[str, ...] = ()
         daemon.store.on_data = lambda feed: self.relay.feeds[feed].record_contact(daemon.now())
         address = Address(daemon.settings.ip, daemon.settings.peer_ports[0])
-        self.peer_responder = PeerResponder(self, address, daemon.now)
+        self.peer_responder = PeerResponder(self, address, daemon.peer_limits, daemon.now)
         self.poller = PeerPoller(self, daemon, str(address))
 
     def start(self) -> None:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -149,7 +149,8 @@
     def _check_head(self, attempt: Attempt, head: AnswerHead) -> AttemptOutcome | None:
         """Return the outcome that rules an answer out, or None if it can be relayed."""
         if head.not_run:
-            return AttemptOutcome.REFUSED
+            relayed = attempt.choice.relayed
+            return AttemptOutcome.NOT_RELAYED if relayed else AttemptOutcome.REFUSED
         if attempt.is_stream:
             return None
         # A stream that has started can only continue with events.
--- a/agaterail/gateway/gracefulstop.py
+++ b/agaterail/gateway/gracefulstop.py
@@ -45,15 +45,19 @@
         gevent.sleep(lag)
         daemon.caller_server.close_idle()
         daemon.caller_server.stop_accepting()
-        while daemon.caller_server.connections and daemon.now() < deadline:
+        while self._is_busy() and daemon.now() < deadline:
             daemon.caller_server.close_idle()
             gevent.sleep(POLL_INTERVAL_S)
         logger.info(
             "Stopped.",
             took_s=round(daemon.now() - started_at, 3),
-            cut=daemon.caller_server.active_requests,
+            cut=daemon.caller_server.active_requests + daemon.relay_responder.in_flight,
         )
 
+    def _is_busy(self) -> bool:
+        daemon = self.daemon
+        return bool(daemon.caller_server.connections or daemon.relay_responder.in_flight)
+
     def _leave_fleet(self) -> None:
         self.daemon.weights.release()
         self.daemon.membership.leave()
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -9,9 +9,11 @@
 from agaterail import logs
 from agaterail.callerwatch import CallerLeft
 from agaterail.errors import ErrorKind, Failure
+from agaterail.gateway import relayprotocol
 from agaterail.gateway.admission import retry_after_s
 from agaterail.gateway.desired import pick_service
 from agaterail.gateway.forwarder import Forwarder
+from agaterail.gateway.relayprotocol import RelayRefusal
 from agaterail.gateway.requestcontext import RequestContext
 from agaterail.gateway.retrystate import RetryState
 from agaterail.platform import requests
@@ -35,13 +37,21 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
 
-    def handle(self, inbound: InboundRequest, caller: CallerConnection) -> None:
-        """Answer one request."""
+    def handle(
+        self, inbound: InboundRequest, caller: CallerConnection, relayed: bool = False
+    ) -> None:
+        """Answer one request.
+
+        Parameters
+        ----------
+        relayed
+            Whether another daemon passed it on.
+        """
         context: RequestContext | None = None
         failure: Failure | None = None
         caller_left = False
         try:
-            outcome = self._admit(inbound, caller)
+            outcome = self._admit(inbound, caller, relayed)
             if isinstance(outcome, RequestContext):
                 context = outcome
                 failure = Forwarder(self.daemon, context).run()
@@ -73,6 +83,8 @@
                 self._refund_unused(context)
             self._record_metrics(inbound, context, failure, caller_left)
         if failure is not None:
+            if relayed:
+                caller.extra_lines = _relay_lines(failure, context)
             self._send_failure(inbound, caller, failure, context)
 
     def _record_metrics(
@@ -97,7 +109,7 @@
             self.daemon.metrics.first_byte.labels(kind).observe(first_s)
 
     def _admit(
-        self, inbound: InboundRequest, caller: CallerConnection
+        self, inbound: InboundRequest, caller: CallerConnection, relayed: bool
     ) -> RequestContext | Failure:
         decoded = requests.decode_request(inbound)
         if not isinstance(decoded, Success):
@@ -119,8 +131,10 @@
         limit = inbound.time_limit_s or DEFAULT_TIME_LIMIT_S
         deadline = inbound.received_at + min(route.timeout_s, limit) - ROUND_TRIP_MARGIN_S
         service = pick_service(route, self.daemon.random.random())
-        self.daemon.budget.record_request(service, self.daemon.now())
-        self.daemon.demand.record(inbound.prompt_tokens, self.daemon.now())
+        if not relayed:
+            # The daemon that passed the request on has counted it.
+            self.daemon.budget.record_request(service, self.daemon.now())
+            self.daemon.demand.record(inbound.prompt_tokens, self.daemon.now())
         return RequestContext(
             inbound=inbound,
             route=route,
@@ -128,7 +142,8 @@
             workspace=workspace,
             deadline=deadline,
             caller=caller,
-            retry_state=RetryState(route),
+            retry_state=RetryState(route, max_runs=1) if relayed else RetryState(route),
+            relayed=relayed,
             cost=cost,
             charged_runs=1,
         )
@@ -201,6 +216,9 @@
             desired=None if desired is None else desired.version,
             retry_after_s=None if hint is None else round(hint, 3),
         )
+        if context is not None and self.daemon.paths.is_lost(context.service):
+            # The load balancer may open the next connection to a host with a path.
+            caller.abort()
         caller.send_answer(status, lines, b"")
 
     def _retry_after_s(self, failure: Failure, inbound: InboundRequest) -> float | None:
@@ -215,3 +233,13 @@
             return None  # larger than the burst: no delay helps
         limit = inbound.time_limit_s or DEFAULT_TIME_LIMIT_S
         return retry_after_s(limit, self.daemon.random.random())
+
+
+def _relay_lines(failure: Failure, context: RequestContext | None) -> list[bytes]:
+    """Return header lines that tell the daemon that passed a request on whether it ran."""
+    if context is None:
+        return relayprotocol.refusal_lines(RelayRefusal(failure.kind))
+    if context.retry_state.runs:
+        return relayprotocol.forwarded_lines()
+    refusal = RelayRefusal(failure.kind, context.retry_state.sends)
+    return relayprotocol.refusal_lines(refusal)
--- a/agaterail/gateway/httpserver.py
+++ b/agaterail/gateway/httpserver.py
@@ -162,7 +162,13 @@
 
 
 class CallerConnection:
-    """A caller's connection, which reads requests and sends their answers in order."""
+    """A caller's connection, which reads requests and sends their answers in order.
+
+    Attributes
+    ----------
+    extra_lines
+        Header lines of each answer in addition to its own.
+    """
 
     def __init__(self, sock: Any, http_server: HttpServer) -> None:
         self.sock = sock
@@ -171,6 +177,7 @@
         self.keep_open = True  # after the current answer
         self.answering = False
         self.streaming = False
+        self.extra_lines: Sequence[bytes] = ()
         self.wake = gevent.event.Event()
         self.idle = False
 
@@ -183,6 +190,7 @@
             self.keep_open = inbound.keep_alive
             self.answering = True
             self.streaming = False
+            self.extra_lines = ()
             watch = CallerWatch(self.sock)
             try:
                 self.http_server.handle(inbound, self)
@@ -304,7 +312,8 @@
     def _head(self, status: int, lines: Sequence[bytes], framing: bytes) -> bytes:
         if self.http_server.stopping:
             self.keep_open = False
-        head = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status")), *lines, framing]
+        first = b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))
+        head = [first, *self.extra_lines, *lines, framing]
         if not self.keep_open:
             head.append(b"Connection: close")
         return b"\r\n".join([*head, b"", b""])
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -59,6 +59,12 @@
             ("source", "outcome"),
             registry=registry,
         )
+        self.forwarded = Counter(
+            f"{PREFIX}_forwarded_requests",
+            "Requests that daemons without a path passed on to this one.",
+            ("outcome",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -95,6 +101,7 @@
                 ),
                 ("targets_limited", "Targets that name a limit of requests per second."),
                 ("services_without_path", "Services that no new connection reaches."),
+                ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
@@ -131,6 +138,7 @@
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
             "services_without_path": len(daemon.paths.lost_services),
+            "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
             ),
--- a/agaterail/gateway/peerresponder.py
+++ b/agaterail/gateway/peerresponder.py
@@ -10,7 +10,6 @@
 from agaterail import logs
 from agaterail.gateway import peerprotocol
 from agaterail.gateway.demand import FleetDemand
-from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.feedtimes import PEER_WAIT_S, REQUIRED_FEEDS, max_silence_s
 from agaterail.gateway.httpserver import HttpServer
 from agaterail.util.units import MS_PER_S
@@ -18,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agaterail.gateway.desired import CallerLimits
     from agaterail.gateway.feedhub import FeedHub
     from agaterail.gateway.httpserver import CallerConnection
     from agaterail.gateway.inbound import InboundRequest
@@ -66,9 +66,17 @@
         Addresses of the daemons that have polled lately, the last one at the end.
     handlers
         Functions by path that return the body of the answer to a query string.
+    prefix_handlers
+        Functions by the start of a path that answer requests themselves.
     """
 
-    def __init__(self, hub: FeedHub, address: Address, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        hub: FeedHub,
+        address: Address,
+        limits: Callable[[], CallerLimits],
+        now: Callable[[], float],
+    ) -> None:
         self.hub = hub
         self.now = now
         self.stats = AnswerStats()
@@ -77,14 +85,16 @@
         self.handlers: dict[bytes, Callable[[bytes], bytes]] = {
             peerprotocol.PATH: self._answer_poll
         }
-        self.server = HttpServer(address, self.handle, CallerLimits, now)
+        self.prefix_handlers: dict[bytes, Callable[[InboundRequest, CallerConnection], None]]
+        self.prefix_handlers = {}
+        self.server = HttpServer(address, self.handle, limits, now)
 
     def handle(self, inbound: InboundRequest, caller: CallerConnection) -> None:
         """Answer one request of a peer."""
         path, _, query = inbound.target.partition(b"?")
         handler = self.handlers.get(path)
         if handler is None:
-            caller.send_answer(NOT_FOUND, [], b"")
+            self._handle_by_prefix(inbound, caller)
             return
         try:
             body = handler(query)
@@ -96,6 +106,13 @@
         )
         send(OK, [], body)
 
+    def _handle_by_prefix(self, inbound: InboundRequest, caller: CallerConnection) -> None:
+        for prefix, handle in self.prefix_handlers.items():
+            if inbound.target.startswith(prefix):
+                handle(inbound, caller)
+                return
+        caller.send_answer(NOT_FOUND, [], b"")
+
     def _answer_poll(self, query: bytes) -> bytes:
         peer_query = peerprotocol.decode_query(query)
         received_at = self.now()
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -69,10 +69,13 @@
         First target of that order, which most likely has the part cached.
     outdated_by
         Version that made the target's weights outdated; None if they are current.
+    relayed
+        Whether the target is another daemon, which forwards the request.
     """
 
     target: Target
     cost_ms: float
+    relayed: bool = False
     queue_ms: float = 0.0
     rank: int = 0
     preferred: Target | None = None
--- /dev/null
+++ b/agaterail/gateway/relaycontroller.py
@@ -0,0 +1,247 @@
+"""Find daemons that forward requests while this one has no path to a service."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+import gevent.event
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.decisions.relays import RelayCandidates
+from agaterail.gateway import relayprotocol
+from agaterail.gateway.connectionpool import ConnectionPool
+from agaterail.gateway.relayprotocol import RelayStatus
+from agaterail.gateway.targets import Registration, Target
+from agaterail.util.httpconn import ConnectionsByAddress
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Collection, Sequence
+
+    from agaterail.gateway.inbound import AnswerHead, InboundRequest
+    from agaterail.gateway.relayprotocol import RelayRefusal
+
+logger = logs.get_logger("relays")
+
+PERIOD_S = 0.5
+# Daemons are 1 to 2 ms apart. A request waits no longer than this for an answer.
+ASK_TIMEOUT_S = 0.1
+# Candidates of a service are kept current for this long after the last request.
+WANTED_S = 5.0
+# A daemon of a former release answers 404.
+UNSUPPORTED_S = 5.0
+MAX_NAMED = 64
+OK = 200
+
+
+@attrs.define
+class ServiceRelays:
+    """The daemons that may forward to one service.
+
+    Attributes
+    ----------
+    wanted_at
+        Time of the last request that needed one.
+    asking
+        Set when a daemon answers that it reaches all targets, or all questions have ended;
+        None if none are under way.
+    reasons
+        Why each daemon that was asked does not forward; empty if it does.
+    """
+
+    candidates: RelayCandidates = attrs.field(factory=RelayCandidates)
+    wanted_at: float = float("-inf")
+    asking: gevent.event.Event | None = None
+    reasons: dict[str, str] = attrs.field(factory=dict)
+
+
+class RelayController:
+    """Chooses the daemons that forward this daemon's requests.
+
+    Parameters
+    ----------
+    own_address
+        Address at which this daemon answers its peers.
+    known_daemons
+        Returns addresses of other daemons.
+    fraction
+        Returns the fraction of a service's targets that this daemon reaches itself.
+    decode
+        Decodes the heads of targets' answers.
+    encode_relayed
+        Encodes the heads of requests that another daemon forwards.
+
+    Attributes
+    ----------
+    named
+        Daemons that others named in their answers, the latest at the end.
+    peers
+        Daemons that were asked to forward, by address, as targets of requests.
+    """
+
+    period_s = PERIOD_S
+
+    def __init__(
+        self,
+        own_address: str,
+        known_daemons: Callable[[], Sequence[str]],
+        fraction: Callable[[str], float],
+        decode: Callable[..., AnswerHead],
+        encode_relayed: Callable[..., bytes],
+        now: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.own_address = own_address
+        self.known_daemons = known_daemons
+        self.fraction = fraction
+        self.encode_relayed = encode_relayed
+        self.now = now
+        self.rng = rng
+        self.pool = ConnectionPool(relayprotocol.decoder_of_heads(decode), now)
+        self.connections = ConnectionsByAddress(ASK_TIMEOUT_S)
+        self.services: dict[str, ServiceRelays] = {}
+        self.named: dict[str, None] = {}
+        self.peers: dict[str, Target] = {}
+
+    def choose(self, service: str, excluded: Collection[str]) -> Target | None:
+        """Return a daemon that forwards to a service, asking for one if necessary."""
+        relays = self.services.setdefault(service, ServiceRelays())
+        relays.wanted_at = self.now()
+        found = self._least_loaded(service, excluded)
+        if found is not None:
+            return found
+        if relays.asking is None:
+            self._ask(service, relays)
+        if relays.asking is not None:
+            relays.asking.wait(ASK_TIMEOUT_S)
+        return self._least_loaded(service, excluded)
+
+    def encode(self, inbound: InboundRequest, time_left_s: float, last_event_id: str) -> bytes:
+        """Encode the head of a request for the daemon that forwards it."""
+        target = relayprotocol.REQUEST_PREFIX + inbound.target
+        lines = [relayprotocol.FROM_HEADER + b": " + self.own_address.encode()]
+        return self.encode_relayed(inbound, target, time_left_s, last_event_id, lines)
+
+    def record_forwarded(self, service: str, address: str) -> None:
+        """Record that a daemon forwards to a service."""
+        relays = self.services.setdefault(service, ServiceRelays())
+        relays.candidates.record_forwarded(address, self.now())
+
+    def record_refusal(self, service: str, address: str, refusal: RelayRefusal) -> None:
+        """Record that a daemon did not run a request that it was to forward."""
+        relays = self.services.setdefault(service, ServiceRelays())
+        if refusal is relayprotocol.UNSUPPORTED:
+            relays.candidates.record_denial(address, self.now(), UNSUPPORTED_S)
+        elif not refusal.sends:
+            relays.candidates.record_denial(address, self.now())
+
+    def record_failure(self, service: str, address: str) -> None:
+        """Record that a daemon could not be reached or broke off."""
+        relays = self.services.setdefault(service, ServiceRelays())
+        relays.candidates.record_denial(address, self.now())
+
+    def step(self) -> None:
+        """Keep candidates of the services that need them current."""
+        now = self.now()
+        for service, relays in list(self.services.items()):
+            if now - relays.wanted_at > WANTED_S:
+                del self.services[service]
+            elif relays.asking is None:
+                self._ask(service, relays)
+        if not self.services and self.peers:
+            self._drop_peers()
+        self.pool.close_stale()
+
+    def _drop_peers(self) -> None:
+        for peer in self.peers.values():
+            peer.gone = True
+            self.pool.drop(peer)
+        self.peers.clear()
+        self.named.clear()
+
+    def _least_loaded(self, service: str, excluded: Collection[str]) -> Target | None:
+        now, candidates = self.now(), self.services[service].candidates
+        found = candidates.usable(self.fraction(service), now, excluded)
+        peers = [self._peer(address) for address in found]
+        usable = [peer for peer in peers if peer.is_usable(now)]
+        if not usable:
+            return None
+        return min(usable, key=lambda peer: (peer.in_flight, self.rng.random()))
+
+    def _peer(self, address: str) -> Target:
+        if address not in self.peers:
+            registration = Registration(
+                instance=address, service="", address=address, domain="", ready=True
+            )
+            self.peers[address] = Target(registration=registration)
+        return self.peers[address]
+
+    def _ask(self, service: str, relays: ServiceRelays) -> None:
+        """Begin to ask some daemons whether they forward to a service."""
+        known = dict.fromkeys(itertools.chain(self.known_daemons(), self.named))
+        known.pop(self.own_address, None)
+        own_fraction, now = self.fraction(service), self.now()
+        asked = relays.candidates.to_ask(own_fraction, list(known), self.rng, now)
+        if not asked:
+            return
+        relays.asking = gevent.event.Event()
+        gevent.spawn(self._ask_all, service, relays, asked)
+
+    def _ask_all(self, service: str, relays: ServiceRelays, asked: list[str]) -> None:
+        assert relays.asking is not None
+        try:
+            questions = [gevent.spawn(self._ask_one, service, relays, item) for item in asked]
+            gevent.joinall(questions)
+        finally:
+            relays.asking.set()
+            relays.asking = None
+
+    def _ask_one(self, service: str, relays: ServiceRelays, address: str) -> None:
+        status = self._question(service, address)
+        now, candidates, reason = self.now(), relays.candidates, status.reason
+        if reason:
+            candidates.record_denial(address, now)
+        else:
+            candidates.record_reaches(address, status.fraction, now)
+            if relays.asking is not None and status.fraction == 1.0:
+                relays.asking.set()
+        self._record_named(status.daemons)
+        if relays.reasons.get(address) != reason:
+            relays.reasons[address] = reason
+            logger.info(
+                "Daemon does not forward." if reason else "Daemon forwards.",
+                peer=address,
+                service=service,
+                reason=reason,
+                fraction=round(status.fraction, 3),
+            )
+
+    def _question(self, service: str, address: str) -> RelayStatus:
+        """Ask a daemon whether it forwards to a service."""
+        query = relayprotocol.encode_query(service, self.own_address)
+        try:
+            connections = self.connections.to(address)
+        except ValueError as error:
+            return RelayStatus(f"malformed address: {error}")
+        called = connections.call("GET", query, timeout_s=ASK_TIMEOUT_S)
+        if not isinstance(called, Success):
+            self.connections.drop(address)
+            return RelayStatus(called.failure().reason)
+        status, body = called.unwrap()
+        if status != OK:
+            return RelayStatus(f"status {status}")
+        decoded = relayprotocol.decode_status(body)
+        if not isinstance(decoded, Success):
+            return RelayStatus(f"malformed answer: {decoded.failure()}")
+        return decoded.unwrap()
+
+    def _record_named(self, addresses: Sequence[str]) -> None:
+        for address in addresses:
+            self.named.pop(address, None)
+            self.named[address] = None
+        while len(self.named) > MAX_NAMED:
+            del self.named[next(iter(self.named))]
--- /dev/null
+++ b/agaterail/gateway/relayprotocol.py
@@ -0,0 +1,183 @@
+"""Messages by which a daemon without a path has another one forward its requests.
+
+The daemon that forwards treats the request as that of a caller of its own: it looks up
+route and API key in its own desired state and charges allowances. It never passes the
+request on to a third daemon.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote, unquote
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from agaterail.errors import ErrorKind
+from agaterail.gateway.inbound import AnswerHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from agaterail.gateway.inbound import InboundRequest
+
+# The version in the paths changes with the format. Daemons of another release answer 404.
+STATUS_PATH = b"/relay-status/1"
+REQUEST_PREFIX = b"/relayed/1"
+FROM_HEADER = b"relay-from"
+OUTCOME_HEADER = b"relay-outcome"
+FORWARDED = b"forwarded"
+NOT_RUN = b"not-run"
+MAX_SENDS = 100
+MAX_ADDRESSES = 16
+
+
+@attrs.frozen
+class RelayStatus:
+    """A daemon's answer whether it forwards requests to a service.
+
+    Attributes
+    ----------
+    reason
+        Why it does not forward; empty if it does.
+    fraction
+        Fraction of the service's targets that it reaches.
+    daemons
+        Addresses of other daemons that it knows.
+    """
+
+    reason: str
+    fraction: float = 0.0
+    daemons: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class RelayRefusal:
+    """The forwarding daemon surely did not run the request.
+
+    Attributes
+    ----------
+    kind
+        Why not.
+    sends
+        Number of targets that it sent the request to and that refused it.
+    """
+
+    kind: ErrorKind
+    sends: int = 0
+
+
+# What an answer without an outcome means: the daemon never took the request over.
+UNSUPPORTED = RelayRefusal(ErrorKind.NO_TARGET)
+
+
+@attrs.frozen(kw_only=True)
+class RelayedHead(AnswerHead):
+    """Head of an answer that another daemon forwarded.
+
+    Attributes
+    ----------
+    refusal
+        Why the request did not run; None if it may have run.
+    """
+
+    refusal: RelayRefusal | None = None
+
+
+_STATUS_DECODER = msgspec.msgpack.Decoder(RelayStatus)
+
+
+def encode_query(service: str, sender: str) -> str:
+    """Return the path and query string of a question whether a daemon forwards."""
+    return f"{STATUS_PATH.decode()}?service={quote(service, safe='')}&from={sender}"
+
+
+def decode_query(query: bytes) -> tuple[str, str]:
+    """Return the service of a question and the address of the daemon that asks.
+
+    Raises
+    ------
+    ValueError
+        If the query string is malformed.
+    """
+    pairs = dict(pair.split("=", 1) for pair in query.decode("ascii").split("&"))
+    if not pairs.get("service"):
+        raise ValueError("service is missing")
+    return unquote(pairs["service"]), pairs.get("from", "")
+
+
+def encode_status(status: RelayStatus) -> bytes:
+    """Return the body of an answer to a question."""
+    return msgspec.msgpack.encode(status)
+
+
+def decode_status(body: bytes) -> Result[RelayStatus, str]:
+    """Return the answer in a body, or why it is malformed."""
+    try:
+        found = _STATUS_DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        return Failure(str(error))
+    return Success(attrs.evolve(found, daemons=found.daemons[:MAX_ADDRESSES]))
+
+
+def take_origin(inbound: InboundRequest) -> str:
+    """Turn a forwarded request into the caller's and return the daemon it came through."""
+    inbound.target = inbound.target.removeprefix(REQUEST_PREFIX)
+    origin = b""
+    kept = []
+    for name, value in inbound.headers:
+        if name.lower() == FROM_HEADER:
+            origin = value
+        else:
+            kept.append((name, value))
+    inbound.headers = kept
+    return origin.decode("latin-1")
+
+
+def forwarded_lines() -> list[bytes]:
+    """Return the header lines that mark an answer as forwarded."""
+    return [OUTCOME_HEADER + b": " + FORWARDED]
+
+
+def refusal_lines(refusal: RelayRefusal) -> list[bytes]:
+    """Return the header lines that say that the request did not run."""
+    words = [NOT_RUN, refusal.kind.value.encode(), b"%d" % refusal.sends]
+    return [OUTCOME_HEADER + b": " + b" ".join(words)]
+
+
+def decoder_of_heads(
+    decode: Callable[[int, Sequence[tuple[bytes, bytes]]], AnswerHead],
+) -> Callable[..., AnswerHead]:
+    """Return a function that decodes the heads of forwarded answers.
+
+    Parameters
+    ----------
+    decode
+        Decodes the heads of targets' answers.
+    """
+
+    def decode_relayed(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
+        outcomes = [value for name, value in headers if name.lower() == OUTCOME_HEADER]
+        others = [pair for pair in headers if pair[0].lower() != OUTCOME_HEADER]
+        refusal = _decode_outcome(outcomes)
+        known = attrs.asdict(decode(status, others), recurse=False)
+        known["not_run"] = refusal is not None
+        return RelayedHead(**known, refusal=refusal)
+
+    return decode_relayed
+
+
+def _decode_outcome(outcomes: Sequence[bytes]) -> RelayRefusal | None:
+    """Return why the request did not run, or None if it may have run."""
+    if not outcomes:
+        return UNSUPPORTED
+    word, _, rest = outcomes[0].partition(b" ")
+    kind, _, sends = rest.decode("latin-1").partition(" ")
+    if word != NOT_RUN or not sends.isdecimal():
+        return None
+    try:
+        return RelayRefusal(ErrorKind(kind), min(MAX_SENDS, int(sends)))
+    except ValueError:
+        # A kind of a later release.
+        return RelayRefusal(ErrorKind.NO_TARGET, min(MAX_SENDS, int(sends)))
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -21,6 +21,8 @@
     ----------
     deadline
         Time by which the last byte of the answer must be sent.
+    relayed
+        Whether another daemon passed the request on, which decides on further runs.
     saves
         Whether the engine was told to save the prompt.
     cost
@@ -39,6 +41,7 @@
     first_byte_at: float | None = None
     target: str = ""
     truncated: bool = False
+    relayed: bool = False
     saves: bool = False
     cost: float = 0.0
     charged_runs: int = 0
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -25,6 +25,8 @@
 EVENT_TIMEOUT_OBJECTIVES = 2.0
 # A failed connect puts no load on a target; it only costs time.
 MAX_CONNECT_FAILURES = 3
+# A daemon that cannot forward says so at once.
+MAX_RELAY_FAILURES = 3
 # A target refuses when it is full or loading weights. Passing every refused request
 # on to further targets would soon fill those too.
 MAX_REFUSALS = 3
@@ -37,6 +39,7 @@
 
     NOT_CONNECTED = "not_connected"
     REFUSED = "refused"  # the target reported that it did not run the request
+    NOT_RELAYED = "not_relayed"  # the daemon that was to forward it did not run it
     FAILED = "failed"  # the target sent a complete error answer
     BROKEN = "broken"  # sent, but the answer never arrived completely
     SILENT = "silent"  # sent, but timed out without data
@@ -55,6 +58,8 @@
         Targets that refused only since they have newer weights, and may be tried again.
     may_have_run
         Targets that may have run the request, including those of open attempts.
+    max_runs
+        Number of targets that may run the request.
     sends
         Number of times the request was sent to a target, including refused sends.
     denied
@@ -62,15 +67,21 @@
     """
 
     route: Route
+    max_runs: int = attrs.field()
     tried: set[str] = attrs.field(factory=set)
     resent: set[str] = attrs.field(factory=set)
     may_have_run: set[str] = attrs.field(factory=set)
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
+    relay_failures: int = 0
     denied: list[str] = attrs.field(factory=list)
     last_outcome: AttemptOutcome | None = None
 
+    @max_runs.default
+    def _max_runs_of_route(self) -> int:
+        return self.route.max_attempts
+
     @property
     def runs(self) -> int:
         """Return the number of targets that may have run the request."""
@@ -91,6 +102,9 @@
         elif outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
             self.may_have_run.discard(instance)
+        elif outcome is AttemptOutcome.NOT_RELAYED:
+            self.relay_failures += 1
+            self.may_have_run.discard(instance)
         else:
             self.may_have_run.add(instance)
 
@@ -113,17 +127,20 @@
         """Return whether another target may be tried, regardless of the retry budget.
 
         Once a target may have run the request, only idempotent requests are retried,
-        up to the route's maximum number of attempts.
+        up to the maximum number of runs.
         """
+        return self._may_be_sent(left_s) and self.connect_failures < MAX_CONNECT_FAILURES
+
+    def may_be_relayed(self, left_s: float) -> bool:
+        """Return whether another daemon may forward the request."""
+        return self._may_be_sent(left_s) and self.relay_failures < MAX_RELAY_FAILURES
+
+    def _may_be_sent(self, left_s: float) -> bool:
         if left_s < MIN_TIME_LEFT_S:
             return False
         if self.runs and not self.route.idempotent:
             return False
-        return (
-            self.runs < self.route.max_attempts
-            and self.connect_failures < MAX_CONNECT_FAILURES
-            and self.refusals < MAX_REFUSALS
-        )
+        return self.runs < self.max_runs and self.refusals < MAX_REFUSALS
 
     def first_byte_timeout_s(self, left_s: float) -> float:
         """Return how long to wait for the first byte before trying another target.
@@ -161,4 +178,4 @@
 
     def may_run_again(self) -> bool:
         """Return whether one more target may run the request besides the current one."""
-        return self.route.idempotent and max(1, self.runs) < self.route.max_attempts
+        return self.route.idempotent and max(1, self.runs) < self.max_runs
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -12,12 +12,13 @@
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
 from agaterail.gateway.inbound import AttemptHead
+from agaterail.gateway.placement import Choice
+from agaterail.gateway.relayprotocol import RelayedHead
 from agaterail.gateway.retrystate import AttemptOutcome
 
 if TYPE_CHECKING:
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.inbound import AnswerHead
-    from agaterail.gateway.placement import Choice
     from agaterail.gateway.requestcontext import RequestContext
     from agaterail.gateway.targetconnection import TargetConnection
     from agaterail.gateway.targets import Target
@@ -41,6 +42,8 @@
     choice
         The latest choice, whether or not the request was sent there; None before
         the first.
+    relay_failure
+        Why the latest daemon that was to forward the request did not run it.
     """
 
     def __init__(self, daemon: Daemon, context: RequestContext) -> None:
@@ -48,6 +51,7 @@
         self.context = context
         self.retry_state = context.retry_state
         self.choice: Choice | None = None
+        self.relay_failure: Failure | None = None
 
     def start_attempt(self, last_event_id: str) -> Attempt | Failure:
         """Send the request to the next target, or return why that is not possible.
@@ -58,7 +62,7 @@
             Id of the event after which a stream resumes; empty for the start.
         """
         while True:
-            opened = self._connect_to_next()
+            opened = self._connect()
             if isinstance(opened, Failure):
                 return opened
             choice, connection = opened
@@ -72,8 +76,13 @@
         if outcome is AttemptOutcome.REFUSED:
             self._handle_refusal(attempt)
             return
+        if outcome is AttemptOutcome.NOT_RELAYED:
+            self._handle_relay_refusal(attempt)
+            return
         attempt.abandon()
-        if outcome is not AttemptOutcome.NOT_NEEDED:
+        if attempt.choice.relayed:
+            self._record_relay_failure(attempt.target, outcome)
+        elif outcome is not AttemptOutcome.NOT_NEEDED:
             attempt.target.record_failure(self.daemon.now())
         self.log("Attempt failed.", attempt.choice, outcome=outcome.value)
 
@@ -93,6 +102,36 @@
             has_weights=head.weights_version,
             resend=resend,
         )
+        self._finish_refused(attempt)
+
+    def _handle_relay_refusal(self, attempt: Attempt) -> None:
+        """Take back what was counted for a run that did not take place."""
+        context, head = self.context, attempt.head
+        assert isinstance(head, RelayedHead) and head.refusal is not None
+        refusal = head.refusal
+        self.retry_state.sends += refusal.sends - 1
+        if context.cost:
+            context.charged_runs -= 1  # the other daemon has refunded it
+        self.daemon.relays.record_refusal(context.service, attempt.instance, refusal)
+        self.relay_failure = Failure(
+            refusal.kind, f"not run by {attempt.instance}", head.retry_after_s
+        )
+        self.log(
+            "Not forwarded by the other daemon.",
+            attempt.choice,
+            status=head.status,
+            kind=refusal.kind.value,
+            sent_to=refusal.sends,
+        )
+        self._finish_refused(attempt)
+
+    def _record_relay_failure(self, peer: Target, outcome: AttemptOutcome) -> None:
+        """Use another daemon next if this one broke off or was silent."""
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.SILENT):
+            peer.record_failure(self.daemon.now())
+            self.daemon.relays.record_failure(self.context.service, peer.instance)
+
+    def _finish_refused(self, attempt: Attempt) -> None:
         try:
             attempt.read_rest(self.daemon.now() + CONNECT_TIMEOUT_S)
         except OSError as error:
@@ -144,6 +183,7 @@
             candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
             saves=context.saves,
+            **({"relayed": True} if context.relayed else {}),
             **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
             **self._plan_fields(),
@@ -177,21 +217,37 @@
             return {}
         return self.daemon.weights.plan_fields(self.daemon.now())
 
-    def _connect_to_next(self) -> tuple[Choice, TargetConnection] | Failure:
-        """Connect to the next target, or return why that is not possible."""
+    def _connect(self) -> tuple[Choice, TargetConnection] | Failure:
+        """Connect to a target or a daemon that forwards, or return why the request ends.
+
+        A daemon that reaches few targets would overload these and lose the cached prefixes
+        of the others.
+        """
+        opened: tuple[Choice, TargetConnection] | Failure | None = None
+        if self.daemon.paths.is_impaired(self.context.service):
+            opened = self._connect_to_relay()
+        opened = opened or self._connect_to_next() or self._connect_to_relay()
+        return opened or self._fail_without_path(self.daemon.now())
+
+    def _connect_to_next(self) -> tuple[Choice, TargetConnection] | Failure | None:
+        """Connect to the next target, or return why the request ends.
+
+        Returns None if no target can be connected, so that only another daemon may help.
+        """
         while True:
             now = self.daemon.now()
             left = self.context.deadline - now
             if not self.retry_state.may_try_another(left):
+                if self._may_use_relay(left):
+                    return None
                 return self._give_up(now, "no attempts left")
             choice = self.daemon.choose(self.context, now)
             if choice is None:
+                if self._may_use_relay(left):
+                    return None
                 return self._no_usable_target(now)
             self.choice = choice
-            wait_s = self.daemon.expected_wait_s(self.context, choice)
-            if would_miss_deadline(wait_s, left):
-                return self._give_up(now, f"expected wait {wait_s:.1f} s")
-            overload = self._check_overload(now)
+            overload = self._check_wait(choice, now)
             if overload is not None:
                 return overload
             if not self._charge_run():
@@ -199,7 +255,7 @@
             if not self._get_permit(choice.target):
                 continue
             self.context.target = choice.target.instance
-            connection = self._connect(choice, left, now)
+            connection = self._acquire(choice, left, now)
             if connection is None:
                 continue
             if not choice.target.wants_requests(self.daemon.now()):
@@ -213,6 +269,65 @@
                 return self._give_up(now, "retry budget exhausted")
             return choice, connection
 
+    def _may_use_relay(self, left: float) -> bool:
+        """Return whether another daemon may reach targets that this one does not.
+
+        A request that another daemon passed on is never passed on again.
+        """
+        if self.context.relayed or not self.retry_state.may_be_relayed(left):
+            return False
+        if self.daemon.paths.is_impaired(self.context.service):
+            return True
+        # A target that refused the request shows that there is a path.
+        failures, refusals = self.retry_state.connect_failures, self.retry_state.refusals
+        return failures > 0 and not refusals
+
+    def _connect_to_relay(self) -> tuple[Choice, TargetConnection] | Failure | None:
+        """Connect to a daemon that forwards the request; None if there is none."""
+        context, relays = self.context, self.daemon.relays
+        while self._may_use_relay(context.deadline - self.daemon.now()):
+            if self._is_rate_limited():
+                return self.relay_failure
+            peer = relays.choose(context.service, self.retry_state.tried)
+            if peer is None:
+                return None
+            self.choice = choice = Choice(target=peer, cost_ms=0.0, relayed=True)
+            context.target = peer.instance
+            now = self.daemon.now()
+            connection = self._acquire(choice, context.deadline - now, now)
+            if connection is None:
+                relays.record_failure(context.service, peer.instance)
+                continue
+            if self.retry_state.sends and not self.daemon.budget.try_consume(
+                context.service, now
+            ):
+                relays.pool.release_unused(peer, connection)
+                return self._give_up(now, "retry budget exhausted")
+            self._leave_charge_to_relay()
+            return choice, connection
+        return None
+
+    def _is_rate_limited(self) -> bool:
+        failure = self.relay_failure
+        return failure is not None and failure.kind is ErrorKind.RATE_LIMITED
+
+    def _leave_charge_to_relay(self) -> None:
+        """Refund a run that was charged here; the other daemon charges it again."""
+        context = self.context
+        if context.workspace is None or not context.cost:
+            return
+        if self.retry_state.runs < context.charged_runs:
+            self.daemon.allowances.refund(context.workspace.name, context.cost)
+        else:
+            context.charged_runs += 1
+
+    def _fail_without_path(self, now: float) -> Failure:
+        """Return why neither this daemon nor another one could serve the request."""
+        failure = self.relay_failure
+        if failure is None or self.retry_state.runs:
+            return self._no_usable_target(now)
+        return failure
+
     def _charge_run(self) -> bool:
         """Charge the workspace's allowance if one more run than before is possible."""
         context = self.context
@@ -234,17 +349,27 @@
         self.retry_state.record_denial(target.instance)
         return False
 
-    def _connect(self, choice: Choice, left: float, now: float) -> TargetConnection | None:
+    def _acquire(self, choice: Choice, left: float, now: float) -> TargetConnection | None:
         timeout_s = min(CONNECT_TIMEOUT_S, left * CONNECT_TIMEOUT_FRACTION)
         idempotent = self.context.route.idempotent
+        pool = self.daemon.relays.pool if choice.relayed else self.daemon.connection_pool
         try:
-            return self.daemon.connection_pool.acquire(choice.target, idempotent, timeout_s)
+            return pool.acquire(choice.target, idempotent, timeout_s)
         except OSError as error:
             choice.target.record_failure(now)
-            self._record_outcome(choice.target.instance, AttemptOutcome.NOT_CONNECTED)
+            outcome = AttemptOutcome.NOT_CONNECTED
+            if choice.relayed:
+                outcome = AttemptOutcome.NOT_RELAYED
+            self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
 
+    def _check_wait(self, choice: Choice, now: float) -> Failure | None:
+        wait_s = self.daemon.expected_wait_s(self.context, choice)
+        if would_miss_deadline(wait_s, self.context.deadline - now):
+            return self._give_up(now, f"expected wait {wait_s:.1f} s")
+        return self._check_overload(now)
+
     def _check_overload(self, now: float) -> Failure | None:
         """Shed a prompt that was not sent yet if the service is overloaded.
 
@@ -273,9 +398,8 @@
         attempt = Attempt(self.daemon, self.context, choice, connection)
         self.retry_state.record_send(attempt.instance)
         try:
-            connection.send(
-                *self._encode(choice, left, last_event_id), timeout_s=max(0.001, left)
-            )
+            encode = self._encode_relayed if choice.relayed else self._encode
+            connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
         except OSError as error:
             self.log("Exchange with the target failed.", error=str(error))
             self.end_attempt(attempt, AttemptOutcome.BROKEN)
@@ -299,6 +423,13 @@
         )
         return self.daemon.encode(context.inbound, head), context.inbound.body
 
+    def _encode_relayed(
+        self, _choice: Choice, left: float, last_event_id: str
+    ) -> tuple[bytes, bytes]:
+        inbound = self.context.inbound
+        head = self.daemon.relays.encode(inbound, left - RETURN_MARGIN_S, last_event_id)
+        return head, inbound.body
+
     def _no_usable_target(self, now: float) -> Failure:
         """Return a failure that names what keeps the request from the targets."""
         targets = self.daemon.registry.of_service(self.context.service)
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -11,7 +11,7 @@
 from agaterail.platform import names
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from agaterail.gateway.inbound import AttemptHead, InboundRequest
 
@@ -54,13 +54,7 @@
 def encode_attempt(inbound: InboundRequest, head: AttemptHead) -> bytes:
     """Encode the request line and headers of a request to a target."""
     lines = [inbound.method + b" " + inbound.target + b" HTTP/1.1"]
-    connection_options = _connection_options(inbound.headers)
-    for name, value in inbound.headers:
-        lower = name.lower()
-        if lower in names.HOP_BY_HOP or lower in names.ROUTER_ONLY:
-            continue
-        if lower not in connection_options or lower in names.SINGLE_VALUED:
-            lines.append(name + b": " + value)
+    lines.extend(_end_to_end_lines(inbound.headers, names.ROUTER_ONLY))
     router_headers = [
         (b"Deadline-Ms", str(max(1, int(head.time_left_s / S_PER_MS)))),
         (b"Expect-Instance", head.instance),
@@ -75,9 +69,32 @@
     lines.extend(
         name + b": " + value.encode("latin-1") for name, value in router_headers if value
     )
-    if inbound.body or inbound.method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(inbound.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n"
+    return _with_framing(lines, inbound)
+
+
+def encode_relayed(
+    inbound: InboundRequest,
+    target: bytes,
+    time_left_s: float,
+    last_event_id: str,
+    lines: Sequence[bytes],
+) -> bytes:
+    """Encode the request line and headers of a request that another daemon forwards.
+
+    Parameters
+    ----------
+    target
+        Path and query at that daemon.
+    lines
+        Further header lines.
+    """
+    encoded = [inbound.method + b" " + target + b" HTTP/1.1"]
+    changed = {names.DEADLINE, names.LAST_EVENT_ID}
+    encoded.extend(_end_to_end_lines(inbound.headers, changed))
+    encoded.append(b"Deadline-Ms: %d" % max(1, int(time_left_s / S_PER_MS)))
+    if last_event_id:
+        encoded.append(b"Last-Event-Id: " + last_event_id.encode("latin-1"))
+    return _with_framing([*encoded, *lines], inbound)
 
 
 def decode_answer_head(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
@@ -120,6 +137,27 @@
     return lines
 
 
+def _end_to_end_lines(
+    headers: Sequence[tuple[bytes, bytes]], left_out: Collection[bytes]
+) -> list[bytes]:
+    """Return the header lines of a request to pass on."""
+    options = _connection_options(headers)
+    lines = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower in names.HOP_BY_HOP or lower in left_out:
+            continue
+        if lower not in options or lower in names.SINGLE_VALUED:
+            lines.append(name + b": " + value)
+    return lines
+
+
+def _with_framing(lines: list[bytes], inbound: InboundRequest) -> bytes:
+    if inbound.body or inbound.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(inbound.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def _connection_options(headers: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
     options: set[bytes] = set()
     for name, value in headers:
--- a/tests/test_agaterail/test_gateway/test_pathcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_pathcontroller.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
 from agaterail.gateway import pathcontroller
+from agaterail.gateway.connectionpool import ConnectionPool
 from agaterail.gateway.pathcontroller import PathController
 from agaterail.gateway.targets import Registration, TargetRegistry
 
@@ -30,7 +32,10 @@
         self.time = 100.0
         self.registry = make_registry()
         self.targets = self.registry.of_service(SERVICE)
-        self.paths = PathController(self.registry, lambda: self.time)
+        self.pool = ConnectionPool(None, lambda: self.time)
+        self.paths = PathController(
+            self.registry, self.pool, lambda: self.time, random.Random(1)
+        )
 
     def fail_all(self):
         for target in self.targets:
@@ -56,5 +61,10 @@
             self.paths.record_success(self.targets[1])
         lines = [(call.args[0], call.kwargs.get("lost_s")) for call in logger.info.mock_calls]
         self.assertEqual(
-            lines, [("Path to a service lost.", None), ("Path to a service regained.", 4.0)]
+            lines,
+            [
+                ("Path to a service impaired.", None),
+                ("Path to a service lost.", None),
+                ("Path to a service regained.", 4.0),
+            ],
         )
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -66,6 +66,10 @@
     # Only while no target may have run the request (tests of RetryState).
     ("gateway/retrystate.py", "error_kind"): EXPLICIT_REFUSAL,
     ("gateway/sender.py", "_give_up"): EXPLICIT_REFUSAL,
+    # What another daemon answered, or that it does not know the path of the request.
+    ("gateway/relayprotocol.py", "_decode_outcome"): EXPLICIT_REFUSAL,
+    ("gateway/relayprotocol.py", "<module>"): EXPLICIT_REFUSAL,
+    ("gateway/relayresponder.py", "<module>"): BEFORE_FORWARDING,
     # Only before the first send.
     ("gateway/sender.py", "_check_overload"): BEFORE_FORWARDING,
 }
@@ -74,6 +78,7 @@
     ("filters/retry.py", "handle"),
     ("filters/retry.py", "<module>"),
     ("gateway/handler.py", "_retry_after_s"),
+    ("gateway/sender.py", "_is_rate_limited"),
 }
 
 
