A host that reaches fewer engines than others gives up the lease of orders

Cause: the holder takes its own lack of a path for engines that don't answer.

Change: it releases the lease while most engines are out of its reach and another daemon says that it reaches more; the next in line takes it. If nobody does for 8 s, it leads again.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -187,9 +187,14 @@
             self.now,
             self.random,
         )
+        self.weights.is_badly_placed = self._is_badly_placed
         responder.handlers[relayprotocol.STATUS_PATH] = self.relay_responder.answer
         responder.prefix_handlers[relayprotocol.REQUEST_PREFIX] = self.relay_responder.handle
 
+    def _is_badly_placed(self, service: str) -> bool:
+        """Return whether another daemon should order the engines of a service instead."""
+        return self.paths.is_impaired(service) and self.relays.others_reach_more(service)
+
     def _known_daemons(self) -> list[str]:
         """Return the addresses of the other daemons that this one knows."""
         feeds = self.feeds
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -120,6 +120,13 @@
             relays.asking.wait(ASK_TIMEOUT_S)
         return self._least_loaded(service, excluded)
 
+    def others_reach_more(self, service: str) -> bool:
+        """Return whether another daemon lately said that it reaches more of a service."""
+        relays = self.services.get(service)
+        if relays is None:
+            return False
+        return bool(relays.candidates.usable(self.fraction(service), self.now()))
+
     def encode(self, inbound: InboundRequest, time_left_s: float, last_event_id: str) -> bytes:
         """Encode the head of a request for the daemon that forwards it."""
         target = relayprotocol.REQUEST_PREFIX + inbound.target
--- a/agaterail/gateway/weightscontroller.py
+++ b/agaterail/gateway/weightscontroller.py
@@ -36,6 +36,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.targets import Target
 
@@ -46,6 +48,9 @@
 # for this long per place. The first in line may be cut off, and the platform reassigns its
 # place only after several seconds.
 TAKEOVER_DELAY_S = 2.0
+# A host that reaches fewer engines than others leads again when none of these, which may
+# all be far down the line, has taken the lease for this long.
+MAX_UNLED_S = 8.0
 
 
 @attrs.frozen
@@ -65,6 +70,10 @@
         Loads in the newest record of another host; None if it announces none.
     unled_since
         Time since which loads are wanted and nobody holds the lease; None if neither.
+    is_badly_placed
+        Returns whether another host reaches more engines of a service than this one.
+    yields_from
+        Time from which the lease is left to such a host.
     """
 
     period_s = PERIOD_S
@@ -83,6 +92,8 @@
         self.calls_in_flight: set[str] = set()
         self.store_retry_at = 0.0
         self.time_of_day = time.time
+        self.is_badly_placed: Callable[[str], bool] = lambda _service: False
+        self.yields_from = float("-inf")
 
     def step(self) -> None:
         """Send the orders that are due, if this daemon is the leader or lease holder."""
@@ -96,7 +107,10 @@
         wanted = find_outdated(engines, desired_versions)
         conditions = self._conditions(wanted, now)
         self._set_cordons(engines, desired_versions, conditions, now)
-        leads = self._may_lead(bool(wanted), now) and not self.daemon.stopping
+        if wanted and self.lease.remaining_s(now) > 0.0 and self._yields(engines, now):
+            logger.info("Lease given up to a host that reaches more engines.")
+            self.release()
+        leads = self._may_lead(engines, bool(wanted), now) and not self.daemon.stopping
         holds = self.lease.remaining_s(now) > 0.0 and not self.daemon.stopping
         if leads or holds:
             self.announcer.update(wanted, now)
@@ -114,14 +128,21 @@
                 self.plan.record_order(load, now, REFUSED_POLL_S, may_be_loading=True)
                 gevent.spawn(self._order, load)
 
-    def _may_lead(self, has_wanted: bool, now: float) -> bool:
+    def _yields(self, engines: list[Target], now: float) -> bool:
+        """Return whether to leave the lease to a host that reaches more engines."""
+        if self.unled_since is not None and now - self.unled_since > MAX_UNLED_S:
+            self.yields_from = now + MAX_UNLED_S
+        services = {item.registration.service for item in engines}
+        return now >= self.yields_from and any(map(self.is_badly_placed, services))
+
+    def _may_lead(self, engines: list[Target], has_wanted: bool, now: float) -> bool:
         """Return whether this daemon may take the lease now."""
         if not has_wanted or self.lease.is_held(now):
             self.unled_since = None
         elif self.unled_since is None:
             self.unled_since = now
         rank = self.daemon.membership.rank
-        if rank is None:
+        if rank is None or self._yields(engines, now):
             return False
         if rank == FIRST_RANK:
             return True
--- a/tests/test_agaterail/test_gateway/test_weightscontroller.py
+++ b/tests/test_agaterail/test_gateway/test_weightscontroller.py
@@ -11,7 +11,11 @@
 from agaterail.gateway.desired import EngineTraits
 from agaterail.gateway.enginecontrol import EngineReport, OrderOutcome
 from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
-from agaterail.gateway.weightscontroller import TAKEOVER_DELAY_S, WeightsController
+from agaterail.gateway.weightscontroller import (
+    MAX_UNLED_S,
+    TAKEOVER_DELAY_S,
+    WeightsController,
+)
 from agaterail.gateway.weightsplan import DRAIN_S, should_have_loaded
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
@@ -82,8 +86,8 @@
         self.assertEqual(count_cordoned(self.engines), 0)
 
 
-class TakeoverTest(unittest.TestCase):
-    """For eight seconds nobody ordered loads, as the first in line was cut off."""
+class LeaseTest(unittest.TestCase):
+    """One daemon with engines to load and a log for the lease."""
 
     def setUp(self):
         engines = [make_target(f"i-{number}", weights={"m": 1}) for number in range(5)]
@@ -103,6 +107,10 @@
             self.controller.step()
             self.daemon.clock += 0.1
 
+
+class TakeoverTest(LeaseTest):
+    """For eight seconds nobody ordered loads, as the first in line was cut off."""
+
     def test_a_daemon_takes_the_lease_in_its_turn(self):
         self.advance(2 * TAKEOVER_DELAY_S)
         self.assertEqual(self.records, [])
@@ -127,6 +135,33 @@
         self.assertEqual(self.records, [])
 
 
+class BadlyPlacedHolderTest(LeaseTest):
+    """No engine loaded new weights while the lease holder had no path to the engines."""
+
+    def setUp(self):
+        super().setUp()
+        self.daemon.membership.rank = 0
+        self.controller.is_badly_placed = lambda _service: True
+
+    def test_the_lease_is_given_up(self):
+        self.controller.is_badly_placed = lambda _service: False
+        self.advance(1.0)
+        self.controller.is_badly_placed = lambda service: service == SERVICE
+        self.advance(2.0)
+        self.assertIsNone(self.records[0].released_idle_s)
+        self.assertIsNotNone(self.records[-1].released_idle_s)
+
+    def test_a_host_in_the_same_position_does_not_take_it(self):
+        self.advance(MAX_UNLED_S)
+        self.assertEqual(self.records, [])
+
+    def test_the_lease_is_taken_if_nobody_else_does(self):
+        """With hosts far down the line only, nobody would have ordered loads."""
+        self.advance(2 * MAX_UNLED_S - 1.0)
+        self.assertTrue(self.records)
+        self.assertTrue(all(item.released_idle_s is None for item in self.records))
+
+
 class SharedLoadTimeTest(unittest.TestCase):
     """Loaded engines stayed idle while callers waited at the others.
 
