Forwarded requests: targets already tried, rounds of questions, readers spared

A second try of a forwarded request could meet the target that had failed the first: origin and forwarding daemon tell each other now which targets were tried. A daemon asks further ones at once, which the first answers name, until three forward. Daemons that read the store for the others, which all know, forward only where nobody else does.

--- a/agaterail/decisions/relays.py
+++ b/agaterail/decisions/relays.py
@@ -43,10 +43,13 @@
         Last answer of each daemon that forwards to the service.
     denied_until
         Time until which each daemon that does not forward is not asked again.
+    spared
+        Daemons that are used only if no other one forwards.
     """
 
     reaches: dict[str, Reach] = attrs.field(factory=dict)
     denied_until: dict[str, float] = attrs.field(factory=dict)
+    spared: frozenset[str] = frozenset()
 
     def record_reaches(self, address: str, fraction: float, now: float) -> None:
         """Record that a daemon forwards to the service."""
@@ -81,7 +84,8 @@
         most = max(found.values(), default=0.0)
         if most <= own_fraction < 1.0:
             return []
-        return [address for address, fraction in found.items() if fraction == most]
+        best = [address for address, fraction in found.items() if fraction == most]
+        return [address for address in best if address not in self.spared] or best
 
     def to_ask(
         self, own_fraction: float, known: Sequence[str], rng: random.Random, now: float
@@ -89,14 +93,22 @@
         """Return the daemons to ask: those kept and, if these are few, random others."""
         self._expire(now)
         kept = self.usable(own_fraction, now)[:KEPT]
-        if len(kept) == KEPT:
-            return kept
+        return kept + self.others_to_ask(own_fraction, known, rng, now)
+
+    def others_to_ask(
+        self, own_fraction: float, known: Sequence[str], rng: random.Random, now: float
+    ) -> list[str]:
+        """Return random daemons to ask in addition to those kept, if these are few."""
+        usable = self.usable(own_fraction, now)
+        kept = sum(address not in self.spared for address in usable)
+        if kept >= KEPT:
+            return []
         others = [
             address
             for address in known
-            if address not in kept and address not in self.denied_until
+            if address not in self.reaches and address not in self.denied_until
         ]
-        return kept + rng.sample(others, min(ASKED_AT_ONCE - len(kept), len(others)))
+        return rng.sample(others, min(ASKED_AT_ONCE - kept, len(others)))
 
     def _expire(self, now: float) -> None:
         self.reaches = {
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from agaterail.gateway.desired import RequestKind
+from agaterail.gateway.relayprotocol import RelayedHead
 
 if TYPE_CHECKING:
     from agaterail.gateway.daemon import Daemon
@@ -187,7 +188,8 @@
     def _record_head(self, head: AnswerHead) -> None:
         if self.choice.relayed:
             # What the head says of a target concerns the daemon that forwarded it.
-            if not head.not_run:
+            if isinstance(head, RelayedHead) and head.refusal is None:
+                self.context.retry_state.record_relayed(head.target)
                 self.daemon.relays.record_forwarded(self.context.service, self.instance)
             return
         self._record_weights(head)
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import random
 import secrets
 import time
@@ -172,6 +171,7 @@
         self.relays = RelayController(
             str(responder.server.address),
             self._known_daemons,
+            lambda: self.feeds.readers,
             self.paths.fraction,
             decode=requests.decode_answer_head,
             encode_relayed=requests.encode_relayed,
@@ -179,8 +179,9 @@
             rng=self.random,
         )
         self.relay_responder = RelayResponder(
-            functools.partial(handler.handle, relayed=True),
+            handler.handle,
             self._forwarding_obstacle,
+            lambda: self.stopping,
             self.paths.fraction,
             self._known_daemons,
             self.metrics,
@@ -204,8 +205,6 @@
     def _forwarding_obstacle(self, service: str) -> str:
         """Return why this daemon cannot forward to a service; empty if it can."""
         now = self.now()
-        if self.stopping:
-            return "stopping"
         if self.paths.is_lost(service):
             return "no path"
         targets = self.registry.of_service(service)
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -7,6 +7,7 @@
 import attrs
 
 from agaterail.errors import Failure
+from agaterail.gateway import relayprotocol
 from agaterail.gateway.eventstream import EventSplitter
 from agaterail.gateway.retrystate import MIN_TIME_LEFT_S, AttemptOutcome
 from agaterail.gateway.sender import Sender
@@ -309,6 +310,9 @@
 
     def _mark_answer_started(self) -> None:
         self.answer_started = True
+        if self.context.relayed:
+            lines = relayprotocol.forwarded_lines(self.context.target)
+            self.context.caller.extra_lines = lines
         self.context.first_byte_at = self.daemon.now()
 
     def _is_late(self) -> bool:
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -23,6 +23,7 @@
     from agaterail.gateway.desired import DesiredState, Route, Workspace
     from agaterail.gateway.httpserver import CallerConnection
     from agaterail.gateway.inbound import InboundRequest
+    from agaterail.gateway.relayprotocol import RelayOrigin
 
 logger = logs.get_logger("gateway")
 
@@ -38,20 +39,23 @@
         self.daemon = daemon
 
     def handle(
-        self, inbound: InboundRequest, caller: CallerConnection, relayed: bool = False
+        self,
+        inbound: InboundRequest,
+        caller: CallerConnection,
+        origin: RelayOrigin | None = None,
     ) -> None:
         """Answer one request.
 
         Parameters
         ----------
-        relayed
-            Whether another daemon passed it on.
+        origin
+            Where it came from if another daemon passed it on.
         """
         context: RequestContext | None = None
         failure: Failure | None = None
         caller_left = False
         try:
-            outcome = self._admit(inbound, caller, relayed)
+            outcome = self._admit(inbound, caller, origin)
             if isinstance(outcome, RequestContext):
                 context = outcome
                 failure = Forwarder(self.daemon, context).run()
@@ -83,7 +87,7 @@
                 self._refund_unused(context)
             self._record_metrics(inbound, context, failure, caller_left)
         if failure is not None:
-            if relayed:
+            if origin is not None:
                 caller.extra_lines = _relay_lines(failure, context)
             self._send_failure(inbound, caller, failure, context)
 
@@ -109,7 +113,7 @@
             self.daemon.metrics.first_byte.labels(kind).observe(first_s)
 
     def _admit(
-        self, inbound: InboundRequest, caller: CallerConnection, relayed: bool
+        self, inbound: InboundRequest, caller: CallerConnection, origin: RelayOrigin | None
     ) -> RequestContext | Failure:
         decoded = requests.decode_request(inbound)
         if not isinstance(decoded, Success):
@@ -131,8 +135,11 @@
         limit = inbound.time_limit_s or DEFAULT_TIME_LIMIT_S
         deadline = inbound.received_at + min(route.timeout_s, limit) - ROUND_TRIP_MARGIN_S
         service = pick_service(route, self.daemon.random.random())
-        if not relayed:
-            # The daemon that passed the request on has counted it.
+        retry_state = RetryState(route)
+        if origin is not None:
+            retry_state = RetryState(route, max_runs=1, tried=set(origin.tried))
+        else:
+            # A daemon that passes a request on has counted it.
             self.daemon.budget.record_request(service, self.daemon.now())
             self.daemon.demand.record(inbound.prompt_tokens, self.daemon.now())
         return RequestContext(
@@ -142,8 +149,8 @@
             workspace=workspace,
             deadline=deadline,
             caller=caller,
-            retry_state=RetryState(route, max_runs=1) if relayed else RetryState(route),
-            relayed=relayed,
+            retry_state=retry_state,
+            relayed=origin is not None,
             cost=cost,
             charged_runs=1,
         )
@@ -240,6 +247,6 @@
     if context is None:
         return relayprotocol.refusal_lines(RelayRefusal(failure.kind))
     if context.retry_state.runs:
-        return relayprotocol.forwarded_lines()
+        return relayprotocol.forwarded_lines(context.target)
     refusal = RelayRefusal(failure.kind, context.retry_state.sends)
     return relayprotocol.refusal_lines(refusal)
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -14,7 +14,7 @@
 from agaterail.decisions.relays import RelayCandidates
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.connectionpool import ConnectionPool
-from agaterail.gateway.relayprotocol import RelayStatus
+from agaterail.gateway.relayprotocol import RelayOrigin, RelayStatus
 from agaterail.gateway.targets import Registration, Target
 from agaterail.util.httpconn import ConnectionsByAddress
 
@@ -35,6 +35,7 @@
 # A daemon of a former release answers 404.
 UNSUPPORTED_S = 5.0
 MAX_NAMED = 64
+MAX_ROUNDS = 4
 OK = 200
 
 
@@ -68,6 +69,8 @@
         Address at which this daemon answers its peers.
     known_daemons
         Returns addresses of other daemons.
+    readers
+        Returns the daemons that read the platform's store for the others.
     fraction
         Returns the fraction of a service's targets that this daemon reaches itself.
     decode
@@ -89,6 +92,7 @@
         self,
         own_address: str,
         known_daemons: Callable[[], Sequence[str]],
+        readers: Callable[[], Sequence[str]],
         fraction: Callable[[str], float],
         decode: Callable[..., AnswerHead],
         encode_relayed: Callable[..., bytes],
@@ -97,6 +101,7 @@
     ) -> None:
         self.own_address = own_address
         self.known_daemons = known_daemons
+        self.readers = readers
         self.fraction = fraction
         self.encode_relayed = encode_relayed
         self.now = now
@@ -127,10 +132,17 @@
             return False
         return bool(relays.candidates.usable(self.fraction(service), self.now()))
 
-    def encode(self, inbound: InboundRequest, time_left_s: float, last_event_id: str) -> bytes:
+    def encode(
+        self,
+        inbound: InboundRequest,
+        time_left_s: float,
+        last_event_id: str,
+        tried: Collection[str],
+    ) -> bytes:
         """Encode the head of a request for the daemon that forwards it."""
         target = relayprotocol.REQUEST_PREFIX + inbound.target
-        lines = [relayprotocol.FROM_HEADER + b": " + self.own_address.encode()]
+        origin = RelayOrigin(self.own_address, frozenset(tried))
+        lines = relayprotocol.origin_lines(origin)
         return self.encode_relayed(inbound, target, time_left_s, last_event_id, lines)
 
     def record_forwarded(self, service: str, address: str) -> None:
@@ -189,20 +201,32 @@
 
     def _ask(self, service: str, relays: ServiceRelays) -> None:
         """Begin to ask some daemons whether they forward to a service."""
+        own_fraction, now = self.fraction(service), self.now()
+        # All daemons know the readers, and many may lose their paths at once.
+        relays.candidates.spared = frozenset(self.readers())
+        asked = relays.candidates.to_ask(own_fraction, self._known(), self.rng, now)
+        if asked:
+            relays.asking = gevent.event.Event()
+            gevent.spawn(self._ask_in_rounds, service, relays, asked)
+
+    def _known(self) -> list[str]:
         known = dict.fromkeys(itertools.chain(self.known_daemons(), self.named))
         known.pop(self.own_address, None)
-        own_fraction, now = self.fraction(service), self.now()
-        asked = relays.candidates.to_ask(own_fraction, list(known), self.rng, now)
-        if not asked:
-            return
-        relays.asking = gevent.event.Event()
-        gevent.spawn(self._ask_all, service, relays, asked)
+        return list(known)
 
-    def _ask_all(self, service: str, relays: ServiceRelays, asked: list[str]) -> None:
+    def _ask_in_rounds(self, service: str, relays: ServiceRelays, asked: list[str]) -> None:
+        """Ask daemons, and then those that they named, until enough forward."""
         assert relays.asking is not None
         try:
-            questions = [gevent.spawn(self._ask_one, service, relays, item) for item in asked]
-            gevent.joinall(questions)
+            for _ in range(MAX_ROUNDS):
+                gevent.joinall(
+                    [gevent.spawn(self._ask_one, service, relays, item) for item in asked]
+                )
+                asked = relays.candidates.others_to_ask(
+                    self.fraction(service), self._known(), self.rng, self.now()
+                )
+                if not asked:
+                    break
         finally:
             relays.asking.set()
             relays.asking = None
--- a/agaterail/gateway/relayprotocol.py
+++ b/agaterail/gateway/relayprotocol.py
@@ -26,11 +26,13 @@
 STATUS_PATH = b"/relay-status/1"
 REQUEST_PREFIX = b"/relayed/1"
 FROM_HEADER = b"relay-from"
+TRIED_HEADER = b"relay-tried"
 OUTCOME_HEADER = b"relay-outcome"
 FORWARDED = b"forwarded"
 NOT_RUN = b"not-run"
 MAX_SENDS = 100
 MAX_ADDRESSES = 16
+MAX_TRIED = 16
 
 
 @attrs.frozen
@@ -52,6 +54,22 @@
     daemons: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class RelayOrigin:
+    """Where a forwarded request came from.
+
+    Attributes
+    ----------
+    address
+        Address of the daemon that passed it on; empty if it gave none.
+    tried
+        Targets that were tried already.
+    """
+
+    address: str
+    tried: frozenset[str] = frozenset()
+
+
 @attrs.frozen
 class RelayRefusal:
     """The forwarding daemon surely did not run the request.
@@ -80,9 +98,12 @@
     ----------
     refusal
         Why the request did not run; None if it may have run.
+    target
+        Id of the target that ran it; empty if that is not known.
     """
 
     refusal: RelayRefusal | None = None
+    target: str = ""
 
 
 _STATUS_DECODER = msgspec.msgpack.Decoder(RelayStatus)
@@ -121,23 +142,28 @@
     return Success(attrs.evolve(found, daemons=found.daemons[:MAX_ADDRESSES]))
 
 
-def take_origin(inbound: InboundRequest) -> str:
-    """Turn a forwarded request into the caller's and return the daemon it came through."""
+def origin_lines(origin: RelayOrigin) -> list[bytes]:
+    """Return the header lines that a daemon adds to a request that it passes on."""
+    lines = [FROM_HEADER + b": " + origin.address.encode()]
+    if origin.tried:
+        tried = ",".join(sorted(origin.tried)[:MAX_TRIED])
+        lines.append(TRIED_HEADER + b": " + tried.encode("latin-1"))
+    return lines
+
+
+def take_origin(inbound: InboundRequest) -> RelayOrigin:
+    """Turn a forwarded request into the caller's and return where it came from."""
     inbound.target = inbound.target.removeprefix(REQUEST_PREFIX)
-    origin = b""
-    kept = []
-    for name, value in inbound.headers:
-        if name.lower() == FROM_HEADER:
-            origin = value
-        else:
-            kept.append((name, value))
-    inbound.headers = kept
-    return origin.decode("latin-1")
+    added = (FROM_HEADER, TRIED_HEADER)
+    found = {name.lower(): value.decode("latin-1") for name, value in inbound.headers}
+    inbound.headers = [pair for pair in inbound.headers if pair[0].lower() not in added]
+    tried = found.get(TRIED_HEADER, "").split(",")[:MAX_TRIED]
+    return RelayOrigin(found.get(FROM_HEADER, ""), frozenset(filter(None, tried)))
 
 
-def forwarded_lines() -> list[bytes]:
-    """Return the header lines that mark an answer as forwarded."""
-    return [OUTCOME_HEADER + b": " + FORWARDED]
+def forwarded_lines(target: str = "") -> list[bytes]:
+    """Return the header lines that mark an answer as forwarded from a target."""
+    return [OUTCOME_HEADER + b": " + FORWARDED + b" " + target.encode("latin-1")]
 
 
 def refusal_lines(refusal: RelayRefusal) -> list[bytes]:
@@ -160,24 +186,28 @@
     def decode_relayed(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
         outcomes = [value for name, value in headers if name.lower() == OUTCOME_HEADER]
         others = [pair for pair in headers if pair[0].lower() != OUTCOME_HEADER]
-        refusal = _decode_outcome(outcomes)
+        refusal, target = _decode_outcome(outcomes)
         known = attrs.asdict(decode(status, others), recurse=False)
         known["not_run"] = refusal is not None
-        return RelayedHead(**known, refusal=refusal)
+        return RelayedHead(**known, refusal=refusal, target=target)
 
     return decode_relayed
 
 
-def _decode_outcome(outcomes: Sequence[bytes]) -> RelayRefusal | None:
-    """Return why the request did not run, or None if it may have run."""
+def _decode_outcome(outcomes: Sequence[bytes]) -> tuple[RelayRefusal | None, str]:
+    """Return why the request did not run, or None and the target that may have run it."""
     if not outcomes:
-        return UNSUPPORTED
-    word, _, rest = outcomes[0].partition(b" ")
-    kind, _, sends = rest.decode("latin-1").partition(" ")
-    if word != NOT_RUN or not sends.isdecimal():
-        return None
+        return UNSUPPORTED, ""
+    word, _, rest = outcomes[0].decode("latin-1").partition(" ")
+    kind, _, sends = rest.partition(" ")
+    if word != NOT_RUN.decode() or not sends.isdecimal():
+        return None, rest.strip() if word == FORWARDED.decode() else ""
+    return _decode_refusal(kind, int(sends)), ""
+
+
+def _decode_refusal(kind: str, sends: int) -> RelayRefusal:
     try:
-        return RelayRefusal(ErrorKind(kind), min(MAX_SENDS, int(sends)))
+        return RelayRefusal(ErrorKind(kind), min(MAX_SENDS, sends))
     except ValueError:
         # A kind of a later release.
-        return RelayRefusal(ErrorKind.NO_TARGET, min(MAX_SENDS, int(sends)))
+        return RelayRefusal(ErrorKind.NO_TARGET, min(MAX_SENDS, sends))
--- a/agaterail/gateway/relayresponder.py
+++ b/agaterail/gateway/relayresponder.py
@@ -16,6 +16,7 @@
     from agaterail.gateway.httpserver import CallerConnection
     from agaterail.gateway.inbound import InboundRequest
     from agaterail.gateway.metrics import GatewayMetrics
+    from agaterail.gateway.relayprotocol import RelayOrigin
 
 logger = logs.get_logger("relays")
 
@@ -25,7 +26,7 @@
 NAMED_DAEMONS = 8
 # A daemon that sends nothing for this long has its paths back or uses others.
 FORGET_S = 5.0
-FULL = RelayRefusal(ErrorKind.OVERLOADED)
+UNAVAILABLE_HERE = RelayRefusal(ErrorKind.OVERLOADED)
 
 
 class RelayResponder:
@@ -37,6 +38,8 @@
         Answers a request as one of this daemon's own callers, without passing it on.
     obstacle
         Returns why this daemon cannot forward to a service; empty if it can.
+    is_stopping
+        Returns whether this daemon takes no new requests of other daemons.
     fraction
         Returns the fraction of a service's targets that this daemon reaches.
     known_daemons
@@ -52,8 +55,9 @@
 
     def __init__(
         self,
-        handle: Callable[[InboundRequest, CallerConnection], None],
+        handle: Callable[[InboundRequest, CallerConnection, RelayOrigin], None],
         obstacle: Callable[[str], str],
+        is_stopping: Callable[[], bool],
         fraction: Callable[[str], float],
         known_daemons: Callable[[], Sequence[str]],
         metrics: GatewayMetrics,
@@ -62,6 +66,7 @@
     ) -> None:
         self.handle_request = handle
         self.obstacle = obstacle
+        self.is_stopping = is_stopping
         self.fraction = fraction
         self.known_daemons = known_daemons
         self.metrics = metrics
@@ -79,9 +84,7 @@
             If the query is malformed.
         """
         service, sender = relayprotocol.decode_query(query)
-        reason = self.obstacle(service)
-        if self.in_flight >= MAX_FORWARDED:
-            reason = "full"
+        reason = self._refusal() or self.obstacle(service)
         others = [item for item in self.known_daemons() if item != sender]
         named = self.rng.sample(others, min(NAMED_DAEMONS, len(others)))
         return relayprotocol.encode_status(
@@ -91,17 +94,18 @@
     def handle(self, inbound: InboundRequest, caller: CallerConnection) -> None:
         """Forward one request of another daemon."""
         origin = relayprotocol.take_origin(inbound)
-        if self.in_flight >= MAX_FORWARDED:
-            self.metrics.forwarded.labels("full").inc()
-            caller.extra_lines = relayprotocol.refusal_lines(FULL)
+        reason = self._refusal()
+        if reason:
+            self.metrics.forwarded.labels(reason).inc()
+            caller.extra_lines = relayprotocol.refusal_lines(UNAVAILABLE_HERE)
             caller.send_answer(UNAVAILABLE, [], b"")
             return
-        self._record_origin(origin)
+        self._record_origin(origin.address)
         self.metrics.forwarded.labels("taken").inc()
         caller.extra_lines = relayprotocol.forwarded_lines()
         self.in_flight += 1
         try:
-            self.handle_request(inbound, caller)
+            self.handle_request(inbound, caller, origin)
         finally:
             self.in_flight -= 1
 
@@ -113,6 +117,12 @@
                 del self.served[origin]
                 logger.info("Stopped forwarding for another daemon.", origin=origin)
 
+    def _refusal(self) -> str:
+        """Return why this daemon takes no request of another one; empty if it does."""
+        if self.is_stopping():
+            return "stopping"
+        return "full" if self.in_flight >= MAX_FORWARDED else ""
+
     def _record_origin(self, origin: str) -> None:
         if origin not in self.served:
             logger.info("Forwarding for another daemon.", origin=origin)
--- a/agaterail/gateway/retrystate.py
+++ b/agaterail/gateway/retrystate.py
@@ -54,10 +54,15 @@
     ----------
     tried
         Targets that are not tried again.
+    refused
+        Targets that refused.
     resent
         Targets that refused only since they have newer weights, and may be tried again.
+    ran_elsewhere
+        Targets at which other daemons ran the request.
     may_have_run
-        Targets that may have run the request, including those of open attempts.
+        Targets that may have run the request, including those of open attempts; for a run
+        at another daemon, that daemon.
     max_runs
         Number of targets that may run the request.
     sends
@@ -69,7 +74,9 @@
     route: Route
     max_runs: int = attrs.field()
     tried: set[str] = attrs.field(factory=set)
+    refused: set[str] = attrs.field(factory=set)
     resent: set[str] = attrs.field(factory=set)
+    ran_elsewhere: set[str] = attrs.field(factory=set)
     may_have_run: set[str] = attrs.field(factory=set)
     sends: int = 0
     refusals: int = 0
@@ -101,6 +108,7 @@
             self.connect_failures += 1
         elif outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
+            self.refused.add(instance)
             self.may_have_run.discard(instance)
         elif outcome is AttemptOutcome.NOT_RELAYED:
             self.relay_failures += 1
@@ -108,6 +116,12 @@
         else:
             self.may_have_run.add(instance)
 
+    def record_relayed(self, target: str) -> None:
+        """Record the target at which another daemon ran the request."""
+        if target:
+            self.tried.add(target)
+            self.ran_elsewhere.add(target)
+
     def record_denial(self, instance: str) -> None:
         """Record that a target's limit left no room for the request."""
         self.denied.append(instance)
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -427,7 +427,10 @@
         self, _choice: Choice, left: float, last_event_id: str
     ) -> tuple[bytes, bytes]:
         inbound = self.context.inbound
-        head = self.daemon.relays.encode(inbound, left - RETURN_MARGIN_S, last_event_id)
+        # Targets that only failed to be connected from here may be reached from there.
+        state = self.retry_state
+        tried = state.may_have_run | state.ran_elsewhere | state.refused
+        head = self.daemon.relays.encode(inbound, left - RETURN_MARGIN_S, last_event_id, tried)
         return head, inbound.body
 
     def _no_usable_target(self, now: float) -> Failure:
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -67,7 +67,7 @@
     ("gateway/retrystate.py", "error_kind"): EXPLICIT_REFUSAL,
     ("gateway/sender.py", "_give_up"): EXPLICIT_REFUSAL,
     # What another daemon answered, or that it does not know the path of the request.
-    ("gateway/relayprotocol.py", "_decode_outcome"): EXPLICIT_REFUSAL,
+    ("gateway/relayprotocol.py", "_decode_refusal"): EXPLICIT_REFUSAL,
     ("gateway/relayprotocol.py", "<module>"): EXPLICIT_REFUSAL,
     ("gateway/relayresponder.py", "<module>"): BEFORE_FORWARDING,
     # Only before the first send.
