Brittle targets: all daemons together keep their refusals few

New: the engines of a service may name a number N; one that has to turn away more than N requests in a second for want of room fails. No daemon read it, and each refusal brought up to two further sends to engines of the same kind.

Change: while a target names N, each request to it asks the target's coordinator. Questions of both kinds, limits and room, share their code now.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -20,6 +20,7 @@
     placement,
     relayprotocol,
     targetlimitcontroller,
+    targetroomcontroller,
 )
 from agaterail.gateway.allowancecontroller import AllowanceController
 from agaterail.gateway.connectionpool import ConnectionPool
@@ -43,6 +44,7 @@
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.targetlimitcontroller import TargetLimitController
 from agaterail.gateway.targetnotices import TargetNotices
+from agaterail.gateway.targetroomcontroller import TargetRoomController
 from agaterail.gateway.targets import TargetRegistry
 from agaterail.gateway.weightscontroller import WeightsController
 from agaterail.platform import names, requests
@@ -153,6 +155,17 @@
         self.feeds.peer_responder.handlers[targetlimitcontroller.PATH] = (
             self.target_limits.answer
         )
+        self.target_rooms = TargetRoomController(
+            self.coordinators,
+            self.metrics,
+            has_brittle=lambda: any(
+                target.brittle is not None for target in self.registry.targets.values()
+            ),
+            now=self.now,
+        )
+        self.feeds.peer_responder.handlers[targetroomcontroller.PATH] = (
+            self.target_rooms.answer
+        )
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -267,7 +280,8 @@
         targets = self.registry.of_service(context.service)
         tried: Collection[str] = context.retry_state.tried
         if not context.retry_state.may_ask_for_permit:
-            tried = {*tried, *(item.instance for item in targets if item.rate_limit)}
+            limited = (item for item in targets if item.rate_limit or item.brittle)
+            tried = {*tried, *(item.instance for item in limited)}
         if context.service in self.paths.outages:
             tried = {*tried, *self._unreached(targets, context.route.idempotent)}
         if not context.route.prompted:
--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -112,6 +112,7 @@
     RATE_LIMIT = "rate_limit"
     RETRY_AFTER = "retry_after"
     LEAVING = "leaving"
+    BRITTLE = "brittle"
 
 
 @attrs.frozen(kw_only=True)
@@ -139,6 +140,9 @@
         Seconds after which the target takes requests again; None if not given.
     leaving
         Whether the target says that it leaves.
+    bearable_refusals
+        Refusals in a second, of requests of all daemons together, with which the target
+        goes on working; None if it names no number.
     malformed
         Notices that cannot be read, with what the target sent.
     """
@@ -154,4 +158,5 @@
     instance: str = ""
     rate_limit_per_s: float | None = None
     leaving: bool = False
+    bearable_refusals: float | None = None
     malformed: tuple[tuple[Notice, str], ...] = ()
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -59,6 +59,12 @@
             ("source", "outcome"),
             registry=registry,
         )
+        self.rooms = Counter(
+            f"{PREFIX}_target_rooms",
+            "Requests to brittle targets, by who decided on them and how.",
+            ("source", "outcome"),
+            registry=registry,
+        )
         self.forwarded = Counter(
             f"{PREFIX}_forwarded_requests",
             "Requests that daemons without a path passed on to this one.",
@@ -100,6 +106,7 @@
                     "Targets that want no requests of this daemon for a time.",
                 ),
                 ("targets_limited", "Targets that name a limit of requests per second."),
+                ("targets_brittle", "Targets that bear few refusals."),
                 ("services_without_path", "Services that no new connection reaches."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
@@ -137,6 +144,7 @@
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
+            "targets_brittle": sum(item.brittle is not None for item in targets),
             "services_without_path": len(daemon.paths.lost_services),
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -94,6 +94,7 @@
             self.retry_state.allow_resend(attempt.instance)
         else:
             attempt.target.record_refusal(self.daemon.now())
+            self.daemon.target_rooms.record_refusal(attempt.target)
         self.log(
             "Refused by the target.",
             attempt.choice,
@@ -343,8 +344,9 @@
         return True
 
     def _get_permit(self, target: Target) -> bool:
-        """Return whether the limit that a target names leaves room for the request."""
-        if self.daemon.target_limits.admit(target):
+        """Return whether what a target says that it can bear leaves room for the request."""
+        daemon = self.daemon
+        if daemon.target_limits.admit(target) and daemon.target_rooms.admit(target):
             return True
         self.retry_state.record_denial(target.instance)
         return False
--- /dev/null
+++ b/agaterail/gateway/targetcoordination.py
@@ -0,0 +1,103 @@
+"""Ask the coordinator of a target whether a request may be sent to it."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import msgspec
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.gateway.coordinators import COORDINATORS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.gateway.coordinators import Coordinators
+
+logger = logs.get_logger("targets")
+
+OK = 200
+# A daemon of a former build coordinates other accounts only.
+UNSUPPORTED_BACKOFF_S = 5.0
+
+Demand = TypeVar("Demand")
+_DECODER = msgspec.msgpack.Decoder(float | None)
+
+
+class TargetCoordination(abc.ABC, Generic[Demand]):
+    """Accounts of targets that one daemon per target keeps for the whole fleet.
+
+    Parameters
+    ----------
+    coordinators
+        The daemons that keep the accounts.
+    now
+        Returns the time.
+
+    Attributes
+    ----------
+    unsupported_until
+        Time until which each daemon of a former build is not asked.
+    """
+
+    def __init__(self, coordinators: Coordinators, now: Callable[[], float]) -> None:
+        self.coordinators = coordinators
+        self.now = now
+        self.unsupported_until: dict[str, float] = {}
+        coordinators.on_change.append(self._drop_accounts)
+
+    @abc.abstractmethod
+    def encode(self, target: str, demand: Demand) -> str:
+        """Return the path and query string of a question."""
+
+    @abc.abstractmethod
+    def grant(self, target: str, demand: Demand) -> float:
+        """Return the seconds until a request may be sent, by this daemon's accounts."""
+
+    @abc.abstractmethod
+    def keep_only(self, targets: list[str]) -> None:
+        """Drop the accounts of the other targets."""
+
+    @abc.abstractmethod
+    def accounts(self) -> list[str]:
+        """Return the targets whose accounts this daemon keeps."""
+
+    def ask(self, target: str, demand: Demand) -> float | None:
+        """Return a coordinator's answer, or None if there is none."""
+        for _ in range(COORDINATORS):
+            coordinator = self.coordinators.of(target)
+            if not coordinator:
+                return None
+            if coordinator == self.coordinators.own_address:
+                return self.grant_as_coordinator(target, demand)
+            if self.now() < self.unsupported_until.get(coordinator, 0.0):
+                return None
+            called = self.coordinators.call(coordinator, self.encode(target, demand))
+            if isinstance(called, Success):
+                return self._decode(coordinator, *called.unwrap())
+        return None
+
+    def grant_as_coordinator(self, target: str, demand: Demand) -> float | None:
+        """Return the wait until a request may be sent, or None if another one decides."""
+        self.coordinators.follow()
+        if not self.coordinators.coordinates(target):
+            return None
+        return self.grant(target, demand)
+
+    def _decode(self, coordinator: str, status: int, body: bytes) -> float | None:
+        reason = f"status {status}"
+        if status == OK:
+            try:
+                return _DECODER.decode(body)
+            except msgspec.MsgspecError as error:
+                reason = str(error)
+        self.unsupported_until[coordinator] = self.now() + UNSUPPORTED_BACKOFF_S
+        logger.info("Coordinator grants no permits.", peer=coordinator, reason=reason)
+        return None
+
+    def _drop_accounts(self, _now: float, suspended: bool) -> None:
+        """Drop the accounts that another coordinator may have kept meanwhile."""
+        kept = [] if suspended else filter(self.coordinators.coordinates, self.accounts())
+        self.keep_only(list(kept))
--- a/agaterail/gateway/targetlimitcontroller.py
+++ b/agaterail/gateway/targetlimitcontroller.py
@@ -6,33 +6,24 @@
 from urllib.parse import quote, unquote
 
 import msgspec
-from returns.result import Success
 
-from agaterail import logs
 from agaterail.decisions.ratelimits import PermitLedger, PermitRequest
-from agaterail.gateway.coordinators import COORDINATORS, query_path, split_query
+from agaterail.gateway.coordinators import query_path, split_query
+from agaterail.gateway.targetcoordination import TargetCoordination
 from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from agaterail.decisions.ratelimits import RateLimit
     from agaterail.gateway.coordinators import Coordinators
     from agaterail.gateway.metrics import GatewayMetrics
     from agaterail.gateway.targets import Target
 
-logger = logs.get_logger("targets")
-
 PATH = b"/target-permits/1"
-OK = 200
-# A daemon of a former build grants no permits, but coordinates allowances.
-UNSUPPORTED_BACKOFF_S = 5.0
 MAX_THOUSANDTHS = 10**12
 
-_DECODER = msgspec.msgpack.Decoder(float | None)
-
 
-class TargetLimitController:
+class TargetLimitController(TargetCoordination[PermitRequest]):
     """Decides whether a request may be sent to a target that names a limit.
 
     Parameters
@@ -57,14 +48,11 @@
         now: Callable[[], float],
         number: Callable[[], float],
     ) -> None:
-        self.coordinators = coordinators
+        super().__init__(coordinators, now)
         self.metrics = metrics
-        self.now = now
         self.number = number
         self.ledger = PermitLedger()
-        self.unsupported_until: dict[str, float] = {}
         coordinators.users.append(has_limits)
-        coordinators.on_change.append(self._drop_accounts)
 
     def admit(self, target: Target) -> bool:
         """Return whether a request may be sent to a target now.
@@ -75,7 +63,8 @@
         if limit is None:
             return True
         asked_at = self.now()
-        wait_s = self._ask(target.instance, limit)
+        demand = PermitRequest(limit.rate_per_s, asked_at - limit.heard_at)
+        wait_s = self.ask(target.instance, demand)
         now, permits = self.now(), target.permits
         if wait_s is None:
             source = "slot"
@@ -97,49 +86,25 @@
         """
         daemon, target, demand = decode_query(query)
         self.coordinators.record_contact(daemon)
-        return msgspec.msgpack.encode(self._grant(target, demand))
-
-    def _ask(self, instance: str, limit: RateLimit) -> float | None:
-        """Return a coordinator's answer, or None if there is none."""
-        demand = PermitRequest(limit.rate_per_s, self.now() - limit.heard_at)
-        for _ in range(COORDINATORS):
-            coordinator = self.coordinators.of(instance)
-            if not coordinator:
-                return None
-            if coordinator == self.coordinators.own_address:
-                return self._grant(instance, demand)
-            if self.now() < self.unsupported_until.get(coordinator, 0.0):
-                return None
-            query = encode_query(self.coordinators.name, instance, demand)
-            called = self.coordinators.call(coordinator, query)
-            if isinstance(called, Success):
-                return self._decode(coordinator, *called.unwrap())
-        return None
-
-    def _decode(self, coordinator: str, status: int, body: bytes) -> float | None:
-        reason = f"status {status}"
-        if status == OK:
-            try:
-                return _DECODER.decode(body)
-            except msgspec.MsgspecError as error:
-                reason = str(error)
-        self.unsupported_until[coordinator] = self.now() + UNSUPPORTED_BACKOFF_S
-        logger.info("Coordinator grants no permits.", peer=coordinator, reason=reason)
-        return None
-
-    def _grant(self, target: str, demand: PermitRequest) -> float | None:
-        """Return the wait for a permit, or None if this daemon does not grant it."""
-        self.coordinators.follow()
-        if not self.coordinators.coordinates(target):
-            return None
+        return msgspec.msgpack.encode(self.grant_as_coordinator(target, demand))
+
+    def encode(self, target: str, demand: PermitRequest) -> str:
+        """Return the path and query string of a question."""
+        return encode_query(self.coordinators.name, target, demand)
+
+    def grant(self, target: str, demand: PermitRequest) -> float:
+        """Return the seconds until there is a permit, by this daemon's accounts."""
         fraction = self.coordinators.fleet_fraction()
         replaces = self.coordinators.replaces(target)
         return self.ledger.grant(target, demand, fraction, replaces, self.now())
 
-    def _drop_accounts(self, _now: float, suspended: bool) -> None:
-        """Drop the accounts that another coordinator may have kept meanwhile."""
-        kept = () if suspended else filter(self.coordinators.coordinates, self.ledger.accounts)
-        self.ledger.keep_only(list(kept))
+    def accounts(self) -> list[str]:
+        """Return the targets whose permits this daemon grants."""
+        return list(self.ledger.accounts)
+
+    def keep_only(self, targets: list[str]) -> None:
+        """Drop the accounts of the other targets."""
+        self.ledger.keep_only(targets)
 
 
 def encode_query(daemon: str, target: str, demand: PermitRequest) -> str:
--- a/agaterail/gateway/targetnotices.py
+++ b/agaterail/gateway/targetnotices.py
@@ -54,6 +54,8 @@
             self._record_leaving(target, request_id)
         if Notice.RATE_LIMIT not in malformed:
             self._record_limit(target, head, sent_at, request_id)
+        if Notice.BRITTLE not in malformed:
+            self._record_brittle(target, head, sent_at, request_id)
         if head.status in REST_STATUSES and head.retry_after_s:
             self._record_rest(target, head.retry_after_s, request_id)
 
@@ -107,6 +109,23 @@
             heard_s=None if known is None else round(now - known.heard_at, 3),
         )
 
+    def _record_brittle(
+        self, target: Target, head: AnswerHead, sent_at: float, request_id: str
+    ) -> None:
+        now, known = self.now(), target.brittle
+        target.brittle = updated_limit(known, head.bearable_refusals, sent_at, now)
+        if (known is None) == (target.brittle is None):
+            return
+        logger.info(
+            "Target says that it is brittle."
+            if known is None
+            else "Target no longer brittle.",
+            target=target.instance,
+            request=request_id,
+            bearable_refusals=head.bearable_refusals,
+            brittle_s=None if known is None else round(now - known.since, 3),
+        )
+
     def _log_malformed(
         self, target: Target, malformed: Mapping[Notice, str], request_id: str
     ) -> None:
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -68,6 +68,8 @@
         Time at which bytes last arrived from it on any connection.
     rate_limit
         Limit that it names in its answers; None if it names none.
+    brittle
+        Refusals per second that it bears from all daemons; None if it names no number.
     leaving
         Whether it said in an answer that it leaves. This holds until it starts anew.
     rest_until
@@ -90,6 +92,7 @@
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
     rate_limit: RateLimit | None = None
+    brittle: RateLimit | None = None
     leaving: bool = False
     rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
@@ -138,8 +141,9 @@
         return self.is_ready and now >= self.rest_until
 
     def is_over_limit(self, now: float) -> bool:
-        """Return whether no more requests fit into the limit that the target names."""
-        return self.rate_limit is not None and now < self.permits.denied_until
+        """Return whether no more requests fit into what the target says it can bear."""
+        is_limited = self.rate_limit is not None or self.brittle is not None
+        return is_limited and now < self.permits.denied_until
 
     def takes_requests_at(self, now: float) -> float:
         """Return when the target takes a request again, or infinity if that is not known.
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -31,6 +31,7 @@
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
 RATE_LIMIT = b"server-limit"  # requests per second from all hosts together
+BRITTLE = b"server-brittle"  # refusals in a second that an engine survives
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
@@ -40,6 +41,7 @@
     Notice.RATE_LIMIT: RATE_LIMIT,
     Notice.RETRY_AFTER: RETRY_AFTER,
     Notice.LEAVING: LEAVING,
+    Notice.BRITTLE: BRITTLE,
 }
 
 HOP_BY_HOP = frozenset(
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -111,6 +111,7 @@
     rate_limit = _decode_notice(headers, by_name, Notice.RATE_LIMIT, malformed)
     retry_after = _decode_notice(headers, by_name, Notice.RETRY_AFTER, malformed)
     leaving = _decode_notice(headers, by_name, Notice.LEAVING, malformed)
+    bearable = _decode_notice(headers, by_name, Notice.BRITTLE, malformed)
     return AnswerHead(
         status=status,
         not_run=names.NOT_RUN in by_name or status == 421,
@@ -123,6 +124,7 @@
         instance=by_name.get(names.INSTANCE, b"").decode("latin-1"),
         rate_limit_per_s=rate_limit,
         leaving=leaving == 1.0,
+        bearable_refusals=bearable,
         malformed=tuple(malformed.items()),
     )
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -56,6 +56,8 @@
     the head of the answer if 0. With ``newer_each_time``, each request for other
     weights is refused and followed by a load. ``rate_limit`` is named in all answers;
     ``rest_s`` is asked for with each 503, and ``leaving`` is said in all answers.
+    ``brittle`` is named in all answers, and a target with ``room`` refuses the requests
+    beyond that number; with more than ``brittle`` refusals in a second it falls over.
 
     Attributes
     ----------
@@ -83,6 +85,10 @@
         self.rate_limit: float | None = None
         self.rest_s: float | None = None
         self.leaving = False
+        self.brittle: int | None = None
+        self.room: int | None = None
+        self.refusals: list[float] = []
+        self.falls = 0
         self.arrivals: list[tuple[float, str]] = []
         self.notices: list[Notice] = []
         self.loading = False
@@ -164,7 +170,9 @@
             held = self.version
             self.version += self.newer_each_time
             return self._send(sock, 421, {"Weight-Versions": str(held)})
-        if self.refuse or self.loading:
+        running = sum(run.outcome == "open" for run in self.runs)
+        if self.refuse or self.loading or (self.room is not None and running >= self.room):
+            self._count_refusal()
             return self._send(sock, 503, {"Not-Run": "1", "Request-Id": request_id})
         run = Run(
             headers.get("request-id", ""),
@@ -194,6 +202,13 @@
             self._send(sock, 200, answer_headers, answer)
         return True
 
+    def _count_refusal(self) -> None:
+        now = time.monotonic()
+        self.refusals = [at for at in self.refusals if at > now - 1.0] + [now]
+        if self.brittle is not None and len(self.refusals) > self.brittle:
+            self.falls += 1
+            self.refusals.clear()
+
     def _stream(self, sock: socket.socket, run: Run, answer_headers: dict[str, str]) -> bool:
         first = int(run.headers.get("last-event-id") or 0) + 1
         head = {
@@ -275,6 +290,7 @@
         said = {
             "Server-Limit": self.rate_limit,
             "Server-Leaving": 1 if self.leaving else None,
+            "Server-Brittle": self.brittle,
             "Retry-After": self.rest_s if status == 503 else None,
         }
         for name, value in said.items():
--- a/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_targetlimitcontroller.py
@@ -216,7 +216,7 @@
             for target in engines:
                 target.rate_limit, target.permits = limit, TargetPermits()
             waits_s = {target.instance: 0.01 for target in engines} | {free.instance: 0.0}
-            daemon.target_limits._ask = lambda name, _limit, waits_s=waits_s: waits_s[name]
+            daemon.target_limits.ask = lambda name, _demand, waits_s=waits_s: waits_s[name]
             with self.subTest(free.instance):
                 answer = self.fleet.ask("/once/x", stream=True, request_id=f"q{number}")
                 self.assertEqual(answer.status, 200)
@@ -229,7 +229,7 @@
         limit = RateLimit(rate_per_s=LIMIT_PER_S, since=0.0, heard_at=0.0)
         for target in engines:
             target.rate_limit = limit
-        daemon.target_limits._ask = lambda _name, _limit: 0.01
+        daemon.target_limits.ask = lambda _name, _demand: 0.01
         with mock.patch.object(daemon.shedder_of(LLM), "should_refuse") as should_refuse:
             should_refuse.return_value = False
             self.assertEqual(self.fleet.ask("/once/x", stream=True).status, 503)
