A hedge replaces a silent engine with its first event, not with its head

An engine that fell silent for 1.3 s was given up as soon as the other engine had sent the head of its answer. When that one paused as well, the stream was cut at its time limit: 3 of 8 events, of a stream whose first engine would have gone on 0.3 s later.

Cause: the head of a stream counted as progress, though it says nothing of events to come. Now both are kept until one sends an event.

Evidence: the new test of two engines that pause together failed (3 of 8 events) and passes; requests that run once wait for a silent target, one run each (new tests, passed before as well).

--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -234,9 +234,12 @@
         """Wait for either target to answer; return whether one of them continues."""
         connections = (hedge.connection, silent.connection)
         while ready := wait_readable(connections, self._time_left_s()):
-            # Once the hedge answers, the silent target must not keep working too.
             if hedge.connection in ready:
-                return self._check_hedge(silent, hedge)
+                outcome = self._check_progress(hedge)
+                if outcome is not AttemptOutcome.SILENT:
+                    return self._decide_for_hedge(silent, hedge, outcome)
+            if silent.connection not in ready:
+                continue
             outcome = self._check_progress(silent)
             if outcome is None:
                 self.sender.end_attempt(hedge, AttemptOutcome.NOT_NEEDED)
@@ -249,29 +252,33 @@
         self.sender.end_attempt(hedge, AttemptOutcome.SILENT)
         return False
 
-    def _check_hedge(self, silent: Attempt, hedge: Attempt) -> bool:
-        outcome = self._check_progress(hedge)
+    def _decide_for_hedge(
+        self, silent: Attempt, hedge: Attempt, outcome: AttemptOutcome | None
+    ) -> bool:
+        """Continue with the hedge, or end it if it failed."""
         if outcome is not None:
             self.sender.end_attempt(hedge, outcome)
             self.hedge = None
             return False
+        # The silent target must not keep working too.
         self.sender.end_attempt(silent, AttemptOutcome.SILENT)
         self._switch_to(hedge)
         return True
 
     def _check_progress(self, attempt: Attempt) -> AttemptOutcome | None:
-        """Read what a target has sent; return how it failed, or None if it continues."""
+        """Read what a target has sent; return how it failed, or None if it continues.
+
+        A stream continues with its next event; after its head, a hedge may pause too.
+        """
         deadline = min(self.context.deadline, self.daemon.now() + HEAD_TIMEOUT_S)
         try:
             if attempt.is_stream:
                 return None if attempt.poll_events(self.splitter) else AttemptOutcome.SILENT
             head = attempt.read_head(deadline)
             outcome = self._check_head(attempt, head)
-            if (
-                outcome is not None
-                or attempt.is_stream
-                or head.status < MIN_SERVER_ERROR_STATUS
-            ):
+            if outcome is None and attempt.is_stream:
+                return None if attempt.poll_events(self.splitter) else AttemptOutcome.SILENT
+            if outcome is not None or head.status < MIN_SERVER_ERROR_STATUS:
                 return outcome
             self.target_failure = BufferedAnswer(head, attempt.read_rest(deadline))
         except OSError as error:
--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -169,6 +169,34 @@
         self.assertEqual(self.fleet.ask("/safe/x").status, 200)
 
 
+class ShortSilenceTest(ForwarderTest):
+    """Targets that fall silent for a second and go on."""
+
+    def test_a_request_that_runs_once_waits_for_its_answer(self):
+        for service, path, fields in (
+            (PLAIN, "/unsafe/x", {"body": b"b"}),
+            (LLM, "/once/x", {"stream": True}),
+        ):
+            for pause_before in (0,) if service == PLAIN else (0, 1, 4):
+                with self.subTest(path, pause_before=pause_before):
+                    targets = self.start(service)
+                    for target in targets:
+                        target.pause_before = pause_before
+                    answer = self.fleet.ask(path, **fields)
+                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(len(self.fleet.runs()), 1)
+                    self.assertEqual(self.fleet.runs()[0].outcome, "whole")
+                    self.assertFalse(self.fleet.daemons[0].paths.outages)
+                    self.fleet.stop()
+
+    def test_both_engines_may_be_silent_at_once(self):
+        """A stream was cut since its engine and that of its hedge paused together."""
+        engines = self.start()
+        for engine in engines:
+            engine.pause_before = 4
+        self.assertEqual(self.ask_stream().events, ALL_EVENTS)
+
+
 class FailedAnswerTest(ForwarderTest):
     def test_a_server_error_is_relayed_when_no_other_target_answers(self):
         """A target's complete error answer was replaced by an error of the gateway."""
