--- a/tests/test_agaterail/test_gateway/test_targetconnection.py
+++ b/tests/test_agaterail/test_gateway/test_targetconnection.py
@@ -1,11 +1,16 @@
 from __future__ import annotations
 
+import socket
 import time
 import unittest
 
 import gevent.socket
 
-from agaterail.gateway.targetconnection import AnswerBroken, TargetConnection
+from agaterail.gateway.targetconnection import (
+    TCP_USER_TIMEOUT_MS,
+    AnswerBroken,
+    TargetConnection,
+)
 from agaterail.platform.requests import decode_answer_head
 
 
@@ -14,6 +19,21 @@
     return head % (request_id, len(body)) + body
 
 
+class SocketOptionsTest(unittest.TestCase):
+    def test_lost_connections_are_noticed_by_one_timeout_only(self):
+        """Keep-alive probes gave up by TCP_USER_TIMEOUT, whatever their own number."""
+        listener = gevent.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        found = TargetConnection.connect(address, 1.0, decode_answer_head, time.monotonic)
+        self.addCleanup(found.close)
+        user_timeout = found.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(user_timeout, TCP_USER_TIMEOUT_MS)
+        self.assertEqual(found.sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 0)
+
+
 class TargetConnectionTest(unittest.TestCase):
     def setUp(self):
         own, self.target = gevent.socket.socketpair()
