Soak: gateways that lose their paths to all targets

What an engine told a gateway binds the gateway that sends: requests are attributed by the logs of those that forward.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -217,11 +217,10 @@
 
     def _forwarding_obstacle(self, service: str) -> str:
         """Return why this daemon cannot forward to a service; empty if it can."""
-        now = self.now()
         if self.paths.is_lost(service):
             return "no path"
         targets = self.registry.of_service(service)
-        return "" if any(item.is_usable(now) for item in targets) else "no usable target"
+        return "" if any(item.is_ready for item in targets) else "no ready target"
 
     @property
     def ready(self) -> bool:
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -12,6 +12,7 @@
 
 from agaterail import logs
 from agaterail.decisions.relays import RelayCandidates
+from agaterail.errors import ErrorKind
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.connectionpool import ConnectionPool
 from agaterail.gateway.relayprotocol import RelayOrigin, RelayStatus
@@ -155,7 +156,8 @@
         relays = self.services.setdefault(service, ServiceRelays())
         if refusal is relayprotocol.UNSUPPORTED:
             relays.candidates.record_denial(address, self.now(), UNSUPPORTED_S)
-        elif not refusal.sends:
+        elif refusal.kind is ErrorKind.NO_TARGET:
+            # Other kinds tell of the request or of the targets.
             relays.candidates.record_denial(address, self.now())
 
     def record_failure(self, service: str, address: str) -> None:
@@ -183,13 +185,10 @@
         self.named.clear()
 
     def _least_loaded(self, service: str, excluded: Collection[str]) -> Target | None:
-        now, candidates = self.now(), self.services[service].candidates
-        found = candidates.usable(self.fraction(service), now, excluded)
+        candidates = self.services[service].candidates
+        found = candidates.usable(self.fraction(service), self.now(), excluded)
         peers = [self._peer(address) for address in found]
-        usable = [peer for peer in peers if peer.is_usable(now)]
-        if not usable:
-            return None
-        return min(usable, key=lambda peer: (peer.in_flight, self.rng.random()))
+        return min(peers, key=lambda peer: (peer.in_flight, self.rng.random()), default=None)
 
     def _peer(self, address: str) -> Target:
         if address not in self.peers:
--- a/agaterail/gateway/relayresponder.py
+++ b/agaterail/gateway/relayresponder.py
@@ -26,7 +26,7 @@
 NAMED_DAEMONS = 8
 # A daemon that sends nothing for this long has its paths back or uses others.
 FORGET_S = 5.0
-UNAVAILABLE_HERE = RelayRefusal(ErrorKind.OVERLOADED)
+UNAVAILABLE_HERE = RelayRefusal(ErrorKind.NO_TARGET)
 
 
 class RelayResponder:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -129,7 +129,6 @@
     def _record_relay_failure(self, peer: Target, outcome: AttemptOutcome) -> None:
         """Use another daemon next if this one broke off or was silent."""
         if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.SILENT):
-            peer.record_failure(self.daemon.now())
             self.daemon.relays.record_failure(self.context.service, peer.instance)
 
     def _finish_refused(self, attempt: Attempt) -> None:
@@ -358,10 +357,11 @@
         try:
             return pool.acquire(choice.target, idempotent, timeout_s)
         except OSError as error:
-            choice.target.record_failure(now)
-            outcome = AttemptOutcome.NOT_CONNECTED
             if choice.relayed:
                 outcome = AttemptOutcome.NOT_RELAYED
+            else:
+                outcome = AttemptOutcome.NOT_CONNECTED
+                choice.target.record_failure(now)
             self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
--- a/tests/test_agaterail/test_gateway/test_relaycontroller.py
+++ b/tests/test_agaterail/test_gateway/test_relaycontroller.py
@@ -11,8 +11,8 @@
 from agaterail.gateway import relayprotocol, relayresponder
 from agaterail.gateway.gracefulstop import GracefulStop
 from agaterail.gateway.pathcontroller import PROBE_PERIOD_S
+from standins.path_cuts import CutKind, PathCut
 from tests.gateway_fleet import LLM, PLAIN, Fleet, make_desired
-from tests.path_cuts import CutKind, PathCut
 
 # The time in which a host may learn that its paths are gone.
 LEARN_S = 3.0
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -78,6 +78,7 @@
     ("filters/retry.py", "handle"),
     ("filters/retry.py", "<module>"),
     ("gateway/handler.py", "_retry_after_s"),
+    ("gateway/relaycontroller.py", "record_refusal"),
     ("gateway/sender.py", "_is_rate_limited"),
 }
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -30,6 +30,9 @@
         action="store_true",
         help="inject every kind of fault once before any repeats",
     )
+    parser.add_argument(
+        "--cuts", action="store_true", help="cut gateways off from all targets"
+    )
     arguments = parser.parse_args()
     seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
     failed = 0
@@ -42,6 +45,7 @@
             arguments.callers,
             folder,
             arguments.deal,
+            arguments.cuts,
         )
         print(result.summary, flush=True)
         for problem in result.problems:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -170,7 +170,7 @@
             for run in self.testbed.targets[name].runs:
                 late = run.started_at - drained_at
                 if late > DRAIN_S and not self._overlaps_fault(
-                    drained_at - 3.0, run.started_at
+                    drained_at - 3.0, run.started_at, skip="path"
                 ):
                     self.problems.append(
                         f"{run.request_id}: reached {name} {late:.1f} s after its drain began"
--- a/tools/soak/notices.py
+++ b/tools/soak/notices.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from tools.soak.cuts import read_forwarders
 from tools.soak.testbed import DRAIN_S, LLM_SERVICE
 
 if TYPE_CHECKING:
@@ -109,6 +110,7 @@
         self.testbed = testbed
         self.fault_intervals = fault_intervals
         self.by_id = {request.request_id: request for request in requests}
+        self.forwarders = read_forwarders(testbed)
 
     def check(self) -> Iterator[str]:
         """Yield a description of every violated guarantee."""
@@ -178,7 +180,9 @@
                 return
 
     def _process(self, request_id: str) -> tuple[str, int]:
-        """Return the gateway and its start that a request was sent to."""
+        """Return the gateway and its start that sent a request to a target."""
+        if request_id in self.forwarders:
+            return self.forwarders[request_id]
         request = self.by_id.get(request_id)
         return ("", 0) if request is None else (request.gateway, request.gateway_start)
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 
 from tools.soak.callers import Caller
 from tools.soak.checks import RunChecker
+from tools.soak.cuts import CutInjector, check_cuts
 from tools.soak.faults import FaultInjector
 from tools.soak.notices import NoticeChecker, NoticeInjector
 from tools.soak.testbed import LIMITED_KEY, Testbed
@@ -52,9 +53,18 @@
     callers: int,
     folder: pathlib.Path,
     in_rounds: bool = False,
+    with_cuts: bool = False,
 ) -> SoakResult:
-    """Run gateways under faults and check the guarantees."""
-    testbed = Testbed(folder, gateways)
+    """Run gateways under faults and check the guarantees.
+
+    Parameters
+    ----------
+    in_rounds
+        Whether each kind of fault is injected once before any repeats.
+    with_cuts
+        Whether gateways also lose their paths to all targets.
+    """
+    testbed = Testbed(folder, gateways, with_cuts=with_cuts)
     try:
         start_problems = _wait_until_ready(testbed)
         if start_problems:
@@ -66,9 +76,14 @@
         ]
         caller_greenlets = [gevent.spawn(caller.run) for caller in all_callers]
         injector = FaultInjector(testbed, seed, in_rounds)
-        notices = gevent.spawn(NoticeInjector(testbed, seed).run, seconds)
+        cuts = CutInjector(testbed, seed)
+        others = [
+            gevent.spawn(NoticeInjector(testbed, seed).run, seconds),
+            gevent.spawn(cuts.run, seconds if with_cuts else 0.0),
+        ]
         injector.run(seconds)
-        notices.join()
+        gevent.joinall(others)
+        injector.intervals.extend(cut.interval for cut in cuts.cuts)
         for gateway in testbed.gateways:
             testbed.start(gateway)
         gevent.sleep(RECOVERY_S)
@@ -86,6 +101,7 @@
         )
         problems = checker.check()
         problems += NoticeChecker(testbed, checker.requests, injector.intervals).check()
+        problems += check_cuts(testbed, cuts.cuts, checker.requests, injector.intervals)
     finally:
         testbed.stop()
     served = sum(item.status == 200 and item.complete for item in finished)
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -46,6 +46,7 @@
     name: str
     settings: str
     log: Any
+    cut_file: pathlib.Path
     caller_address: str
     readiness_address: str
     process: subprocess.Popen[bytes] | None = None
@@ -68,8 +69,15 @@
 class Testbed:
     """Store, targets and gateways; the callers are separate."""
 
-    def __init__(self, folder: pathlib.Path, gateways: int, engines: int = 3) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        gateways: int,
+        engines: int = 3,
+        with_cuts: bool = False,
+    ) -> None:
         self.folder = folder
+        self.gateway_module = "tools.soak.cutgateway" if with_cuts else "agaterail.gateway"
         self.store = PlatformStoreStandIn()
         self.store_proxy = Proxy(self.store.start())
         self.targets: dict[str, PlatformTargetStandIn] = {}
@@ -183,9 +191,13 @@
                 return
             gateway.start_count += 1
             gateway.process = subprocess.Popen(
-                [sys.executable, "-m", "agaterail.gateway"],
+                [sys.executable, "-m", self.gateway_module],
                 cwd=ROOT,
-                env={**os.environ, "AGATERAIL_NODE_FILE": gateway.settings},
+                env={
+                    **os.environ,
+                    "AGATERAIL_NODE_FILE": gateway.settings,
+                    "AGATERAIL_CUT_FILE": str(gateway.cut_file),
+                },
                 stdout=gateway.log,
                 stderr=gateway.log,
             )
@@ -256,7 +268,8 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         log = (self.folder / f"{name}.log").open("ab")
-        return Gateway(name, str(path), log, listen["front"], listen["ready"])
+        cut_file = self.folder / f"{name}.cut"
+        return Gateway(name, str(path), log, cut_file, listen["front"], listen["ready"])
 
     def _poll_readiness(self) -> None:
         while True:
