A failed connect is checked with other targets at once

A failed connect is now followed by two probes of other targets, once a second at most, unless one of them sent data in the last 0.5 s.

--- a/agaterail/gateway/pathcontroller.py
+++ b/agaterail/gateway/pathcontroller.py
@@ -24,6 +24,11 @@
 PROBE_PERIOD_S = 0.25
 PROBE_TIMEOUT_S = 0.3
 MAJORITY = 0.5
+# A failed connect is checked with some other targets, unless one of them sent data within
+# this time.
+CHECK_SILENCE_S = 0.5
+CHECKED_TARGETS = 2
+CHECK_PERIOD_S = 1.0
 
 
 @attrs.define
@@ -68,6 +73,8 @@
         Outcomes of connects by service.
     outages
         Paths that were lost or impaired and are not whole again, by service.
+    checked_at
+        Time of the last check of a failed connect, by service.
     """
 
     period_s = PERIOD_S
@@ -85,6 +92,7 @@
         self.rng = rng
         self.evidence: dict[str, PathEvidence] = {}
         self.outages: dict[str, Outage] = {}
+        self.checked_at: dict[str, float] = {}
         pool.on_connected = self.record_success
         pool.on_connect_failed = self.record_failure
 
@@ -127,9 +135,28 @@
             return
         if newly_lost or evidence.fraction(ready) < MAJORITY:
             self.outages[service] = Outage(probe_at=now)
-        if not newly_lost and service in self.outages:
+        if service not in self.outages:
+            self._check_others(service, now)
+        elif not newly_lost:
             self._log("Path to a service impaired.", service, error=str(error))
 
+    def _check_others(self, service: str, now: float) -> None:
+        """Probe other targets at once if nothing shows that they are reached.
+
+        Requests would otherwise find out one after the other, each by a timeout.
+        """
+        failed_at = self.evidence[service].failed_at
+        others = [
+            item for item in self._ready_targets(service) if item.instance not in failed_at
+        ]
+        if any(now - item.heard_at < CHECK_SILENCE_S for item in others):
+            return
+        if now - self.checked_at.get(service, float("-inf")) < CHECK_PERIOD_S:
+            return
+        self.checked_at[service] = now
+        for target in self.rng.sample(others, min(CHECKED_TARGETS, len(others))):
+            gevent.spawn(self._probe, target)
+
     def record_success(self, target: Target) -> None:
         """Record that a connect to a target was completed."""
         service, now = target.registration.service, self.now()
--- a/tests/test_agaterail/test_gateway/test_pathcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_pathcontroller.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import gevent
+
 from agaterail.gateway import pathcontroller
 from agaterail.gateway.connectionpool import ConnectionPool
 from agaterail.gateway.pathcontroller import PathController
@@ -48,6 +50,24 @@
         self.paths.record_success(self.targets[0])
         self.assertFalse(self.paths.is_lost(SERVICE))
 
+    def test_a_failed_connect_is_checked_with_other_targets(self):
+        """Each request of a silent path found out by a timeout of its own."""
+        probed = []
+        self.pool.open = lambda target, _timeout_s: probed.append(target) or self.fail_open()
+        self.paths.record_failure(self.targets[0], TimeoutError())
+        gevent.sleep(0.0)
+        self.assertEqual(len(probed), 2)
+        self.assertNotIn(self.targets[0], probed)
+
+    def test_no_check_while_other_targets_send_data(self):
+        self.targets[1].heard_at = self.time
+        self.pool.open = lambda *_: self.fail("probed")
+        self.paths.record_failure(self.targets[0], TimeoutError())
+        gevent.sleep(0.0)
+
+    def fail_open(self):
+        raise TimeoutError
+
     def test_other_services_are_not_concerned(self):
         self.fail_all()
         self.assertFalse(self.paths.is_lost("other"))
