--- a/agaterail/decisions/paths.py
+++ b/agaterail/decisions/paths.py
@@ -59,6 +59,11 @@
         lost_at, self.lost_at = self.lost_at, None
         return lost_at
 
+    def keep_only(self, targets: Collection[str]) -> None:
+        """Forget the other targets, which are no longer registered."""
+        known = frozenset(targets)
+        self.failed_at = {name: at for name, at in self.failed_at.items() if name in known}
+
     def fraction(self, ready: Collection[str]) -> float:
         """Return the fraction of the given targets that new connections reach."""
         return sum(map(self.reaches, ready)) / len(ready) if ready else 0.0
--- a/agaterail/gateway/pathcontroller.py
+++ b/agaterail/gateway/pathcontroller.py
@@ -128,6 +128,7 @@
         service, now = target.registration.service, self.now()
         ready = [item.instance for item in self._ready_targets(service)]
         evidence = self.evidence.setdefault(service, PathEvidence())
+        evidence.keep_only([item.instance for item in self.registry.of_service(service)])
         newly_lost = evidence.record_failure(target.instance, ready, now)
         if newly_lost:
             self._log("Path to a service lost.", service, error=str(error))
--- a/tests/test_agaterail/test_gateway/test_pathcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_pathcontroller.py
@@ -59,6 +59,13 @@
         self.assertEqual(len(probed), 2)
         self.assertNotIn(self.targets[0], probed)
 
+    def test_targets_that_are_gone_are_forgotten(self):
+        """The failures of replaced targets stayed in memory and in the log."""
+        self.fail_all()
+        self.registry.remove("s-0", self.time)
+        self.paths.record_failure(self.targets[1], ConnectionRefusedError())
+        self.assertNotIn("s-0", self.paths.evidence[SERVICE].failed_at)
+
     def test_no_check_while_other_targets_send_data(self):
         self.targets[1].heard_at = self.time
         self.pool.open = lambda *_: self.fail("probed")
