A daemon without the store stays with the peer that reads it

Cause, traced from its polls: the first answer of that daemon (1.8 s) counted as the end of the outage; the readers, still without news, were polled again, and each took 0.6 to 1.8 s. The next one was then drawn at random, often the same reader again. Now the peer that has news is asked again and again, the others in turn, and only a reader with news ends the outage.

--- a/agaterail/gateway/peerpoller.py
+++ b/agaterail/gateway/peerpoller.py
@@ -42,6 +42,8 @@
         requested.
     pollers
         Daemons that poll the same readers as this one, as the last answer named them.
+    outage_queue
+        Daemons to ask next while the store and all readers are out of reach.
     """
 
     def __init__(self, hub: FeedHub, daemon: Daemon, own_address: str) -> None:
@@ -52,6 +54,7 @@
         self.connections = ConnectionsByAddress(PEER_TIMEOUT_MARGIN_S)
         self.differences_applied = True
         self.pollers: tuple[str, ...] = ()
+        self.outage_queue: list[str] = []
 
     def step(self) -> None:
         """Poll one reader, or sleep if this daemon reads the store itself."""
@@ -87,20 +90,30 @@
         """Ask any daemon whether it reads the store; this costs the store no call.
 
         The store may be out of reach for this daemon and for all readers, and serve the
-        others, which read it directly then.
+        others, which read it directly then. One of these is asked again and again until a
+        reader has news too.
         """
-        readers = [item for item in self.hub.readers if item != self.own_address]
-        others = [*self.pollers, *self.daemon.random.sample(readers, min(1, len(readers)))]
-        if others:
-            address = self.daemon.random.choice(others)
+        address = self._next_in_outage()
+        if address:
             sent_at = self.daemon.now()
             answer = self.poll(address)
             if not isinstance(answer, str) and not self.apply_answer(address, answer, sent_at):
                 logger.info("Peer reads the store again.", peer=address)
-                self.selector.reset()
-                return
+                if address in self.hub.readers:
+                    self.selector.reset()
+                    return
+                self.outage_queue.append(address)
         gevent.sleep(PEER_WAIT_S)
 
+    def _next_in_outage(self) -> str:
+        """Return a daemon to ask, each in turn; empty if none is known."""
+        if not self.outage_queue:
+            readers = [item for item in self.hub.readers if item != self.own_address]
+            one = self.daemon.random.sample(readers, min(1, len(readers)))
+            self.outage_queue = list(dict.fromkeys([*self.pollers, *one]))
+            self.daemon.random.shuffle(self.outage_queue)
+        return self.outage_queue.pop() if self.outage_queue else ""
+
     def poll(self, address: str) -> PeerAnswer | str:
         """Return a peer's answer, or the reason why the poll failed."""
         # After a failed poll, the next peer must answer immediately with what it has.
--- a/tests/test_agaterail/test_gateway/test_peerpoller.py
+++ b/tests/test_agaterail/test_gateway/test_peerpoller.py
@@ -77,6 +77,19 @@
         self.assertEqual(daemon.feeds.readers, found)
 
 
+class OutageOrderTest(unittest.TestCase):
+    def test_no_daemon_is_asked_twice_before_each_was_asked(self):
+        """Keys were refused while a daemon that had no news was drawn again and again."""
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        poller = fleet.daemons[0].feeds.poller
+        poller.pollers = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+        fleet.daemons[0].feeds.readers = ("10.0.0.4:1",)
+        asked = [poller._next_in_outage() for _ in range(8)]
+        for four in (asked[:4], asked[4:]):
+            self.assertEqual(len(set(four)), 4)
+
+
 class ReadersOutOfReachTest(unittest.TestCase):
     """The store turned away all readers and a third of the daemons, and served the others."""
 
