--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -14,6 +14,7 @@
 
 REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected Request", 503: "Unavailable"}
 LINE_END = b"\r\n"
+MS_PER_S = 1e3
 
 
 @attrs.define
@@ -234,8 +235,10 @@
 
     def _client_disconnects(self, sock: socket.socket, run: Run) -> bool:
         """Pause and return whether the client closed the connection meanwhile."""
-        readable, _, _ = select.select([sock], [], [], self.pause_s)
-        if not readable:
+        # Unlike select, poll takes descriptors of any number.
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        if not poll.poll(self.pause_s * MS_PER_S):
             return False
         run.end("left")
         return True
