--- a/tools/soak/cutgateway.py
+++ b/tools/soak/cutgateway.py
@@ -1,6 +1,8 @@
 """A gateway process whose paths to the targets can be cut from outside.
 
 ``AGATERAIL_CUT_FILE`` names a file with the kind of the cut; without the file there is none.
+Beside it the process writes the times and ids of the requests that it forwards for other
+gateways; its log may leave some of them out.
 """
 
 from __future__ import annotations
@@ -12,15 +14,22 @@
 import os
 import pathlib
 import sys
+import time
 from typing import Any
 
 import gevent
 
 from agaterail.cmd import gateway
+from agaterail.gateway import relayprotocol
 from agaterail.gateway.daemon import Daemon
+from agaterail.gateway.httpserver import CallerConnection
+from agaterail.gateway.inbound import InboundRequest
+from agaterail.platform import names
 from standins.path_cuts import CutKind, PathCut
 
 CUT_FILE_VARIABLE = "AGATERAIL_CUT_FILE"
+FORWARDED_SUFFIX = ".forwarded"
+STARTED = "started"
 POLL_S = 0.05
 
 
@@ -31,8 +40,19 @@
         super().__init__(*arguments, **named)
         self.path_cut = PathCut(self)
         self.cut_file = pathlib.Path(os.environ[CUT_FILE_VARIABLE])
+        self.forwarded = self.cut_file.with_suffix(FORWARDED_SUFFIX).open("a", buffering=1)
+        self.forwarded.write(f"{STARTED}\n")
+        handlers = self.feeds.peer_responder.prefix_handlers
+        self.handle_relayed = handlers[relayprotocol.REQUEST_PREFIX]
+        handlers[relayprotocol.REQUEST_PREFIX] = self._record_and_handle
         gevent.spawn(self._follow)
 
+    def _record_and_handle(self, inbound: InboundRequest, caller: CallerConnection) -> None:
+        found = {name.lower(): value for name, value in inbound.headers}
+        request_id = found.get(names.REQUEST_ID, b"").decode("latin-1")
+        self.forwarded.write(f"{time.monotonic()} {request_id}\n")
+        self.handle_relayed(inbound, caller)
+
     def _follow(self) -> None:
         while True:
             try:
--- a/tools/soak/cuts.py
+++ b/tools/soak/cuts.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import pathlib
 import random
-import re
 import time
 from typing import TYPE_CHECKING
 
@@ -13,6 +11,7 @@
 
 from standins.path_cuts import CutKind
 from tools.soak.checks import FaultInterval
+from tools.soak.cutgateway import FORWARDED_SUFFIX, STARTED
 from tools.soak.faults import SETTLE_S
 
 if TYPE_CHECKING:
@@ -33,7 +32,6 @@
 DISTURBED_S = 1.0
 # A reading of the store is older than this only in an outage of the store.
 STATE_VALID_S = 3.0
-REQUEST_ID = re.compile(r'"request": "([^"]+)"')
 
 
 @attrs.frozen
@@ -123,18 +121,31 @@
             )
 
 
-def read_forwarders(testbed: Testbed) -> dict[str, tuple[str, int]]:
-    """Return the gateway and its start that forwarded each request of another one."""
-    forwarders = {}
+@attrs.frozen(order=True)
+class Forwarding:
+    """A gateway, in one of its starts, began to forward a request."""
+
+    at: float
+    gateway: str
+    start: int
+
+
+def read_forwarded(testbed: Testbed) -> dict[str, list[Forwarding]]:
+    """Return who forwarded each request, in the order of time."""
+    forwarded: dict[str, list[Forwarding]] = {}
     for gateway in testbed.gateways:
+        path = gateway.cut_file.with_suffix(FORWARDED_SUFFIX)
         starts = 0
-        text = pathlib.Path(gateway.log.name).read_text(encoding="utf-8", errors="replace")
-        for line in text.splitlines():
-            starts += '"event": "Started."' in line
-            found = REQUEST_ID.search(line) if '"relayed": true' in line else None
-            if found is not None:
-                forwarders[found.group(1)] = (gateway.name, starts)
-    return forwarders
+        for line in path.read_text(encoding="utf-8").splitlines() if path.exists() else ():
+            if line == STARTED:
+                starts += 1
+                continue
+            at, _, request_id = line.partition(" ")
+            item = Forwarding(float(at), gateway.name, starts)
+            forwarded.setdefault(request_id, []).append(item)
+    for items in forwarded.values():
+        items.sort()
+    return forwarded
 
 
 def _is_served(request: CallerRequest) -> bool:
--- a/tools/soak/notices.py
+++ b/tools/soak/notices.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from tools.soak.cuts import read_forwarders
+from tools.soak.cuts import read_forwarded
 from tools.soak.testbed import DRAIN_S, LLM_SERVICE
 
 if TYPE_CHECKING:
@@ -110,7 +110,7 @@
         self.testbed = testbed
         self.fault_intervals = fault_intervals
         self.by_id = {request.request_id: request for request in requests}
-        self.forwarders = read_forwarders(testbed)
+        self.forwarded = read_forwarded(testbed)
 
     def check(self) -> Iterator[str]:
         """Yield a description of every violated guarantee."""
@@ -124,13 +124,13 @@
             limit = named[0].value
             told: dict[tuple[str, int], float] = {}
             for notice in named:
-                told.setdefault(self._process(notice.request_id), notice.at)
+                told.setdefault(self._process(notice.request_id, notice.at), notice.at)
             start, end = named[0].at + LIMIT_CONTACT_S, named[-1].at
             times = [
                 at
                 for at, request_id in target.arrivals
                 if start <= at <= end
-                and at >= told.get(self._process(request_id), end) + TOLD_S
+                and at >= told.get(self._process(request_id, at), end) + TOLD_S
                 and not self._is_excused(target, request_id, named[0].at, at)
             ]
             allowed = (1.0 + LIMIT_OVERAGE) * LIMIT_WINDOW_S * limit + LIMIT_SLACK
@@ -147,11 +147,11 @@
         for notice in target.notices:
             if notice.kind != "Retry-After":
                 continue
-            process = self._process(notice.request_id)
+            process = self._process(notice.request_id, notice.at)
             until = notice.at + notice.value
             count = sum(
                 notice.at + TOLD_S < at < until
-                and self._process(request_id) == process
+                and self._process(request_id, at) == process
                 and not self._is_excused(target, request_id, notice.at, at)
                 for at, request_id in target.arrivals
             )
@@ -166,10 +166,10 @@
         told: dict[tuple[str, int], float] = {}
         for notice in target.notices:
             if notice.kind == "Server-Leaving":
-                told.setdefault(self._process(notice.request_id), notice.at)
+                told.setdefault(self._process(notice.request_id, notice.at), notice.at)
         for at, request_id in target.arrivals:
             request = self.by_id.get(request_id)
-            since = told.get(self._process(request_id))
+            since = told.get(self._process(request_id, at))
             if request is None or since is None or request.sent_at <= since + DRAIN_S:
                 continue
             if not self._is_excused(target, request_id, since, at):
@@ -179,10 +179,11 @@
                 )
                 return
 
-    def _process(self, request_id: str) -> tuple[str, int]:
-        """Return the gateway and its start that sent a request to a target."""
-        if request_id in self.forwarders:
-            return self.forwarders[request_id]
+    def _process(self, request_id: str, at: float) -> tuple[str, int]:
+        """Return the gateway and its start that sent a request to a target by a time."""
+        forwarded = [item for item in self.forwarded.get(request_id, ()) if item.at <= at]
+        if forwarded:
+            return forwarded[-1].gateway, forwarded[-1].start
         request = self.by_id.get(request_id)
         return ("", 0) if request is None else (request.gateway, request.gateway_start)
 
@@ -190,7 +191,7 @@
         self, target: PlatformTargetStandIn, request_id: str, since: float, until: float
     ) -> bool:
         """Return whether a fault hit the gateway, or its way to the engine."""
-        gateway = self._process(request_id)[0]
+        gateway = self._process(request_id, until)[0]
         names = [f"{kind} {gateway}" for kind in ("kill", "freeze", "stop")]
         names.append(f"target cut {target.instance}")
         return any(
