Forwarded requests keep their service, and foreign denials are temporary

A route may share its traffic between services. The forwarding daemon drew one anew, so that a stream could begin at one service and be resumed at another. The origin names the one that it chose.

The forwarding daemon's 401 and 404 went to the caller although the origin, whose desired state may be newer, admitted the request: a route just added was denied. Such answers are 503 now, as the states differ for the moment.

Found by reading.

--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -129,12 +129,17 @@
         workspace = self._workspace(desired, route, inbound)
         if isinstance(workspace, Failure):
             return workspace
+        service = pick_service(route, self.daemon.random.random())
+        if origin is not None:
+            # A stream that is resumed must come from the service that began it.
+            if origin.service not in {share.service for share in route.shares}:
+                return Failure(ErrorKind.TABLES_UNAVAILABLE, "The route has no such service.")
+            service = origin.service
         cost = self._charge(workspace, inbound)
         if isinstance(cost, Failure):
             return cost
         limit = inbound.time_limit_s or DEFAULT_TIME_LIMIT_S
         deadline = inbound.received_at + min(route.timeout_s, limit) - ROUND_TRIP_MARGIN_S
-        service = pick_service(route, self.daemon.random.random())
         retry_state = RetryState(route)
         if origin is not None:
             retry_state = RetryState(route, max_runs=1, tried=set(origin.tried))
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -136,13 +136,14 @@
     def encode(
         self,
         inbound: InboundRequest,
+        service: str,
         time_left_s: float,
         last_event_id: str,
         tried: Collection[str],
     ) -> bytes:
         """Encode the head of a request for the daemon that forwards it."""
         target = relayprotocol.REQUEST_PREFIX + inbound.target
-        origin = RelayOrigin(self.own_address, frozenset(tried))
+        origin = RelayOrigin(self.own_address, service, frozenset(tried))
         lines = relayprotocol.origin_lines(origin)
         return self.encode_relayed(inbound, target, time_left_s, last_event_id, lines)
 
--- a/agaterail/gateway/relayprotocol.py
+++ b/agaterail/gateway/relayprotocol.py
@@ -26,6 +26,7 @@
 STATUS_PATH = b"/relay-status/1"
 REQUEST_PREFIX = b"/relayed/1"
 FROM_HEADER = b"relay-from"
+SERVICE_HEADER = b"relay-service"
 TRIED_HEADER = b"relay-tried"
 OUTCOME_HEADER = b"relay-outcome"
 FORWARDED = b"forwarded"
@@ -62,11 +63,14 @@
     ----------
     address
         Address of the daemon that passed it on; empty if it gave none.
+    service
+        Service that it chose among those of the route.
     tried
         Targets that were tried already.
     """
 
     address: str
+    service: str = ""
     tried: frozenset[str] = frozenset()
 
 
@@ -144,7 +148,10 @@
 
 def origin_lines(origin: RelayOrigin) -> list[bytes]:
     """Return the header lines that a daemon adds to a request that it passes on."""
-    lines = [FROM_HEADER + b": " + origin.address.encode()]
+    lines = [
+        FROM_HEADER + b": " + origin.address.encode(),
+        SERVICE_HEADER + b": " + origin.service.encode("latin-1"),
+    ]
     if origin.tried:
         tried = ",".join(sorted(origin.tried)[:MAX_TRIED])
         lines.append(TRIED_HEADER + b": " + tried.encode("latin-1"))
@@ -154,11 +161,15 @@
 def take_origin(inbound: InboundRequest) -> RelayOrigin:
     """Turn a forwarded request into the caller's and return where it came from."""
     inbound.target = inbound.target.removeprefix(REQUEST_PREFIX)
-    added = (FROM_HEADER, TRIED_HEADER)
+    added = (FROM_HEADER, SERVICE_HEADER, TRIED_HEADER)
     found = {name.lower(): value.decode("latin-1") for name, value in inbound.headers}
     inbound.headers = [pair for pair in inbound.headers if pair[0].lower() not in added]
     tried = found.get(TRIED_HEADER, "").split(",")[:MAX_TRIED]
-    return RelayOrigin(found.get(FROM_HEADER, ""), frozenset(filter(None, tried)))
+    return RelayOrigin(
+        address=found.get(FROM_HEADER, ""),
+        service=found.get(SERVICE_HEADER, ""),
+        tried=frozenset(filter(None, tried)),
+    )
 
 
 def forwarded_lines(target: str = "") -> list[bytes]:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -8,7 +8,7 @@
 import attrs
 
 from agaterail import logs
-from agaterail.errors import ErrorKind, Failure
+from agaterail.errors import ANSWERS, ErrorKind, Failure
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
 from agaterail.gateway.inbound import AttemptHead
@@ -114,8 +114,12 @@
         if context.cost:
             context.charged_runs -= 1  # the other daemon has refunded it
         self.daemon.relays.record_refusal(context.service, attempt.instance, refusal)
+        kind = refusal.kind
+        if ANSWERS[kind].retry_after_s is None:
+            # This daemon would admit the request. The desired states differ for now.
+            kind = ErrorKind.TABLES_UNAVAILABLE
         self.relay_failure = Failure(
-            refusal.kind, f"not run by {attempt.instance}", head.retry_after_s
+            kind, f"not run by {attempt.instance}", head.retry_after_s
         )
         self.log(
             "Not forwarded by the other daemon.",
@@ -432,7 +436,9 @@
         # Targets that only failed to be connected from here may be reached from there.
         state = self.retry_state
         tried = state.may_have_run | state.ran_elsewhere | state.refused
-        head = self.daemon.relays.encode(inbound, left - RETURN_MARGIN_S, last_event_id, tried)
+        head = self.daemon.relays.encode(
+            inbound, self.context.service, left - RETURN_MARGIN_S, last_event_id, tried
+        )
         return head, inbound.body
 
     def _no_usable_target(self, now: float) -> Failure:
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -72,6 +72,8 @@
     ("gateway/relayresponder.py", "<module>"): BEFORE_FORWARDING,
     # Only before the first send.
     ("gateway/sender.py", "_check_overload"): BEFORE_FORWARDING,
+    # Another daemon said that it did not run the request.
+    ("gateway/sender.py", "_handle_relay_refusal"): EXPLICIT_REFUSAL,
 }
 # Functions that refer to such a kind without answering with it.
 NOT_ANSWERED = {
