--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -60,7 +60,11 @@
                 runs.setdefault(run.request_id, []).append(run)
         known = {request.request_id for request in self.requests}
         for request_id in set(runs) - known:
-            self.problems.append(f"{request_id}: executed, but no caller sent it")
+            run = runs[request_id][0]
+            self.problems.append(
+                f"{request_id}: executed, but no caller sent it"
+                f" ({run.method} {run.path}, {run.headers})"
+            )
         for request in self.requests:
             self._check_executions(request, runs.get(request.request_id, []))
             self._check_answer(request)
