Busy daemons still forward, and requests to brittle targets are further apart

A host that forwarded did not answer a question within 0.1 s, counted as one that does not forward for 1 s, and the request got 503: questions may take 0.3 s now, requests wait for them 0.1 s as before. And two brittle engines fell over once each, as reports of refusals came later than 15 ms: 30 ms now.

losses counted a forwarded request at both daemons; it skips the lines of the one that forwards, which say so now ('relayed'), and names requests that nobody forwarded.

--- a/agaterail/decisions/rooms.py
+++ b/agaterail/decisions/rooms.py
@@ -28,7 +28,7 @@
 SAME_REFUSAL_S = 0.05
 # From the grant of a request to the report that it was refused. No more requests than the
 # target may refuse are granted in this time.
-FEEDBACK_S = 0.015
+FEEDBACK_S = 0.03
 MIN_BEARABLE_PER_S = 0.5
 MAX_ACCOUNTS = 4096
 
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -70,6 +70,7 @@
                 first_byte=context is not None and context.first_byte_at is not None,
                 age_s=round(self.daemon.now() - inbound.received_at, 4),
                 reason=type(error).__name__,
+                relayed=origin is not None or None,
             )
             raise
         except Exception:
@@ -227,6 +228,7 @@
             reading_age_s=round(self.daemon.freshness.age_s(self.daemon.now()), 3),
             desired=None if desired is None else desired.version,
             retry_after_s=None if hint is None else round(hint, 3),
+            relayed=bool(caller.extra_lines) or None,
         )
         if context is not None and self.daemon.paths.is_lost(context.service):
             # The load balancer may open the next connection to a host with a path.
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -30,7 +30,9 @@
 
 PERIOD_S = 0.5
 # Daemons are 1 to 2 ms apart. A request waits no longer than this for an answer.
-ASK_TIMEOUT_S = 0.1
+MAX_WAIT_S = 0.1
+# A busy daemon may still forward.
+ASK_TIMEOUT_S = 0.3
 # Candidates of a service are kept current for this long after the last request.
 WANTED_S = 5.0
 # A daemon of a former release answers 404.
@@ -123,7 +125,7 @@
         if relays.asking is None:
             self._ask(service, relays)
         if relays.asking is not None:
-            relays.asking.wait(ASK_TIMEOUT_S)
+            relays.asking.wait(MAX_WAIT_S)
         return self._least_loaded(service, excluded)
 
     def others_reach_more(self, service: str) -> bool:
--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -30,6 +30,7 @@
     OVERLOAD = "refused, prompts would be late"
     NO_USABLE_TARGET = "refused, no usable target"
     TARGETS_AT_LIMIT = "refused, targets at their limits or resting"
+    NOT_FORWARDED = "refused, no path and not run by the daemon that forwards"
     TARGETS_REFUSED = "refused by the targets"
     STALE_STATE = "refused for want of a fresh reading"
     OTHER_REFUSAL = "refused otherwise"
@@ -58,6 +59,8 @@
 }
 # In the detail of a failure; the numbers of targets follow.
 AT_LIMIT_DETAIL = "no usable target, of "
+# The address of the other daemon follows.
+NOT_FORWARDED_DETAIL = "not run by "
 DENIALS = frozenset({"no_route", "unauthenticated", "bad_request"})
 
 
@@ -88,6 +91,8 @@
         cause = cause_of(line.event, fields)
         if cause is None or not line.request:
             continue
+        if fields.get("relayed"):
+            continue  # the daemon that passed the request on tells how it ended
         route = str(fields.get("route") or "-")
         loss = groups.setdefault((cause, route), LossGroup(cause, route))
         loss.count += 1
@@ -104,8 +109,11 @@
     """Return why the line's request was lost or late; None if it was not."""
     if event == "Request failed.":
         kind = str(fields.get("kind"))
-        if str(fields.get("detail")).startswith(AT_LIMIT_DETAIL):
+        detail = str(fields.get("detail"))
+        if detail.startswith(AT_LIMIT_DETAIL):
             return Cause.TARGETS_AT_LIMIT
+        if detail.startswith(NOT_FORWARDED_DETAIL):
+            return Cause.NOT_FORWARDED
         return None if kind in DENIALS else CAUSE_OF_KIND.get(kind, Cause.OTHER_REFUSAL)
     if event == "Stream cut.":
         at_limit = float(fields.get("left_s", 1.0)) < TIME_LIMIT_MARGIN_S
--- a/tests/test_agaterail/test_losses.py
+++ b/tests/test_agaterail/test_losses.py
@@ -34,6 +34,15 @@
         self.assertEqual(loss.by_slot, {start: 2, start + 2: 2, start + 4: 1})
         self.assertEqual(loss.examples, ["r0", "r1", "r2"])
 
+    def test_a_forwarded_request_counts_once(self):
+        """Requests that the first daemon had served elsewhere counted as lost."""
+        failed = line("Request failed.", kind="no_target", relayed=True)
+        left = line("Caller left.", first_byte=True, relayed=True)
+        self.assertEqual(find_losses(parse_log_lines([failed, left]), 2), [])
+        refused = line("Request failed.", kind="overloaded", detail="not run by 10.0.0.1:7")
+        (loss,) = find_losses(parse_log_lines([refused]), 2)
+        self.assertEqual((loss.cause, loss.count), (Cause.NOT_FORWARDED, 1))
+
     def test_the_largest_group_comes_first(self):
         texts = [line("Request failed.", kind="target_lost")]
         texts += [line("Stream cut.", left_s=0.01)] * 2
