Coordinated targets: one base class holds the ledger and reads its numbers

The controllers of limits and of room each had the same two methods around their ledger and the same check of numbers in questions. No change of behaviour.

--- a/agaterail/gateway/targetcoordination.py
+++ b/agaterail/gateway/targetcoordination.py
@@ -10,10 +10,13 @@
 
 from agaterail import logs
 from agaterail.gateway.coordinators import COORDINATORS
+from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agaterail.decisions.ratelimits import PermitLedger
+    from agaterail.decisions.rooms import RoomLedger
     from agaterail.gateway.coordinators import Coordinators
 
 logger = logs.get_logger("targets")
@@ -21,18 +24,22 @@
 OK = 200
 # A daemon of a former build coordinates other accounts only.
 UNSUPPORTED_BACKOFF_S = 5.0
+MAX_THOUSANDTHS = 10**12
 
 Demand = TypeVar("Demand")
+Ledger = TypeVar("Ledger", bound="PermitLedger | RoomLedger")
 _DECODER = msgspec.msgpack.Decoder(float | None)
 
 
-class TargetCoordination(abc.ABC, Generic[Demand]):
+class TargetCoordination(abc.ABC, Generic[Demand, Ledger]):
     """Accounts of targets that one daemon per target keeps for the whole fleet.
 
     Parameters
     ----------
     coordinators
         The daemons that keep the accounts.
+    ledger
+        The accounts that this daemon keeps.
     now
         Returns the time.
 
@@ -42,7 +49,10 @@
         Time until which each daemon of a former build is not asked.
     """
 
-    def __init__(self, coordinators: Coordinators, now: Callable[[], float]) -> None:
+    def __init__(
+        self, coordinators: Coordinators, ledger: Ledger, now: Callable[[], float]
+    ) -> None:
+        self.ledger = ledger
         self.coordinators = coordinators
         self.now = now
         self.unsupported_until: dict[str, float] = {}
@@ -56,14 +66,6 @@
     def grant(self, target: str, demand: Demand) -> float:
         """Return the seconds until a request may be sent, by this daemon's accounts."""
 
-    @abc.abstractmethod
-    def keep_only(self, targets: list[str]) -> None:
-        """Drop the accounts of the other targets."""
-
-    @abc.abstractmethod
-    def accounts(self) -> list[str]:
-        """Return the targets whose accounts this daemon keeps."""
-
     def ask(self, target: str, demand: Demand) -> float | None:
         """Return a coordinator's answer, or None if there is none."""
         for _ in range(COORDINATORS):
@@ -99,5 +101,19 @@
 
     def _drop_accounts(self, _now: float, suspended: bool) -> None:
         """Drop the accounts that another coordinator may have kept meanwhile."""
-        kept = [] if suspended else filter(self.coordinators.coordinates, self.accounts())
-        self.keep_only(list(kept))
+        accounts = () if suspended else self.ledger.accounts
+        self.ledger.keep_only(list(filter(self.coordinators.coordinates, accounts)))
+
+
+def parse_thousandths(text: str) -> float:
+    """Return a number that a question gives in thousandths.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed or implausible.
+    """
+    number = int(text)
+    if not 0 <= number <= MAX_THOUSANDTHS:
+        raise ValueError("number is implausible")
+    return number / MS_PER_S
--- a/agaterail/gateway/targetlimitcontroller.py
+++ b/agaterail/gateway/targetlimitcontroller.py
@@ -9,7 +9,7 @@
 
 from agaterail.decisions.ratelimits import PermitLedger, PermitRequest
 from agaterail.gateway.coordinators import query_path, split_query
-from agaterail.gateway.targetcoordination import TargetCoordination
+from agaterail.gateway.targetcoordination import TargetCoordination, parse_thousandths
 from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
@@ -20,10 +20,9 @@
     from agaterail.gateway.targets import Target
 
 PATH = b"/target-permits/1"
-MAX_THOUSANDTHS = 10**12
 
 
-class TargetLimitController(TargetCoordination[PermitRequest]):
+class TargetLimitController(TargetCoordination[PermitRequest, PermitLedger]):
     """Decides whether a request may be sent to a target that names a limit.
 
     Parameters
@@ -48,10 +47,9 @@
         now: Callable[[], float],
         number: Callable[[], float],
     ) -> None:
-        super().__init__(coordinators, now)
+        super().__init__(coordinators, PermitLedger(), now)
         self.metrics = metrics
         self.number = number
-        self.ledger = PermitLedger()
         coordinators.users.append(has_limits)
 
     def admit(self, target: Target) -> bool:
@@ -98,14 +96,6 @@
         replaces = self.coordinators.replaces(target)
         return self.ledger.grant(target, demand, fraction, replaces, self.now())
 
-    def accounts(self) -> list[str]:
-        """Return the targets whose permits this daemon grants."""
-        return list(self.ledger.accounts)
-
-    def keep_only(self, targets: list[str]) -> None:
-        """Drop the accounts of the other targets."""
-        self.ledger.keep_only(targets)
-
 
 def encode_query(daemon: str, target: str, demand: PermitRequest) -> str:
     """Return the path and query string of a request for a permit."""
@@ -127,12 +117,5 @@
     target, rate, age = value.split(":")
     if name != "target" or not target:
         raise ValueError("target is missing")
-    demand = PermitRequest(_parse_thousandths(rate), _parse_thousandths(age))
+    demand = PermitRequest(parse_thousandths(rate), parse_thousandths(age))
     return daemon, unquote(target), demand
-
-
-def _parse_thousandths(text: str) -> float:
-    number = int(text)
-    if not 0 <= number <= MAX_THOUSANDTHS:
-        raise ValueError("number is implausible")
-    return number / MS_PER_S
--- a/agaterail/gateway/targetroomcontroller.py
+++ b/agaterail/gateway/targetroomcontroller.py
@@ -11,7 +11,7 @@
 
 from agaterail.decisions.rooms import RoomLedger
 from agaterail.gateway.coordinators import query_path, split_query
-from agaterail.gateway.targetcoordination import TargetCoordination
+from agaterail.gateway.targetcoordination import TargetCoordination, parse_thousandths
 from agaterail.util.units import MS_PER_S
 
 if TYPE_CHECKING:
@@ -24,7 +24,6 @@
 PATH = b"/target-room/1"
 REFUSED = "refused"
 ASKED = "asked"
-MAX_THOUSANDTHS = 10**12
 
 
 @attrs.frozen
@@ -43,7 +42,7 @@
     refused: bool = False
 
 
-class TargetRoomController(TargetCoordination[RoomRequest]):
+class TargetRoomController(TargetCoordination[RoomRequest, RoomLedger]):
     """Decides whether a request may be sent to a target that says that it is brittle.
 
     Parameters
@@ -70,9 +69,8 @@
         has_brittle: Callable[[], bool],
         now: Callable[[], float],
     ) -> None:
-        super().__init__(coordinators, now)
+        super().__init__(coordinators, RoomLedger(), now)
         self.metrics = metrics
-        self.ledger = RoomLedger()
         self.own = RoomLedger()
         coordinators.users.append(has_brittle)
 
@@ -129,14 +127,6 @@
             return 0.0
         return self.ledger.grant(target, bearable, self.now())
 
-    def accounts(self) -> list[str]:
-        """Return the targets whose accounts this daemon keeps."""
-        return list(self.ledger.accounts)
-
-    def keep_only(self, targets: list[str]) -> None:
-        """Drop the accounts of the other targets."""
-        self.ledger.keep_only(targets)
-
 
 def encode_query(daemon: str, target: str, demand: RoomRequest) -> str:
     """Return the path and query string of a question."""
@@ -158,7 +148,4 @@
     target, bearable = value.split(":")
     if name not in (REFUSED, ASKED) or not target:
         raise ValueError("target is missing")
-    thousandths = int(bearable)
-    if not 0 <= thousandths <= MAX_THOUSANDTHS:
-        raise ValueError("number is implausible")
-    return daemon, unquote(target), RoomRequest(thousandths / MS_PER_S, name == REFUSED)
+    return daemon, unquote(target), RoomRequest(parse_thousandths(bearable), name == REFUSED)
