Registrations name the build; lines of a request name it and what it resumes

The registration's version of the software is decoded (a target that names none still serves), 'Target registered.' and each line of an attempt name it, and lines of a request name 'resumes' and 'after_event'. Two 'Resumes' lines are refused as two lines of any other header that the router reads. The stand-in engine names its build in each event. No decision depends on any of it yet.

--- a/agaterail/gateway/inbound.py
+++ b/agaterail/gateway/inbound.py
@@ -58,6 +58,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str = ""
+    resumes: str = ""
 
     @property
     def path(self) -> bytes:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -32,6 +32,7 @@
 # Time for the answer to reach the caller: a few milliseconds of network latency
 # plus event loop pauses on a busy host.
 RETURN_MARGIN_S = 0.02
+MAX_LOGGED_ID = 64  # characters of an id that a caller chose
 
 
 class Sender:
@@ -187,6 +188,9 @@
             candidates=None if choice is None else choice.candidates,
             weights=None if choice is None else choice.weights_version,
             saves=context.saves,
+            build=None if choice is None else choice.target.registration.build,
+            resumes=context.inbound.resumes[:MAX_LOGGED_ID] or None,
+            after_event=context.inbound.last_event_id[:MAX_LOGGED_ID] or None,
             **({"relayed": True} if context.relayed else {}),
             **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -283,5 +283,6 @@
             ready=change.entry.ready,
             born=change.entry.born,
             weights=change.entry.weights,
+            build=change.entry.build,
             offset=change.offset,
         )
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -38,6 +38,8 @@
         the same id.
     weights
         Weights version of each model that the target serves.
+    build
+        Version of the target's software; empty if it names none.
     """
 
     instance: str
@@ -48,6 +50,7 @@
     slots: int = 0
     born: int = 0
     weights: dict[str, int] = attrs.field(factory=dict)
+    build: str = ""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -10,6 +10,7 @@
 AUTHORIZATION = b"authorization"
 BEARER = "Bearer "
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"  # id of the request whose answer brought the stream's first event
 MODEL = b"model"
 TOKEN_USAGE = b"token-usage"  # announced by the caller, not the actual usage
 PROMPT_PREFIX = b"prompt-prefix"  # all parts of the prompt, not only a prefix
@@ -88,6 +89,7 @@
         DEADLINE,
         AUTHORIZATION,
         LAST_EVENT_ID,
+        RESUMES,
         MODEL,
         TOKEN_USAGE,
         PROMPT_PREFIX,
--- a/agaterail/platform/registrations.py
+++ b/agaterail/platform/registrations.py
@@ -40,12 +40,20 @@
                 slots=fields.integer(decoded, "slots", 0),
                 born=fields.integer(decoded, "born", 0),
                 weights=_weights(decoded),
+                build=_build(decoded),
             )
         )
     except ValueError as error:  # MalformedError and JSON errors
         return Failure(str(error))
 
 
+def _build(decoded: dict[str, Any]) -> str:
+    """Return the version of the target's software; empty if it names none."""
+    # Unlike the models, which have versions of their own, a target serves without it.
+    version = decoded.get("version")
+    return version if isinstance(version, str) else ""
+
+
 def _weights(decoded: dict[str, Any]) -> dict[str, int]:
     models = (fields.json_object(item, "a model") for item in fields.array(decoded, "models"))
     return {fields.string(item, "name"): fields.integer(item, "version") for item in models}
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -40,6 +40,7 @@
     inbound.request_id = by_name.get(names.REQUEST_ID, b"").decode("latin-1")
     inbound.model = by_name.get(names.MODEL, b"").decode("latin-1")
     inbound.last_event_id = by_name.get(names.LAST_EVENT_ID, b"").decode("latin-1")
+    inbound.resumes = by_name.get(names.RESUMES, b"").decode("latin-1")
     authorization = by_name.get(names.AUTHORIZATION, b"").decode("latin-1")
     if authorization.startswith(names.BEARER):
         inbound.api_key = authorization[len(names.BEARER) :].strip()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -51,7 +51,8 @@
 
     Faults are attributes: ``refuse`` answers 503 with the header ``Not-Run``,
     ``hang`` executes requests without answering, ``break_after`` closes a stream
-    in the middle of the event with that number, ``error`` answers 500,
+    in the middle of the event with that number (only one that it began itself with
+    ``break_begun_only``), ``error`` answers 500,
     ``doubled`` sends every answer to a plain request twice, and ``pause_before``
     sends nothing for ``pause_s`` before the event with that number, or before
     the head of the answer if 0. With ``newer_each_time``, each request for other
@@ -66,12 +67,18 @@
         Times and ids of the requests that arrived, also of those that were refused.
     notices
         What was said in which answer.
+    build
+        Version of its software. Each event names it in a comment.
+    born
+        Time of its start, in its registration and its reports.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
         self.instance = instance
         self.model = model
         self.events = events
+        self.build = "v1"
+        self.born = 1
         self.version = 1
         self.announced_version = 1
         self.work_s = 0.01
@@ -79,6 +86,7 @@
         self.load_s = 0.2
         self.refuse = self.hang = self.error = self.doubled = False
         self.break_after: int | None = None
+        self.break_begun_only = False
         self.pause_before: int | None = None
         self.pause_s = 1.3
         self.on_loaded: Callable[[], object] = lambda: None
@@ -110,7 +118,7 @@
         if self.server is not None:
             self.server.stop(timeout=0)
 
-    def registration(self, service: str, address: str, born: int = 1) -> bytes:
+    def registration(self, service: str, address: str) -> bytes:
         """Return the entry that the target writes to register itself."""
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         return json.dumps(
@@ -118,13 +126,13 @@
                 "service": service,
                 "address": address,
                 "zone": "z1",
-                "version": "v1",
+                "version": self.build,
                 "slots": 8,
                 "state": "ready",
                 "cold_remaining_ms": 0,
                 "models": models if self.model else [],
                 "seq_no": 1,
-                "born": born,
+                "born": self.born,
             }
         ).encode()
 
@@ -219,12 +227,18 @@
         }
         head["Weight-Versions"] = str(self.version)
         sock.sendall(self._head(200, head))
+        break_after = None if self.break_begun_only and first > 1 else self.break_after
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_s)
             if self.pause_before == number and self._client_disconnects(sock, run):
                 return False
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, run.request_id.encode(), number)
-            if self.break_after == number:
+            event = b"id: %d\n: build %s\ndata: %s-%d\n\n" % (
+                number,
+                self.build.encode(),
+                run.request_id.encode(),
+                number,
+            )
+            if break_after == number:
                 run.end("broken")
                 sock.sendall(b"%x\r\n%b" % (len(event), event[:-5]))
                 return False
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -113,6 +113,22 @@
     def events(self):
         return [line for line in self.raw.split(b"\n") if line.startswith(b"data: ")]
 
+    @property
+    def builds(self):
+        """Return the builds of the engines that wrote the stream's events."""
+        prefix = b": build "
+        return {
+            line.removeprefix(prefix).decode()
+            for line in self.raw.split(b"\n")
+            if line.startswith(prefix)
+        }
+
+    @property
+    def last_event_id(self):
+        """Return the id of the last complete event."""
+        ids = [line for line in self.raw.split(b"\n") if line.startswith(b"id: ")]
+        return ids[len(self.events) - 1].removeprefix(b"id: ").decode()
+
     @property
     def whole_stream(self):
         return self.raw.endswith(b"0\r\n\r\n")
@@ -143,8 +159,9 @@
     def publish(self, desired) -> None:
         self.store.put("keyed.op", "config", json.dumps(desired).encode())
 
-    def add_target(self, instance, service, model="") -> None:
+    def add_target(self, instance, service, model="", build="v1") -> None:
         target = PlatformTargetStandIn(instance, model)
+        target.build = build
         address = target.start()
         self.targets[instance] = target
 
