A stream that has begun goes on only at its build, within one answer

Callers saw streams with events of two builds (ORDER): after an engine broke off, any engine of the service went on.

Cause: the engines of a service were taken for equal. The first event that goes to the caller now fixes the build; attempts, hedges and forwarding daemons after it are only at that build, also if the answer's head came from another one. An engine that names no build is equal to none, not even to its own next start. If an engine of the build takes requests within a second, the stream waits for it, unless a silent engine may still go on; otherwise it ends at once. A forwarded answer names the build; a stream that has begun is passed on under a path that daemons of a former build answer with 404.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -69,6 +69,13 @@
         """Return the id of the target."""
         return self.target.instance
 
+    @property
+    def build(self) -> str:
+        """Return the id of the build that answers; empty if it is not known."""
+        if not self.choice.relayed:
+            return self.target.registration.build_id
+        return self.head.build if isinstance(self.head, RelayedHead) else ""
+
     @property
     def is_stream(self) -> bool:
         """Return whether the target answers with an event stream."""
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -203,7 +203,8 @@
         )
         self.weights.is_badly_placed = self._is_badly_placed
         responder.handlers[relayprotocol.STATUS_PATH] = self.relay_responder.answer
-        responder.prefix_handlers[relayprotocol.REQUEST_PREFIX] = self.relay_responder.handle
+        for prefix in relayprotocol.REQUEST_PREFIXES:
+            responder.prefix_handlers[prefix] = self.relay_responder.handle
 
     def _is_badly_placed(self, service: str) -> bool:
         """Return whether another daemon should order the engines of a service instead."""
@@ -276,7 +277,7 @@
 
     def choose(self, context: RequestContext, now: float) -> Choice | None:
         """Return the next target for a request."""
-        targets = self.registry.of_service(context.service)
+        targets = self.targets_of(context)
         tried: Collection[str] = context.retry_state.tried
         if not context.retry_state.may_ask_for_permit:
             limited = (item for item in targets if item.rate_limit or item.brittle)
@@ -288,6 +289,13 @@
         named = self.state.weights.get(context.inbound.model)
         return placement.choose_engine(context.inbound, targets, tried, self.rules, named, now)
 
+    def targets_of(self, context: RequestContext) -> list[Target]:
+        """Return the targets of a request's service that may answer it."""
+        targets, source = self.registry.of_service(context.service), context.source
+        if source is None:
+            return targets
+        return [item for item in targets if item.registration.build_id == source.build]
+
     def _unreached(self, targets: Collection[Target], idempotent: bool) -> list[str]:
         """Return the targets that neither a new nor an open connection reaches."""
         pool, paths = self.connection_pool, self.paths
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import Failure
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.eventstream import EventSplitter
@@ -217,7 +218,7 @@
             return False
         silent.target.record_failure(self.daemon.now())
         while self._time_left_s() >= MIN_TIME_LEFT_S:
-            started = self.sender.start_attempt(self._last_event_id())
+            started = self.sender.start_attempt(self._last_event_id(), may_wait=False)
             if isinstance(started, Failure):
                 self._switch_to(silent)
                 self.sender.log(
@@ -312,13 +313,26 @@
         if self.answer_started:
             self.context.caller.send_chunk(events)
             return
+        self._fix_source()
         self._mark_answer_started()
         self.context.caller.start_stream(head.status, _header_lines(head), events)
 
+    def _fix_source(self) -> None:
+        """Keep the stream at the build whose first event goes to the caller.
+
+        An engine that sent only a head has begun nothing.
+        """
+        attempt, context = self.attempt, self.context
+        if context.source is None and context.route.resumable:
+            assert attempt is not None
+            context.source = StreamSource(context.service, attempt.build)
+
     def _mark_answer_started(self) -> None:
         self.answer_started = True
         if self.context.relayed:
-            lines = relayprotocol.forwarded_lines(self.context.target)
+            source = self.context.source
+            build = "" if source is None else source.build
+            lines = relayprotocol.forwarded_lines(self.context.target, build)
             self.context.caller.extra_lines = lines
         self.context.first_byte_at = self.daemon.now()
 
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -8,6 +8,7 @@
 
 from agaterail import logs
 from agaterail.callerwatch import CallerLeft
+from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import ErrorKind, Failure
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.admission import retry_after_s
@@ -159,6 +160,7 @@
             relayed=origin is not None,
             cost=cost,
             charged_runs=1,
+            source=_source_of(origin),
         )
 
     def _charge(self, workspace: Workspace | None, inbound: InboundRequest) -> float | Failure:
@@ -249,6 +251,13 @@
         return retry_after_s(limit, self.daemon.random.random())
 
 
+def _source_of(origin: RelayOrigin | None) -> StreamSource | None:
+    """Return where the events of a forwarded stream come from; None before the first."""
+    if origin is None or not origin.build:
+        return None
+    return StreamSource(origin.service, origin.build)
+
+
 def _relay_lines(failure: Failure, context: RequestContext | None) -> list[bytes]:
     """Return header lines that tell the daemon that passed a request on whether it ran."""
     if context is None:
--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -142,10 +142,11 @@
         time_left_s: float,
         last_event_id: str,
         tried: Collection[str],
+        build: str = "",
     ) -> bytes:
         """Encode the head of a request for the daemon that forwards it."""
-        target = relayprotocol.REQUEST_PREFIX + inbound.target
-        origin = RelayOrigin(self.own_address, service, frozenset(tried))
+        origin = RelayOrigin(self.own_address, service, frozenset(tried), build)
+        target = origin.prefix + inbound.target
         lines = relayprotocol.origin_lines(origin)
         return self.encode_relayed(inbound, target, time_left_s, last_event_id, lines)
 
--- a/agaterail/gateway/relayprotocol.py
+++ b/agaterail/gateway/relayprotocol.py
@@ -25,10 +25,14 @@
 # The version in the paths changes with the format. Daemons of another release answer 404.
 STATUS_PATH = b"/relay-status/1"
 REQUEST_PREFIX = b"/relayed/1"
+# A daemon of a release that knows no builds must not go on with a stream.
+RESUMED_PREFIX = b"/relayed/2"
+REQUEST_PREFIXES = (REQUEST_PREFIX, RESUMED_PREFIX)
 FROM_HEADER = b"relay-from"
 SERVICE_HEADER = b"relay-service"
 TRIED_HEADER = b"relay-tried"
 OUTCOME_HEADER = b"relay-outcome"
+BUILD_HEADER = b"relay-build"
 FORWARDED = b"forwarded"
 NOT_RUN = b"not-run"
 MAX_SENDS = 100
@@ -67,11 +71,19 @@
         Service that it chose among those of the route.
     tried
         Targets that were tried already.
+    build
+        Id of the build that began the stream; empty if it has not begun.
     """
 
     address: str
     service: str = ""
     tried: frozenset[str] = frozenset()
+    build: str = ""
+
+    @property
+    def prefix(self) -> bytes:
+        """Return the start of the path under which the request is passed on."""
+        return RESUMED_PREFIX if self.build else REQUEST_PREFIX
 
 
 @attrs.frozen
@@ -104,10 +116,13 @@
         Why the request did not run; None if it may have run.
     target
         Id of the target that ran it; empty if that is not known.
+    build
+        Id of the build of that target; empty if that is not known.
     """
 
     refusal: RelayRefusal | None = None
     target: str = ""
+    build: str = ""
 
 
 _STATUS_DECODER = msgspec.msgpack.Decoder(RelayStatus)
@@ -155,13 +170,14 @@
     if origin.tried:
         tried = ",".join(sorted(origin.tried)[:MAX_TRIED])
         lines.append(TRIED_HEADER + b": " + tried.encode("latin-1"))
-    return lines
+    return lines + _build_lines(origin.build)
 
 
 def take_origin(inbound: InboundRequest) -> RelayOrigin:
     """Turn a forwarded request into the caller's and return where it came from."""
-    inbound.target = inbound.target.removeprefix(REQUEST_PREFIX)
-    added = (FROM_HEADER, SERVICE_HEADER, TRIED_HEADER)
+    prefix = next(item for item in REQUEST_PREFIXES if inbound.target.startswith(item))
+    inbound.target = inbound.target.removeprefix(prefix)
+    added = (FROM_HEADER, SERVICE_HEADER, TRIED_HEADER, BUILD_HEADER)
     found = {name.lower(): value.decode("latin-1") for name, value in inbound.headers}
     inbound.headers = [pair for pair in inbound.headers if pair[0].lower() not in added]
     tried = found.get(TRIED_HEADER, "").split(",")[:MAX_TRIED]
@@ -169,12 +185,14 @@
         address=found.get(FROM_HEADER, ""),
         service=found.get(SERVICE_HEADER, ""),
         tried=frozenset(filter(None, tried)),
+        build=unquote(found.get(BUILD_HEADER, "")),
     )
 
 
-def forwarded_lines(target: str = "") -> list[bytes]:
+def forwarded_lines(target: str = "", build: str = "") -> list[bytes]:
     """Return the header lines that mark an answer as forwarded from a target."""
-    return [OUTCOME_HEADER + b": " + FORWARDED + b" " + target.encode("latin-1")]
+    outcome = OUTCOME_HEADER + b": " + FORWARDED + b" " + target.encode("latin-1")
+    return [outcome, *_build_lines(build)]
 
 
 def refusal_lines(refusal: RelayRefusal) -> list[bytes]:
@@ -196,15 +214,22 @@
 
     def decode_relayed(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
         outcomes = [value for name, value in headers if name.lower() == OUTCOME_HEADER]
-        others = [pair for pair in headers if pair[0].lower() != OUTCOME_HEADER]
+        builds = [value for name, value in headers if name.lower() == BUILD_HEADER]
+        added = (OUTCOME_HEADER, BUILD_HEADER)
+        others = [pair for pair in headers if pair[0].lower() not in added]
         refusal, target = _decode_outcome(outcomes)
         known = attrs.asdict(decode(status, others), recurse=False)
         known["not_run"] = refusal is not None
-        return RelayedHead(**known, refusal=refusal, target=target)
+        build = unquote(builds[0].decode("latin-1")) if builds else ""
+        return RelayedHead(**known, refusal=refusal, target=target, build=build)
 
     return decode_relayed
 
 
+def _build_lines(build: str) -> list[bytes]:
+    return [BUILD_HEADER + b": " + quote(build, safe="").encode()] if build else []
+
+
 def _decode_outcome(outcomes: Sequence[bytes]) -> tuple[RelayRefusal | None, str]:
     """Return why the request did not run, or None and the target that may have run it."""
     if not outcomes:
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -7,6 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    from agaterail.decisions.streamsources import StreamSource
     from agaterail.gateway.desired import Route, Workspace
     from agaterail.gateway.httpserver import CallerConnection
     from agaterail.gateway.inbound import InboundRequest
@@ -29,6 +30,9 @@
         Cost of one run by the workspace's allowance; 0 if that is not limited.
     charged_runs
         Number of runs that the allowance was charged with.
+    source
+        Where the events of the stream come from that the caller has; None before the
+        first event, and if the stream cannot be resumed.
     """
 
     inbound: InboundRequest
@@ -45,6 +49,7 @@
     saves: bool = False
     cost: float = 0.0
     charged_runs: int = 0
+    source: StreamSource | None = None
 
     @property
     def first_byte_s(self) -> float | None:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import gevent
 
 from agaterail import logs
 from agaterail.errors import ANSWERS, ErrorKind, Failure
@@ -32,6 +33,8 @@
 # Time for the answer to reach the caller: a few milliseconds of network latency
 # plus event loop pauses on a busy host.
 RETURN_MARGIN_S = 0.02
+# Callers abandon a stream that pauses for longer than two seconds.
+MAX_BUILD_WAIT_S = 1.0
 MAX_LOGGED_ID = 64  # characters of an id that a caller chose
 
 
@@ -54,16 +57,18 @@
         self.choice: Choice | None = None
         self.relay_failure: Failure | None = None
 
-    def start_attempt(self, last_event_id: str) -> Attempt | Failure:
+    def start_attempt(self, last_event_id: str, may_wait: bool = True) -> Attempt | Failure:
         """Send the request to the next target, or return why that is not possible.
 
         Parameters
         ----------
         last_event_id
             Id of the event after which a stream resumes; empty for the start.
+        may_wait
+            Whether to wait for an engine that goes on with the stream soon.
         """
         while True:
-            opened = self._connect()
+            opened = self._connect(may_wait)
             if isinstance(opened, Failure):
                 return opened
             choice, connection = opened
@@ -225,7 +230,7 @@
             return {}
         return self.daemon.weights.plan_fields(self.daemon.now())
 
-    def _connect(self) -> tuple[Choice, TargetConnection] | Failure:
+    def _connect(self, may_wait: bool) -> tuple[Choice, TargetConnection] | Failure:
         """Connect to a target or a daemon that forwards, or return why the request ends.
 
         A daemon that reaches few targets would overload these and lose the cached prefixes
@@ -234,10 +239,12 @@
         opened: tuple[Choice, TargetConnection] | Failure | None = None
         if self.daemon.paths.is_impaired(self.context.service):
             opened = self._connect_to_relay()
-        opened = opened or self._connect_to_next() or self._connect_to_relay()
+        opened = opened or self._connect_to_next(may_wait) or self._connect_to_relay()
         return opened or self._fail_without_path(self.daemon.now())
 
-    def _connect_to_next(self) -> tuple[Choice, TargetConnection] | Failure | None:
+    def _connect_to_next(
+        self, may_wait: bool
+    ) -> tuple[Choice, TargetConnection] | Failure | None:
         """Connect to the next target, or return why the request ends.
 
         Returns None if no target can be connected, so that only another daemon may help.
@@ -250,6 +257,8 @@
                     return None
                 return self._give_up(now, "no attempts left")
             choice = self.daemon.choose(self.context, now)
+            if choice is None and may_wait and self._await_same_build(now, left):
+                continue
             if choice is None:
                 if self._may_use_relay(left):
                     return None
@@ -277,11 +286,30 @@
                 return self._give_up(now, "retry budget exhausted")
             return choice, connection
 
+    def _await_same_build(self, now: float, left: float) -> bool:
+        """Wait for the next engine of the stream's build; return whether there is one."""
+        if self.context.source is None or self.context.service in self.daemon.paths.outages:
+            return False
+        tried = self.retry_state.tried
+        engines = self.daemon.targets_of(self.context)
+        usable_at = min(
+            (item.usable_at(now) for item in engines if item.instance not in tried),
+            default=math.inf,
+        )
+        if not now < usable_at < now + min(left, MAX_BUILD_WAIT_S):
+            return False
+        self.log("Waiting for an engine of the build.", wait_s=round(usable_at - now, 3))
+        gevent.sleep(usable_at - now)
+        return True
+
     def _may_use_relay(self, left: float) -> bool:
         """Return whether another daemon may reach targets that this one does not.
 
         A request that another daemon passed on is never passed on again.
         """
+        source = self.context.source
+        if source is not None and not source.is_known:
+            return False
         if self.context.relayed or not self.retry_state.may_be_relayed(left):
             return False
         if self.daemon.paths.is_impaired(self.context.service):
@@ -441,18 +469,26 @@
         state = self.retry_state
         tried = state.may_have_run | state.ran_elsewhere | state.refused
         head = self.daemon.relays.encode(
-            inbound, self.context.service, left - RETURN_MARGIN_S, last_event_id, tried
+            inbound,
+            self.context.service,
+            left - RETURN_MARGIN_S,
+            last_event_id,
+            tried,
+            "" if self.context.source is None else self.context.source.build,
         )
         return head, inbound.body
 
     def _no_usable_target(self, now: float) -> Failure:
         """Return a failure that names what keeps the request from the targets."""
-        targets = self.daemon.registry.of_service(self.context.service)
+        targets = self.daemon.targets_of(self.context)
         over_limit = sum(target.is_over_limit(now) for target in targets)
         resting = sum(now < target.rest_until for target in targets)
         reason = "no usable target"
         if over_limit or resting:
             reason += f", of {len(targets)} {over_limit} over their limits, {resting} resting"
+        if self.context.source is not None:
+            others = len(self.daemon.registry.of_service(self.context.service)) - len(targets)
+            reason += f"; {others} of other builds left out"
         earliest = min((target.takes_requests_at(now) for target in targets), default=math.inf)
         earliest_s = max(0.0, earliest - now) if math.isfinite(earliest) else 0.0
         return self._give_up(now, reason, earliest_s)
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -25,6 +25,9 @@
 INITIAL_REFUSAL_BACKOFF_S = 0.1
 MAX_REFUSAL_BACKOFF_S = 0.8
 MAX_LEFT = 1024
+# Beginnings of the ids of builds.
+NAMED_BUILD = "version:"
+UNNAMED_BUILD = "start:"
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +55,16 @@
     weights: dict[str, int] = attrs.field(factory=dict)
     build: str = ""
 
+    @property
+    def build_id(self) -> str:
+        """Return an id that is equal for targets whose events fit together.
+
+        A target that names no build shares it with no other, nor with its next start.
+        """
+        if self.build:
+            return f"{NAMED_BUILD}{self.build}"
+        return f"{UNNAMED_BUILD}{self.instance}/{self.born}"
+
 
 @attrs.define(kw_only=True, eq=False)
 class Target:
@@ -160,6 +173,10 @@
             return max(self.rest_until, self.permits.denied_until)
         return max(self.rest_until, now)
 
+    def usable_at(self, now: float) -> float:
+        """Return when a new request may be sent, or infinity if that is not known."""
+        return max(self.takes_requests_at(now), self.backoff_until)
+
     def is_failing(self, now: float) -> bool:
         """Return whether the target is in backoff after a failure."""
         return self.failures > 0 and now < self.backoff_until
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -141,6 +141,7 @@
         self.store = PlatformStoreStandIn()
         self.store_address = self.store.start()
         self.targets: dict[str, PlatformTargetStandIn] = {}
+        self.addresses: dict[str, tuple[str, str]] = {}
         for number in range(2):
             self.add_target(f"p-{number}", PLAIN)
             self.add_target(f"e-{number}", LLM, MODEL)
@@ -164,13 +165,14 @@
         target.build = build
         address = target.start()
         self.targets[instance] = target
-
-        def register():
-            entry = target.registration(service, address)
-            self.store.put("keyed.servers", instance, entry)
-
-        target.on_loaded = register
-        register()
+        self.addresses[instance] = (service, address)
+        target.on_loaded = lambda: self.register(instance)
+        self.register(instance)
+
+    def register(self, instance) -> None:
+        """Write the entry of a target as it is now."""
+        entry = self.targets[instance].registration(*self.addresses[instance])
+        self.store.put("keyed.servers", instance, entry)
 
     def add_gateway(self, name, bounds) -> Daemon:
         settings = HostSettings(
--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -1,10 +1,14 @@
 from __future__ import annotations
 
+import time
 import unittest
 
 import gevent
 
+from agaterail.gateway import relayprotocol
 from agaterail.gateway.gracefulstop import GracefulStop
+from standins.path_cuts import CutKind, PathCut
+from tests.build_fleet import BuildsTest
 from tests.gateway_fleet import LLM, MODEL, PLAIN, Fleet
 
 ALL_EVENTS = [b"data: r1-%d" % number for number in range(1, 9)]
@@ -268,3 +272,99 @@
         engine.newer_each_time = True
         self.assertEqual(self.ask_stream().status, 503)
         self.assertEqual(engine.version, 4)
+
+
+class BegunStreamTest(BuildsTest):
+    gateways = 2
+
+    def test_an_engine_that_sent_only_a_head_has_begun_nothing(self):
+        """The build must not be fixed by a head: another build may still answer."""
+        for engine in self.engines:
+            engine.break_after, engine.break_begun_only = 1, False
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        first = self.engine_of("r0")
+        for engine in self.engines:
+            engine.break_after = None
+            engine.refuse = engine.build == first.build and engine is not first
+        first.break_after = 1
+        self.end_backoffs()
+        answer = self.fleet.ask("/resumed/x", request_id="r1", stream=True)
+        self.assertTrue(answer.whole_stream)
+        self.assertEqual(answer.builds, {"v1", "v2"} - {first.build})
+
+    def test_a_stream_ends_at_once_if_no_engine_of_its_build_is_left(self):
+        """A stream that cannot go on was held until its time limit."""
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        build = self.engine_of("r0").build
+        others = [item for item in self.engines if item.build == build]
+        self.forget(next(item for item in others if item is not self.engine_of("r0")).instance)
+        started = time.monotonic()
+        answer = self.begin("r1", goes_on=True)
+        self.assertLess(time.monotonic() - started, 0.5)
+        self.assertEqual((answer.builds, answer.whole_stream), ({build}, False))
+
+    def test_a_stream_waits_for_a_resting_engine_of_its_build(self):
+        """A stream ended although an engine of its build took requests again soon."""
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        first = self.engine_of("r0")
+        for target in self.daemons[0].registry.targets.values():
+            if target.instance != first.instance:
+                target.rest_until = self.daemons[0].now() + 0.6
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual((answer.builds, answer.whole_stream), ({first.build}, True))
+
+    def test_hedges_stay_at_the_build(self):
+        """A hedge for a stream that paused went to an engine of another build."""
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        first = self.engine_of("r0")
+        same = [item for item in self.engines if item.build == first.build]
+        self.forget(next(item for item in same if item is not first).instance)
+        first.pause_before, first.pause_s = 4, 1.2
+        answer = self.fleet.ask("/resumed/x", request_id="r1", stream=True)
+        self.assertEqual((answer.builds, answer.whole_stream), ({first.build}, True))
+        self.assertEqual(sum(run.request_id == "r1" for run in self.fleet.runs()), 1)
+
+    def test_engines_that_name_no_build_are_equal_to_no_other(self):
+        """Engines whose registrations name no build were taken for equal."""
+        for engine in self.engines:
+            engine.build = ""
+            engine.born += 1
+            self.fleet.register(engine.instance)
+        registry = self.daemons[0].registry
+        self.fleet.wait(
+            lambda: all(item.registration.build == "" for item in registry.of_service(LLM))
+        )
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual((len(answer.events), answer.whole_stream), (3, False))
+
+    def test_former_daemons_do_not_forward_streams_that_have_begun(self):
+        """A daemon that knows no builds would go on with a stream at any engine."""
+        handlers = self.daemons[1].feeds.peer_responder.prefix_handlers
+        del handlers[relayprotocol.RESUMED_PREFIX]
+        lose_paths(self.fleet)
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual((len(answer.events), answer.whole_stream), (3, False))
+
+
+class ForwardedStreamTest(BuildsTest):
+    """A gateway without paths, and enough others for each attempt."""
+
+    gateways = 4
+
+    def test_forwarded_streams_stay_at_the_build(self):
+        """A stream that another daemon forwards went on at an engine of another build."""
+        lose_paths(self.fleet)
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual((len(answer.builds), answer.whole_stream), (1, True))
+        self.assertEqual(len(self.fleet.runs()), 2)
+
+
+def lose_paths(fleet):
+    """Cut the first gateway off from all targets."""
+    PathCut(fleet.daemons[0]).begin(CutKind.RESET)
+    fleet.ask("/once/x", request_id="r0", stream=True)
+    first, *others = fleet.daemons
+    fleet.wait(lambda: first.paths.is_lost(LLM))
+    fleet.wait(lambda: len(first.relays.services[LLM].candidates.reaches) == len(others))
+    for target in fleet.targets.values():
+        target.runs.clear()
--- a/tests/test_agaterail/test_gateway/test_relayprotocol.py
+++ b/tests/test_agaterail/test_gateway/test_relayprotocol.py
@@ -73,6 +73,15 @@
             ],
         )
 
+    def test_a_stream_that_has_begun_is_passed_on_with_its_build(self):
+        """A daemon of a release that knows no builds would choose any engine."""
+        origin = RelayOrigin("10.0.0.1:7", "s", build="version:v 1,\u20ac")
+        self.assertNotEqual(origin.prefix, RelayOrigin("10.0.0.1:7", "s").prefix)
+        headers = to_headers(relayprotocol.origin_lines(origin))
+        received = InboundRequest(method=b"GET", target=origin.prefix + b"/a", headers=headers)
+        self.assertEqual(relayprotocol.take_origin(received), origin)
+        self.assertEqual((received.target, received.headers), (b"/a", []))
+
 
 class AnswerTest(unittest.TestCase):
     def decode(self, lines, status=200):
@@ -85,6 +94,11 @@
         self.assertEqual(head.target, "i-1")
         self.assertEqual(head.headers, ((b"Server-Stamp", b"s"),))
 
+    def test_a_forwarded_answer_names_the_build(self):
+        head = self.decode(relayprotocol.forwarded_lines("i-1", "version:v 1"))
+        self.assertEqual((head.build, head.headers), ("version:v 1", ()))
+        self.assertEqual(self.decode(relayprotocol.forwarded_lines("i-1")).build, "")
+
     def test_a_refusal_says_that_the_request_did_not_run(self):
         refusal = RelayRefusal(ErrorKind.RATE_LIMITED, 2)
         head = self.decode(relayprotocol.refusal_lines(refusal), 429)
