Each daemon knows the others and their failure domains

Needed to keep records at daemons of other failure domains. Readers look the members up already, once a change of the fleet; members' names have the failure domain now, and an answer to a poll has the list if the polling daemon's tag differs. Daemons of a former release send no tag and get no list; their names have no domain. No decision depends on the list yet.

--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -265,6 +265,7 @@
         for target in self.registry.expire(self.now()):
             logger.info("Target expired.", target=target.instance)
         self.state.log_staleness(self.now())
+        self.feeds.members.expire(self.now())
         self.notices.step()
         self.relay_responder.step()
         self.connection_pool.close_stale()
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -7,6 +7,7 @@
 import gevent.event
 
 from agaterail import logs
+from agaterail.decisions.fleetmembers import FleetMembers
 from agaterail.gateway.controlstore import NEVER, DesiredPublished, Feed, LeaseChanged
 from agaterail.gateway.directfollower import DirectFollower
 from agaterail.gateway.peerpoller import PeerPoller
@@ -53,6 +54,8 @@
         Pulsed when the store answers again after a failed read.
     readers
         Addresses of the daemons that read the store.
+    members
+        The daemons of the fleet, as readers found them.
     """
 
     def __init__(self, daemon: Daemon) -> None:
@@ -65,6 +68,7 @@
         self.store_backoff = StoreBackoff()
         self.store_answered = gevent.event.Event()
         self.readers: tuple[str, ...] = ()
+        self.members = FleetMembers()
         daemon.store.on_data = lambda feed: self.relay.feeds[feed].record_contact(daemon.now())
         address = Address(daemon.settings.ip, daemon.settings.peer_ports[0])
         self.peer_responder = PeerResponder(self, address, daemon.peer_limits, daemon.now)
--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -43,14 +43,18 @@
 FIRST_RANK = 0
 ADDRESS_SEPARATOR = "@"
 LINK_SEPARATOR = "~"
+DOMAIN_SEPARATOR = "!"
 # A link of this bandwidth receives a large desired state in well under a second and
 # sends it to all polling daemons in the same time. Faster links are not preferred further.
 SUFFICIENT_LINK_MBPS = 50.0
 
 
-def member_name(host: str, address: str, boot: str, link_mbps: float = 0.0) -> str:
-    """Return a member's name, which contains its address and its link bandwidth."""
-    return f"{host}.{boot}{LINK_SEPARATOR}{link_mbps:.0f}{ADDRESS_SEPARATOR}{address}"
+def member_name(
+    host: str, address: str, boot: str, link_mbps: float = 0.0, domain: str = ""
+) -> str:
+    """Return a member's name, which contains its address, link and failure domain."""
+    process = f"{host}.{boot}{DOMAIN_SEPARATOR}{domain}"
+    return f"{process}{LINK_SEPARATOR}{link_mbps:.0f}{ADDRESS_SEPARATOR}{address}"
 
 
 def address_of(member: str) -> str:
@@ -64,6 +68,12 @@
     return float(link) if link.isdecimal() else 0.0
 
 
+def domain_of(member: str) -> str:
+    """Return the failure domain in a member's name; empty if there is none."""
+    process = member.rpartition(ADDRESS_SEPARATOR)[0].rpartition(LINK_SEPARATOR)[0]
+    return process.rpartition(DOMAIN_SEPARATOR)[2] if DOMAIN_SEPARATOR in process else ""
+
+
 def reader_count(daemons: float) -> int:
     """Return how many daemons read the store in a fleet of this size."""
     return min(MAX_READERS, max(MIN_READERS, math.ceil(daemons / POLLERS_PER_READER)))
@@ -122,7 +132,11 @@
         self.last_lookup = (UNKNOWN_GENERATION, float("-inf"))
         self.address = f"{daemon.settings.ip}:{daemon.settings.peer_ports[0]}"
         self.member = member_name(
-            daemon.settings.host, self.address, daemon.boot, daemon.settings.link_mbps
+            daemon.settings.host,
+            self.address,
+            daemon.boot,
+            daemon.settings.link_mbps,
+            daemon.settings.domain,
         )
 
     @property
@@ -206,8 +220,10 @@
         found = self.daemon.store.members()
         if not isinstance(found, Success):
             return
-        daemons = self.daemon.rules.daemons
-        hub.set_readers(choose_readers(found.unwrap(), daemons))
+        daemons, members = self.daemon.rules.daemons, found.unwrap()
+        hub.set_readers(choose_readers(members, daemons))
+        names = filter(address_of, members.values())
+        hub.members.update({address_of(name): domain_of(name) for name in names}, now)
         self.readers_stale = False
         # During a rebalance few partitions have an owner. An incomplete list is looked up
         # again: with a single reader on it, the loss of that reader would cut off all
--- a/agaterail/gateway/peerpoller.py
+++ b/agaterail/gateway/peerpoller.py
@@ -122,7 +122,14 @@
         demand, sent_at = self.daemon.demand, self.daemon.now()
         offered = demand.next_report(sent_at)
         query = peerprotocol.encode_query(
-            PeerQuery(self.hub.offsets, base_offsets, wait_s, offered, self.own_address)
+            PeerQuery(
+                self.hub.offsets,
+                base_offsets,
+                wait_s,
+                offered,
+                self.own_address,
+                self.hub.members.tag,
+            )
         )
         called = self.connections.to(address).call(
             "GET", query, timeout_s=wait_s + PEER_TIMEOUT_MARGIN_S
@@ -146,6 +153,8 @@
         # polls them to former readers.
         if answer.readers and not self.daemon.membership.is_reader:
             self.hub.set_readers(answer.readers)
+        if answer.members and not self.daemon.membership.is_reader:
+            self.hub.members.update(answer.members, self.daemon.now())
         self._apply_demand(answer)
         self.pollers = answer.pollers or self.pollers
         problem = ""
--- a/agaterail/gateway/peerprotocol.py
+++ b/agaterail/gateway/peerprotocol.py
@@ -14,6 +14,7 @@
 from agaterail.gateway.relayed import PackedRecord
 
 if TYPE_CHECKING:
+    from agaterail.decisions.fleetmembers import FleetMembers
     from agaterail.gateway.relay import Relay
 
 logger = logs.get_logger("feeds")
@@ -44,6 +45,8 @@
         Prompts offered to the polling daemon since its last report; None if not given.
     sender
         Address at which the polling daemon answers its peers; empty if not given.
+    members_tag
+        Tag of the list of daemons that it has; None from daemons of a former release.
     """
 
     offsets: dict[Feed, int]
@@ -51,6 +54,7 @@
     wait_s: float
     offered: DemandReport | None = None
     sender: str = ""
+    members_tag: str | None = None
 
 
 @attrs.frozen
@@ -92,6 +96,9 @@
         daemons of a former release.
     pollers
         Addresses of some of the daemons that poll the peer.
+    members
+        Failure domain of each daemon by its address; None if the polling daemon has the
+        same list.
     """
 
     feeds: dict[Feed, FeedNews]
@@ -99,6 +106,7 @@
     waited_s: float = 0.0
     offered_tokens_per_s: float | None = None
     pollers: tuple[str, ...] = ()
+    members: dict[str, str] | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(PeerAnswer)
@@ -112,6 +120,8 @@
         pairs.append(f"offered={query.offered.tokens}:{query.offered.elapsed_s:.3f}")
     if query.sender:
         pairs.append(f"from={query.sender}")
+    if query.members_tag is not None:
+        pairs.append(f"members={query.members_tag}")
     return f"{PATH.decode()}?wait={query.wait_s:.3f}&" + "&".join(pairs)
 
 
@@ -128,7 +138,8 @@
     base_offsets = tuple(map(int, filter(None, found.get("held", "").split(","))))
     offered = _decode_offered(found.get("offered", ""))
     wait_s = float(found.get("wait", "0"))
-    return PeerQuery(offsets, base_offsets, wait_s, offered, found.get("from", ""))
+    sender, tag = found.get("from", ""), found.get("members")
+    return PeerQuery(offsets, base_offsets, wait_s, offered, sender, tag)
 
 
 def _decode_offered(text: str) -> DemandReport | None:
@@ -157,6 +168,7 @@
     waited_s: float = 0.0,
     offered_tokens_per_s: float | None = None,
     pollers: tuple[str, ...] = (),
+    members: FleetMembers | None = None,
 ) -> bytes:
     """Return the body of the answer to a query."""
     feeds: dict[Feed, FeedNews] = {}
@@ -173,7 +185,9 @@
             next_offset=relayed_feed.next_offset,
             records=tuple(records),
         )
-    answer = PeerAnswer(feeds, readers, waited_s, offered_tokens_per_s, pollers)
+    is_new = members is not None and query.members_tag not in (None, members.tag)
+    domains = members.domains if members is not None and is_new else None
+    answer = PeerAnswer(feeds, readers, waited_s, offered_tokens_per_s, pollers, domains)
     return msgspec.msgpack.encode(answer)
 
 
--- a/agaterail/gateway/peerresponder.py
+++ b/agaterail/gateway/peerresponder.py
@@ -130,6 +130,7 @@
             now - received_at,
             self.fleet_demand.tokens_per_s(now),
             self._some_pollers(peer_query.sender),
+            self.hub.members,
         )
         self.stats.add(len(body), self.now() - now)
         return body
--- a/tests/test_agaterail/test_gateway/test_membership.py
+++ b/tests/test_agaterail/test_gateway/test_membership.py
@@ -5,11 +5,13 @@
 
 from returns.result import Success
 
+from agaterail.decisions.fleetmembers import FleetMembers
 from agaterail.gateway.controlstore import Membership
 from agaterail.gateway.membership import (
     MembershipController,
     address_of,
     choose_readers,
+    domain_of,
     link_of,
     member_name,
     reader_count,
@@ -37,6 +39,7 @@
 
     def __init__(self, readers=()) -> None:
         self.readers = readers
+        self.members = FleetMembers()
 
     def set_readers(self, readers):
         self.readers = readers
@@ -57,6 +60,7 @@
                 ip="10.0.0.1",
                 peer_ports=(7000, 7010),
                 link_mbps=5.0,
+                domain="z1",
                 store=SimpleNamespace(member_ttl_min_s=1.0),
             ),
             boot="b",
@@ -152,6 +156,9 @@
         name = member_name("edge-1", "10.0.0.1:7340", "ab12")
         self.assertEqual(address_of(name), "10.0.0.1:7340")
         self.assertEqual(link_of(member_name("edge-1", "10.0.0.1:7340", "ab12", 62.5)), 62.0)
+        self.assertEqual(domain_of(member_name("h", "a:1", "b", 5.0, "z1")), "z1")
+        former = "h.b~62@10.0.0.1:7340"
+        self.assertEqual((domain_of(name), domain_of(former), domain_of("x")), ("",) * 3)
         self.assertEqual((link_of(name), link_of("foreign"), link_of("a~b@c")), (0.0,) * 3)
         self.assertEqual(address_of("foreign"), "")
 
--- a/tests/test_agaterail/test_gateway/test_peerprotocol.py
+++ b/tests/test_agaterail/test_gateway/test_peerprotocol.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from agaterail.decisions.fleetmembers import FleetMembers
 from agaterail.gateway.controlstore import Feed, FeedRecord, Reading
 from agaterail.gateway.demand import DemandReport
 from agaterail.gateway.peerprotocol import (
@@ -52,6 +53,20 @@
                 query = decode_query(f"lease=2&held=&wait=0.6&offered={report}".encode())
                 self.assertEqual(query, PeerQuery({Feed.LEASE: 2}, (), 0.6))
 
+    def test_members_are_sent_only_to_daemons_with_another_list(self):
+        members = FleetMembers()
+        members.update({"a:1": "z1", "b:1": "z2"}, 0.0)
+        for tag, sent in (("", members.domains), ("0f", members.domains), (None, None)):
+            with self.subTest(tag=tag):
+                original = PeerQuery({}, (), 0.6, members_tag=tag)
+                query = decode_query(encode_query(original).partition("?")[2].encode())
+                self.assertEqual(query, original)
+                answer = decode_answer(encode_answer(Relay(), query, (), 1.0, members=members))
+                self.assertEqual(answer.unwrap().members, sent)
+        query = PeerQuery({}, (), 0.6, members_tag=members.tag)
+        answer = decode_answer(encode_answer(Relay(), query, (), 1.0, members=members))
+        self.assertIsNone(answer.unwrap().members)
+
     def test_answers_of_a_former_release_have_no_estimate(self):
         body = msgspec.msgpack.encode({"feeds": {}, "readers": ["a:1"], "waited_s": 0.1})
         self.assertIsNone(decode_answer(body).unwrap().offered_tokens_per_s)
