A stream goes on only at its build over a caller's tries

No host knew what another one had begun, and 'Resumes' was passed on unread.

When the first event goes to the caller, the host records service and build of the stream, by workspace and request id, and sends the record to three daemons that a hash selects in different failure domains. A host that is asked to take a stream up asks up to eight in that order; the first record decides. A record is never changed, so a lost message leaves an unknown stream and never a wrong build. Without a record the stream goes on only if one service and one build can have begun it, which a host knows that followed all registrations for as long as a stream lasts. Else it is rejected at once: 503, not run, with a time to come back only if some daemon did not answer. The route may have moved: a stream of a service that it left is rejected too. Resumed streams are not shed.

--- a/agaterail/errors.py
+++ b/agaterail/errors.py
@@ -52,6 +52,8 @@
     TARGET_TIMEOUT = "target_timeout"
     TARGET_LOST = "target_lost"
     WRONG_WEIGHTS = "wrong_weights"
+    STREAM_UNKNOWN = "stream_unknown"
+    BUILD_UNAVAILABLE = "build_unavailable"
     SHUTTING_DOWN = "shutting_down"
     INTERNAL = "internal"
 
@@ -156,6 +158,15 @@
     ErrorKind.WRONG_WEIGHTS: Answer(
         503, "service_unavailable", "No target serves the weights of the pool.", _UNKNOWN, 2.0
     ),
+    ErrorKind.STREAM_UNKNOWN: Answer(
+        503, "service_unavailable", "The build that began the stream is not known.", _NOT_RUN
+    ),
+    ErrorKind.BUILD_UNAVAILABLE: Answer(
+        503,
+        "service_unavailable",
+        "No target of the build that began the stream serves.",
+        _NOT_RUN,
+    ),
     ErrorKind.SHUTTING_DOWN: Answer(
         503, "service_unavailable", "This host is shutting down.", _NOT_RUN, 0.5
     ),
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -12,6 +12,7 @@
 from gevent.pool import Group
 
 from agaterail import logs
+from agaterail.decisions.buildhistory import BuildHistory
 from agaterail.gateway import (
     admission,
     allowancecontroller,
@@ -19,11 +20,13 @@
     kvsavecontroller,
     placement,
     relayprotocol,
+    streamprotocol,
     targetlimitcontroller,
     targetroomcontroller,
 )
 from agaterail.gateway.allowancecontroller import AllowanceController
 from agaterail.gateway.connectionpool import ConnectionPool
+from agaterail.gateway.controlstore import Feed
 from agaterail.gateway.coordinators import Coordinators
 from agaterail.gateway.demand import Demand
 from agaterail.gateway.desired import CallerLimits
@@ -39,9 +42,11 @@
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.relaycontroller import RelayController
 from agaterail.gateway.relayresponder import RelayResponder
+from agaterail.gateway.resumedstreams import ResumedStreams
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.shedding import LoadShedder
 from agaterail.gateway.state import GatewayState
+from agaterail.gateway.streamcontroller import StreamController
 from agaterail.gateway.targetlimitcontroller import TargetLimitController
 from agaterail.gateway.targetnotices import TargetNotices
 from agaterail.gateway.targetroomcontroller import TargetRoomController
@@ -70,6 +75,10 @@
 # Registrations that lapsed in an outage are renewed within about two seconds after the
 # store is reachable again.
 LAPSE_GRACE_S = 2.0
+# Bounds of the time limit of streams, for how long their records are kept.
+MIN_STREAM_S = 5.0
+MAX_STREAM_S = 300.0
+DEFAULT_STREAM_S = 60.0
 BOOT_BYTES = 4
 HOUSEKEEPING_PERIOD_S = 0.5
 
@@ -174,6 +183,7 @@
         self.subscriptions: list[Subscription] = []
         handler = RequestHandler(self)
         self._add_relays(handler)
+        self._add_streams()
         self.caller_server = HttpServer(
             settings.caller_listen, handler.handle, self._limits, self.now
         )
@@ -206,6 +216,43 @@
         for prefix in relayprotocol.REQUEST_PREFIXES:
             responder.prefix_handlers[prefix] = self.relay_responder.handle
 
+    def _add_streams(self) -> None:
+        """Keep streams at the build that began them, also over their callers' tries."""
+        responder, history = self.feeds.peer_responder, BuildHistory()
+        self.build_history = history
+        self.registry.on_replaced = lambda item: history.record_gone(
+            item.service, item.build_id, self.now()
+        )
+        self.streams = StreamController(
+            str(responder.server.address),
+            lambda: self.feeds.members.domains,
+            self._known_daemons,
+            self._stream_valid_s,
+            self.now,
+        )
+        responder.handlers[streamprotocol.FIND_PATH] = self.streams.answer
+        responder.prefix_handlers[streamprotocol.RECORD_PATH] = self.streams.handle_records
+        self.resumed_streams = ResumedStreams(
+            self.streams,
+            history,
+            self.registry.builds_of,
+            lambda inbound, start: self.state.services_since(
+                inbound.host, inbound.path, start
+            ),
+            lambda: self.now() - self.feeds.read_at[Feed.TARGETS],
+            self.metrics,
+            self.now,
+        )
+
+    def _stream_valid_s(self) -> float:
+        """Return how long a stream can be taken up after its first event.
+
+        It ends within its time limit, and its caller comes back within its own.
+        """
+        desired = self.state.desired
+        longest_s = DEFAULT_STREAM_S if desired is None else desired.longest_stream_s
+        return 2.0 * min(MAX_STREAM_S, max(MIN_STREAM_S, longest_s))
+
     def _is_badly_placed(self, service: str) -> bool:
         """Return whether another daemon should order the engines of a service instead."""
         return self.paths.is_impaired(service) and self.relays.others_reach_more(service)
@@ -266,6 +313,9 @@
             logger.info("Target expired.", target=target.instance)
         self.state.log_staleness(self.now())
         self.feeds.members.expire(self.now())
+        self.streams.step()
+        if Feed.TARGETS in self.feeds.offsets:
+            self.build_history.begin(self.now())
         self.notices.step()
         self.relay_responder.step()
         self.connection_pool.close_stale()
--- a/agaterail/gateway/desired.py
+++ b/agaterail/gateway/desired.py
@@ -144,7 +144,13 @@
 
 @attrs.frozen(kw_only=True)
 class DesiredState:
-    """One version of everything that operators configure."""
+    """One version of everything that operators configure.
+
+    Attributes
+    ----------
+    longest_stream_s
+        Longest time limit in seconds of routes whose streams may be resumed.
+    """
 
     version: int
     routes: tuple[Route, ...]
@@ -156,6 +162,7 @@
     workspace_by_key: dict[str, Workspace] = attrs.field(init=False)
     workspace_by_name: dict[str, Workspace] = attrs.field(init=False)
     has_allowances: bool = attrs.field(init=False)
+    longest_stream_s: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Index routes by host, longest prefix first, and workspaces by key."""
@@ -171,6 +178,8 @@
         object.__setattr__(self, "workspace_by_name", by_name)
         limited = any(item.allowance is not None for item in self.workspaces)
         object.__setattr__(self, "has_allowances", limited)
+        streams = (route.timeout_s for route in self.routes if route.resumable)
+        object.__setattr__(self, "longest_stream_s", max(streams, default=0.0))
 
     @property
     def has_workspaces(self) -> bool:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from agaterail.decisions.streamrecords import stream_key
 from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import Failure
 from agaterail.gateway import relayprotocol
@@ -326,6 +327,9 @@
         if context.source is None and context.route.resumable:
             assert attempt is not None
             context.source = StreamSource(context.service, attempt.build)
+            if context.source.is_known and not context.relayed:
+                key = stream_key(context.workspace_name, context.inbound.request_id)
+                self.daemon.streams.record(key, context.source)
 
     def _mark_answer_started(self) -> None:
         self.answer_started = True
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -137,6 +137,11 @@
             if origin.service not in {share.service for share in route.shares}:
                 return Failure(ErrorKind.TABLES_UNAVAILABLE, "The route has no such service.")
             service = origin.service
+        source = self._source(inbound, route, workspace, origin)
+        if isinstance(source, Failure):
+            return source
+        if source is not None:
+            service = source.service
         cost = self._charge(workspace, inbound)
         if isinstance(cost, Failure):
             return cost
@@ -160,9 +165,28 @@
             relayed=origin is not None,
             cost=cost,
             charged_runs=1,
-            source=_source_of(origin),
+            source=source,
         )
 
+    def _source(
+        self,
+        inbound: InboundRequest,
+        route: Route,
+        workspace: Workspace | None,
+        origin: RelayOrigin | None,
+    ) -> StreamSource | Failure | None:
+        """Return where the events come from that the caller has; None if it has none."""
+        if origin is not None and origin.build:
+            return StreamSource(origin.service, origin.build)
+        if not route.resumable or not inbound.last_event_id:
+            return None
+        # A daemon of a former release passes on streams without their build.
+        name = "" if workspace is None else workspace.name
+        source = self.daemon.resumed_streams.source_of(inbound, route, name)
+        if origin is None or isinstance(source, Failure) or source.service == origin.service:
+            return source
+        return Failure(ErrorKind.BUILD_UNAVAILABLE, f"the stream is of {source.service}")
+
     def _charge(self, workspace: Workspace | None, inbound: InboundRequest) -> float | Failure:
         """Charge the workspace's allowance with one run and return its cost."""
         if workspace is None or workspace.allowance is None:
@@ -251,13 +275,6 @@
         return retry_after_s(limit, self.daemon.random.random())
 
 
-def _source_of(origin: RelayOrigin | None) -> StreamSource | None:
-    """Return where the events of a forwarded stream come from; None before the first."""
-    if origin is None or not origin.build:
-        return None
-    return StreamSource(origin.service, origin.build)
-
-
 def _relay_lines(failure: Failure, context: RequestContext | None) -> list[bytes]:
     """Return header lines that tell the daemon that passed a request on whether it ran."""
     if context is None:
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -71,6 +71,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.resumed_streams = Counter(
+            f"{PREFIX}_resumed_streams",
+            "Streams that callers took up, by how the build that began them was known.",
+            ("outcome",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -107,6 +113,8 @@
                 ),
                 ("targets_limited", "Targets that name a limit of requests per second."),
                 ("targets_brittle", "Targets that bear few refusals."),
+                ("service_builds", "Most builds with which a service's targets serve."),
+                ("stream_records", "Streams whose build this daemon keeps for others."),
                 ("services_without_path", "Services that no new connection reaches."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
@@ -145,6 +153,8 @@
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
             "targets_brittle": sum(item.brittle is not None for item in targets),
+            "service_builds": daemon.registry.most_builds(),
+            "stream_records": len(daemon.streams.records.records),
             "services_without_path": len(daemon.paths.lost_services),
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -51,6 +51,11 @@
     charged_runs: int = 0
     source: StreamSource | None = None
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace; empty if there is none."""
+        return "" if self.workspace is None else self.workspace.name
+
     @property
     def first_byte_s(self) -> float | None:
         """Return the seconds until the answer's first byte; None before it was sent."""
--- /dev/null
+++ b/agaterail/gateway/resumedstreams.py
@@ -0,0 +1,140 @@
+"""Decide at which build a stream goes on that a caller takes up again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agaterail import logs
+from agaterail.decisions.streamrecords import stream_key
+from agaterail.decisions.streamsources import StreamSource
+from agaterail.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from agaterail.decisions.buildhistory import BuildHistory
+    from agaterail.gateway.desired import Route
+    from agaterail.gateway.inbound import InboundRequest
+    from agaterail.gateway.metrics import GatewayMetrics
+    from agaterail.gateway.streamcontroller import FoundSource, StreamController
+
+logger = logs.get_logger("streams")
+
+# A target serves for some seconds after its registration is removed.
+LEAVING_S = 10.0
+# Readings are up to three waits old at daemons that poll others.
+MAX_VIEW_AGE_S = 2.0
+MAX_LOGGED_ID = 64
+RETRY_AFTER_S = 0.5
+
+
+class ResumedStreams:
+    """Finds the source of streams that callers take up; an unknown one ends the request.
+
+    Parameters
+    ----------
+    streams
+        Knows the sources that were recorded.
+    history
+        Builds whose targets are gone.
+    builds
+        Returns the builds of a service's registered targets.
+    services
+        Returns the services to which the route of a request led since a time; None if
+        that is not known.
+    view_age_s
+        Returns the age of the reading of the registrations.
+    now
+        Returns the time.
+    """
+
+    def __init__(
+        self,
+        streams: StreamController,
+        history: BuildHistory,
+        builds: Callable[[str], Collection[str]],
+        services: Callable[[InboundRequest, float], Collection[str] | None],
+        view_age_s: Callable[[], float],
+        metrics: GatewayMetrics,
+        now: Callable[[], float],
+    ) -> None:
+        self.streams = streams
+        self.history = history
+        self.builds = builds
+        self.services = services
+        self.view_age_s = view_age_s
+        self.metrics = metrics
+        self.now = now
+
+    def source_of(
+        self, inbound: InboundRequest, route: Route, workspace: str
+    ) -> StreamSource | Failure:
+        """Return where a stream's events come from, or why it cannot go on."""
+        found = None
+        key = stream_key(workspace, inbound.resumes)
+        if inbound.resumes:
+            found = self.streams.find(key)
+        known_by = ""
+        source = None if found is None else found.source
+        if found is not None and source is not None:
+            known_by = "own" if found.known_by == "own" else "peer"
+        else:
+            source, known_by = self._only_source(inbound), "only_build"
+        if source is None or not source.is_known:
+            return self._reject(inbound, found)
+        if source.service not in {share.service for share in route.shares}:
+            self._log("Stream cannot go on.", inbound, found, source, reason="service moved")
+            return Failure(ErrorKind.BUILD_UNAVAILABLE, f"the route left {source.service}")
+        if inbound.resumes:
+            # It is in use, and daemons that came meanwhile may have to know it.
+            self.streams.record(key, source)
+        self.metrics.resumed_streams.labels(known_by).inc()
+        self._log("Stream taken up.", inbound, found, source, how=known_by)
+        return source
+
+    def _only_source(self, inbound: InboundRequest) -> StreamSource | None:
+        """Return the only source that the stream can have; None if there may be others."""
+        if self.view_age_s() > MAX_VIEW_AGE_S:
+            return None
+        now = self.now()
+        window_s = self.streams.valid_s() + LEAVING_S
+        services = self.services(inbound, now - window_s)
+        if services is None or len(services) != 1:
+            return None
+        [service] = services
+        build = self.history.only_build(service, self.builds(service), window_s, now)
+        return StreamSource(service, build) if build else None
+
+    def _reject(self, inbound: InboundRequest, found: FoundSource | None) -> Failure:
+        """Return the failure of a stream whose source is not known.
+
+        Another try can learn more only if a daemon did not answer.
+        """
+        self.metrics.resumed_streams.labels("unknown").inc()
+        self._log("Stream not known.", inbound, found, None)
+        missing = 0 if found is None else found.asked - found.answered
+        detail = f"{missing} daemons did not answer" if missing else "no record of the stream"
+        return Failure(ErrorKind.STREAM_UNKNOWN, detail, RETRY_AFTER_S if missing else None)
+
+    def _log(
+        self,
+        event: str,
+        inbound: InboundRequest,
+        found: FoundSource | None,
+        source: StreamSource | None,
+        **fields: object,
+    ) -> None:
+        logger.info(
+            event,
+            request=inbound.request_id,
+            resumes=inbound.resumes[:MAX_LOGGED_ID],
+            after_event=inbound.last_event_id[:MAX_LOGGED_ID],
+            service=None if source is None else source.service,
+            build=None if source is None else source.build,
+            peer=None if found is None else found.known_by or None,
+            age_s=None if found is None else round(found.age_s, 3),
+            asked=None if found is None else found.asked,
+            answered=None if found is None else found.answered,
+            view_age_s=round(self.view_age_s(), 3),
+            **fields,
+        )
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -35,6 +35,7 @@
 RETURN_MARGIN_S = 0.02
 # Callers abandon a stream that pauses for longer than two seconds.
 MAX_BUILD_WAIT_S = 1.0
+MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_ID = 64  # characters of an id that a caller chose
 
 
@@ -121,7 +122,8 @@
             context.charged_runs -= 1  # the other daemon has refunded it
         self.daemon.relays.record_refusal(context.service, attempt.instance, refusal)
         kind = refusal.kind
-        if ANSWERS[kind].retry_after_s is None:
+        answer = ANSWERS[kind]
+        if answer.status < MIN_SERVER_ERROR_STATUS and answer.retry_after_s is None:
             # This daemon would admit the request. The desired states differ for now.
             kind = ErrorKind.TABLES_UNAVAILABLE
         self.relay_failure = Failure(
@@ -415,6 +417,8 @@
         """
         if not self.context.route.prompted or self.retry_state.sends:
             return None
+        if self.context.source is not None:
+            return None  # its caller has waited already, and has part of the answer
         if self.retry_state.denied:
             return None  # decided before the first target was asked for
         random = self.daemon.random
@@ -504,6 +508,8 @@
         kind = self.retry_state.error_kind()
         if kind is ErrorKind.NO_TARGET and (self.choice is not None or earliest_s):
             kind = ErrorKind.OVERLOADED
+        if kind is ErrorKind.NO_TARGET and self.context.source is not None:
+            return Failure(ErrorKind.BUILD_UNAVAILABLE, reason)
         number = self.daemon.random.random()
         hint_s = retry_after_s(self.context.deadline - now, number, earliest_s=earliest_s)
         return Failure(kind, reason, hint_s)
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from agaterail import logs
@@ -32,6 +33,9 @@
 # Number of removed targets whose offset is kept as a tombstone. Reads are overtaken by
 # seconds, in which far fewer targets are removed.
 MAX_TOMBSTONES = 1024
+# A stream that callers take up may have begun under a former desired state.
+MAX_FORMER_STATES = 16
+FORMER_STATE_S = 120.0
 # Instances that a line about relayed registrations names.
 MAX_LOGGED_TARGETS = 8
 
@@ -53,6 +57,10 @@
     naming_since
         Lower bound, by this process's clock, of the time at which that record was
         written.
+    former_states
+        Desired states that were replaced lately, with the time of that, oldest first.
+    former_known_since
+        Time from which all of them are among these.
     may_be_outdated
         Whether the reading is older than the bound, so that a newer desired state may
         already be due.
@@ -76,6 +84,8 @@
         self.freshness = freshness
         self.registry = registry
         self.desired: DesiredState | None = None
+        self.former_states: list[tuple[float, DesiredState]] = []
+        self.former_known_since = -math.inf
         self.may_be_outdated = False
         self.weights: dict[str, VersionHistory] = {}
         self.target_offsets: dict[str, int] = {}
@@ -150,6 +160,8 @@
             return
         former = self.desired
         self.desired = change.state
+        if former is not None:
+            self._keep_former(former, now)
         logger.info(
             "Desired state in force.",
             version=change.state.version,
@@ -165,6 +177,25 @@
             known_s=None if arrival is None else round(now - arrival.known_at, 3),
         )
 
+    def _keep_former(self, former: DesiredState, now: float) -> None:
+        self.former_states.append((now, former))
+        while (
+            len(self.former_states) > MAX_FORMER_STATES
+            or now - self.former_states[0][0] > FORMER_STATE_S
+        ):
+            self.former_known_since, _ = self.former_states.pop(0)
+
+    def services_since(self, host: str, path: bytes, start: float) -> set[str] | None:
+        """Return the services to which a request was routed since a time.
+
+        Returns None if not all desired states since then are known.
+        """
+        if self.desired is None or self.former_known_since > start:
+            return None
+        former = (state for replaced_at, state in self.former_states if replaced_at > start)
+        routes = (state.match(host, path) for state in (self.desired, *former))
+        return {share.service for route in routes if route for share in route.shares}
+
     def apply_version_ages(
         self,
         record: VersionAgeRecord,
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -212,6 +212,10 @@
     left
         Start times of targets that said that they leave and then vanished. Their
         registration may be read once more.
+    on_gone
+        Called with a target that is dropped.
+    on_replaced
+        Called with a registration that no longer holds.
     """
 
     def __init__(self, lapse_grace_s: float) -> None:
@@ -221,6 +225,7 @@
         self.returned_at: float | None = None
         self.left: dict[str, int] = {}
         self.on_gone: Callable[[Target], None] = lambda _target: None
+        self.on_replaced: Callable[[Registration], None] = lambda _registration: None
 
     def put(self, registration: Registration) -> Target:
         """Add or update a registration; a restart discards earlier observations."""
@@ -229,6 +234,7 @@
             if known.registration.service != registration.service:
                 self._remove_from_index(known)
                 self._add_to_index(known, registration.service)
+            self.on_replaced(known.registration)
             known.registration = registration
             known.lapsed_at = None
             return known
@@ -267,6 +273,14 @@
         """Return the targets of a service."""
         return self.by_service.get(service, [])
 
+    def builds_of(self, service: str) -> set[str]:
+        """Return the ids of the builds of a service's targets."""
+        return {item.registration.build_id for item in self.of_service(service)}
+
+    def most_builds(self) -> int:
+        """Return the largest number of builds of one service."""
+        return max((len(self.builds_of(name)) for name in self.by_service), default=0)
+
     def _in_grace(self, now: float) -> bool:
         return self.returned_at is not None and now - self.returned_at < self.lapse_grace_s
 
@@ -276,6 +290,7 @@
             self._remember_left(target)
         self.targets.pop(target.instance, None)
         self._remove_from_index(target)
+        self.on_replaced(target.registration)
         self.on_gone(target)
 
     def _remember_left(self, target: Target) -> None:
