Stream records that a daemon did not get go to another one

The next daemon in order gets them now.

A stream of a caller's time limit of 5 s began at most that long ago; 5 s more are for hosts that read a removal later. The line that rejects says the reason.

--- a/agaterail/decisions/buildhistory.py
+++ b/agaterail/decisions/buildhistory.py
@@ -40,10 +40,10 @@
         if len(self.gone_at) > MAX_GONE:
             self.forgotten_at = self.gone_at.pop(next(iter(self.gone_at)))
 
-    def only_build(
+    def builds(
         self, service: str, registered: Iterable[str], window_s: float, now: float
-    ) -> str:
-        """Return the only build that can have begun a stream; empty if that is not known.
+    ) -> set[str] | None:
+        """Return the builds that can have begun a stream; None if that is not known.
 
         Parameters
         ----------
@@ -54,11 +54,11 @@
         """
         start = now - window_s
         if self.since > start or self.forgotten_at > start:
-            return ""
+            return None
         builds = set(registered)
         builds.update(
             build
             for (name, build), at in self.gone_at.items()
             if name == service and at > start
         )
-        return builds.pop() if len(builds) == 1 else ""
+        return builds
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -235,6 +235,7 @@
         self.resumed_streams = ResumedStreams(
             self.streams,
             history,
+            self._longest_stream_s,
             self.registry.builds_of,
             lambda inbound, start: self.state.services_since(
                 inbound.host, inbound.path, start
@@ -249,9 +250,12 @@
 
         It ends within its time limit, and its caller comes back within its own.
         """
+        return 2.0 * self._longest_stream_s()
+
+    def _longest_stream_s(self) -> float:
         desired = self.state.desired
         longest_s = DEFAULT_STREAM_S if desired is None else desired.longest_stream_s
-        return 2.0 * min(MAX_STREAM_S, max(MIN_STREAM_S, longest_s))
+        return min(MAX_STREAM_S, max(MIN_STREAM_S, longest_s))
 
     def _is_badly_placed(self, service: str) -> bool:
         """Return whether another daemon should order the engines of a service instead."""
--- a/agaterail/gateway/resumedstreams.py
+++ b/agaterail/gateway/resumedstreams.py
@@ -20,8 +20,8 @@
 
 logger = logs.get_logger("streams")
 
-# A target serves for some seconds after its registration is removed.
-LEAVING_S = 10.0
+# Daemons read the removal of a registration at different times.
+READING_SKEW_S = 5.0
 # Readings are up to three waits old at daemons that poll others.
 MAX_VIEW_AGE_S = 2.0
 MAX_LOGGED_ID = 64
@@ -37,6 +37,8 @@
         Knows the sources that were recorded.
     history
         Builds whose targets are gone.
+    longest_s
+        Returns the longest time limit of a stream in seconds, over all its tries.
     builds
         Returns the builds of a service's registered targets.
     services
@@ -52,6 +54,7 @@
         self,
         streams: StreamController,
         history: BuildHistory,
+        longest_s: Callable[[], float],
         builds: Callable[[str], Collection[str]],
         services: Callable[[InboundRequest, float], Collection[str] | None],
         view_age_s: Callable[[], float],
@@ -60,6 +63,7 @@
     ) -> None:
         self.streams = streams
         self.history = history
+        self.longest_s = longest_s
         self.builds = builds
         self.services = services
         self.view_age_s = view_age_s
@@ -74,14 +78,15 @@
         key = stream_key(workspace, inbound.resumes)
         if inbound.resumes:
             found = self.streams.find(key)
-        known_by = ""
         source = None if found is None else found.source
+        known_by = "only_build"
         if found is not None and source is not None:
             known_by = "own" if found.known_by == "own" else "peer"
+            reason = "" if source.is_known else "records contradict"
         else:
-            source, known_by = self._only_source(inbound), "only_build"
-        if source is None or not source.is_known:
-            return self._reject(inbound, found)
+            source, reason = self._only_source(inbound)
+        if source is None or reason:
+            return self._reject(inbound, found, reason)
         if source.service not in {share.service for share in route.shares}:
             self._log("Stream cannot go on.", inbound, found, source, reason="service moved")
             return Failure(ErrorKind.BUILD_UNAVAILABLE, f"the route left {source.service}")
@@ -92,28 +97,34 @@
         self._log("Stream taken up.", inbound, found, source, how=known_by)
         return source
 
-    def _only_source(self, inbound: InboundRequest) -> StreamSource | None:
-        """Return the only source that the stream can have; None if there may be others."""
+    def _only_source(self, inbound: InboundRequest) -> tuple[StreamSource | None, str]:
+        """Return the only source that the stream can have, or why there may be others."""
         if self.view_age_s() > MAX_VIEW_AGE_S:
-            return None
+            return None, "old reading"
         now = self.now()
-        window_s = self.streams.valid_s() + LEAVING_S
+        window_s = self.longest_s() + READING_SKEW_S
         services = self.services(inbound, now - window_s)
         if services is None or len(services) != 1:
-            return None
+            return None, "several services"
         [service] = services
-        build = self.history.only_build(service, self.builds(service), window_s, now)
-        return StreamSource(service, build) if build else None
-
-    def _reject(self, inbound: InboundRequest, found: FoundSource | None) -> Failure:
+        builds = self.history.builds(service, self.builds(service), window_s, now)
+        if builds is None:
+            return None, "short history"
+        if len(builds) != 1:
+            return None, f"{len(builds)} builds"
+        return StreamSource(service, builds.pop()), ""
+
+    def _reject(
+        self, inbound: InboundRequest, found: FoundSource | None, reason: str
+    ) -> Failure:
         """Return the failure of a stream whose source is not known.
 
         Another try can learn more only if a daemon did not answer.
         """
         self.metrics.resumed_streams.labels("unknown").inc()
-        self._log("Stream not known.", inbound, found, None)
+        self._log("Stream not known.", inbound, found, None, reason=reason)
         missing = 0 if found is None else found.asked - found.answered
-        detail = f"{missing} daemons did not answer" if missing else "no record of the stream"
+        detail = f"{missing} daemons did not answer" if missing else f"no record, {reason}"
         return Failure(ErrorKind.STREAM_UNKNOWN, detail, RETRY_AFTER_S if missing else None)
 
     def _log(
--- a/agaterail/gateway/streamcontroller.py
+++ b/agaterail/gateway/streamcontroller.py
@@ -130,7 +130,10 @@
         """Record a stream's source here and, soon after, at other daemons."""
         self.records.put(key, source, self.valid_s(), self.now())
         entry = StreamEntry(key, source.service, source.build)
-        for address in self._keepers(key)[:COPIES]:
+        self._enqueue(entry, self._keepers(key)[:COPIES])
+
+    def _enqueue(self, entry: StreamEntry, keepers: Sequence[str]) -> None:
+        for address in keepers:
             if address not in self.queues:
                 self.queues[address] = []
                 gevent.spawn(self._send_queue, address)
@@ -166,11 +169,17 @@
             path = streamprotocol.RECORD_PATH.decode()
             reason = self._failure(address, self._call(address, "POST", path, body))
             if reason:
+                entries += self.queues[address]
                 logger.info(
-                    "Stream records not sent.", peer=address, reason=reason, lost=len(entries)
+                    "Stream records not sent.", peer=address, reason=reason, count=len(entries)
                 )
                 break
+        else:
+            entries = []
         del self.queues[address]
+        for entry in entries:
+            # The daemon is excluded now, so that one more has taken the last place.
+            self._enqueue(entry, self._keepers(entry.key)[COPIES - 1 : COPIES])
 
     # Finding.
 
--- a/tests/test_agaterail/test_gateway/test_streamcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_streamcontroller.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 import gevent
-from returns.result import Success
+from returns.result import Failure, Success
 
 from agaterail.decisions.streamrecords import rank_keepers, stream_key
 from agaterail.decisions.streamsources import StreamSource
@@ -12,6 +12,7 @@
 from agaterail.gateway.inbound import InboundRequest
 from agaterail.gateway.streamcontroller import COPIES, MAX_QUEUED, StreamController
 from agaterail.gateway.streamprotocol import MAX_BATCH, StreamEntry
+from agaterail.util.httpconn import ConnectFailed
 from tests.build_fleet import BuildsTest
 from tests.gateway_fleet import LLM, make_desired, route_row
 
@@ -213,7 +214,8 @@
 
     def __init__(self):
         self.calls = []
-        self.status = 200
+        self.dead = set()
+        self.former = set()
 
     def to(self, address):
         return SimpleNamespace(
@@ -222,7 +224,9 @@
 
     def call(self, address, method, path, body):
         self.calls.append((address, method, path, body))
-        return Success((self.status, b""))
+        if address in self.dead:
+            return Failure(ConnectFailed("refused"))
+        return Success((404 if address in self.former else 200, b""))
 
     def drop(self, _address):
         pass
@@ -252,14 +256,23 @@
 
     def test_a_daemon_that_keeps_no_records_is_replaced(self):
         """Daemons of a former release answer 404 to records."""
-        self.peers.status = 404
+        key = stream_key("w", "r1")
+        ranked = [item for item in rank_keepers(key, self.members) if item != "h0:1"]
+        self.peers.former = set(ranked[:COPIES])
         self.record("r1")
-        former = {call[0] for call in self.peers.calls}
+        self.assertEqual({call[0] for call in self.peers.calls[COPIES:]}, set(ranked[COPIES:]))
         self.peers.calls.clear()
-        self.peers.status = 200
         self.record("r1")
-        self.assertFalse(former & {call[0] for call in self.peers.calls})
-        self.assertEqual(len(self.peers.calls), 5 - COPIES)
+        self.assertEqual([call[0] for call in self.peers.calls], ranked[COPIES:])
+
+    def test_records_that_a_daemon_did_not_get_go_to_another(self):
+        """A host that was killed left one copy less of all records sent to it."""
+        key = stream_key("w", "r1")
+        ranked = [item for item in rank_keepers(key, self.members) if item != "h0:1"]
+        self.peers.dead = {ranked[0]}
+        self.record("r1")
+        self.assertEqual([call[0] for call in self.peers.calls[-1:]], [ranked[COPIES]])
+        self.assertEqual(len(self.peers.calls), COPIES + 1)
 
     def test_a_flood_of_streams_does_not_grow_queues_without_bound(self):
         for number in range(2 * MAX_QUEUED):
