Engines report their start before a stream goes on there

An engine that starts again under its id may be of another build, and a host that reads its registration later took it for the former one; so did a host that saw its connections break.

After a connection breaks or cannot be opened, streams that begin there over new connections are of an unknown build, until the engine answers or data comes over a connection from before. Open: a stream that begins between an engine's restart and its registration at a host that saw no break.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -73,7 +73,7 @@
     def build(self) -> str:
         """Return the id of the build that answers; empty if it is not known."""
         if not self.choice.relayed:
-            return self.target.registration.build_id
+            return self.target.build_at(self.connection.opened_at)
         return self.head.build if isinstance(self.head, RelayedHead) else ""
 
     @property
--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -25,6 +25,7 @@
 # is made, whose handshake shows within a millisecond that the target is up.
 IDEMPOTENT_MAX_SILENCE_S = 1.0
 AT_MOST_ONCE_MAX_SILENCE_S = 0.25
+CONFIRM_AFTER_S = 0.2
 
 
 class ConnectionPool:
@@ -83,7 +84,7 @@
         except OSError as error:
             self.on_connect_failed(target, error)
             raise
-        connection.on_data = lambda: self._record_heard(target)
+        connection.on_data = lambda: self._record_data(target, connection)
         self._record_heard(target)
         self.on_connected(target)
         return connection
@@ -133,6 +134,14 @@
             if not usable:
                 del self.idle[instance]
 
+    def _record_data(self, target: Target, connection: TargetConnection) -> None:
+        """Record data, which shows that a target runs since the connection was opened."""
+        self._record_heard(target)
+        since = target.unconfirmed_since
+        if since is not None and connection.opened_at < since:
+            # What arrives at once may have been sent before the target ended.
+            target.confirm(self.now() - CONFIRM_AFTER_S)
+
     def _record_heard(self, target: Target) -> None:
         target.heard_at = self.now()
 
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -42,6 +42,7 @@
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.relaycontroller import RelayController
 from agaterail.gateway.relayresponder import RelayResponder
+from agaterail.gateway.restartcontroller import RestartController
 from agaterail.gateway.resumedstreams import ResumedStreams
 from agaterail.gateway.retrybudget import RetryBudget
 from agaterail.gateway.shedding import LoadShedder
@@ -119,6 +120,7 @@
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
         self.paths = PathController(self.registry, self.connection_pool, self.now, self.random)
+        self.restarts = RestartController(engine_control.report, self.now)
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
--- a/agaterail/gateway/enginecontrol.py
+++ b/agaterail/gateway/enginecontrol.py
@@ -24,6 +24,8 @@
         Whether an order is being carried out.
     orders_accepted
         Number of orders accepted since the engine's start.
+    born
+        Start time as a Unix timestamp in milliseconds; 0 if the engine does not name it.
     """
 
     loading: bool
@@ -31,6 +33,7 @@
     waiting: int
     running: int
     weights: dict[str, int]
+    born: int = 0
 
 
 class InFlightPolicy(enum.Enum):
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -91,6 +91,8 @@
             self._record_relay_failure(attempt.target, outcome)
         elif outcome is not AttemptOutcome.NOT_NEEDED:
             attempt.target.record_failure(self.daemon.now())
+            if outcome is AttemptOutcome.BROKEN:
+                self.daemon.restarts.record_break(attempt.target)
         self.log("Attempt failed.", attempt.choice, outcome=outcome.value)
 
     def _handle_refusal(self, attempt: Attempt) -> None:
@@ -269,6 +271,8 @@
             overload = self._check_wait(choice, now)
             if overload is not None:
                 return overload
+            if not self._is_still_of_build(choice.target):
+                continue
             if not self._charge_run():
                 return self._give_up(now, "allowance exhausted")
             if not self._get_permit(choice.target):
@@ -288,6 +292,14 @@
                 return self._give_up(now, "retry budget exhausted")
             return choice, connection
 
+    def _is_still_of_build(self, target: Target) -> bool:
+        """Return whether a target surely is of the build that began the stream."""
+        if self.context.source is None or self.daemon.restarts.confirm(target):
+            return True
+        self._record_outcome(target.instance, AttemptOutcome.NOT_CONNECTED)
+        self.log("Build of the target not confirmed.")
+        return False
+
     def _await_same_build(self, now: float, left: float) -> bool:
         """Wait for the next engine of the stream's build; return whether there is one."""
         if self.context.source is None or self.context.service in self.daemon.paths.outages:
@@ -400,6 +412,7 @@
             else:
                 outcome = AttemptOutcome.NOT_CONNECTED
                 choice.target.record_failure(now)
+                self.daemon.restarts.record_break(choice.target)
             self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -65,6 +65,8 @@
         Whether the connection may carry another request.
     on_data
         Called whenever data arrives.
+    opened_at
+        Time at which the connection was opened.
     """
 
     def __init__(
@@ -80,7 +82,7 @@
         self.written = False
         self.reusable = True
         self.closed = False
-        self.idle_since = now()
+        self.opened_at = self.idle_since = now()
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
         self.head_bytes = 0
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -92,6 +92,15 @@
         Time until which it wants no requests of this daemon.
     permits
         Permits to send to it while it names a limit.
+    unconfirmed_since
+        Time of the first break of a connection after which the target may have started
+        anew; None if it surely has not.
+    broken_at
+        Time of the latest break of a connection.
+    confirmed_at
+        Time at which it last ran for sure since the start that it registered.
+    replaced
+        Whether it has registered a later start.
     lapsed_at
         Time at which its registration was found missing shortly after an outage of the
         store; None if it is present.
@@ -112,6 +121,10 @@
     leaving: bool = False
     rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
+    unconfirmed_since: float | None = None
+    broken_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
+    replaced: bool = False
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
@@ -130,6 +143,30 @@
         """Return whether it is registered as ready and has not said that it leaves."""
         return self.registration.ready and not self.leaving and not self.gone
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the target surely runs since the start that it registered."""
+        return self.unconfirmed_since is None
+
+    def record_break(self, now: float) -> None:
+        """Record that a connection broke or could not be opened."""
+        self.broken_at = now
+        if self.unconfirmed_since is None:
+            self.unconfirmed_since = now
+
+    def confirm(self, at: float) -> None:
+        """Record that the target ran at a time since the start that it registered."""
+        if at >= self.broken_at:
+            self.unconfirmed_since = None
+            self.confirmed_at = max(self.confirmed_at, at)
+
+    def build_at(self, opened_at: float) -> str:
+        """Return the id of the build at a connection; empty if it is not known."""
+        since = self.unconfirmed_since
+        if self.replaced:
+            return ""
+        return self.registration.build_id if since is None or opened_at < since else ""
+
     def weights_of(self, model: str) -> int | None:
         """Return the newest known weights version of a model."""
         known = self.registration.weights.get(model)
@@ -239,6 +276,7 @@
             known.lapsed_at = None
             return known
         if known is not None:
+            known.replaced = True
             self._drop(known)
         target = Target(registration=registration)
         target.leaving = self.left.get(registration.instance) == registration.born
--- a/agaterail/platform/engines.py
+++ b/agaterail/platform/engines.py
@@ -97,4 +97,5 @@
         weights={
             fields.string(item, "name"): fields.integer(item, "version") for item in models
         },
+        born=fields.integer(decoded, "born", 0),
     )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -265,6 +265,7 @@
             "busy": self.loading,
             "seq_no": self.orders,
             "waiting": 0,
+            "born": self.born,
             "running": sum(run.outcome == "open" for run in self.runs[-20:]),
         }
 
