An idle connection that ends early shows that its engine may have restarted

A host whose connections to an engine were all idle saw no break: it opened a new one and recorded what the restarted engine wrote under the former build. Idle connections that the target closes before they are due count as breaks now. The new test fails without the change.

--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -37,6 +37,8 @@
         Opens a connection.
     on_connected, on_connect_failed
         Called with the target, and after a failure with the error.
+    on_ended_early
+        Called with the id of a target that closed an idle connection before it was due.
     """
 
     def __init__(self, decode: Callable[..., AnswerHead], now: Callable[[], float]) -> None:
@@ -45,6 +47,7 @@
         self.connect = TargetConnection.connect
         self.on_connected: Callable[[Target], None] = lambda _target: None
         self.on_connect_failed: Callable[[Target, OSError], None] = lambda *_: None
+        self.on_ended_early: Callable[[str], None] = lambda _instance: None
         self.idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -67,7 +70,7 @@
                 connection, keep_alive_fraction
             ) and not connection.is_stale(keep_alive_fraction):
                 return connection
-            connection.close()
+            self._discard(target.instance, connection)
         return self.open(target, connect_timeout_s)
 
     def open(self, target: Target, connect_timeout_s: float) -> TargetConnection:
@@ -129,11 +132,16 @@
                 ) and not connection.is_stale(IDEMPOTENT_KEEP_ALIVE_FRACTION):
                     usable.append(connection)
                 else:
-                    connection.close()
+                    self._discard(instance, connection)
             self.idle[instance] = usable
             if not usable:
                 del self.idle[instance]
 
+    def _discard(self, instance: str, connection: TargetConnection) -> None:
+        connection.close()
+        if connection.ended_early:
+            self.on_ended_early(instance)
+
     def _record_data(self, target: Target, connection: TargetConnection) -> None:
         """Record data, which shows that a target runs since the connection was opened."""
         self._record_heard(target)
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -121,6 +121,7 @@
         self.registry.on_gone = self.connection_pool.drop
         self.paths = PathController(self.registry, self.connection_pool, self.now, self.random)
         self.restarts = RestartController(engine_control.report, self.now)
+        self.connection_pool.on_ended_early = self._record_ended_early
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
@@ -259,6 +260,11 @@
         longest_s = DEFAULT_STREAM_S if desired is None else desired.longest_stream_s
         return min(MAX_STREAM_S, max(MIN_STREAM_S, longest_s))
 
+    def _record_ended_early(self, instance: str) -> None:
+        target = self.registry.targets.get(instance)
+        if target is not None:
+            self.restarts.record_break(target)
+
     def _is_badly_placed(self, service: str) -> bool:
         """Return whether another daemon should order the engines of a service instead."""
         return self.paths.is_impaired(service) and self.relays.others_reach_more(service)
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -67,6 +67,8 @@
         Called whenever data arrives.
     opened_at
         Time at which the connection was opened.
+    ended_early
+        Whether the target closed the idle connection before it was due.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.written = False
         self.reusable = True
         self.closed = False
+        self.ended_early = False
         self.opened_at = self.idle_since = now()
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
@@ -178,9 +181,10 @@
         except BlockingIOError:
             return False
         except OSError:
-            return True
+            data = b""
         # Readable means that the target closed the connection or sent unsolicited data.
-        return len(data) >= 0
+        self.ended_early = not data
+        return True
 
     def send(self, head: bytes, body: bytes, timeout_s: float) -> None:
         """Send a request; what exceeds the send buffer is written in the background.
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import unittest
 from types import SimpleNamespace
 
@@ -131,3 +132,17 @@
         self.assertEqual(self.engine_of("r1"), engine)
         self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
         self.assertEqual(len(daemon.registry.of_service(LLM)), 4)
+
+    def test_idle_connections_that_end_show_a_possible_restart(self):
+        """A host whose connections were idle took a restarted engine for the former one."""
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        engine = self.engine_of("r0")
+        daemon = self.daemons[0]
+        target = daemon.registry.targets[engine.instance]
+        daemon.restarts.report = lambda _target: Failure("no answer")
+        for connection in daemon.connection_pool.idle[engine.instance]:
+            connection.sock.shutdown(socket.SHUT_RDWR)
+        self.fleet.ask("/resumed/x", request_id="r1", stream=True)
+        self.assertEqual(self.engine_of("r1"), engine)
+        self.assertFalse(target.is_confirmed)
+        self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
