Soak: engines of several builds, and callers that take streams up

Engines are replaced, crash and start again under their id with another build, and break off in streams; callers take broken streams up with 'Resumes', mostly at another gateway ('--builds', in 'make soak'). Checked: no answer and no chain of tries has events of two builds, and of the streams taken up at gateways in touch while two engines of the build serve, half as many go on as new ones begin.

Ports of the soak's store, targets and proxies are below the ephemeral range.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -71,6 +71,8 @@
         Version of its software. Each event names it in a comment.
     born
         Time of its start, in its registration and its reports.
+    built_at
+        Monotonic time from which it has the build.
     """
 
     def __init__(self, instance: str, model: str = "", events: int = 8) -> None:
@@ -79,6 +81,7 @@
         self.events = events
         self.build = "v1"
         self.born = 1
+        self.built_at = time.monotonic()
         self.version = 1
         self.announced_version = 1
         self.work_s = 0.01
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -62,7 +62,10 @@
     ("gateway/handler.py", "_admit"): BEFORE_FORWARDING,
     ("gateway/handler.py", "_charge"): BEFORE_FORWARDING,
     ("gateway/handler.py", "_denial"): BEFORE_FORWARDING,
+    ("gateway/handler.py", "_source"): BEFORE_FORWARDING,
     ("gateway/handler.py", "_workspace"): BEFORE_FORWARDING,
+    ("gateway/resumedstreams.py", "_reject"): BEFORE_FORWARDING,
+    ("gateway/resumedstreams.py", "source_of"): BEFORE_FORWARDING,
     # Only while no target may have run the request (tests of RetryState).
     ("gateway/retrystate.py", "error_kind"): EXPLICIT_REFUSAL,
     ("gateway/sender.py", "_give_up"): EXPLICIT_REFUSAL,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -33,6 +33,9 @@
     parser.add_argument(
         "--cuts", action="store_true", help="cut gateways off from all targets"
     )
+    parser.add_argument(
+        "--builds", action="store_true", help="engines of several builds are replaced"
+    )
     arguments = parser.parse_args()
     seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
     failed = 0
@@ -46,6 +49,7 @@
             folder,
             arguments.deal,
             arguments.cuts,
+            arguments.builds,
         )
         print(result.summary, flush=True)
         for problem in result.problems:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -15,18 +15,30 @@
 
     from tools.soak.testbed import Gateway, Testbed
 
+from tools.soak.builds import serving
 from tools.soak.connecting import connect
 from tools.soak.testbed import HOST, MODEL
 
 DEADLINE_S = 2.0
 MEAN_PAUSE_S = 0.05
 KINDS = ("safe", "unsafe", "resumed", "once")
+MAX_TAKE_UPS = 2
 KEYS = ("k0", "k1", "k2")
 
 
 @attrs.define
 class CallerRequest:
-    """One request of a caller and its answer."""
+    """One request of a caller and its answer.
+
+    Attributes
+    ----------
+    resumes
+        Id of the request that brought the stream's first event; empty for a new stream.
+    after
+        Id of the event after which the stream is taken up.
+    engines_of_build
+        Engines of the stream's build that served when it was taken up.
+    """
 
     request_id: str
     kind: str
@@ -37,6 +49,9 @@
     raw_answer: bytes = b""
     ended_at: float = 0.0
     complete: bool = False
+    resumes: str = ""
+    after: int = 0
+    engines_of_build: int = 0
 
     @property
     def status(self) -> int:
@@ -44,6 +59,22 @@
         parts = self.raw_answer.split(b" ", 2)
         return int(parts[1]) if len(parts) > 2 and parts[1].isdigit() else 0
 
+    @property
+    def events(self) -> list[bytes]:
+        """Return the complete events of a stream."""
+        return [item for item in self.raw_answer.split(b"id: ")[1:] if item.count(b"\n") > 2]
+
+    @property
+    def builds(self) -> set[str]:
+        """Return the builds of the engines that wrote the events."""
+        lines = (event.split(b"\n")[1] for event in self.events)
+        return {line.removeprefix(b": build ").decode() for line in lines}
+
+    @property
+    def last_event(self) -> int:
+        """Return the id of the last event that the caller has of the stream."""
+        return int(self.events[-1].split(b"\n")[0]) if self.events else self.after
+
 
 class Caller:
     """Sends one request at a time, over a persistent connection where possible."""
@@ -62,13 +93,23 @@
     def run(self) -> None:
         """Send requests until the greenlet is killed."""
         while True:
-            self.send_request()
+            request = self.send_request()
+            for _ in range(MAX_TAKE_UPS):
+                if request is None or request.complete or not request.last_event:
+                    break
+                request = self.send_request(takes_up=request)
             gevent.sleep(MEAN_PAUSE_S * self.random.random() * 2)
 
-    def send_request(self) -> None:
-        """Send one request and record its answer."""
+    def send_request(self, takes_up: CallerRequest | None = None) -> CallerRequest | None:
+        """Send one request and record its answer.
+
+        Parameters
+        ----------
+        takes_up
+            Request whose stream broke off and is taken up, often at another gateway.
+        """
         if not self._connect():
-            return
+            return None
         assert self.gateway is not None and self.sock is not None
         kind = self.random.choice(KINDS)
         if self.random.random() < 0.1:
@@ -78,6 +119,11 @@
         request = CallerRequest(
             name, kind, key, self.gateway.name, self.gateway.start_count, time.monotonic()
         )
+        if takes_up is not None:
+            request.kind, request.key = takes_up.kind, takes_up.key
+            request.resumes = takes_up.resumes or takes_up.request_id
+            request.after = takes_up.last_event
+            request.engines_of_build = self._engines_of_build(request.resumes)
         self.requests.append(request)
         try:
             with gevent.Timeout(DEADLINE_S + 1.0, TimeoutError):
@@ -88,6 +134,11 @@
         request.ended_at = time.monotonic()
         if not request.complete or b"connection: close" in request.raw_answer[:600].lower():
             self._disconnect()
+        return request
+
+    def _engines_of_build(self, resumes: str) -> int:
+        first = next(item for item in self.requests if item.request_id == resumes)
+        return min((serving(self.testbed, build) for build in first.builds), default=0)
 
     def _connect(self) -> bool:
         if self.sock is not None and self.random.random() > 0.05:
@@ -119,6 +170,8 @@
         ]
         if request.kind in ("resumed", "once"):
             lines += [f"Model: {MODEL}", "Token-Usage: 900,10", "Prompt-Prefix: ab:600,cd:300"]
+        if request.resumes:
+            lines += [f"Resumes: {request.resumes}", f"Last-Event-Id: {request.after}"]
         if body:
             lines.append(f"Content-Length: {len(body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -108,7 +108,8 @@
         name = request.request_id.encode()
         if request.kind in ("resumed", "once"):
             found = [x for x in request.raw_answer.split(b"\n") if x.startswith(b"data: ")]
-            if found != [b"data: %b-%d" % (name, n) for n in range(1, STREAM_EVENTS + 1)]:
+            first = request.after + 1
+            if found != [b"data: %b-%d" % (name, n) for n in range(first, STREAM_EVENTS + 1)]:
                 self.problems.append(
                     f"{request.request_id}: the stream ended cleanly but its events are wrong"
                 )
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -29,13 +29,13 @@
 class Proxy:
     """Listens on behalf of one target and forwards data according to the mode."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, listen_port: int = 0) -> None:
         host, _, port = target.rpartition(":")
         self.target = (host, int(port))
         self.mode = Mode.PASS
         self.delay_s = 0.15
         self.open_sockets: set[Any] = set()
-        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server = StreamServer(("127.0.0.1", listen_port), self._serve)
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -8,6 +8,7 @@
 import attrs
 import gevent
 
+from tools.soak.builds import BuildInjector, check_builds
 from tools.soak.callers import Caller
 from tools.soak.checks import RunChecker
 from tools.soak.cuts import CutInjector, check_cuts
@@ -54,6 +55,7 @@
     folder: pathlib.Path,
     in_rounds: bool = False,
     with_cuts: bool = False,
+    with_builds: bool = False,
 ) -> SoakResult:
     """Run gateways under faults and check the guarantees.
 
@@ -63,6 +65,8 @@
         Whether each kind of fault is injected once before any repeats.
     with_cuts
         Whether gateways also lose their paths to all targets.
+    with_builds
+        Whether engines of several builds serve and are replaced.
     """
     testbed = Testbed(folder, gateways, with_cuts=with_cuts)
     try:
@@ -77,13 +81,16 @@
         caller_greenlets = [gevent.spawn(caller.run) for caller in all_callers]
         injector = FaultInjector(testbed, seed, in_rounds)
         cuts = CutInjector(testbed, seed)
+        builds = BuildInjector(testbed, seed)
         others = [
             gevent.spawn(NoticeInjector(testbed, seed).run, seconds),
             gevent.spawn(cuts.run, seconds if with_cuts else 0.0),
+            gevent.spawn(builds.run, seconds if with_builds else 0.0),
         ]
         injector.run(seconds)
         gevent.joinall(others)
         injector.intervals.extend(cut.interval for cut in cuts.cuts)
+        injector.intervals.extend(builds.intervals)
         for gateway in testbed.gateways:
             testbed.start(gateway)
         gevent.sleep(RECOVERY_S)
@@ -102,6 +109,7 @@
         problems = checker.check()
         problems += NoticeChecker(testbed, checker.requests, injector.intervals).check()
         problems += check_cuts(testbed, cuts.cuts, checker.requests, injector.intervals)
+        problems += check_builds(checker.requests, injector.intervals)
     finally:
         testbed.stop()
     served = sum(item.status == 200 and item.complete for item in finished)
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -35,6 +35,7 @@
 DRAIN_S = 2.0
 GRACE_S = 6.0
 READINESS_PERIOD_S = 0.5
+MAX_TARGETS = 300
 GATEWAY_PORTS = range(10_000, 32_000)
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
@@ -79,7 +80,10 @@
         self.folder = folder
         self.gateway_module = "tools.soak.cutgateway" if with_cuts else "agaterail.gateway"
         self.store = PlatformStoreStandIn()
-        self.store_proxy = Proxy(self.store.start())
+        # A port that other processes have used lately may still get their requests.
+        self.ports = iter(_free_ports(gateways * 6 + 2 * MAX_TARGETS + 2))
+        store_address = self.store.start(port=next(self.ports))
+        self.store_proxy = Proxy(store_address, next(self.ports))
         self.targets: dict[str, PlatformTargetStandIn] = {}
         self.proxies: dict[str, Proxy] = {}
         self.services: dict[str, str] = {}
@@ -88,7 +92,6 @@
         self.weights_version = 1
         self.keys = {"k0": "w1", "k1": "w1", "k2": "w2"}
         self.revoked_at: dict[str, float] = {}
-        self.ports = iter(_free_ports(gateways * 6))
         for number in range(2):
             self.add_target(f"p-{number}", PLAIN_SERVICE)
         for number in range(engines):
@@ -160,11 +163,14 @@
         value = json.dumps({"model": MODEL, "version": self.weights_version}).encode()
         self.store.put("keyed.op", f"version/{MODEL}", value)
 
-    def add_target(self, instance: str, service: str, model: str = "") -> None:
+    def add_target(
+        self, instance: str, service: str, model: str = "", build: str = "v1"
+    ) -> None:
         """Start a target behind a proxy and register it."""
         target = PlatformTargetStandIn(instance, model)
+        target.build = build
         target.version = target.announced_version = self.weights_version
-        proxy = Proxy(target.start())
+        proxy = Proxy(target.start(port=next(self.ports)), next(self.ports))
         self.targets[instance], self.proxies[instance] = target, proxy
         self.services[instance] = service
         target.on_loaded = lambda: self.register(instance)
