story joins the tries of a stream; losses names streams that were not taken up

A caller's tries have an id each, and a trace showed only the one asked for. Lines name the request that a try resumes, so all tries are shown together.

--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -33,6 +33,8 @@
     NOT_FORWARDED = "refused, no path and not run by the daemon that forwards"
     TARGETS_REFUSED = "refused by the targets"
     STALE_STATE = "refused for want of a fresh reading"
+    UNKNOWN_STREAM = "refused, the build of the resumed stream is not known"
+    BUILD_GONE = "refused, no target of the resumed stream's build"
     OTHER_REFUSAL = "refused otherwise"
     SILENT_TARGET = "target was silent"
     LOST_TARGET = "target broke off"
@@ -54,6 +56,8 @@
     "no_target": Cause.NO_USABLE_TARGET,
     "target_refused": Cause.TARGETS_REFUSED,
     "tables_unavailable": Cause.STALE_STATE,
+    "stream_unknown": Cause.UNKNOWN_STREAM,
+    "build_unavailable": Cause.BUILD_GONE,
     "target_timeout": Cause.SILENT_TARGET,
     "target_lost": Cause.LOST_TARGET,
 }
--- a/agaterail/requesttrace.py
+++ b/agaterail/requesttrace.py
@@ -35,6 +35,11 @@
         """Return the target that the line names; empty if none."""
         return str(dict(self.fields).get("target") or "")
 
+    @property
+    def resumes(self) -> str:
+        """Return the request whose stream this one takes up; empty if none."""
+        return str(dict(self.fields).get("resumes") or "")
+
     def __str__(self) -> str:
         pairs = " ".join(f"{name}={value}" for name, value in self.fields)
         return f"{self.timestamp} {self.host} {self.part}: {self.event} {pairs}".rstrip()
@@ -74,6 +79,8 @@
 def trace_request(lines: Iterable[LogLine], request_id: str, around_s: float) -> list[LogLine]:
     """Return a request's lines and the state changes on its hosts at that time.
 
+    If the request is one of several tries of a stream, the lines of all are returned.
+
     Parameters
     ----------
     around_s
@@ -82,7 +89,8 @@
         that found no usable target, the notices of all targets are included.
     """
     lines = list(lines)
-    request_lines = sorted(line for line in lines if line.request == request_id)
+    tries = _tries_of(lines, request_id)
+    request_lines = sorted(line for line in lines if line.request in tries)
     if not request_lines:
         return []
     hosts = {line.host for line in request_lines}
@@ -96,7 +104,7 @@
     state_lines = [
         line
         for line in lines
-        if line.request != request_id
+        if line.request not in tries
         and line.host in hosts
         and _is_about_state(line)
         and (line.target in targets or (found_no_target and line.part == NOTICE_PART))
@@ -105,6 +113,13 @@
     return sorted([*request_lines, *state_lines])
 
 
+def _tries_of(lines: Iterable[LogLine], request_id: str) -> set[str]:
+    """Return the ids of all tries of a stream, each of which names the first one."""
+    first_of = {line.request: line.resumes for line in lines if line.request and line.resumes}
+    first = first_of.get(request_id, request_id)
+    return {request_id, first, *(name for name, root in first_of.items() if root == first)}
+
+
 def _is_about_state(line: LogLine) -> bool:
     if line.request:
         return line.part == NOTICE_PART
--- a/tests/test_agaterail/test_requesttrace.py
+++ b/tests/test_agaterail/test_requesttrace.py
@@ -60,6 +60,19 @@
         )
         self.assertEqual(len(trace_request(lines, "r2", 2.0)), 1)
 
+    def test_the_tries_of_a_stream_are_traced_together(self):
+        texts = [
+            line(4.0, "a", "Stream cut.", request="r1"),
+            line(4.1, "b", "Stream taken up.", request="r2", resumes="r1"),
+            line(4.2, "c", "Stream not known.", request="r3", resumes="r1"),
+            line(4.3, "c", "Answered.", request="r4"),
+        ]
+        lines = parse_log_lines(texts)
+        for name in ("r1", "r2", "r3"):
+            with self.subTest(name):
+                found = trace_request(lines, name, 2.0)
+                self.assertEqual([item.request for item in found], ["r1", "r2", "r3"])
+
     def test_the_trace_of_an_unknown_request_is_empty(self):
         self.assertEqual(trace_request(parse_log_lines(self.texts), "r9", 2.0), [])
 
--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -19,6 +19,8 @@
 NOTICES_SEED, NOTICES_SECONDS = 11, 12.0
 # Long enough for a cut that gateways have learned of.
 CUTS_SEED, CUTS_SECONDS = 8, 12.0
+# The former product broke 8 streams of this seed.
+BUILDS_SEED, BUILDS_SECONDS = 6, 12.0
 
 
 class SoakTest(unittest.TestCase):
@@ -38,6 +40,13 @@
             result = soak(CUTS_SEED, CUTS_SECONDS, 4, 12, pathlib.Path(folder), with_cuts=True)
             self.assertEqual(result.problems, [])
 
+    def test_streams_are_of_one_build_while_engines_of_several_serve(self):
+        with tempfile.TemporaryDirectory() as folder:
+            result = soak(
+                BUILDS_SEED, BUILDS_SECONDS, 4, 16, pathlib.Path(folder), with_builds=True
+            )
+            self.assertEqual(result.problems, [])
+
     def test_gateway_that_two_faults_start_is_started_once(self):
         """A second process of a gateway went on after the run, as nobody knew it."""
         started = []
