A daemon whose forwarded answer broke off is asked again at once

Of four gateways a third was stopped and killed in the cut, so that one forwarded; each time that an engine behind it broke off in a stream it was left alone for a second, in which both cut gateways answered 503 'no usable target'.

It is asked at once now, which takes a few milliseconds, and used again when it answers that it forwards. The new test fails without the change, and passes in three runs with it.

--- a/agaterail/gateway/relaycontroller.py
+++ b/agaterail/gateway/relaycontroller.py
@@ -87,6 +87,8 @@
         Daemons that others named in their answers, the latest at the end.
     peers
         Daemons that were asked to forward, by address, as targets of requests.
+    verified
+        Daemons that are asked again after a failure.
     """
 
     period_s = PERIOD_S
@@ -114,6 +116,7 @@
         self.services: dict[str, ServiceRelays] = {}
         self.named: dict[str, None] = {}
         self.peers: dict[str, Target] = {}
+        self.verified: set[str] = set()
 
     def choose(self, service: str, excluded: Collection[str]) -> Target | None:
         """Return a daemon that forwards to a service, asking for one if necessary."""
@@ -165,9 +168,21 @@
             relays.candidates.record_denial(address, self.now())
 
     def record_failure(self, service: str, address: str) -> None:
-        """Record that a daemon could not be reached or broke off."""
+        """Record that a daemon could not be reached or broke off, and ask it again.
+
+        The target behind it may have broken off instead.
+        """
         relays = self.services.setdefault(service, ServiceRelays())
         relays.candidates.record_denial(address, self.now())
+        if address not in self.verified:
+            self.verified.add(address)
+            gevent.spawn(self._verify, service, relays, address)
+
+    def _verify(self, service: str, relays: ServiceRelays, address: str) -> None:
+        try:
+            self._ask_one(service, relays, address)
+        finally:
+            self.verified.discard(address)
 
     def step(self) -> None:
         """Keep candidates of the services that need them current."""
--- a/tests/test_agaterail/test_gateway/test_relaycontroller.py
+++ b/tests/test_agaterail/test_gateway/test_relaycontroller.py
@@ -337,3 +337,16 @@
             fleet.ask("/once/x", request_id=f"s{number}", stream=True)
         self.assertEqual(fleet.daemons[0].relays.services, {})
         self.assertEqual(fleet.daemons[0].relays.connections.connections, {})
+
+
+class LastForwarderTest(RelayTest):
+    gateways = 2
+
+    def test_an_engine_that_breaks_off_does_not_cost_the_last_forwarder(self):
+        """A daemon was left alone for a second since an engine behind it broke off."""
+        self.set_events(break_after=3)
+        self.assertFalse(self.fleet.ask("/once/x", request_id="r1", stream=True).whole_stream)
+        self.set_events(break_after=None)
+        for number in range(4):
+            answer = self.fleet.ask("/once/x", request_id=f"s{number}", stream=True)
+            self.assertTrue(answer.whole_stream)
