What a restarted engine says before it registers is kept

The engine had started anew under its id, and the gateway knew so ('Target started anew.' at 15.59), was told that it leaves (16.04), and then read the registration of the new start (the store was cut), which made a new target that had said nothing.

Notices of a target that reported a later start belong to that start: what it said before is forgotten when it reports the start, and what it says since then goes to the target that registers it. Test fails without the change.

--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -124,6 +124,7 @@
             target.confirm(asked_at)
             return
         target.record_break(self.now())
+        target.record_restart(born)
         logger.info(
             "Target started anew.",
             target=target.instance,
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -101,6 +101,8 @@
         Time at which it last ran for sure since the start that it registered.
     replaced
         Whether it has registered a later start.
+    reported_born
+        Later start that it reported and has not registered yet; 0 if there is none.
     lapsed_at
         Time at which its registration was found missing shortly after an outage of the
         store; None if it is present.
@@ -125,6 +127,7 @@
     broken_at: float = float("-inf")
     confirmed_at: float = float("-inf")
     replaced: bool = False
+    reported_born: int = 0
     gone: bool = False
     versions_seen: dict[str, int] = attrs.field(factory=dict)
 
@@ -160,6 +163,23 @@
             self.unconfirmed_since = None
             self.confirmed_at = max(self.confirmed_at, at)
 
+    def record_restart(self, born: int) -> None:
+        """Record a start that was not registered yet, and forget what it said before."""
+        if born == self.reported_born:
+            return
+        self.reported_born = born
+        self.leaving = False
+        self.rate_limit = self.brittle = None
+        self.rest_until = float("-inf")
+
+    def adopt_notices(self, former: Target) -> None:
+        """Take over what the target said since the start that it has registered now."""
+        if former.reported_born != self.registration.born:
+            return
+        self.leaving = self.leaving or former.leaving
+        self.rate_limit, self.brittle = former.rate_limit, former.brittle
+        self.rest_until = former.rest_until
+
     def build_at(self, opened_at: float) -> str:
         """Return the id of the build at a connection; empty if it is not known."""
         since = self.unconfirmed_since
@@ -280,6 +300,8 @@
             self._drop(known)
         target = Target(registration=registration)
         target.leaving = self.left.get(registration.instance) == registration.born
+        if known is not None:
+            target.adopt_notices(known)
         self.targets[registration.instance] = target
         self._add_to_index(target, registration.service)
         return target
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -88,6 +88,18 @@
         self.registry.remove("i-1", now=0.0)
         self.assertEqual([item.instance for item in self.registry.of_service("t")], ["i-2"])
 
+    def test_what_a_restarted_target_says_before_it_registers_is_kept(self):
+        """An engine said that it leaves, registered its restart, and got requests again."""
+        target = self.registry.put(make_registration(born=7))
+        target.leaving, target.rest_until = True, 50.0
+        target.record_restart(8)
+        self.assertEqual((target.leaving, target.rest_until), (False, float("-inf")))
+        target.leaving, target.rest_until = True, 90.0
+        target.record_restart(8)
+        restarted = self.registry.put(make_registration(born=8))
+        self.assertEqual((restarted.leaving, restarted.rest_until), (True, 90.0))
+        self.assertFalse(self.registry.put(make_registration(born=9)).leaving)
+
     def test_target_that_leaves_leaves_until_it_starts_anew(self):
         # Its registration lapses and is read again, or a heartbeat still says ready.
         target = self.registry.put(make_registration(born=7))
