--- a/agaterail/gateway/resumedstreams.py
+++ b/agaterail/gateway/resumedstreams.py
@@ -81,7 +81,7 @@
         source = None if found is None else found.source
         known_by = "only_build"
         if found is not None and source is not None:
-            known_by = "own" if found.known_by == "own" else "peer"
+            known_by = "peer" if found.peer else "own"
             reason = "" if source.is_known else "records contradict"
         else:
             source, reason = self._only_source(inbound)
@@ -142,7 +142,7 @@
             after_event=inbound.last_event_id[:MAX_LOGGED_ID],
             service=None if source is None else source.service,
             build=None if source is None else source.build,
-            peer=None if found is None else found.known_by or None,
+            peer=None if found is None else found.peer or None,
             age_s=None if found is None else round(found.age_s, 3),
             asked=None if found is None else found.asked,
             answered=None if found is None else found.answered,
--- a/agaterail/gateway/streamcontroller.py
+++ b/agaterail/gateway/streamcontroller.py
@@ -53,14 +53,14 @@
     ----------
     source
         None if no daemon that answered has a record.
-    known_by
-        Who had the record: ``own``, or the address of a daemon.
+    peer
+        Address of the daemon that had the record; empty if this one had it.
     asked, answered
         Numbers of daemons.
     """
 
     source: StreamSource | None
-    known_by: str = ""
+    peer: str = ""
     age_s: float = 0.0
     asked: int = 0
     answered: int = 0
@@ -188,7 +188,7 @@
         now = self.now()
         own = self.records.find(key, self.valid_s(), now)
         if own is not None:
-            return FoundSource(own.source, "own", now - own.recorded_at)
+            return FoundSource(own.source, age_s=now - own.recorded_at)
         asked = self._daemons_to_ask(key)
         question = _Question(waiting=len(asked))
         if not asked:
