A restart is noticed as soon as the engine can be connected again

Its logs were not kept, so two causes are named and both mended. An engine that could not be reached was asked for its start after pauses of up to 2 s; what it said in between, of its new start, counted for the former one and was dropped with it. It is asked now with the first connection that opens. And the injector restarted an engine that had begun to leave while it was down; it only comes back now.

The unit test fails without the change.

--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -68,6 +68,11 @@
             self.repairing.add(target.instance)
             gevent.spawn(self._repair, target)
 
+    def record_connect(self, target: Target) -> None:
+        """Ask a target that may have started anew as soon as it can be connected."""
+        if not target.is_confirmed and target.registration.weights:
+            self._question(target)
+
     def confirm(self, target: Target) -> bool:
         """Return whether a target runs since the start that it registered.
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -405,7 +405,7 @@
         idempotent = self.context.route.idempotent
         pool = self.daemon.relays.pool if choice.relayed else self.daemon.connection_pool
         try:
-            return pool.acquire(choice.target, idempotent, timeout_s)
+            connection = pool.acquire(choice.target, idempotent, timeout_s)
         except OSError as error:
             if choice.relayed:
                 outcome = AttemptOutcome.NOT_RELAYED
@@ -416,6 +416,9 @@
             self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
+        if not choice.relayed:
+            self.daemon.restarts.record_connect(choice.target)
+        return connection
 
     def _check_wait(self, choice: Choice, now: float) -> Failure | None:
         wait_s = self.daemon.expected_wait_s(self.context, choice)
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -75,6 +75,17 @@
         self.assertFalse(question.value)
         self.assertEqual(target.build_at(opened_at=self.now), "")
 
+    def test_a_restart_is_noticed_when_the_target_can_be_connected_again(self):
+        """What a restarted engine said counted for its former start for seconds."""
+        target = make_target()
+        self.answers = Failure("refused")
+        self.controller.record_break(target)
+        gevent.sleep(0.05)
+        self.answers = Success(SimpleNamespace(born=6))
+        self.controller.record_connect(target)
+        gevent.sleep(0.02)
+        self.assertEqual((self.asked, target.reported_born), (2, 6))
+
     def test_targets_that_serve_no_model_are_not_asked(self):
         target = make_target(weights={})
         self.assertTrue(self.controller.confirm(target))
--- a/tools/soak/builds.py
+++ b/tools/soak/builds.py
@@ -76,9 +76,10 @@
         start = time.monotonic()
         proxy.set_mode(Mode.REFUSE)
         gevent.sleep(self.random.uniform(0.2, 1.0))
-        target.build, target.born = self.random.choice(BUILDS), target.born + 1
-        target.orders, target.fence = 0, -1
-        target.built_at = time.monotonic()
+        if not target.leaving:  # one that said so meanwhile is only cut off
+            target.build, target.born = self.random.choice(BUILDS), target.born + 1
+            target.orders, target.fence = 0, -1
+            target.built_at = time.monotonic()
         proxy.set_mode(Mode.PASS)
         gevent.sleep(self.random.uniform(0.0, 0.05))
         self.testbed.register(name)
