Rests and limits outlast a restart; an engine is asked once for its new start

The engine had started anew after 0.9 s of it, and the gateway forgot the rest when the engine reported so. A new start may well take requests, but nothing tells so; a rest ends within seconds by itself and a limit with the next answer that names none, so both are kept. That an engine leaves still holds only for the start that said so.

In the same log one engine was asked 22 times in 3 s for a start that it had reported already. It is asked no more until that start is registered.

--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -70,7 +70,7 @@
 
     def record_connect(self, target: Target) -> None:
         """Ask a target that may have started anew as soon as it can be connected."""
-        if not target.is_confirmed and target.registration.weights:
+        if self._may_learn(target) and target.registration.weights:
             self._question(target)
 
     def confirm(self, target: Target) -> bool:
@@ -80,10 +80,13 @@
         """
         if not target.registration.weights:
             return target.is_confirmed
-        if not self._is_valid(target):
+        if not self._is_valid(target) and not target.reported_born:
             self._question(target).join(CONFIRM_TIMEOUT_S)
         return self._is_valid(target)
 
+    def _may_learn(self, target: Target) -> bool:
+        return not target.is_confirmed and not target.reported_born
+
     def _is_valid(self, target: Target) -> bool:
         is_recent = self.now() - target.confirmed_at < CONFIRMED_VALID_S
         return is_recent and target.is_confirmed and not target.gone
@@ -99,9 +102,9 @@
         """Ask a target until it has answered or is gone."""
         tries = 0
         try:
-            while target.is_ready and not target.is_confirmed:
+            while target.is_ready and self._may_learn(target):
                 self._question(target).join()
-                if not target.is_confirmed:
+                if self._may_learn(target):
                     gevent.sleep(backoff_s(tries, INITIAL_PAUSE_S, MAX_PAUSE_S))
                 tries += 1
         finally:
@@ -130,6 +133,7 @@
             return
         target.record_break(self.now())
         target.record_restart(born)
+        # Until this start is registered, nothing more is to be learned.
         logger.info(
             "Target started anew.",
             target=target.instance,
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -164,21 +164,21 @@
             self.confirmed_at = max(self.confirmed_at, at)
 
     def record_restart(self, born: int) -> None:
-        """Record a start that was not registered yet, and forget what it said before."""
-        if born == self.reported_born:
-            return
-        self.reported_born = born
-        self.leaving = False
-        self.rate_limit = self.brittle = None
-        self.rest_until = float("-inf")
+        """Record a start that was not registered yet; a former one may have left."""
+        if born != self.reported_born:
+            self.reported_born = born
+            self.leaving = False
 
     def adopt_notices(self, former: Target) -> None:
-        """Take over what the target said since the start that it has registered now."""
-        if former.reported_born != self.registration.born:
-            return
-        self.leaving = self.leaving or former.leaving
+        """Take over what the target may have said since the start that it registered now.
+
+        Limits and rests end by themselves. That it leaves holds only for the start that
+        said so.
+        """
         self.rate_limit, self.brittle = former.rate_limit, former.brittle
         self.rest_until = former.rest_until
+        if former.reported_born == self.registration.born:
+            self.leaving = self.leaving or former.leaving
 
     def build_at(self, opened_at: float) -> str:
         """Return the id of the build at a connection; empty if it is not known."""
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -85,6 +85,9 @@
         self.controller.record_connect(target)
         gevent.sleep(0.02)
         self.assertEqual((self.asked, target.reported_born), (2, 6))
+        self.controller.record_connect(target)
+        self.assertFalse(self.controller.confirm(target))
+        self.assertEqual(self.asked, 2)
 
     def test_targets_that_serve_no_model_are_not_asked(self):
         target = make_target(weights={})
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -93,12 +93,13 @@
         target = self.registry.put(make_registration(born=7))
         target.leaving, target.rest_until = True, 50.0
         target.record_restart(8)
-        self.assertEqual((target.leaving, target.rest_until), (False, float("-inf")))
+        self.assertEqual((target.leaving, target.rest_until), (False, 50.0))
         target.leaving, target.rest_until = True, 90.0
         target.record_restart(8)
         restarted = self.registry.put(make_registration(born=8))
         self.assertEqual((restarted.leaving, restarted.rest_until), (True, 90.0))
-        self.assertFalse(self.registry.put(make_registration(born=9)).leaving)
+        again = self.registry.put(make_registration(born=9))
+        self.assertEqual((again.leaving, again.rest_until), (False, 90.0))
 
     def test_target_that_leaves_leaves_until_it_starts_anew(self):
         # Its registration lapses and is read again, or a heartbeat still says ready.
