A reported restart leaves no connection that proves the former build

Its gateway had read 'Target started anew.' of the engine that began it (born 2, registered 1) 0.35 s before, and took it for the registered build all the same: a connection to the new start had been opened before the first break was seen, so it passed for one from before the restart, and its data ended the doubt.

Once an engine has reported a start that is not registered, nothing confirms the registered one, and what it begins is of an unknown build. The new test fails without the change.

--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -159,7 +159,7 @@
 
     def confirm(self, at: float) -> None:
         """Record that the target ran at a time since the start that it registered."""
-        if at >= self.broken_at:
+        if at >= self.broken_at and not self.reported_born:
             self.unconfirmed_since = None
             self.confirmed_at = max(self.confirmed_at, at)
 
@@ -183,7 +183,7 @@
     def build_at(self, opened_at: float) -> str:
         """Return the id of the build at a connection; empty if it is not known."""
         since = self.unconfirmed_since
-        if self.replaced:
+        if self.replaced or self.reported_born:
             return ""
         return self.registration.build_id if since is None or opened_at < since else ""
 
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -89,6 +89,16 @@
         self.assertFalse(self.controller.confirm(target))
         self.assertEqual(self.asked, 2)
 
+    def test_connections_from_before_say_nothing_once_a_restart_is_reported(self):
+        """A connection to the new start, opened before any break, passed for the former."""
+        target = make_target()
+        self.answers = Success(SimpleNamespace(born=6))
+        self.controller.record_break(target)
+        gevent.sleep(0.05)
+        self.now += 1.0
+        target.confirm(self.now)
+        self.assertEqual(target.build_at(opened_at=99.0), "")
+
     def test_targets_that_serve_no_model_are_not_asked(self):
         target = make_target(weights={})
         self.assertTrue(self.controller.confirm(target))
