--- a/tools/soak/builds.py
+++ b/tools/soak/builds.py
@@ -80,6 +80,8 @@
             target.build, target.born = self.random.choice(BUILDS), target.born + 1
             target.orders, target.fence = 0, -1
             target.built_at = time.monotonic()
+        # Another fault may have let connections through meanwhile.
+        proxy.reset_all()
         proxy.set_mode(Mode.PASS)
         gevent.sleep(self.random.uniform(0.0, 0.05))
         self.testbed.register(name)
@@ -114,7 +116,9 @@
 
 
 def check_builds(
-    requests: Sequence[CallerRequest], intervals: Sequence[FaultInterval]
+    testbed: Testbed,
+    requests: Sequence[CallerRequest],
+    intervals: Sequence[FaultInterval],
 ) -> list[str]:
     """Return a description of every stream of two builds, and of too few taken up."""
     problems = []
@@ -125,9 +129,14 @@
         chain = chains.setdefault(request.resumes or request.request_id, set())
         chain |= request.builds
         if len(request.builds) > 1 or len(chain) > 1:
+            engines = [
+                name
+                for name, target in testbed.targets.items()
+                if any(run.request_id == request.request_id for run in target.runs)
+            ]
             problems.append(
                 f"{request.request_id}: events of builds {sorted(chain)},"
-                f" resumes {request.resumes or 'none'}, by {request.gateway}"
+                f" resumes {request.resumes or 'none'}, by {request.gateway} at {engines}"
             )
     new = [item for item in requests if item.kind == "resumed" and not item.resumes]
     begun = sum(bool(item.builds) for item in new)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -109,7 +109,7 @@
         problems = checker.check()
         problems += NoticeChecker(testbed, checker.requests, injector.intervals).check()
         problems += check_cuts(testbed, cuts.cuts, checker.requests, injector.intervals)
-        problems += check_builds(checker.requests, injector.intervals)
+        problems += check_builds(testbed, checker.requests, injector.intervals)
     finally:
         testbed.stop()
     served = sum(item.status == 200 and item.complete for item in finished)
