A stream is given up if the engine that broke off is of a later start

The engine had started anew as v3 at 31.5 s while the store was cut; its gateway had no connection to it then and saw no break, opened one at 34.7, took what the engine wrote for v1, and went on at another v1 engine when it broke off. It read 'Target started anew.' 15 ms after the break.

An engine that breaks off a stream which it began is asked for its start before the stream goes on, for 0.1 s at most; one that crashed refuses at once. If it reports a later start than it registered, the stream ends, and a record that contradicts the former one keeps other hosts from taking it up. The new test fails without the change. Left: such an engine that crashes before it can be asked.

--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -27,6 +27,8 @@
 # without its protocol's not-run marker may have run it all the same.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MIN_SERVER_ERROR_STATUS = 500
+# An engine that broke off has this long to report its start. One that crashed refuses.
+BROKEN_TIMEOUT_S = 0.1
 
 
 @attrs.frozen
@@ -81,6 +83,7 @@
                     return self._fail(started)
                 if self._relay_answer(started):
                     return None
+                self._check_source()
         finally:
             for attempt in (self.attempt, self.hedge):
                 if attempt is not None:
@@ -331,6 +334,28 @@
                 key = stream_key(context.workspace_name, context.inbound.request_id)
                 self.daemon.streams.record(key, context.source)
 
+    def _check_source(self) -> None:
+        """Give a stream's source up if the engine that broke off is of a later start.
+
+        It may have been when the stream began, as its registration was not read yet.
+        """
+        attempt, context = self.attempt, self.context
+        if context.source is None or attempt is None or attempt.choice.relayed:
+            return
+        if not attempt.has_events or not context.source.is_known:
+            return
+        self.daemon.restarts.confirm(attempt.target, BROKEN_TIMEOUT_S)
+        if not attempt.target.reported_born:
+            return
+        self.sender.log("Build of the stream given up.", attempt.choice)
+        if not context.relayed:
+            key = stream_key(context.workspace_name, context.inbound.request_id)
+            # It contradicts the former record, so that no host goes on with the stream.
+            self.daemon.streams.record(
+                key, StreamSource(context.service, attempt.target.reported_build_id)
+            )
+        context.source = StreamSource(context.service, "")
+
     def _mark_answer_started(self) -> None:
         self.answer_started = True
         if self.context.relayed:
--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -73,7 +73,7 @@
         if self._may_learn(target) and target.registration.weights:
             self._question(target)
 
-    def confirm(self, target: Target) -> bool:
+    def confirm(self, target: Target, timeout_s: float = CONFIRM_TIMEOUT_S) -> bool:
         """Return whether a target runs since the start that it registered.
 
         Targets that serve no model cannot be asked.
@@ -81,7 +81,7 @@
         if not target.registration.weights:
             return target.is_confirmed
         if not self._is_valid(target) and not target.reported_born:
-            self._question(target).join(CONFIRM_TIMEOUT_S)
+            self._question(target).join(timeout_s)
         return self._is_valid(target)
 
     def _may_learn(self, target: Target) -> bool:
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -30,6 +30,11 @@
 UNNAMED_BUILD = "start:"
 
 
+def unnamed_build(instance: str, born: int) -> str:
+    """Return the id of a build of which only one start of a target is known."""
+    return f"{UNNAMED_BUILD}{instance}/{born}"
+
+
 @attrs.frozen(kw_only=True)
 class Registration:
     """A target's own registration in the platform's store.
@@ -63,7 +68,7 @@
         """
         if self.build:
             return f"{NAMED_BUILD}{self.build}"
-        return f"{UNNAMED_BUILD}{self.instance}/{self.born}"
+        return unnamed_build(self.instance, self.born)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -163,6 +168,11 @@
             self.unconfirmed_since = None
             self.confirmed_at = max(self.confirmed_at, at)
 
+    @property
+    def reported_build_id(self) -> str:
+        """Return the id of the build of the start that it reported."""
+        return unnamed_build(self.instance, self.reported_born)
+
     def record_restart(self, born: int) -> None:
         """Record a start that was not registered yet; a former one may have left."""
         if born != self.reported_born:
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -170,3 +170,16 @@
         self.assertEqual(self.engine_of("r1"), engine)
         self.assertFalse(target.is_confirmed)
         self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
+
+    def test_a_stream_that_a_restarted_engine_began_unnoticed_does_not_go_on(self):
+        """A host without connections to an engine took its new start for the former one."""
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        engine = self.engine_of("r0")
+        former = engine.build
+        engine.build, engine.born = "v9", 2
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual(self.engine_of("r1"), engine)
+        self.assertEqual((answer.builds, answer.whole_stream), ({"v9"}, False))
+        self.assertTrue(any(item.build == former for item in self.engines))
+        gevent.sleep(0.05)
+        self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
