A build with an implausible name costs no other stream its record

Read in the diff: a registration from another writer may name a version of any length, its record exceeds what daemons accept, and they refuse the message with all records in it. Such a record stays at the host. The test fails without the change.

--- a/agaterail/gateway/streamcontroller.py
+++ b/agaterail/gateway/streamcontroller.py
@@ -130,7 +130,8 @@
         """Record a stream's source here and, soon after, at other daemons."""
         self.records.put(key, source, self.valid_s(), self.now())
         entry = StreamEntry(key, source.service, source.build)
-        self._enqueue(entry, self._keepers(key)[:COPIES])
+        if entry.is_valid:
+            self._enqueue(entry, self._keepers(key)[:COPIES])
 
     def _enqueue(self, entry: StreamEntry, keepers: Sequence[str]) -> None:
         for address in keepers:
--- a/tests/test_agaterail/test_gateway/test_streamcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_streamcontroller.py
@@ -254,6 +254,15 @@
         self.assertEqual({call[0] for call in self.peers.calls}, set(ranked[:COPIES]))
         self.assertEqual(len(self.peers.calls), COPIES)
 
+    def test_a_build_with_an_implausible_name_does_not_cost_other_records(self):
+        """Daemons refuse a whole message if one of its records is implausible."""
+        self.controller.record(stream_key("w", "r0"), StreamSource("s", "b" * 1000))
+        self.record("r1")
+        for call in self.peers.calls:
+            entries = streamprotocol.decode_entries(call[3]).unwrap()
+            self.assertEqual([entry.build for entry in entries], [self.source.build])
+        self.assertEqual(len(self.peers.calls), COPIES)
+
     def test_a_daemon_that_keeps_no_records_is_replaced(self):
         """Daemons of a former release answer 404 to records."""
         key = stream_key("w", "r1")
