--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -351,7 +351,7 @@
         if not context.relayed:
             key = stream_key(context.workspace_name, context.inbound.request_id)
             # It contradicts the former record, so that no host goes on with the stream.
-            self.daemon.streams.record(
+            self.daemon.streams.withdraw(
                 key, StreamSource(context.service, attempt.target.reported_build_id)
             )
         context.source = StreamSource(context.service, "")
--- a/agaterail/gateway/streamcontroller.py
+++ b/agaterail/gateway/streamcontroller.py
@@ -34,6 +34,8 @@
 MAX_ASKED = 8
 # Records of about the same time leave together. A caller needs longer to come back.
 BATCH_S = 0.005
+# Time for a record to reach daemons that are a few milliseconds away.
+WITHDRAW_S = 0.03
 MAX_QUEUED = 4 * streamprotocol.MAX_BATCH
 # A busy daemon may still have the record; the first answer that has it ends the wait.
 FIND_TIMEOUT_S = 0.3
@@ -133,6 +135,11 @@
         if entry.is_valid:
             self._enqueue(entry, self._keepers(key)[:COPIES])
 
+    def withdraw(self, key: bytes, source: StreamSource) -> None:
+        """Record what contradicts a former record, before the caller can come back."""
+        self.record(key, source)
+        gevent.sleep(WITHDRAW_S)
+
     def _enqueue(self, entry: StreamEntry, keepers: Sequence[str]) -> None:
         for address in keepers:
             if address not in self.queues:
--- a/tests/test_agaterail/test_gateway/test_streamcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_streamcontroller.py
@@ -254,6 +254,11 @@
         self.assertEqual({call[0] for call in self.peers.calls}, set(ranked[:COPIES]))
         self.assertEqual(len(self.peers.calls), COPIES)
 
+    def test_a_withdrawal_has_been_sent_when_it_returns(self):
+        """A caller came back within two milliseconds, before other daemons knew of it."""
+        self.controller.withdraw(stream_key("w", "r1"), self.source)
+        self.assertEqual(len(self.peers.calls), COPIES)
+
     def test_a_build_with_an_implausible_name_does_not_cost_other_records(self):
         """Daemons refuse a whole message if one of its records is implausible."""
         self.controller.record(stream_key("w", "r0"), StreamSource("s", "b" * 1000))
