--- a/agaterail/gateway/targetcoordination.py
+++ b/agaterail/gateway/targetcoordination.py
@@ -62,10 +62,32 @@
     def encode(self, target: str, demand: Demand) -> str:
         """Return the path and query string of a question."""
 
+    @abc.abstractmethod
+    def decode(self, query: bytes) -> tuple[str, str, Demand]:
+        """Return the daemon, the target and the demand of a question.
+
+        Raises
+        ------
+        ValueError
+            If the query string is malformed.
+        """
+
     @abc.abstractmethod
     def grant(self, target: str, demand: Demand) -> float:
         """Return the seconds until a request may be sent, by this daemon's accounts."""
 
+    def answer(self, query: bytes) -> bytes:
+        """Answer a peer's question.
+
+        Raises
+        ------
+        ValueError
+            If the query is malformed.
+        """
+        daemon, target, demand = self.decode(query)
+        self.coordinators.record_contact(daemon)
+        return msgspec.msgpack.encode(self.grant_as_coordinator(target, demand))
+
     def ask(self, target: str, demand: Demand) -> float | None:
         """Return a coordinator's answer, or None if there is none."""
         for _ in range(COORDINATORS):
--- a/agaterail/gateway/targetlimitcontroller.py
+++ b/agaterail/gateway/targetlimitcontroller.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote
 
-import msgspec
-
 from agaterail.decisions.ratelimits import PermitLedger, PermitRequest
 from agaterail.gateway.coordinators import query_path, split_query
 from agaterail.gateway.targetcoordination import TargetCoordination, parse_thousandths
@@ -74,22 +72,14 @@
         self.metrics.permits.labels(source, "granted" if admitted else "denied").inc()
         return admitted
 
-    def answer(self, query: bytes) -> bytes:
-        """Answer a peer's request for a permit.
-
-        Raises
-        ------
-        ValueError
-            If the query is malformed.
-        """
-        daemon, target, demand = decode_query(query)
-        self.coordinators.record_contact(daemon)
-        return msgspec.msgpack.encode(self.grant_as_coordinator(target, demand))
-
     def encode(self, target: str, demand: PermitRequest) -> str:
         """Return the path and query string of a question."""
         return encode_query(self.coordinators.name, target, demand)
 
+    def decode(self, query: bytes) -> tuple[str, str, PermitRequest]:
+        """Return the daemon, the target and the demand of a question."""
+        return decode_query(query)
+
     def grant(self, target: str, demand: PermitRequest) -> float:
         """Return the seconds until there is a permit, by this daemon's accounts."""
         fraction = self.coordinators.fleet_fraction()
--- a/agaterail/gateway/targetroomcontroller.py
+++ b/agaterail/gateway/targetroomcontroller.py
@@ -7,7 +7,6 @@
 
 import attrs
 import gevent
-import msgspec
 
 from agaterail.decisions.rooms import RoomLedger
 from agaterail.gateway.coordinators import query_path, split_query
@@ -102,22 +101,14 @@
         self.own.refuse(target.instance, share, self.now())
         gevent.spawn(self.ask, target.instance, RoomRequest(bearable, refused=True))
 
-    def answer(self, query: bytes) -> bytes:
-        """Answer a peer's question.
-
-        Raises
-        ------
-        ValueError
-            If the query is malformed.
-        """
-        daemon, target, demand = decode_query(query)
-        self.coordinators.record_contact(daemon)
-        return msgspec.msgpack.encode(self.grant_as_coordinator(target, demand))
-
     def encode(self, target: str, demand: RoomRequest) -> str:
         """Return the path and query string of a question."""
         return encode_query(self.coordinators.name, target, demand)
 
+    def decode(self, query: bytes) -> tuple[str, str, RoomRequest]:
+        """Return the daemon, the target and the demand of a question."""
+        return decode_query(query)
+
     def grant(self, target: str, demand: RoomRequest) -> float:
         """Return the seconds until the target may have room, by this daemon's accounts."""
         # A coordinator of a part of the fleet only may not use up what the target bears.
