Request context: names of workspace and build are read in one place

The build of a stream and the name of a workspace, empty if there is none, were worked out at three places beside the property that had one of them. No change of behaviour.

--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -359,9 +359,7 @@
     def _mark_answer_started(self) -> None:
         self.answer_started = True
         if self.context.relayed:
-            source = self.context.source
-            build = "" if source is None else source.build
-            lines = relayprotocol.forwarded_lines(self.context.target, build)
+            lines = relayprotocol.forwarded_lines(self.context.target, self.context.build)
             self.context.caller.extra_lines = lines
         self.context.first_byte_at = self.daemon.now()
 
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -56,6 +56,11 @@
         """Return the name of the workspace; empty if there is none."""
         return "" if self.workspace is None else self.workspace.name
 
+    @property
+    def build(self) -> str:
+        """Return the id of the stream's build; empty if it is not known or not fixed."""
+        return "" if self.source is None else self.source.build
+
     @property
     def first_byte_s(self) -> float | None:
         """Return the seconds until the answer's first byte; None before it was sent."""
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -475,7 +475,7 @@
         head = AttemptHead(
             time_left_s=max(0.001, left - RETURN_MARGIN_S),
             instance=choice.target.instance,
-            workspace="" if context.workspace is None else context.workspace.name,
+            workspace=context.workspace_name,
             last_event_id=last_event_id,
             **attrs.asdict(directives),
         )
@@ -494,7 +494,7 @@
             left - RETURN_MARGIN_S,
             last_event_id,
             tried,
-            "" if self.context.source is None else self.context.source.build,
+            self.context.build,
         )
         return head, inbound.body
 
