--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -109,7 +109,7 @@
             logger.info("Store reachable again.", feed=self.feed.value, failures=failures)
             hub.poller.selector.reset()
         if was_in_outage:
-            hub.daemon.registry.store_returned(hub.daemon.now())
+            hub.record_outage(hub.targets_age_s(), STORE)
             hub.store_answered.set()
             hub.store_answered.clear()
 
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -97,6 +97,10 @@
             or not self.poller.available_peers()
         )
 
+    def targets_age_s(self) -> float:
+        """Return the age of the newest reading of the targets."""
+        return self.daemon.now() - self.read_at[Feed.TARGETS]
+
     def apply_reading(self, feed: Feed, reading: Reading) -> None:
         """Apply a reading from the store or a peer."""
         if feed is Feed.OPERATORS and reading.records:
@@ -122,8 +126,27 @@
             self.daemon.freshness.confirm(reading.read_at)
 
     def _detect_outage(self, reading: Reading) -> None:
-        if reading.read_at - self.read_at[Feed.TARGETS] > OUTAGE_THRESHOLD_S:
-            self.daemon.registry.store_returned(self.daemon.now())
+        gap_s = reading.read_at - self.read_at[Feed.TARGETS]
+        if gap_s > OUTAGE_THRESHOLD_S:
+            self.record_outage(gap_s, reading.arrival.source)
+
+    def record_outage(self, gap_s: float, source: str) -> None:
+        """Record that registrations may have lapsed in an outage that is over.
+
+        Parameters
+        ----------
+        gap_s
+            Seconds between the last reading before the outage and the first after it.
+        source
+            Where the first reading came from.
+        """
+        logger.info(
+            "Registrations may have lapsed.",
+            gap_s=round(gap_s, 3),
+            source=source,
+            grace_s=self.daemon.registry.lapse_grace_s,
+        )
+        self.daemon.registry.store_returned(self.daemon.now())
 
     def _share_with_peers(self, feed: Feed, reading: Reading) -> None:
         """Offer records to peers before they are decoded here."""
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -109,6 +109,7 @@
             for name, text in (
                 ("in_flight", "Requests being read or answered."),
                 ("reading_age_seconds", "Age of the newest reading of the desired state."),
+                ("targets_age_seconds", "Age of the newest reading of the targets."),
                 ("desired_version", "Version of the desired state in force."),
                 ("targets_usable", "Targets that a request may be sent to."),
                 ("targets_known", "Targets that are registered."),
@@ -152,6 +153,7 @@
         values = {
             "in_flight": daemon.caller_server.active_requests,
             "reading_age_seconds": daemon.freshness.age_s(now),
+            "targets_age_seconds": daemon.feeds.targets_age_s(),
             "desired_version": -1 if desired is None else desired.version,
             "targets_usable": sum(target.is_usable(now) for target in targets),
             "targets_known": len(targets),
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -201,6 +201,7 @@
             weights=None if choice is None else choice.weights_version,
             saves=context.saves,
             build=None if choice is None else choice.target.registration.build,
+            targets_age_s=round(self.daemon.feeds.targets_age_s(), 3),
             resumes=context.inbound.resumes[:MAX_LOGGED_ID] or None,
             after_event=context.inbound.last_event_id[:MAX_LOGGED_ID] or None,
             **({"relayed": True} if context.relayed else {}),
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -300,6 +300,7 @@
             source=arrival.source,
             count=len(changes),
             targets=[change.instance for change in changes[:MAX_LOGGED_TARGETS]],
+            not_ready=_not_ready(changes)[:MAX_LOGGED_TARGETS],
             offset=changes[-1].offset,
         )
         return
@@ -316,3 +317,8 @@
             build=change.entry.build,
             offset=change.offset,
         )
+
+
+def _not_ready(changes: Iterable[TargetChanged]) -> list[str]:
+    """Return the targets that registered without taking requests."""
+    return [item.instance for item in changes if item.entry and not item.entry.ready]
