--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -109,7 +109,6 @@
             logger.info("Store reachable again.", feed=self.feed.value, failures=failures)
             hub.poller.selector.reset()
         if was_in_outage:
-            hub.record_outage(hub.targets_age_s(), STORE)
             hub.store_answered.set()
             hub.store_answered.clear()
 
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -25,9 +25,9 @@
 
 logger = logs.get_logger("feeds")
 
-# Two successful reads are normally a wait and a call apart. A gap above this threshold
-# is an outage, in which registrations may have lapsed.
-OUTAGE_THRESHOLD_S = 3.5
+# A registration lapses after three heartbeats without a write. The first of them was due
+# up to one heartbeat before the outage.
+SHORTEST_OUTAGE_HEARTBEATS = 2.0
 
 
 class FeedHub:
@@ -126,27 +126,22 @@
             self.daemon.freshness.confirm(reading.read_at)
 
     def _detect_outage(self, reading: Reading) -> None:
-        gap_s = reading.read_at - self.read_at[Feed.TARGETS]
-        if gap_s > OUTAGE_THRESHOLD_S:
-            self.record_outage(gap_s, reading.arrival.source)
-
-    def record_outage(self, gap_s: float, source: str) -> None:
-        """Record that registrations may have lapsed in an outage that is over.
-
-        Parameters
-        ----------
-        gap_s
-            Seconds between the last reading before the outage and the first after it.
-        source
-            Where the first reading came from.
+        """Begin a grace period if registrations may have lapsed before this reading.
+
+        Only a gap in the readings counts, whoever made them: while this daemon alone lost
+        the store, peers told it of the targets, and a removal means that the target left.
         """
+        gap_s = reading.read_at - self.read_at[Feed.TARGETS]
+        if gap_s < SHORTEST_OUTAGE_HEARTBEATS * self.daemon.settings.heartbeat_s:
+            return
+        registry = self.daemon.registry
         logger.info(
             "Registrations may have lapsed.",
             gap_s=round(gap_s, 3),
-            source=source,
-            grace_s=self.daemon.registry.lapse_grace_s,
+            source=reading.arrival.source,
+            grace_s=registry.lapse_grace_s,
         )
-        self.daemon.registry.store_returned(self.daemon.now())
+        registry.store_returned(self.daemon.now())
 
     def _share_with_peers(self, feed: Feed, reading: Reading) -> None:
         """Offer records to peers before they are decoded here."""
--- a/tests/test_agaterail/test_gateway/test_feedhub.py
+++ b/tests/test_agaterail/test_gateway/test_feedhub.py
@@ -99,3 +99,11 @@
         self.assertTrue(self.is_known())
         self.wait(0.2)
         self.assertFalse(self.is_known())
+
+    def test_a_peer_that_reads_the_store_again_begins_the_grace_period_too(self):
+        """Daemons that poll dropped targets whose registration lapsed in a short outage."""
+        self.wait(OUTAGE_S)
+        self.read_peer(self.removal())
+        self.assertTrue(self.is_known())
+        self.wait(2.1)
+        self.assertFalse(self.is_known())
