--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -35,6 +35,8 @@
         Bytes of a stream that were polled but not relayed yet.
     has_events
         Whether an event of the stream was relayed.
+    events
+        Number of events with an id that were relayed.
     last_event_at
         Time of the latest event.
     sent_at
@@ -58,6 +60,7 @@
         self.body_parts: list[bytes] = []
         self.buffered = b""
         self.has_events = False
+        self.events = 0
         self.last_event_at = 0.0
         self.is_open = True
         self.sent_at = daemon.now()
@@ -152,6 +155,7 @@
         else:
             self.has_events = True
             self._end_prefill(first_token=True)
+        self.events += count
         self.last_event_at = now
 
     def finish(self, healthy: bool = True) -> None:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -37,6 +37,7 @@
 MAX_BUILD_WAIT_S = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_ID = 64  # characters of an id that a caller chose
+MAX_LOGGED_PARTS = 8
 
 
 class Sender:
@@ -96,7 +97,9 @@
             attempt.target.record_failure(self.daemon.now())
             if outcome is AttemptOutcome.BROKEN:
                 self.daemon.restarts.record_break(attempt.target)
-        self.log("Attempt failed.", attempt.choice, outcome=outcome.value)
+        self.log(
+            "Attempt failed.", attempt.choice, outcome=outcome.value, **_progress(attempt)
+        )
 
     def _handle_refusal(self, attempt: Attempt) -> None:
         head = attempt.head
@@ -536,3 +539,15 @@
         number = self.daemon.random.random()
         hint_s = retry_after_s(self.context.deadline - now, number, earliest_s=earliest_s)
         return Failure(kind, reason, hint_s)
+
+
+def _progress(attempt: Attempt) -> dict[str, object]:
+    """Return log fields that tell how far the answer to a prompt had got."""
+    parts = attempt.context.inbound.shared_parts
+    if not parts:
+        return {}
+    return {
+        "has_head": attempt.head is not None,
+        "events": attempt.events,
+        "parts": [part.name for part in parts[-MAX_LOGGED_PARTS:]],
+    }
