--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import time
 from collections.abc import Callable
@@ -61,6 +62,9 @@
     ``brittle`` is named in all answers, and a target with ``room`` refuses the requests
     beyond that number; with more than ``brittle`` refusals in a second it falls over.
 
+    A prompt with one of ``crash_parts`` ends the target after ``crash_after`` events of
+    its answer, or before the head if negative; ``on_crashed`` is called then.
+
     Attributes
     ----------
     arrivals
@@ -99,6 +103,10 @@
         self.leaving = False
         self.brittle: int | None = None
         self.room: int | None = None
+        self.crash_parts: frozenset[str] = frozenset()
+        self.crash_after = 0
+        self.on_crashed: Callable[[], object] = lambda: None
+        self.sockets: set[socket.socket] = set()
         self.refusals: list[float] = []
         self.falls = 0
         self.arrivals: list[tuple[float, str]] = []
@@ -121,6 +129,24 @@
         if self.server is not None:
             self.server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """End all runs and connections and stop listening."""
+        self.stop()
+        for run in self.runs:
+            if run.outcome == "open":
+                run.end("crashed")
+        for sock in list(self.sockets):
+            # Closed elsewhere, a socket would not end the read that waits for it.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.on_crashed()
+
+    def _is_fatal(self, run: Run) -> bool:
+        """Return whether the prompt of a run ends the target."""
+        prompt = run.headers.get("prompt-prefix", "")
+        parts = {item.partition(":")[0].strip() for item in prompt.split(",")}
+        return bool(parts & self.crash_parts)
+
     def registration(self, service: str, address: str) -> bytes:
         """Return the entry that the target writes to register itself."""
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -141,6 +167,7 @@
 
     def _serve(self, sock: socket.socket, _address: Any) -> None:
         file = sock.makefile("rb")
+        self.sockets.add(sock)
         try:
             while True:
                 line = file.readline()
@@ -163,6 +190,7 @@
         except OSError:
             return  # the gateway or an injected fault closed the connection
         finally:
+            self.sockets.discard(sock)
             sock.close()
 
     def _answer(
@@ -229,10 +257,19 @@
             "Transfer-Encoding": "chunked",
         }
         head["Weight-Versions"] = str(self.version)
+        fatal_at = first + self.crash_after if self._is_fatal(run) else None
+        if fatal_at is not None and fatal_at < first:
+            self.crash()
+            return False
         sock.sendall(self._head(200, head))
         break_after = None if self.break_begun_only and first > 1 else self.break_after
         for number in range(first, self.events + 1):
             gevent.sleep(self.event_s)
+            if run.outcome == "crashed":
+                return False
+            if fatal_at == number:
+                self.crash()
+                return False
             if self.pause_before == number and self._client_disconnects(sock, run):
                 return False
             event = b"id: %d\n: build %s\ndata: %s-%d\n\n" % (
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -173,6 +173,18 @@
         target.on_loaded = lambda: self.register(instance)
         self.register(instance)
 
+    def restart_after_crashes(self, instance, back_s) -> None:
+        """Start a target again some time after each crash, at its former address."""
+        target, (_, address) = self.targets[instance], self.addresses[instance]
+        host, _, port = address.partition(":")
+
+        def restart():
+            target.born += 1
+            target.start(host, int(port))
+            self.register(instance)
+
+        target.on_crashed = lambda: gevent.spawn_later(back_s, restart)
+
     def register(self, instance) -> None:
         """Write the entry of a target as it is now."""
         entry = self.targets[instance].registration(*self.addresses[instance])
@@ -221,7 +233,8 @@
         if key:
             lines.append(f"Authorization: Bearer {key}")
         if fields.get("stream"):
-            lines += [f"Model: {MODEL}", "Token-Usage: 100,10", "Prompt-Prefix: ab:60,cd:40"]
+            parts = fields.get("parts", "ab:60,cd:40")
+            lines += [f"Model: {MODEL}", "Token-Usage: 100,10", f"Prompt-Prefix: {parts}"]
         lines += [*headers, f"Content-Length: {len(body)}"]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
