--- a/agaterail/cmd/main.py
+++ b/agaterail/cmd/main.py
@@ -38,6 +38,7 @@
     "gateway",
     "story",
     "losses",
+    "quarantine",
     "check",
     "diff",
     "apply",
@@ -118,6 +119,22 @@
             return _usage_error(f"--slot: {slot!r} is not a whole number of seconds.")
         return print_losses(paths, int(slot))
 
+    def quarantine(self, store: str = "", lift: str = "") -> int:
+        """List the parts of prompts that are kept from engines, or lift a quarantine.
+
+        Parameters
+        ----------
+        store
+            Address of the platform's store, IP:port; required.
+        lift
+            Part whose quarantine ends on all hosts, once its engines bear it again.
+        """
+        from agaterail.cmd.quarantine import quarantine
+
+        if not store:
+            return _usage_error("--store: no address of the platform's store given.")
+        return quarantine(store, lift)
+
     def check(self, *paths: str) -> int:
         """Check table files (TOML) without reading the log.
 
--- a/agaterail/errors.py
+++ b/agaterail/errors.py
@@ -54,6 +54,7 @@
     WRONG_WEIGHTS = "wrong_weights"
     STREAM_UNKNOWN = "stream_unknown"
     BUILD_UNAVAILABLE = "build_unavailable"
+    QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
     INTERNAL = "internal"
 
@@ -167,6 +168,12 @@
         "No target of the build that began the stream serves.",
         _NOT_RUN,
     ),
+    ErrorKind.QUARANTINED: Answer(
+        503,
+        "service_unavailable",
+        "A part of the prompt crashes engines and is kept away from them.",
+        _NOT_RUN,
+    ),
     ErrorKind.SHUTTING_DOWN: Answer(
         503, "service_unavailable", "This host is shutting down.", _NOT_RUN, 0.5
     ),
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -20,6 +20,8 @@
 OK_STATUSES = range(200, 300)
 # Only data that has already arrived is read.
 POLL_TIMEOUT_S = 0.005
+# An engine that sends so many events of an answer does not end at its beginning.
+BEGUN_EVENTS = 4
 
 
 class Attempt:
@@ -37,6 +39,8 @@
         Whether an event of the stream was relayed.
     events
         Number of events with an id that were relayed.
+    survived
+        Whether it was recorded that the target goes on after the answer's beginning.
     last_event_at
         Time of the latest event.
     sent_at
@@ -61,6 +65,7 @@
         self.buffered = b""
         self.has_events = False
         self.events = 0
+        self.survived = False
         self.last_event_at = 0.0
         self.is_open = True
         self.sent_at = daemon.now()
@@ -156,6 +161,8 @@
             self.has_events = True
             self._end_prefill(first_token=True)
         self.events += count
+        if self.events >= BEGUN_EVENTS:
+            self._record_survival()
         self.last_event_at = now
 
     def finish(self, healthy: bool = True) -> None:
@@ -169,6 +176,7 @@
         if self._end():
             if healthy:
                 self.target.record_success()
+                self._record_survival()
             self.pool.release(self.target, self.connection)
 
     def abandon(self) -> None:
@@ -197,6 +205,12 @@
             shedder.end(pending, self.daemon.now(), first_token)
             self.target.prefill_tokens -= self.context.inbound.prompt_tokens
 
+    def _record_survival(self) -> None:
+        """Record once that the target goes on although it has begun this answer."""
+        if not self.survived and self.head is not None and self.head.status in OK_STATUSES:
+            self.survived = True
+            self.daemon.quarantine.record_survival(self.context.inbound)
+
     def _record_head(self, head: AnswerHead) -> None:
         if self.choice.relayed:
             if isinstance(head, RelayedHead) and head.refusal is None:
--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -13,6 +13,7 @@
 
     from returns.result import Result
 
+    from agaterail.decisions.crashevidence import CrashReport
     from agaterail.gateway.desired import DesiredState
     from agaterail.gateway.documents import Document
     from agaterail.gateway.targets import Registration
@@ -25,6 +26,7 @@
     OPERATORS = "operators"
     TARGETS = "targets"
     LEASE = "lease"
+    CRASHES = "crashes"
 
 
 @attrs.frozen
@@ -115,7 +117,60 @@
     entry: LeaseEntry
 
 
-Change = DesiredPublished | WeightsNamed | TargetChanged | LeaseChanged
+@attrs.frozen
+class CrashReported:
+    """A daemon reported the prompts at a target that ended.
+
+    Attributes
+    ----------
+    reporter
+        Name of the daemon's process.
+    age_s
+        Seconds since the report was written, by the hosts' times of day.
+    """
+
+    report: CrashReport
+    reporter: str = ""
+    offset: int = 0
+    age_s: float = 0.0
+
+
+@attrs.frozen
+class PartsSurvived:
+    """A daemon saw answers to prompts with these parts go on."""
+
+    parts: tuple[str, ...]
+    offset: int = 0
+    age_s: float = 0.0
+
+
+@attrs.frozen
+class Quarantine:
+    """Why a part of prompts is kept away from engines.
+
+    Attributes
+    ----------
+    crashes
+        Number of crashes that the part explains.
+    recorded
+        Whether the store holds the verdict.
+    """
+
+    crashes: int
+    recorded: bool = False
+
+
+@attrs.frozen
+class PartQuarantined:
+    """A part of prompts was put in quarantine; None if the quarantine was lifted."""
+
+    part: str
+    quarantine: Quarantine | None
+    offset: int = 0
+
+
+CrashChange = CrashReported | PartsSurvived | PartQuarantined
+Change = DesiredPublished | WeightsNamed | TargetChanged | LeaseChanged | CrashChange
 
 
 @attrs.frozen
@@ -280,6 +335,18 @@
     def append_lease(self, entry: LeaseEntry, at: int) -> Result[int, StoreError]:
         """Append a record if the log ends at an offset; return that offset."""
 
+    @abc.abstractmethod
+    def append_crashes(
+        self, changes: Sequence[CrashChange], host: str
+    ) -> Result[None, StoreError]:
+        """Append records of crashes, survivals and verdicts, all or none.
+
+        Parameters
+        ----------
+        host
+            Host of the writer.
+        """
+
     @abc.abstractmethod
     def join(
         self, member: str, ttl_s: float, generation: int
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -39,6 +39,7 @@
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.pathcontroller import PathController
 from agaterail.gateway.placement import PlacementRules
+from agaterail.gateway.quarantinecontroller import QuarantineController
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.relaycontroller import RelayController
 from agaterail.gateway.relayresponder import RelayResponder
@@ -121,6 +122,15 @@
         self.paths = PathController(self.registry, self.connection_pool, self.now, self.random)
         self.restarts = RestartController(engine_control.report, self.now)
         self.connection_pool.on_ended_early = self._record_ended_early
+        self.quarantine = QuarantineController(
+            f"{settings.host}.{self.boot}",
+            self.connection_pool,
+            self.restarts,
+            append=lambda changes: store.append_crashes(changes, settings.host),
+            daemons=lambda: self.rules.daemons,
+            now=lambda: self.now(),
+            rng=self.random,
+        )
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
@@ -285,7 +295,8 @@
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should open new connections."""
-        knows_targets = self.feeds.read_at[Feed.TARGETS] != NEVER
+        read_at = self.feeds.read_at
+        knows_targets = read_at[Feed.TARGETS] != NEVER and read_at[Feed.CRASHES] != NEVER
         return not self.stopping and self.state.desired is not None and knows_targets
 
     def start(self) -> None:
--- a/agaterail/gateway/directfollower.py
+++ b/agaterail/gateway/directfollower.py
@@ -9,7 +9,12 @@
 
 from agaterail import logs
 from agaterail.gateway.controlstore import NEVER, STORE, Arrival, Feed, Reading, StoreErrorKind
-from agaterail.gateway.feedtimes import DIRECT_WAITS_S, PEER_WAIT_S, REQUIRED_FEEDS
+from agaterail.gateway.feedtimes import (
+    DIRECT_WAITS_S,
+    MAX_READING_AGE_S,
+    PEER_WAIT_S,
+    REQUEST_FEEDS,
+)
 from agaterail.gateway.storebackoff import LARGE_FLEET_DAEMONS, max_backoff_s
 
 if TYPE_CHECKING:
@@ -26,9 +31,6 @@
 LARGE_FLEET_READ_PAUSE_S = 0.25
 # Failures in which the store answered; they concern one feed only.
 ANSWERED_KINDS = (StoreErrorKind.MALFORMED, StoreErrorKind.CONFLICT)
-# A feed whose reading is older than this is read once, whatever peers answer: a reader
-# that started later than this daemon cannot continue from this daemon's offset.
-MAX_READING_AGE_S = 6.0
 
 
 class DirectFollower:
@@ -114,7 +116,7 @@
 
     def _is_due(self) -> bool:
         hub = self.hub
-        for_callers = self.feed in REQUIRED_FEEDS or hub.daemon.membership.is_reader
+        for_callers = self.feed in REQUEST_FEEDS or hub.daemon.membership.is_reader
         if for_callers and hub.reads_directly:
             return True
         return hub.daemon.now() - hub.read_at[self.feed] > MAX_READING_AGE_S
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -117,6 +117,8 @@
         self.read_at[feed] = max(self.read_at[feed], reading.read_at)
         if feed is Feed.LEASE:
             self._apply_lease(changes, now, previous_offset, previous_read_at)
+        elif feed is Feed.CRASHES:
+            self.daemon.quarantine.apply(changes, next_offset, reading.listed)
         elif feed is Feed.TARGETS and reading.listed:
             self.daemon.state.apply_listing(changes, next_offset, now, reading.arrival)
         else:
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -142,6 +142,9 @@
             return source
         if source is not None:
             service = source.service
+        part = self.daemon.quarantine.blocked_part(inbound)
+        if part:
+            return Failure(ErrorKind.QUARANTINED, f"part {part}")
         cost = self._charge(workspace, inbound)
         if isinstance(cost, Failure):
             return cost
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -122,6 +122,8 @@
                 ("targets_brittle", "Targets that bear few refusals."),
                 ("service_builds", "Most builds with which a service's targets serve."),
                 ("stream_records", "Streams whose build this daemon keeps for others."),
+                ("parts_quarantined", "Parts of prompts that are kept from engines."),
+                ("parts_suspected", "Parts of prompts at engines that crashed lately."),
                 ("services_without_path", "Services that no new connection reaches."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
@@ -163,6 +165,8 @@
             "targets_brittle": sum(item.brittle is not None for item in targets),
             "service_builds": daemon.registry.most_builds(),
             "stream_records": len(daemon.streams.records.records),
+            "parts_quarantined": len(daemon.quarantine.quarantined),
+            "parts_suspected": len(daemon.quarantine.evidence.suspects),
             "services_without_path": len(daemon.paths.lost_services),
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
--- /dev/null
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -0,0 +1,369 @@
+"""Keep prompts with a part that crashes engines away from them."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+from returns.result import Success
+
+from agaterail import logs
+from agaterail.decisions.crashevidence import (
+    EVIDENCE_S,
+    BrokenPrompt,
+    CrashEvidence,
+    CrashReport,
+    TargetStart,
+    part_key,
+)
+from agaterail.gateway.controlstore import (
+    CrashReported,
+    PartQuarantined,
+    PartsSurvived,
+    Quarantine,
+)
+from agaterail.gateway.inbound import normalize_part_name
+from agaterail.util.backoff import backoff_s
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable, Sequence
+
+    from returns.result import Result
+
+    from agaterail.gateway.attempt import Attempt
+    from agaterail.gateway.connectionpool import ConnectionPool
+    from agaterail.gateway.controlstore import Change, CrashChange, StoreError
+    from agaterail.gateway.inbound import InboundRequest
+    from agaterail.gateway.restartcontroller import RestartController
+    from agaterail.gateway.targets import Target
+
+logger = logs.get_logger("quarantine")
+
+# An answer that broke off after more events had got past its beginning.
+MAX_EVENTS_AT_CRASH = 3
+# The connections of an engine that ends break within milliseconds of each other.
+SETTLE_S = 0.03
+CONNECT_TIMEOUT_S = 0.3
+# A registration lapses after three heartbeats, which shows an end behind a dead host.
+CONFIRM_S = 5.0
+CONFIRM_PAUSE_S = 0.3
+# Records of about the same time are appended with one call.
+APPEND_PERIOD_S = 0.1
+INITIAL_RETRY_S = 0.25
+MAX_RETRY_S = 2.0
+MAX_APPEND_AGE_S = 30.0
+MAX_QUEUED = 64
+# Any daemon may have seen a part survive. All of them wait for a random time, longer in a
+# large fleet, so that few tell it.
+SURVIVAL_WAIT_PER_DAEMON_S = 0.01
+MAX_SURVIVAL_WAIT_S = 1.0
+# The daemon whose report decides writes the verdict; others do if it does not.
+VERDICT_WAIT_S = 1.0
+MAX_PROMPTS = 16
+MAX_PARTS = 8
+MAX_SURVIVED = 8192
+REQUEST_DIGEST_BYTES = 6
+
+
+@attrs.define
+class _Queued:
+    """A record to append, and whether it was applied here without the store."""
+
+    change: CrashChange
+    since: float
+    applied: bool = False
+
+
+class QuarantineController:
+    """Reports the prompts at engines that crash, and blocks parts that cause crashes.
+
+    All daemons follow the same reports in the platform's store and draw the same
+    conclusions. A verdict is a record of its own there, which outlasts the fleet.
+
+    Parameters
+    ----------
+    name
+        Name of this daemon's process.
+    pool
+        Opens connections to targets.
+    append
+        Appends records to the store.
+    daemons
+        Returns the number of daemons.
+
+    Attributes
+    ----------
+    quarantined
+        Parts that no request may bring to an engine.
+    survived
+        Time at which an answer last went on by part, the latest at the end.
+    broken
+        Prompts at targets that may have ended, until that is known.
+    queue
+        Records to append, oldest first.
+    failures
+        Consecutive failed appends.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        pool: ConnectionPool,
+        restarts: RestartController,
+        append: Callable[[Sequence[CrashChange]], Result[None, StoreError]],
+        daemons: Callable[[], float],
+        now: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self.restarts = restarts
+        self.append = append
+        self.daemons = daemons
+        self.now = now
+        self.rng = rng
+        self.evidence = CrashEvidence()
+        self.quarantined: dict[str, Quarantine] = {}
+        self.survived: dict[str, float] = {}
+        self.broken: dict[TargetStart, list[BrokenPrompt]] = {}
+        self.queue: list[_Queued] = []
+        self.appending = False
+        self.failures = 0
+        self.next_offset = 0
+
+    # Requests.
+
+    def blocked_part(self, inbound: InboundRequest) -> str:
+        """Return a quarantined part of a prompt; empty if there is none."""
+        if not self.quarantined:
+            return ""
+        return next((part for part in _keys(inbound) if part in self.quarantined), "")
+
+    def record_survival(self, inbound: InboundRequest) -> None:
+        """Record that the answer to a prompt has got past its beginning."""
+        parts = _keys(inbound)
+        now = self.now()
+        for part in parts:
+            self.survived.pop(part, None)
+            self.survived[part] = now
+        while len(self.survived) > MAX_SURVIVED:
+            del self.survived[next(iter(self.survived))]
+        self._tell_refuted(parts)
+
+    def _tell_refuted(self, parts: Iterable[str]) -> None:
+        """Tell the others if this daemon knows that suspected parts are sound."""
+        refuted = self._refuted(parts)
+        if refuted:
+            wait_s = min(MAX_SURVIVAL_WAIT_S, SURVIVAL_WAIT_PER_DAEMON_S * self.daemons())
+            gevent.spawn_later(wait_s * self.rng.random(), self._report_survival, refuted)
+
+    def _refuted(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return the parts with which an answer went on although they are suspected."""
+        never = float("-inf")
+        return tuple(
+            part
+            for part in parts
+            if self.evidence.is_refuted(part, self.survived.get(part, never))
+        )
+
+    def _report_survival(self, parts: Sequence[str]) -> None:
+        still_refuted = self._refuted(parts)
+        if still_refuted:
+            self._publish(PartsSurvived(still_refuted))
+
+    def record_broken(self, attempt: Attempt) -> None:
+        """Record an answer that broke off; the target may have ended under its prompt."""
+        target, inbound = attempt.target, attempt.context.inbound
+        parts = _keys(inbound)[-MAX_PARTS:]
+        is_near_start = attempt.events <= MAX_EVENTS_AT_CRASH
+        if not parts or not is_near_start or not target.registration.ready or target.leaving:
+            return
+        start = TargetStart(target.instance, target.start)
+        if start not in self.broken:
+            self.broken[start] = []
+            gevent.spawn(self._report_end, target, start)
+        if len(self.broken[start]) < MAX_PROMPTS:
+            self.broken[start].append(BrokenPrompt(_digest(inbound.request_id), parts))
+
+    # Crashes.
+
+    def _report_end(self, target: Target, start: TargetStart) -> None:
+        gevent.sleep(SETTLE_S)
+        try:
+            has_ended = self._has_ended(target, start)
+        finally:
+            prompts = self.broken.pop(start)
+        report = CrashReport(start, tuple(prompts))
+        logger.info(
+            "Target ended under prompts." if has_ended else "Target did not end.",
+            target=start.instance,
+            born=start.born,
+            requests=[prompt.request for prompt in prompts],
+            parts=report.parts,
+        )
+        if has_ended:
+            survived = tuple(part for part in report.parts if part in self.survived)
+            report = attrs.evolve(report, survived=survived)
+            self._publish(CrashReported(report, self.name))
+
+    def _has_ended(self, target: Target, start: TargetStart) -> bool:
+        """Return whether a target ended, and not only connections to it.
+
+        A host that refuses a connection is reached, but nothing listens there. Silence
+        tells nothing until the registration lapses.
+        """
+        until = self.now() + CONFIRM_S
+        while self.now() < until:
+            if target.replaced or target.gone or target.start != start.born:
+                return not target.leaving
+            if not target.is_ready:
+                return False
+            try:
+                self.pool.open(target, CONNECT_TIMEOUT_S).close()
+            except ConnectionRefusedError:
+                return True
+            except OSError:
+                gevent.sleep(CONFIRM_PAUSE_S)
+                continue
+            if self.restarts.confirm(target):
+                return False
+            gevent.sleep(CONFIRM_PAUSE_S)
+        return False
+
+    # Records in the store.
+
+    def _publish(self, change: CrashChange) -> None:
+        """Append a record; it is applied when it is read back."""
+        queued = _Queued(change, self.now())
+        if len(self.queue) < MAX_QUEUED:
+            self.queue.append(queued)
+        if self.failures:
+            self._apply_here([queued])
+        if not self.appending:
+            self.appending = True
+            gevent.spawn(self._append_queue)
+
+    def _append_queue(self) -> None:
+        try:
+            while self.queue:
+                pause_s = self._append_batch(list(self.queue))
+                gevent.sleep(pause_s)
+        finally:
+            self.appending = False
+
+    def _append_batch(self, batch: Sequence[_Queued]) -> float:
+        """Append records with one call; return the seconds until the next call."""
+        answer = self.append([item.change for item in batch])
+        if isinstance(answer, Success):
+            self.failures = 0
+            del self.queue[: len(batch)]
+            return APPEND_PERIOD_S
+        if not self.failures:
+            logger.warning(
+                "Crash records not stored.",
+                reason=answer.failure().kind.value,
+                count=len(batch),
+            )
+        pause_s = backoff_s(self.failures, INITIAL_RETRY_S, MAX_RETRY_S)
+        self.failures += 1
+        self._apply_here(batch)
+        oldest = self.now() - MAX_APPEND_AGE_S
+        self.queue = [item for item in self.queue if item.since >= oldest]
+        return pause_s
+
+    def _apply_here(self, batch: Sequence[_Queued]) -> None:
+        """Apply records on this daemon alone while the store does not take them."""
+        fresh = [item for item in batch if not item.applied]
+        for item in fresh:
+            item.applied = True
+        self._apply_all([item.change for item in fresh])
+
+    def apply(self, changes: Sequence[Change], next_offset: int, listed: bool) -> None:
+        """Apply records that were read; a listing holds all verdicts that are in force."""
+        if listed:
+            kept = {item.part for item in changes if isinstance(item, PartQuarantined)}
+            for part in [item for item in self.quarantined if item not in kept]:
+                self._lift(part, "not listed")
+        fresh = [item for item in changes if listed or item.offset >= self.next_offset]
+        self.next_offset = max(self.next_offset, next_offset)
+        self._apply_all(fresh)
+
+    def _apply_all(self, changes: Iterable[Change]) -> None:
+        has_reports, decided_here = False, False
+        for change in changes:
+            match change:
+                case CrashReported() | PartsSurvived() if change.age_s > EVIDENCE_S:
+                    continue
+                case CrashReported():
+                    has_reports = True
+                    decided_here = decided_here or change.reporter == self.name
+                    self.evidence.add(change.report, self.now())
+                    self._tell_refuted(change.report.parts)
+                case PartsSurvived():
+                    self._apply_survival(change.parts)
+                case PartQuarantined():
+                    self._apply_verdict(change)
+        if has_reports:
+            self._decide(decided_here)
+
+    def _apply_survival(self, parts: Iterable[str]) -> None:
+        self.evidence.clear(parts)
+        for part in parts:
+            if part in self.quarantined:
+                self._lift(part, "survived")
+                self.lift(part)
+
+    def _apply_verdict(self, change: PartQuarantined) -> None:
+        if change.quarantine is None:
+            self.evidence.clear([change.part])
+            self._lift(change.part, "lifted by a record")
+            return
+        if change.part not in self.quarantined:
+            logger.warning(
+                "Part quarantined.", part=change.part, crashes=change.quarantine.crashes
+            )
+        self.quarantined[change.part] = attrs.evolve(change.quarantine, recorded=True)
+
+    def _decide(self, decided_here: bool) -> None:
+        causes = self.evidence.causes()
+        for part in list(self.quarantined):
+            if self.evidence.explained_otherwise(part, causes):
+                self._lift(part, "explained by another part")
+                self.lift(part)
+        for cause in causes:
+            if cause.part in self.quarantined:
+                continue
+            self.quarantined[cause.part] = Quarantine(cause.crashes)
+            logger.warning(
+                "Part quarantined.",
+                part=cause.part,
+                crashes=cause.crashes,
+                requests=cause.requests,
+                all_crashes=len(self.evidence.reported_at),
+            )
+            wait_s = 0.0 if decided_here else VERDICT_WAIT_S * (1.0 + self.rng.random())
+            gevent.spawn_later(wait_s, self._record_verdict, cause.part)
+
+    def _record_verdict(self, part: str) -> None:
+        quarantine = self.quarantined.get(part)
+        if quarantine is not None and not quarantine.recorded:
+            self._publish(PartQuarantined(part, quarantine))
+
+    def lift(self, part: str) -> None:
+        """Lift a quarantine on all daemons."""
+        self._publish(PartQuarantined(part, None))
+
+    def _lift(self, part: str, reason: str) -> None:
+        if self.quarantined.pop(part, None) is not None:
+            logger.warning("Quarantine lifted.", part=part, reason=reason)
+
+
+def _keys(inbound: InboundRequest) -> tuple[str, ...]:
+    return tuple(part_key(normalize_part_name(part.name)) for part in inbound.shared_parts)
+
+
+def _digest(request_id: str) -> str:
+    return blake2b(request_id.encode(), digest_size=REQUEST_DIGEST_BYTES).hexdigest()
--- a/agaterail/gateway/relay.py
+++ b/agaterail/gateway/relay.py
@@ -20,6 +20,7 @@
             Feed.OPERATORS: DocumentFeed(),
             Feed.TARGETS: RecordFeed(),
             Feed.LEASE: RecordFeed(),
+            Feed.CRASHES: RecordFeed(),
         }
 
     def has_new_records(self, offsets: dict[Feed, int]) -> bool:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -73,6 +73,9 @@
             Whether to wait for an engine that goes on with the stream soon.
         """
         while True:
+            part = self.daemon.quarantine.blocked_part(self.context.inbound)
+            if part:
+                return self._fail_quarantined(part)
             opened = self._connect(may_wait)
             if isinstance(opened, Failure):
                 return opened
@@ -97,6 +100,7 @@
             attempt.target.record_failure(self.daemon.now())
             if outcome is AttemptOutcome.BROKEN:
                 self.daemon.restarts.record_break(attempt.target)
+                self.daemon.quarantine.record_broken(attempt)
         self.log(
             "Attempt failed.", attempt.choice, outcome=outcome.value, **_progress(attempt)
         )
@@ -459,6 +463,12 @@
         hint = retry_after_s(left, random.random(), overloaded=True)
         return Failure(ErrorKind.OVERLOADED, reason, hint)
 
+    def _fail_quarantined(self, part: str) -> Failure:
+        """Return the failure of a request whose prompt was put in quarantine meanwhile."""
+        if self.retry_state.runs:
+            return Failure(self.retry_state.error_kind(), f"part {part} is quarantined")
+        return Failure(ErrorKind.QUARANTINED, f"part {part}")
+
     def _send(
         self, choice: Choice, connection: TargetConnection, last_event_id: str
     ) -> Attempt | None:
--- /dev/null
+++ b/agaterail/platform/crashrecords.py
@@ -0,0 +1,114 @@
+"""Encoding and decoding of the store's records of crashes and quarantines.
+
+The topic keeps the newest record of each key. Reports and survivals of a host share one
+of a few keys, so that their number is bounded; verdicts have a key for each part.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from agaterail import logs
+from agaterail.decisions.crashevidence import BrokenPrompt, CrashReport, TargetStart
+from agaterail.gateway.controlstore import (
+    CrashReported,
+    PartQuarantined,
+    PartsSurvived,
+    Quarantine,
+)
+from agaterail.platform import fields
+
+if TYPE_CHECKING:
+    from agaterail.gateway.controlstore import CrashChange, FeedRecord
+
+logger = logs.get_logger("store")
+
+HOST_KEYS = 64
+REPORT_PREFIX = "crash/"
+SURVIVAL_PREFIX = "survived/"
+VERDICT_PREFIX = "part/"
+
+
+def encode(change: CrashChange, host: str, written_at: float) -> bytes:
+    """Return the content of a record: its key with a length, and its value."""
+    slot = zlib.crc32(host.encode()) % HOST_KEYS
+    payload: dict[str, Any] | None
+    match change:
+        case CrashReported():
+            key, payload = f"{REPORT_PREFIX}{slot}", _encode_report(change)
+        case PartsSurvived():
+            key, payload = f"{SURVIVAL_PREFIX}{slot}", {"parts": list(change.parts)}
+        case PartQuarantined():
+            key = f"{VERDICT_PREFIX}{change.part}"
+            payload = (
+                None if change.quarantine is None else {"crashes": change.quarantine.crashes}
+            )
+    name = key.encode()
+    value = b""
+    if payload is not None:
+        value = json.dumps({**payload, "at": round(written_at, 3)}).encode()
+    return bytes([len(name)]) + name + value
+
+
+def decode(record: FeedRecord, time_of_day: float) -> CrashChange | None:
+    """Decode a record; return None if it is malformed or its key is unknown."""
+    if record.key.startswith(VERDICT_PREFIX) and not record.value:
+        part = record.key.removeprefix(VERDICT_PREFIX)
+        return PartQuarantined(part, None, record.offset)
+    try:
+        return _decode_value(record, time_of_day)
+    except ValueError as error:
+        logger.warning(
+            "Skipped a malformed record.",
+            key=record.key,
+            offset=record.offset,
+            reason=str(error),
+        )
+        return None
+
+
+def _encode_report(change: CrashReported) -> dict[str, Any]:
+    report = change.report
+    return {
+        "by": change.reporter,
+        "target": report.start.instance,
+        "born": report.start.born,
+        "prompts": [[prompt.request, list(prompt.parts)] for prompt in report.prompts],
+        "survived": list(report.survived),
+    }
+
+
+def _decode_value(record: FeedRecord, time_of_day: float) -> CrashChange | None:
+    decoded = fields.json_object(json.loads(record.value), "the record")
+    if record.key.startswith(VERDICT_PREFIX):
+        part = record.key.removeprefix(VERDICT_PREFIX)
+        quarantine = Quarantine(fields.integer(decoded, "crashes"))
+        return PartQuarantined(part, quarantine, record.offset)
+    age_s = max(0.0, time_of_day - fields.number(decoded, "at"))
+    if record.key.startswith(SURVIVAL_PREFIX):
+        return PartsSurvived(_strings(decoded.get("parts")), record.offset, age_s)
+    if record.key.startswith(REPORT_PREFIX):
+        return _decode_report(decoded, record.offset, age_s)
+    return None
+
+
+def _decode_report(decoded: dict[str, Any], offset: int, age_s: float) -> CrashReported:
+    start = TargetStart(fields.string(decoded, "target"), fields.integer(decoded, "born"))
+    prompts = tuple(_decode_prompt(row) for row in fields.array(decoded, "prompts"))
+    report = CrashReport(start, prompts, _strings(decoded.get("survived")))
+    return CrashReported(report, fields.string(decoded, "by"), offset, age_s)
+
+
+def _decode_prompt(row: object) -> BrokenPrompt:
+    match row:
+        case [str(request), list(parts)]:
+            return BrokenPrompt(request, _strings(parts))
+    raise fields.MalformedError("a prompt is not a request and its parts")
+
+
+def _strings(value: object) -> tuple[str, ...]:
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise fields.MalformedError("the parts are not a list of strings")
+    return tuple(value)
--- a/agaterail/platform/feedrecords.py
+++ b/agaterail/platform/feedrecords.py
@@ -25,7 +25,7 @@
     WeightsNamed,
 )
 from agaterail.gateway.versionhistory import VersionAge, VersionAgeRecord
-from agaterail.platform import fields, names
+from agaterail.platform import crashrecords, fields, names
 from agaterail.platform.desired import DesiredDecoder, decode_weights
 from agaterail.platform.registrations import decode_registration
 
@@ -77,6 +77,8 @@
         """Decode a record; return None if it is malformed or its key is unknown."""
         if isinstance(record, DocumentRecord):
             return self._decode_operator_change(record)
+        if feed is Feed.CRASHES:
+            return crashrecords.decode(record, time.time())
         return (
             _decode_lease_change(record)
             if feed is Feed.LEASE
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -111,6 +111,7 @@
 
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
+CRASHES_TOPIC = "keyed.agaterail-crashes"  # the system's own
 CONFIG_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
 
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -4,6 +4,7 @@
 
 import json
 import struct
+import time
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -13,6 +14,7 @@
 from agaterail.gateway.controlstore import (
     Change,
     ControlStore,
+    CrashChange,
     Feed,
     FeedRecord,
     FeedSlice,
@@ -22,7 +24,7 @@
     StoreError,
     StoreErrorKind,
 )
-from agaterail.platform import feedrecords, fields, names
+from agaterail.platform import crashrecords, feedrecords, fields, names
 from agaterail.platform.feedrecords import RecordDecoder
 from agaterail.util.httpconn import ConnectFailed, ExchangeBroken, HttpConnections
 
@@ -40,6 +42,7 @@
     Feed.OPERATORS: names.OPERATOR_TOPIC,
     Feed.TARGETS: names.TARGETS_TOPIC,
     Feed.LEASE: LEASE_TOPIC,
+    Feed.CRASHES: names.CRASHES_TOPIC,
 }
 FLEET_GROUP = "agaterail"
 # The number of partitions over all topics is the granularity of the fleet's shares. A
@@ -142,6 +145,18 @@
         except ValueError as error:
             return Failure(StoreError(StoreErrorKind.UNANSWERED, str(error)))
 
+    def append_crashes(
+        self, changes: Sequence[CrashChange], host: str
+    ) -> Result[None, StoreError]:
+        """Append records of crashes, survivals and verdicts, all or none."""
+        records = [crashrecords.encode(change, host, time.time()) for change in changes]
+        body = b"".join(
+            feedrecords.RECORD_LENGTH.pack(len(record)) + record for record in records
+        )
+        query = {"topic": names.CRASHES_TOPIC, "part": PARTITION}
+        answer = self._call("POST", names.LOG_APPEND_PATH, query, body)
+        return answer.map(lambda _: None)
+
     def join(
         self, member: str, ttl_s: float, generation: int
     ) -> Result[Membership, StoreError]:
--- a/tests/test_agaterail/test_errors.py
+++ b/tests/test_agaterail/test_errors.py
@@ -12,8 +12,13 @@
 DOC_PAGE = ROOT / "docs" / "operators" / "errors.md"
 
 
-# No later try learns which build began a stream, or finds one that is gone.
-USELESS_TO_RETRY = {ErrorKind.STREAM_UNKNOWN, ErrorKind.BUILD_UNAVAILABLE}
+# No later try learns which build began a stream, or finds one that is gone; and a
+# quarantine outlasts every caller.
+USELESS_TO_RETRY = {
+    ErrorKind.STREAM_UNKNOWN,
+    ErrorKind.BUILD_UNAVAILABLE,
+    ErrorKind.QUARANTINED,
+}
 
 
 class AnswersTest(unittest.TestCase):
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -2,7 +2,8 @@
 
 import gevent
 
-from tests.crashing_fleet import CrashingPartTest
+from tests.crashing_fleet import FATAL_PART, CrashingPartTest
+from tests.gateway_fleet import BOUNDS
 
 FATAL_REQUESTS = 20
 # The fifth crash, and the three requests that the rule allows after it.
@@ -28,3 +29,93 @@
         requests = [gevent.spawn(self.ask_fatal) for _ in range(10)]
         self.assertEqual(self.share_served(40), 1.0)
         gevent.joinall(requests)
+
+    def quarantine(self):
+        """Send requests with the part until all gateways keep it from engines."""
+        while not all(FATAL_PART in d.quarantine.quarantined for d in self.fleet.daemons):
+            self.ask_fatal()
+            self.assertLessEqual(self.fatal_arrivals, MAX_ARRIVALS)
+            gevent.sleep(0.05)
+
+    def test_a_request_with_a_quarantined_part_is_answered_that_it_did_not_run(self):
+        self.quarantine()
+        arrivals = self.fatal_arrivals
+        answer = self.ask_fatal()
+        self.assertEqual(answer.status, 503)
+        self.assertNotIn("retry-after", answer.head)
+        self.assertEqual(self.fatal_arrivals, arrivals)
+
+    def test_a_gateway_that_starts_later_knows_the_quarantine(self):
+        """After a restart of all gateways the part ended engines again."""
+        self.quarantine()
+        self.wait_for_verdict()
+        for daemon in self.fleet.daemons:
+            daemon.close()
+        self.fleet.daemons[:] = [self.fleet.add_gateway("g-9", BOUNDS)]
+        self.fleet.wait(lambda: self.fleet.daemons[0].ready)
+        arrivals = self.fatal_arrivals
+        self.assertEqual(self.ask_fatal().status, 503)
+        self.assertEqual(self.fatal_arrivals, arrivals)
+
+    def wait_for_verdict(self):
+        self.fleet.wait(
+            lambda: all(
+                daemon.quarantine.quarantined[FATAL_PART].recorded
+                for daemon in self.fleet.daemons
+            )
+        )
+
+    def test_an_operator_lifts_a_quarantine(self):
+        self.quarantine()
+        self.wait_for_verdict()
+        for engine in self.engines:
+            engine.crash_parts = frozenset()
+        self.fleet.daemons[0].quarantine.lift(FATAL_PART)
+        self.fleet.wait(lambda: not any(d.quarantine.quarantined for d in self.fleet.daemons))
+        self.wait_for_engines()
+        self.assertTrue(self.ask_fatal().whole_stream)
+
+    def test_answers_that_break_off_at_engines_that_live_prove_nothing(self):
+        """Engines that break off answers were taken for engines that end."""
+        for engine in self.engines:
+            engine.crash_parts, engine.break_after = frozenset(), 1
+        for _ in range(8):
+            self.ask_sound()
+        gevent.sleep(0.5)
+        for daemon in self.fleet.daemons:
+            self.assertEqual(daemon.quarantine.quarantined, {})
+            self.assertEqual(daemon.quarantine.evidence.reported_at, {})
+
+    def test_a_part_is_quarantined_while_the_store_is_away(self):
+        """Each gateway goes by what it saw itself until the store takes its reports."""
+        self.fleet.store.down = True
+        with gevent.Timeout(4.0):
+            while not all(FATAL_PART in d.quarantine.quarantined for d in self.fleet.daemons):
+                self.ask_fatal()
+                gevent.sleep(0.05)
+
+
+class BeginningOfAnswersTest(CrashingPartTest):
+    """Engines end at several points of the beginning of an answer."""
+
+    def check(self, crash_after):
+        for engine in self.engines:
+            engine.crash_after = crash_after
+        for _ in range(FATAL_REQUESTS):
+            self.ask_fatal()
+            self.ask_sound()
+            gevent.sleep(0.05)
+        self.assertLessEqual(self.fatal_arrivals, MAX_ARRIVALS)
+
+    def test_before_the_head(self):
+        self.check(-1)
+
+    def test_after_one_event(self):
+        self.check(1)
+
+    def test_requests_that_may_not_run_twice(self):
+        for _ in range(FATAL_REQUESTS):
+            self.ask_fatal(path="/once/x")
+            self.ask_sound()
+            gevent.sleep(0.05)
+        self.assertLessEqual(self.fatal_arrivals, MAX_ARRIVALS)
