--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -35,7 +35,7 @@
     STALE_STATE = "refused for want of a fresh reading"
     UNKNOWN_STREAM = "refused, the build of the resumed stream is not known"
     BUILD_GONE = "refused, no target of the resumed stream's build"
-    QUARANTINED = "refused, a part of the prompt crashes engines"
+    CRASHING_PART = "refused, a part of the prompt crashes engines"
     OTHER_REFUSAL = "refused otherwise"
     SILENT_TARGET = "target was silent"
     LOST_TARGET = "target broke off"
@@ -59,7 +59,7 @@
     "tables_unavailable": Cause.STALE_STATE,
     "stream_unknown": Cause.UNKNOWN_STREAM,
     "build_unavailable": Cause.BUILD_GONE,
-    "quarantined": Cause.QUARANTINED,
+    "quarantined": Cause.CRASHING_PART,
     "target_timeout": Cause.SILENT_TARGET,
     "target_lost": Cause.LOST_TARGET,
 }
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -45,6 +45,15 @@
         self.assertNotIn("retry-after", answer.head)
         self.assertEqual(self.fatal_arrivals, arrivals)
 
+    def test_a_request_that_crashed_its_engine_is_not_answered_as_not_run(self):
+        """A request that had run got a status which promises that it never did."""
+        answers = []
+        while not all(FATAL_PART in d.quarantine.quarantined for d in self.fleet.daemons):
+            before = self.fatal_arrivals
+            answers.append((self.ask_fatal().status, self.fatal_arrivals > before))
+        self.assertIn((502, True), answers)
+        self.assertNotIn((503, True), answers)
+
     def test_a_gateway_that_starts_later_knows_the_quarantine(self):
         """After a restart of all gateways the part ended engines again."""
         self.quarantine()
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -69,6 +69,7 @@
     # Only while no target may have run the request (tests of RetryState).
     ("gateway/retrystate.py", "error_kind"): EXPLICIT_REFUSAL,
     ("gateway/sender.py", "_give_up"): EXPLICIT_REFUSAL,
+    ("gateway/sender.py", "_fail_quarantined"): EXPLICIT_REFUSAL,
     # What another daemon answered, or that it does not know the path of the request.
     ("gateway/relayprotocol.py", "_decode_refusal"): EXPLICIT_REFUSAL,
     ("gateway/relayprotocol.py", "<module>"): EXPLICIT_REFUSAL,
