--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -131,6 +131,8 @@
 
     def crash(self) -> None:
         """End all runs and connections and stop listening."""
+        if self.server is None or not self.server.started:
+            return  # another prompt has just ended it
         self.stop()
         for run in self.runs:
             if run.outcome == "open":
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -44,6 +44,9 @@
     parser.add_argument(
         "--strain", action="store_true", help="most targets of a service fail together"
     )
+    parser.add_argument(
+        "--crashes", action="store_true", help="some prompts end the engines that answer them"
+    )
     arguments = parser.parse_args()
     seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
     options = SoakOptions(
@@ -55,6 +58,7 @@
         with_builds=arguments.builds,
         with_outages=arguments.outages,
         with_strain=arguments.strain,
+        with_crashes=arguments.crashes,
     )
     failed = 0
     for seed in seeds:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -17,6 +17,7 @@
 
 from tools.soak.builds import serving
 from tools.soak.connecting import connect
+from tools.soak.crashes import FATAL_PART
 from tools.soak.testbed import HOST, MODEL
 
 DEADLINE_S = 2.0
@@ -40,6 +41,8 @@
         Id of the event after which the stream is taken up.
     engines_of_build
         Engines of the stream's build that served when it was taken up.
+    is_fatal
+        Whether its prompt ends engines.
     """
 
     request_id: str
@@ -55,6 +58,7 @@
     resumes: str = ""
     after: int = 0
     engines_of_build: int = 0
+    is_fatal: bool = False
 
     @property
     def status(self) -> int:
@@ -189,13 +193,19 @@
             "Tenant: forged",
         ]
         if request.kind in ("resumed", "once"):
-            lines += [f"Model: {MODEL}", "Token-Usage: 900,10", "Prompt-Prefix: ab:600,cd:300"]
+            lines += [f"Model: {MODEL}", "Token-Usage: 900,10", self._prompt(request)]
         if request.resumes:
             lines += [f"Resumes: {request.resumes}", f"Last-Event-Id: {request.after}"]
         if body:
             lines.append(f"Content-Length: {len(body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
+    def _prompt(self, request: CallerRequest) -> str:
+        share = self.testbed.fatal_share
+        request.is_fatal = share > 0.0 and self.random.random() < share
+        fatal = f"{FATAL_PART}:100," if request.is_fatal else ""
+        return f"Prompt-Prefix: ab:600,{fatal}cd:300"
+
     def _read(self, request: CallerRequest) -> None:
         assert self.sock is not None
         while True:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -195,6 +195,7 @@
             if request.sent_at > self.recovery_deadline
             and request.key in self.testbed.keys
             and not request.kind.startswith("v")
+            and not request.is_fatal
         ]
         served = sum(request.status == 200 and request.complete for request in late)
         if not late or served < MIN_SERVED_RATIO * len(late):
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -35,10 +35,18 @@
         self.mode = Mode.PASS
         self.delay_s = 0.15
         self.open_sockets: set[Any] = set()
-        self.server = StreamServer(("127.0.0.1", listen_port), self._serve)
-        self.server.start()
+        self.listen(listen_port)
         self.address = f"127.0.0.1:{self.server.server_port}"
 
+    def listen(self, port: int) -> None:
+        """Begin to listen."""
+        self.server = StreamServer(("127.0.0.1", port), self._serve)
+        self.server.start()
+
+    def close(self) -> None:
+        """Refuse connections, as a host does on which the target has ended."""
+        self.server.stop(timeout=0)
+
     def set_mode(self, mode: Mode) -> None:
         """Change the mode; ``Mode.REFUSE`` also resets open connections."""
         self.mode = mode
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,6 +11,7 @@
 from tools.soak.builds import BuildInjector, check_builds
 from tools.soak.callers import Caller
 from tools.soak.checks import RunChecker
+from tools.soak.crashes import CrashInjector, check_crashes
 from tools.soak.cuts import CutInjector, check_cuts
 from tools.soak.faults import FaultInjector
 from tools.soak.notices import NoticeChecker, NoticeInjector
@@ -69,6 +70,8 @@
         Whether the store is silent for long, so that registrations lapse.
     with_strain
         Whether most targets of a service fail together.
+    with_crashes
+        Whether some prompts end the engines that begin to answer them.
     """
 
     seconds: float = 15.0
@@ -79,6 +82,7 @@
     with_builds: bool = False
     with_outages: bool = False
     with_strain: bool = False
+    with_crashes: bool = False
 
 
 def soak(seed: int, folder: pathlib.Path, options: SoakOptions) -> SoakResult:
@@ -99,7 +103,9 @@
         cuts = CutInjector(testbed, seed)
         builds = BuildInjector(testbed, seed)
         outages = OutageInjector(testbed, seed)
+        crashes = CrashInjector(testbed, seed)
         others = [
+            gevent.spawn(crashes.run, seconds if options.with_crashes else 0.0),
             gevent.spawn(NoticeInjector(testbed, seed).run, seconds),
             gevent.spawn(cuts.run, seconds if options.with_cuts else 0.0),
             gevent.spawn(builds.run, seconds if options.with_builds else 0.0),
@@ -113,6 +119,7 @@
         injector.intervals.extend(cut.interval for cut in cuts.cuts)
         injector.intervals.extend(builds.intervals)
         injector.intervals.extend(outages.intervals)
+        injector.intervals.extend(crashes.intervals)
         for gateway in testbed.gateways:
             testbed.start(gateway)
         gevent.sleep(RECOVERY_S)
@@ -132,6 +139,9 @@
         problems += NoticeChecker(testbed, checker.requests, injector.intervals).check()
         problems += check_cuts(testbed, cuts.cuts, checker.requests, injector.intervals)
         problems += check_builds(testbed, checker.requests, injector.intervals)
+        problems += check_crashes(
+            testbed, crashes.crashes, checker.requests, injector.intervals
+        )
         retry_windows = worst_retry_windows(testbed, checker.requests)
         problems += [item.problem for item in retry_windows if item.problem]
     finally:
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import gevent
@@ -21,6 +21,9 @@
 from standins.platform_store import PlatformStoreStandIn
 from tools.soak.proxy import Proxy
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HOST = "h.example"
 MODEL = "m1"
 SERVICES = PLAIN_SERVICE, LLM_SERVICE = "plain-service", "llm-service"
@@ -94,6 +97,10 @@
         self.services: dict[str, str] = {}
         self.drained_at: dict[str, float] = {}
         self.version = 0
+        self.fatal_share = 0.0
+        self.fatal_parts: frozenset[str] = frozenset()
+        self.crash_after = 0
+        self.on_crashed: Callable[[str], None] = lambda _instance: None
         self.weights_version = 1
         self.keys = {"k0": "w1", "k1": "w1", "k2": "w2"}
         self.revoked_at: dict[str, float] = {}
@@ -179,6 +186,22 @@
         self.targets[instance], self.proxies[instance] = target, proxy
         self.services[instance] = service
         target.on_loaded = lambda: self.register(instance)
+        target.on_crashed = lambda: self.on_crashed(instance)
+        target.crash_parts, target.crash_after = self.fatal_parts, self.crash_after
+        self.register(instance)
+
+    def set_fatal(self, part: str, crash_after: int) -> None:
+        """Have engines end at a part of a prompt, after some events of the answer."""
+        self.fatal_parts, self.crash_after = frozenset({part}), crash_after
+        for target in self.targets.values():
+            target.crash_parts, target.crash_after = self.fatal_parts, crash_after
+
+    def restart(self, instance: str) -> None:
+        """Start an engine again that has ended."""
+        target, proxy = self.targets[instance], self.proxies[instance]
+        target.born += 1
+        target.start(port=proxy.target[1])
+        proxy.listen(int(proxy.address.rpartition(":")[2]))
         self.register(instance)
 
     def register(self, instance: str) -> None:
