--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -46,6 +46,7 @@
 from agaterail.gateway.restartcontroller import RestartController
 from agaterail.gateway.resumedstreams import ResumedStreams
 from agaterail.gateway.retrybudget import RetryBudget
+from agaterail.gateway.saturationmonitor import SaturationMonitor, max_connections
 from agaterail.gateway.shedding import LoadShedder
 from agaterail.gateway.state import GatewayState
 from agaterail.gateway.streamcontroller import StreamController
@@ -197,8 +198,15 @@
         handler = RequestHandler(self)
         self._add_relays(handler)
         self._add_streams()
+        self.saturation = SaturationMonitor(
+            max_connections(settings.max_descriptors), lambda: self.now()
+        )
         self.caller_server = HttpServer(
-            settings.caller_listen, handler.handle, self._limits, self.now
+            settings.caller_listen,
+            handler.handle,
+            self._limits,
+            self.now,
+            may_read=self.saturation.may_read,
         )
 
     def _add_relays(self, handler: RequestHandler) -> None:
@@ -297,7 +305,8 @@
         """Return whether the load balancer should open new connections."""
         read_at = self.feeds.read_at
         knows_targets = read_at[Feed.TARGETS] != NEVER and read_at[Feed.CRASHES] != NEVER
-        return not self.stopping and self.state.desired is not None and knows_targets
+        knows_all = self.state.desired is not None and knows_targets
+        return knows_all and not self.stopping and not self.saturation.is_saturated
 
     def start(self) -> None:
         """Start the controllers and begin to accept callers."""
@@ -309,6 +318,7 @@
             self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
             self.timers.every(self.paths.period_s, self.paths.step),
+            self.timers.every(self.saturation.period_s, self.saturation.step),
             self.timers.every(self.relays.period_s, self.relays.step),
         ]
         self.readiness.start()
--- a/agaterail/gateway/httpserver.py
+++ b/agaterail/gateway/httpserver.py
@@ -333,6 +333,12 @@
 class HttpServer:
     """Accepts connections and passes complete requests to a handler.
 
+    Parameters
+    ----------
+    may_read
+        Returns whether a new connection is read, given the number of connections with it;
+        otherwise it is closed.
+
     Attributes
     ----------
     stopping
@@ -346,12 +352,14 @@
         limits: Callable[[], CallerLimits],
         now: Callable[[], float],
         count_refusal: Callable[[int], None] = lambda _status: None,
+        may_read: Callable[[int], bool] = lambda _connections: True,
     ) -> None:
         self.address = address
         self.handle = handle
         self.limits = limits
         self.now = now
         self.count_refusal = count_refusal
+        self.may_read = may_read
         self.stopping = False
         self.connections: set[CallerConnection] = set()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -391,6 +399,9 @@
         return sum(item.answering or item.reader.in_progress for item in self.connections)
 
     def _on_connection(self, sock: Any, _address: Any) -> None:
+        if not self.may_read(len(self.connections) + 1):
+            sock.close()
+            return
         connection = CallerConnection(sock, self)
         self.connections.add(connection)
         try:
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -125,6 +125,8 @@
                 ("parts_quarantined", "Parts of prompts that are kept from engines."),
                 ("parts_suspected", "Parts of prompts at engines that crashed lately."),
                 ("services_without_path", "Services that no new connection reaches."),
+                ("saturated", "Whether new connections are closed unread."),
+                ("closed_unread", "Connections from callers that were closed unread."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
@@ -168,6 +170,8 @@
             "parts_quarantined": len(daemon.quarantine.quarantined),
             "parts_suspected": len(daemon.quarantine.evidence.suspects),
             "services_without_path": len(daemon.paths.lost_services),
+            "saturated": daemon.saturation.is_saturated,
+            "closed_unread": daemon.saturation.closed_unread,
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
