--- a/agaterail/gateway/storebackoff.py
+++ b/agaterail/gateway/storebackoff.py
@@ -66,7 +66,7 @@
 
     @property
     def in_outage(self) -> bool:
-        """Return whether the store did not answer the last read of any feed."""
+        """Return whether the store did not answer the last call."""
         return self.blocked_until is not None
 
     def wait_s(self, feed: Feed, now: float) -> float:
@@ -76,6 +76,14 @@
         blocked_until = now if self.blocked_until is None else self.blocked_until
         return max(0.0, self.retry_at.get(feed, now) - now, blocked_until - now)
 
+    def record_contact(self) -> None:
+        """End an outage since the store answered a call that reads no feed.
+
+        A daemon that peers keep current makes no reads. Without this, it would take the
+        store for lost long after it is back.
+        """
+        self.blocked_until = None
+
     def record_success(self, feed: Feed) -> int:
         """End an outage for all feeds; return the failed reads of this feed before."""
         if self.in_outage:
--- a/tests/test_agaterail/test_gateway/test_directfollower.py
+++ b/tests/test_agaterail/test_gateway/test_directfollower.py
@@ -78,6 +78,15 @@
         gevent.sleep(self.OUTAGE_S)
         self.assertEqual(self.fleet.store.calls_by_name["owners"], before)
 
+    def test_a_join_ends_the_outage_of_a_daemon_that_reads_nothing_itself(self):
+        """A daemon whose peers read the store for it never took the lease over."""
+        backoff = self.daemon.feeds.store_backoff
+        self.daemon.greenlets.kill()
+        backoff.record_failure(Feed.TARGETS, self.daemon.now(), 0.5, 0.5)
+        self.assertTrue(backoff.in_outage)
+        self.daemon.membership.step()
+        self.assertFalse(backoff.in_outage)
+
     def test_all_feeds_are_read_again_once_one_probe_succeeds(self):
         self.fleet.store.down = True
         self.fleet.wait(lambda: self.daemon.feeds.store_backoff.in_outage)
--- a/tests/test_agaterail/test_gateway/test_membership.py
+++ b/tests/test_agaterail/test_gateway/test_membership.py
@@ -17,6 +17,7 @@
     reader_count,
 )
 from agaterail.gateway.retrybudget import RetryBudget, RetryBudgetLimits
+from agaterail.gateway.storebackoff import StoreBackoff
 from agaterail.platform.store import PlatformStore
 from agaterail.util.address import Address
 from standins.platform_store import PlatformStoreStandIn
@@ -39,6 +40,7 @@
     """Holds the list of readers."""
 
     def __init__(self, readers=()) -> None:
+        self.store_backoff = StoreBackoff()
         self.readers = readers
         self.members = FleetMembers()
 
