--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -195,6 +195,9 @@
                 attempt.record_events(self.splitter.event_count - events_before)
         if self.splitter.partial.strip() or self.splitter.broken:
             return AttemptOutcome.BROKEN
+        if attempt.connection.ended_by_close and not attempt.events:
+            # An engine that ends closes its connections too.
+            return AttemptOutcome.BROKEN
         attempt.finish()
         self._record_stream_length()
         if not self.answer_started:
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -258,6 +258,11 @@
         message.chunks.clear()
         return data
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Return whether only the end of the connection ended the answer."""
+        return bool(self.messages) and not self.messages[0].delimited
+
     def finish(self) -> bool:
         """End a completely answered request; return whether to keep the connection."""
         is_writing = self.writer is not None and not self.writer.ready()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -16,6 +16,8 @@
 REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected Request", 503: "Unavailable"}
 LINE_END = b"\r\n"
 MS_PER_S = 1e3
+# SO_LINGER enabled with a timeout of 0, so that closing a socket sends a reset.
+LINGER_RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
 @attrs.define
@@ -62,6 +64,10 @@
     ``brittle`` is named in all answers, and a target with ``room`` refuses the requests
     beyond that number; with more than ``brittle`` refusals in a second it falls over.
 
+    With ``undelimited``, answers have neither a length nor chunks and end with their
+    connection; ``cut_after`` closes such a stream after that number of bytes of its last
+    event, ``reset`` resets the connection in place of each end.
+
     A prompt with one of ``crash_parts`` ends the target after ``crash_after`` events of
     its answer, or before the head if negative; ``on_crashed`` is called then.
 
@@ -103,6 +109,8 @@
         self.leaving = False
         self.brittle: int | None = None
         self.room: int | None = None
+        self.undelimited = self.reset = False
+        self.cut_after: int | None = None
         self.crash_parts: frozenset[str] = frozenset()
         self.crash_after = 0
         self.on_crashed: Callable[[], object] = lambda: None
@@ -240,6 +248,9 @@
             return self._stream(sock, run, answer_headers)
         run.end("whole")
         answer = f"{self.instance} {run.request_id}".encode() * 20
+        if self.undelimited:
+            sock.sendall(self._head(200, answer_headers) + answer)
+            return not self._end_undelimited(sock)
         for _ in range(2 if self.doubled else 1):
             self._send(sock, 200, answer_headers, answer)
         return True
@@ -258,6 +269,8 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
+        if self.undelimited:
+            del head["Transfer-Encoding"]
         head["Weight-Versions"] = str(self.version)
         fatal_at = first + self.crash_after if self._is_fatal(run) else None
         if fatal_at is not None and fatal_at < first:
@@ -284,10 +297,21 @@
                 run.end("broken")
                 sock.sendall(b"%x\r\n%b" % (len(event), event[:-5]))
                 return False
+            if self.undelimited:
+                is_last = number == self.events
+                sock.sendall(event[: self.cut_after] if is_last else event)
+                continue
             sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
-        sock.sendall(b"0\r\n\r\n")
+        if not self.undelimited:
+            sock.sendall(b"0\r\n\r\n")
         run.end("whole")
-        return True
+        return not self._end_undelimited(sock)
+
+    def _end_undelimited(self, sock: socket.socket) -> bool:
+        """End an answer without a length, by a reset if that is set."""
+        if self.undelimited and self.reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        return self.undelimited
 
     def _client_disconnects(self, sock: socket.socket, run: Run) -> bool:
         """Pause and return whether the client closed the connection meanwhile."""
