--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -195,8 +195,7 @@
                 attempt.record_events(self.splitter.event_count - events_before)
         if self.splitter.partial.strip() or self.splitter.broken:
             return AttemptOutcome.BROKEN
-        if attempt.connection.ended_by_close and not attempt.events:
-            # An engine that ends closes its connections too.
+        if attempt.connection.ended_by_close and not self._is_whole(attempt):
             return AttemptOutcome.BROKEN
         attempt.finish()
         self._record_stream_length()
@@ -213,6 +212,23 @@
         )
         return None
 
+    def _is_whole(self, attempt: Attempt) -> bool:
+        """Return whether a stream that ended with its connection may be complete.
+
+        An engine that ends closes its connections too, but then refuses new ones.
+        """
+        if not attempt.events:
+            return False
+        pool = self.daemon.connection_pool
+        try:
+            connection = pool.open(attempt.target, BROKEN_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        pool.release_unused(attempt.target, connection)
+        return True
+
     # Hedging a silent target.
 
     def _send_hedge(self, silent: Attempt) -> bool:
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -122,6 +122,12 @@
     def test_after_one_event(self):
         self.check(1)
 
+    def test_answers_without_a_length(self):
+        """An engine that ended after an event was taken for one that had answered."""
+        for engine in self.engines:
+            engine.undelimited = True
+        self.check(1)
+
     def test_requests_that_may_not_run_twice(self):
         for _ in range(FATAL_REQUESTS):
             self.ask_fatal(path="/once/x")
