--- a/agaterail/decisions/crashevidence.py
+++ b/agaterail/decisions/crashevidence.py
@@ -125,18 +125,22 @@
     ----------
     reported_at
         Time of the first report of each crash, oldest first.
+    parts
+        Parts of the prompts at each crash.
     suspects
         Evidence by part.
     """
 
     def __init__(self) -> None:
         self.reported_at: dict[TargetStart, float] = {}
+        self.parts: dict[TargetStart, set[str]] = {}
         self.suspects: dict[str, _Suspect] = {}
 
     def add(self, report: CrashReport, now: float) -> None:
         """Add a report; several daemons report the same crash."""
         self._expire(now)
         self.reported_at.setdefault(report.start, now)
+        self.parts.setdefault(report.start, set()).update(report.parts)
         for prompt in report.prompts:
             for depth, part in enumerate(prompt.parts):
                 suspect = self.suspects.setdefault(part, _Suspect(now))
@@ -229,7 +233,10 @@
             if len(self.reported_at) < MAX_CRASHES and now - at < EVIDENCE_S:
                 return
             del self.reported_at[oldest]
-            for part, suspect in list(self.suspects.items()):
+            for part in self.parts.pop(oldest):
+                suspect = self.suspects.get(part)
+                if suspect is None:
+                    continue
                 suspect.crashes.discard(oldest)
                 if not suspect.crashes:
                     del self.suspects[part]
