--- a/agaterail/decisions/crashevidence.py
+++ b/agaterail/decisions/crashevidence.py
@@ -192,11 +192,13 @@
         return causes
 
     def explained_otherwise(self, part: str, causes: Iterable[Cause]) -> bool:
-        """Return whether there is evidence against a part, but other parts explain it."""
+        """Return whether other parts explain all crashes that speak against a part."""
         suspect = self.suspects.get(part)
-        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
+        parts = {cause.part for cause in causes}
+        if suspect is None or part in parts:
             return False
-        return all(cause.part != part for cause in causes)
+        explained = set[TargetStart]().union(*(self.suspects[item].crashes for item in parts))
+        return suspect.crashes <= explained
 
     def _rank(self, part: str, crashes: set[TargetStart]) -> tuple[bool, int, int, str]:
         """Order parts by how likely it is that they are the cause of crashes.
--- a/tests/test_agaterail/test_decisions/test_crashevidence.py
+++ b/tests/test_agaterail/test_decisions/test_crashevidence.py
@@ -87,6 +87,14 @@
         self.assertEqual(self.causes, ["bad"])
         self.assertTrue(self.evidence.explained_otherwise("b", self.evidence.causes()))
 
+    def test_later_crashes_for_other_reasons_do_not_speak_for_a_cause(self):
+        """A quarantine was lifted when a domain was lost, and the part ended engines again."""
+        for number in range(3):
+            self.crash((f"r{number}", ["a", "bad"]))
+        for number in range(9):
+            self.crash((f"s{number}", [f"b{number}"]))
+        self.assertFalse(self.evidence.explained_otherwise("bad", self.evidence.causes()))
+
     def test_two_fatal_parts_are_found(self):
         for number in range(3):
             self.crash((f"r{number}", ["a", "bad"]))
