--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -178,9 +178,10 @@
         """Record an answer that broke off; the target may have ended under its prompt."""
         target, inbound = attempt.target, attempt.context.inbound
         parts = _keys(inbound)[-MAX_PARTS:]
-        is_near_start = attempt.events <= MAX_EVENTS_AT_CRASH
-        if not parts or not is_near_start or not target.registration.ready or target.leaving:
+        if not parts or attempt.events > MAX_EVENTS_AT_CRASH:
             return
+        if not target.is_ready or target.lapsed_at is not None:
+            return  # it was to end
         start = TargetStart(target.instance, target.start)
         if start not in self.broken:
             self.broken[start] = []
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import gevent
 
-from tests.crashing_fleet import FATAL_PART, CrashingPartTest
+from agaterail.gateway.inbound import InboundRequest, PromptPart
+from tests.crashing_fleet import FATAL_PART, SHARED_PART, CrashingPartTest
 from tests.gateway_fleet import BOUNDS
 
 FATAL_REQUESTS = 20
@@ -95,6 +98,28 @@
             self.assertEqual(daemon.quarantine.quarantined, {})
             self.assertEqual(daemon.quarantine.evidence.reported_at, {})
 
+    def test_engines_that_were_to_end_prove_nothing(self):
+        """An engine that had left the store was taken for one that its prompts ended."""
+        engines = self.engines[1:]
+        for engine in engines:
+            self.fleet.store.put("keyed.servers", engine.instance, b"")
+            engine.on_crashed = lambda: None
+        targets = dict(self.fleet.daemons[0].registry.targets)
+        self.fleet.wait(lambda: len(self.fleet.daemons[0].registry.targets) == 3)
+        inbound = InboundRequest(
+            method=b"POST",
+            target=b"/resumed/x",
+            headers=[],
+            request_id="r",
+            prompt=(PromptPart(SHARED_PART, 60), PromptPart("c", 40)),
+        )
+        quarantine = self.fleet.daemons[0].quarantine
+        for engine in engines:
+            context = SimpleNamespace(inbound=inbound)
+            target = targets[engine.instance]
+            quarantine.record_broken(SimpleNamespace(target=target, context=context, events=0))
+        self.assertEqual(quarantine.broken, {})
+
     def test_a_part_is_quarantined_while_the_store_is_away(self):
         """Each gateway goes by what it saw itself until the store takes its reports."""
         self.fleet.store.down = True
