--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -286,8 +286,9 @@
         """Apply records that were read; a listing holds all verdicts that are in force."""
         if listed:
             kept = {item.part for item in changes if isinstance(item, PartQuarantined)}
-            for part in [item for item in self.quarantined if item not in kept]:
-                self._lift(part, "not listed")
+            for part, quarantine in list(self.quarantined.items()):
+                if quarantine.recorded and part not in kept:
+                    self._lift(part, "not listed")
         fresh = [item for item in changes if listed or item.offset >= self.next_offset]
         self.next_offset = max(self.next_offset, next_offset)
         self._apply_all(fresh)
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from agaterail.gateway.controlstore import PartQuarantined, Quarantine
 from agaterail.gateway.inbound import InboundRequest, PromptPart
 from tests.crashing_fleet import FATAL_PART, SHARED_PART, CrashingPartTest
 from tests.gateway_fleet import BOUNDS
@@ -87,6 +88,17 @@
         self.wait_for_engines()
         self.assertTrue(self.ask_fatal().whole_stream)
 
+    def test_a_listing_keeps_a_verdict_that_is_not_stored_yet(self):
+        """A daemon that read the records anew let the part pass again."""
+        self.quarantine()
+        self.wait_for_verdict()
+        quarantine = self.fleet.daemons[0].quarantine
+        quarantine.quarantined["other"] = Quarantine(3)
+        quarantine.apply([PartQuarantined(FATAL_PART, Quarantine(3))], 0, listed=True)
+        self.assertEqual(set(quarantine.quarantined), {FATAL_PART, "other"})
+        quarantine.apply([], 0, listed=True)
+        self.assertEqual(set(quarantine.quarantined), {"other"})
+
     def test_answers_that_break_off_at_engines_that_live_prove_nothing(self):
         """Engines that break off answers were taken for engines that end."""
         for engine in self.engines:
