--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -100,6 +100,10 @@
         Parts that no request may bring to an engine.
     survived
         Time at which an answer last went on by part, the latest at the end.
+    telling
+        Parts of which this daemon tells the others soon that they are sound.
+    unrecorded_lifts
+        Parts whose quarantine ended here and perhaps not in the store.
     broken
         Prompts at targets that may have ended, until that is known.
     queue
@@ -128,6 +132,8 @@
         self.evidence = CrashEvidence()
         self.quarantined: dict[str, Quarantine] = {}
         self.survived: dict[str, float] = {}
+        self.telling: set[str] = set()
+        self.unrecorded_lifts: set[str] = set()
         self.broken: dict[TargetStart, list[BrokenPrompt]] = {}
         self.queue: list[_Queued] = []
         self.appending = False
@@ -155,8 +161,9 @@
 
     def _tell_refuted(self, parts: Iterable[str]) -> None:
         """Tell the others if this daemon knows that suspected parts are sound."""
-        refuted = self._refuted(parts)
+        refuted = [part for part in self._refuted(parts) if part not in self.telling]
         if refuted:
+            self.telling.update(refuted)
             wait_s = min(MAX_SURVIVAL_WAIT_S, SURVIVAL_WAIT_PER_DAEMON_S * self.daemons())
             gevent.spawn_later(wait_s * self.rng.random(), self._report_survival, refuted)
 
@@ -170,9 +177,14 @@
         )
 
     def _report_survival(self, parts: Sequence[str]) -> None:
+        self.telling.difference_update(parts)
         still_refuted = self._refuted(parts)
-        if still_refuted:
-            self._publish(PartsSurvived(still_refuted))
+        if not still_refuted:
+            return
+        self._publish(PartsSurvived(still_refuted))
+        for part in still_refuted:
+            if part in self.quarantined:
+                self.lift(part)
 
     def record_broken(self, attempt: Attempt) -> None:
         """Record an answer that broke off; the target may have ended under its prompt."""
@@ -312,13 +324,13 @@
             self._decide(decided_here)
 
     def _apply_survival(self, parts: Iterable[str]) -> None:
+        logger.info("Parts survived.", parts=parts)
         self.evidence.clear(parts)
         for part in parts:
-            if part in self.quarantined:
-                self._lift(part, "survived")
-                self.lift(part)
+            self._lift(part, "survived")
 
     def _apply_verdict(self, change: PartQuarantined) -> None:
+        self.unrecorded_lifts.discard(change.part)
         if change.quarantine is None:
             self.evidence.clear([change.part])
             self._lift(change.part, "lifted by a record")
@@ -331,10 +343,12 @@
 
     def _decide(self, decided_here: bool) -> None:
         causes = self.evidence.causes()
+        wait_s = 0.0 if decided_here else VERDICT_WAIT_S * (1.0 + self.rng.random())
         for part in list(self.quarantined):
             if self.evidence.explained_otherwise(part, causes):
                 self._lift(part, "explained by another part")
-                self.lift(part)
+                self.unrecorded_lifts.add(part)
+                gevent.spawn_later(wait_s, self._record_lift, part)
         for cause in causes:
             if cause.part in self.quarantined:
                 continue
@@ -346,7 +360,6 @@
                 requests=cause.requests,
                 all_crashes=len(self.evidence.reported_at),
             )
-            wait_s = 0.0 if decided_here else VERDICT_WAIT_S * (1.0 + self.rng.random())
             gevent.spawn_later(wait_s, self._record_verdict, cause.part)
 
     def _record_verdict(self, part: str) -> None:
@@ -354,6 +367,10 @@
         if quarantine is not None and not quarantine.recorded:
             self._publish(PartQuarantined(part, quarantine))
 
+    def _record_lift(self, part: str) -> None:
+        if part in self.unrecorded_lifts:
+            self.lift(part)
+
     def lift(self, part: str) -> None:
         """Lift a quarantine on all daemons."""
         self._publish(PartQuarantined(part, None))
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -6,7 +6,7 @@
 
 from agaterail.gateway.controlstore import PartQuarantined, Quarantine
 from agaterail.gateway.inbound import InboundRequest, PromptPart
-from tests.crashing_fleet import FATAL_PART, SHARED_PART, CrashingPartTest
+from tests.crashing_fleet import FATAL_PART, SHARED_PART, SHARED_PARTS, CrashingPartTest
 from tests.gateway_fleet import BOUNDS
 
 FATAL_REQUESTS = 20
@@ -99,6 +99,22 @@
         quarantine.apply([], 0, listed=True)
         self.assertEqual(set(quarantine.quarantined), {"other"})
 
+    def test_a_mistaken_quarantine_ends_on_all_gateways(self):
+        """A sound part that came with the fatal one was kept from engines for good."""
+        for _ in range(3):
+            self.ask("fatal", f"{SHARED_PARTS},{FATAL_PART}:20,be:20")
+        self.fleet.wait(
+            lambda: all("be" in d.quarantine.quarantined for d in self.fleet.daemons)
+        )
+        self.wait_for_engines()
+        self.quarantine()
+        self.fleet.wait(
+            lambda: all(
+                set(d.quarantine.quarantined) == {FATAL_PART} for d in self.fleet.daemons
+            )
+        )
+        self.assertTrue(self.ask_sound(f"{SHARED_PARTS},be:20").whole_stream)
+
     def test_answers_that_break_off_at_engines_that_live_prove_nothing(self):
         """Engines that break off answers were taken for engines that end."""
         for engine in self.engines:
