--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 import gevent
@@ -10,6 +11,7 @@
 
 from tools.soak import run, testbed
 from tools.soak.checks import FaultInterval, most_within
+from tools.soak.crashes import Crash, check_crashes
 from tools.soak.notices import NoticeChecker
 from tools.soak.retries import worst_retry_windows
 from tools.soak.run import SoakOptions, soak
@@ -27,6 +29,8 @@
 BUILDS_SEED, BUILDS_SECONDS = 6, 12.0
 # Long enough for an outage in which registrations lapse.
 OUTAGES_SEED, OUTAGES_SECONDS = 51, 5.0
+# The former product broke this seed.
+CRASHES_SEED, CRASHES_SECONDS = 2, 8.0
 
 
 class SoakTest(unittest.TestCase):
@@ -63,6 +67,28 @@
             result = soak(OUTAGES_SEED, pathlib.Path(folder), options)
             self.assertEqual(result.problems, [])
 
+    def test_a_part_of_prompts_that_ends_engines_is_kept_from_them(self):
+        with tempfile.TemporaryDirectory() as folder:
+            options = SoakOptions(seconds=CRASHES_SECONDS, with_crashes=True)
+            result = soak(CRASHES_SEED, pathlib.Path(folder), options)
+            self.assertEqual(result.problems, [])
+
+    def test_prompts_that_reach_engines_after_the_fifth_crash_are_found(self):
+        arrivals = [(4.0, "r0"), *((9.0 + number, f"r{number}") for number in range(4))]
+        engine = SimpleNamespace(arrivals=arrivals)
+        bed = SimpleNamespace(targets={"e-0": engine})
+        crashes = [Crash("e-0", float(number)) for number in range(5)]
+        requests = [
+            SimpleNamespace(request_id=f"r{number}", gateway="g-0", is_fatal=True)
+            for number in range(4)
+        ]
+        self.assertEqual(len(check_crashes(bed, crashes, requests, [])), 1)
+        self.assertEqual(check_crashes(bed, crashes[:4], requests, []), [])
+        frozen = [FaultInterval("freeze g-0", 8.0, 9.5)]
+        self.assertEqual(check_crashes(bed, crashes, requests, frozen), [])
+        frozen = [FaultInterval("freeze g-1", 8.0, 9.5)]
+        self.assertEqual(len(check_crashes(bed, crashes, requests, frozen)), 1)
+
     def test_runs_beside_each_other_draw_different_ports(self):
         """Two soaks at once failed, as ports were free again between draw and use."""
         first, second = (testbed._hold_ports(600) for _ in range(2))
