--- a/tools/soak/builds.py
+++ b/tools/soak/builds.py
@@ -138,11 +138,12 @@
                 f"{request.request_id}: events of builds {sorted(chain)},"
                 f" resumes {request.resumes or 'none'}, by {request.gateway} at {engines}"
             )
-    new = [item for item in requests if item.kind == "resumed" and not item.resumes]
+    sound = [item for item in requests if not item.is_fatal]
+    new = [item for item in sound if item.kind == "resumed" and not item.resumes]
     begun = sum(bool(item.builds) for item in new)
     taken_up = [
         item
-        for item in requests
+        for item in sound
         if item.resumes and item.engines_of_build >= 2 and not _is_excused(item, intervals)
     ]
     gone_on = sum(bool(item.builds) for item in taken_up)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -147,6 +147,7 @@
             request.kind, request.key = takes_up.kind, takes_up.key
             request.resumes = takes_up.resumes or takes_up.request_id
             request.after = takes_up.last_event
+            request.is_fatal = takes_up.is_fatal
             request.engines_of_build = self._engines_of_build(request.resumes)
         self.requests.append(request)
         try:
@@ -202,7 +203,8 @@
 
     def _prompt(self, request: CallerRequest) -> str:
         share = self.testbed.fatal_share
-        request.is_fatal = share > 0.0 and self.random.random() < share
+        if not request.resumes:
+            request.is_fatal = share > 0.0 and self.random.random() < share
         fatal = f"{FATAL_PART}:100," if request.is_fatal else ""
         return f"Prompt-Prefix: ab:600,{fatal}cd:300"
 
--- a/tools/soak/cuts.py
+++ b/tools/soak/cuts.py
@@ -100,6 +100,7 @@
             for item in requests
             if cut.start <= item.sent_at <= cut.end - 1.0
             and not item.kind.startswith("v")
+            and not item.is_fatal
             and item.key in testbed.keys
             and not _is_state_outdated(item.sent_at, intervals)
             and not _is_disturbed(item.gateway, item.sent_at, intervals)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -88,7 +88,9 @@
 def soak(seed: int, folder: pathlib.Path, options: SoakOptions) -> SoakResult:
     """Run gateways under faults and check the guarantees."""
     seconds = options.seconds
-    testbed = Testbed(folder, options.gateways, with_cuts=options.with_cuts)
+    # Gateways forward for each other when paths are cut, and when most engines refuse.
+    forwards = options.with_cuts or options.with_crashes
+    testbed = Testbed(folder, options.gateways, records_forwarded=forwards)
     try:
         start_problems = _wait_until_ready(testbed)
         if start_problems:
--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -82,10 +82,12 @@
         folder: pathlib.Path,
         gateways: int,
         engines: int = 3,
-        with_cuts: bool = False,
+        records_forwarded: bool = False,
     ) -> None:
         self.folder = folder
-        self.gateway_module = "tools.soak.cutgateway" if with_cuts else "agaterail.gateway"
+        self.gateway_module = (
+            "tools.soak.cutgateway" if records_forwarded else "agaterail.gateway"
+        )
         self.store = PlatformStoreStandIn()
         # A port that other processes have used lately may still get their requests.
         self.held_ports = _hold_ports(gateways * 6 + 2 * MAX_TARGETS + 2)
