--- a/agaterail/gateway/membership.py
+++ b/agaterail/gateway/membership.py
@@ -169,7 +169,7 @@
         ttl_s = max(self.period_s * JOINS_IN_TTL, self.daemon.settings.store.member_ttl_min_s)
         answer = self.daemon.store.join(self.member, ttl_s, self.generation)
         if isinstance(answer, Success):
-            self.daemon.feeds.store_backoff.record_contact()
+            self.daemon.feeds.store_backoff.record_contact(sent_at)
             self._apply_membership(answer.unwrap(), sent_at + ttl_s)
             self._refresh_readers(self.daemon.now())
         elif self.daemon.now() >= self.valid_until and self.daemon.budget.share:
--- a/agaterail/gateway/storebackoff.py
+++ b/agaterail/gateway/storebackoff.py
@@ -22,6 +22,8 @@
 LARGE_FLEET_MAX_BACKOFF_S = 1.0
 FLEET_PROBES_PER_S = 50.0
 MAX_FLEET_BACKOFF_S = 2.0
+# A daemon that reads the store itself probes it within this time after each pause.
+UNPROBED_S = 1.0
 
 
 def max_backoff_s(daemons: float, is_reader: bool) -> float:
@@ -76,13 +78,15 @@
         blocked_until = now if self.blocked_until is None else self.blocked_until
         return max(0.0, self.retry_at.get(feed, now) - now, blocked_until - now)
 
-    def record_contact(self) -> None:
-        """End an outage since the store answered a call that reads no feed.
+    def record_contact(self, now: float) -> None:
+        """End an outage in which no more reads are made, as the store answered another call.
 
         A daemon that peers keep current makes no reads. Without this, it would take the
         store for lost long after it is back.
         """
-        self.blocked_until = None
+        until = self.blocked_until
+        if until is not None and not self.probes and now >= until + UNPROBED_S:
+            self.blocked_until = None
 
     def record_success(self, feed: Feed) -> int:
         """End an outage for all feeds; return the failed reads of this feed before."""
--- a/tests/test_agaterail/test_gateway/test_directfollower.py
+++ b/tests/test_agaterail/test_gateway/test_directfollower.py
@@ -82,8 +82,12 @@
         """A daemon whose peers read the store for it never took the lease over."""
         backoff = self.daemon.feeds.store_backoff
         self.daemon.greenlets.kill()
-        backoff.record_failure(Feed.TARGETS, self.daemon.now(), 0.5, 0.5)
-        self.assertTrue(backoff.in_outage)
+        now = self.daemon.now()
+        self.daemon.now = lambda: now
+        backoff.record_failure(Feed.TARGETS, now, 0.5, 0.5)
+        self.daemon.membership.step()
+        self.assertTrue(backoff.in_outage)  # it is still probed
+        now += 2.0
         self.daemon.membership.step()
         self.assertFalse(backoff.in_outage)
 
