--- a/tools/soak/testbed.py
+++ b/tools/soak/testbed.py
@@ -201,6 +201,8 @@
     def restart(self, instance: str) -> None:
         """Start an engine again that has ended."""
         target, proxy = self.targets[instance], self.proxies[instance]
+        if target.leaving:
+            return  # it has left; another start would not know what this one said
         target.born += 1
         target.start(port=proxy.target[1])
         proxy.listen(int(proxy.address.rpartition(":")[2]))
