--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -125,23 +125,29 @@
     ----------
     reporter
         Name of the daemon's process.
-    age_s
-        Seconds since the report was written, by the hosts' times of day.
+    written_at
+        Time of day at the writer.
     """
 
     report: CrashReport
     reporter: str = ""
     offset: int = 0
-    age_s: float = 0.0
+    written_at: float = 0.0
 
 
 @attrs.frozen
 class PartsSurvived:
-    """A daemon saw answers to prompts with these parts go on."""
+    """A daemon saw answers to prompts with these parts go on.
+
+    Attributes
+    ----------
+    written_at
+        Time of day at the writer.
+    """
 
     parts: tuple[str, ...]
     offset: int = 0
-    age_s: float = 0.0
+    written_at: float = 0.0
 
 
 @attrs.frozen
--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -129,6 +130,7 @@
         self.daemons = daemons
         self.now = now
         self.rng = rng
+        self.time_of_day = time.time
         self.evidence = CrashEvidence()
         self.quarantined: dict[str, Quarantine] = {}
         self.survived: dict[str, float] = {}
@@ -181,7 +183,7 @@
         still_refuted = self._refuted(parts)
         if not still_refuted:
             return
-        self._publish(PartsSurvived(still_refuted))
+        self._publish(PartsSurvived(still_refuted, written_at=self.time_of_day()))
         for part in still_refuted:
             if part in self.quarantined:
                 self.lift(part)
@@ -220,7 +222,8 @@
         if has_ended:
             survived = tuple(part for part in report.parts if part in self.survived)
             report = attrs.evolve(report, survived=survived)
-            self._publish(CrashReported(report, self.name))
+            written_at = self.time_of_day()
+            self._publish(CrashReported(report, self.name, written_at=written_at))
 
     def _has_ended(self, target: Target, start: TargetStart) -> bool:
         """Return whether a target ended, and not only connections to it.
@@ -307,9 +310,10 @@
 
     def _apply_all(self, changes: Iterable[Change]) -> None:
         has_reports, decided_here = False, False
+        oldest = self.time_of_day() - EVIDENCE_S
         for change in changes:
             match change:
-                case CrashReported() | PartsSurvived() if change.age_s > EVIDENCE_S:
+                case CrashReported() | PartsSurvived() if change.written_at < oldest:
                     continue
                 case CrashReported():
                     has_reports = True
--- a/agaterail/platform/crashrecords.py
+++ b/agaterail/platform/crashrecords.py
@@ -31,7 +31,7 @@
 VERDICT_PREFIX = "part/"
 
 
-def encode(change: CrashChange, host: str, written_at: float) -> bytes:
+def encode(change: CrashChange, host: str) -> bytes:
     """Return the content of a record: its key with a length, and its value."""
     slot = zlib.crc32(host.encode()) % HOST_KEYS
     payload: dict[str, Any] | None
@@ -39,7 +39,8 @@
         case CrashReported():
             key, payload = f"{REPORT_PREFIX}{slot}", _encode_report(change)
         case PartsSurvived():
-            key, payload = f"{SURVIVAL_PREFIX}{slot}", {"parts": list(change.parts)}
+            key = f"{SURVIVAL_PREFIX}{slot}"
+            payload = {"parts": list(change.parts), "at": round(change.written_at, 3)}
         case PartQuarantined():
             key = f"{VERDICT_PREFIX}{change.part}"
             payload = (
@@ -48,17 +49,17 @@
     name = key.encode()
     value = b""
     if payload is not None:
-        value = json.dumps({**payload, "at": round(written_at, 3)}).encode()
+        value = json.dumps(payload).encode()
     return bytes([len(name)]) + name + value
 
 
-def decode(record: FeedRecord, time_of_day: float) -> CrashChange | None:
+def decode(record: FeedRecord) -> CrashChange | None:
     """Decode a record; return None if it is malformed or its key is unknown."""
     if record.key.startswith(VERDICT_PREFIX) and not record.value:
         part = record.key.removeprefix(VERDICT_PREFIX)
         return PartQuarantined(part, None, record.offset)
     try:
-        return _decode_value(record, time_of_day)
+        return _decode_value(record)
     except ValueError as error:
         logger.warning(
             "Skipped a malformed record.",
@@ -77,28 +78,29 @@
         "born": report.start.born,
         "prompts": [[prompt.request, list(prompt.parts)] for prompt in report.prompts],
         "survived": list(report.survived),
+        "at": round(change.written_at, 3),
     }
 
 
-def _decode_value(record: FeedRecord, time_of_day: float) -> CrashChange | None:
+def _decode_value(record: FeedRecord) -> CrashChange | None:
     decoded = fields.json_object(json.loads(record.value), "the record")
     if record.key.startswith(VERDICT_PREFIX):
         part = record.key.removeprefix(VERDICT_PREFIX)
         quarantine = Quarantine(fields.integer(decoded, "crashes"))
         return PartQuarantined(part, quarantine, record.offset)
-    age_s = max(0.0, time_of_day - fields.number(decoded, "at"))
+    written_at = fields.number(decoded, "at")
     if record.key.startswith(SURVIVAL_PREFIX):
-        return PartsSurvived(_strings(decoded.get("parts")), record.offset, age_s)
+        return PartsSurvived(_strings(decoded.get("parts")), record.offset, written_at)
     if record.key.startswith(REPORT_PREFIX):
-        return _decode_report(decoded, record.offset, age_s)
+        return _decode_report(decoded, record.offset, written_at)
     return None
 
 
-def _decode_report(decoded: dict[str, Any], offset: int, age_s: float) -> CrashReported:
+def _decode_report(decoded: dict[str, Any], offset: int, written_at: float) -> CrashReported:
     start = TargetStart(fields.string(decoded, "target"), fields.integer(decoded, "born"))
     prompts = tuple(_decode_prompt(row) for row in fields.array(decoded, "prompts"))
     report = CrashReport(start, prompts, _strings(decoded.get("survived")))
-    return CrashReported(report, fields.string(decoded, "by"), offset, age_s)
+    return CrashReported(report, fields.string(decoded, "by"), offset, written_at)
 
 
 def _decode_prompt(row: object) -> BrokenPrompt:
--- a/agaterail/platform/feedrecords.py
+++ b/agaterail/platform/feedrecords.py
@@ -78,7 +78,7 @@
         if isinstance(record, DocumentRecord):
             return self._decode_operator_change(record)
         if feed is Feed.CRASHES:
-            return crashrecords.decode(record, time.time())
+            return crashrecords.decode(record)
         return (
             _decode_lease_change(record)
             if feed is Feed.LEASE
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -4,7 +4,6 @@
 
 import json
 import struct
-import time
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -149,7 +148,7 @@
         self, changes: Sequence[CrashChange], host: str
     ) -> Result[None, StoreError]:
         """Append records of crashes, survivals and verdicts, all or none."""
-        records = [crashrecords.encode(change, host, time.time()) for change in changes]
+        records = [crashrecords.encode(change, host) for change in changes]
         body = b"".join(
             feedrecords.RECORD_LENGTH.pack(len(record)) + record for record in records
         )
--- a/tests/test_agaterail/test_cmd/test_quarantine.py
+++ b/tests/test_agaterail/test_cmd/test_quarantine.py
@@ -51,12 +51,15 @@
         self.assertEqual(run_in_process("quarantine")[0], 2)
 
     def test_records_are_read_back_as_they_were_written(self):
-        self.append(CrashReported(REPORT, "h-1.0"), PartsSurvived(("ab", "cd")))
+        self.append(
+            CrashReported(REPORT, "h-1.0", written_at=7.25),
+            PartsSurvived(("ab", "cd"), written_at=8.5),
+        )
         records = self.store.follow(Feed.CRASHES, 0, 0.0).unwrap().records
         reported, survived = self.store.decode(Feed.CRASHES, records)
         self.assertEqual((reported.report, reported.reporter), (REPORT, "h-1.0"))
         self.assertEqual(survived.parts, ("ab", "cd"))
-        self.assertLess(reported.age_s, 5.0)
+        self.assertEqual((reported.written_at, survived.written_at), (7.25, 8.5))
 
     def test_malformed_records_are_skipped(self):
         for key, value in (("crash/1", b"{}"), ("crash/1", b"x"), ("other", b'{"at": 1}')):
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -4,7 +4,13 @@
 
 import gevent
 
-from agaterail.gateway.controlstore import PartQuarantined, Quarantine
+from agaterail.decisions.crashevidence import (
+    EVIDENCE_S,
+    BrokenPrompt,
+    CrashReport,
+    TargetStart,
+)
+from agaterail.gateway.controlstore import CrashReported, PartQuarantined, Quarantine
 from agaterail.gateway.inbound import InboundRequest, PromptPart
 from tests.crashing_fleet import FATAL_PART, SHARED_PART, SHARED_PARTS, CrashingPartTest
 from tests.gateway_fleet import BOUNDS
@@ -99,6 +105,16 @@
         quarantine.apply([], 0, listed=True)
         self.assertEqual(set(quarantine.quarantined), {"other"})
 
+    def test_reports_of_long_ago_are_left_out(self):
+        """A gateway that started found the last report of each host and took it for new."""
+        quarantine = self.fleet.daemons[0].quarantine
+        report = CrashReport(TargetStart("e", 1), (BrokenPrompt("r", ("a",)),))
+        now = quarantine.time_of_day()
+        for age_s, known in ((EVIDENCE_S + 9.0, 0), (EVIDENCE_S - 9.0, 1)):
+            change = CrashReported(report, written_at=now - age_s)
+            quarantine.apply([change], 0, listed=True)
+            self.assertEqual(len(quarantine.evidence.reported_at), known)
+
     def test_a_mistaken_quarantine_ends_on_all_gateways(self):
         """A sound part that came with the fatal one was kept from engines for good."""
         for _ in range(3):
