--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -8,7 +8,6 @@
 
 import attrs
 import gevent
-from returns.result import Success
 
 from agaterail import logs
 from agaterail.decisions.crashevidence import (
@@ -25,8 +24,8 @@
     PartsSurvived,
     Quarantine,
 )
+from agaterail.gateway.crashrecordqueue import CrashRecordQueue
 from agaterail.gateway.inbound import normalize_part_name
-from agaterail.util.backoff import backoff_s
 
 if TYPE_CHECKING:
     import random
@@ -51,12 +50,6 @@
 # A registration lapses after three heartbeats, which shows an end behind a dead host.
 CONFIRM_S = 5.0
 CONFIRM_PAUSE_S = 0.3
-# Records of about the same time are appended with one call.
-APPEND_PERIOD_S = 0.1
-INITIAL_RETRY_S = 0.25
-MAX_RETRY_S = 2.0
-MAX_APPEND_AGE_S = 30.0
-MAX_QUEUED = 64
 # Any daemon may have seen a part survive. All of them wait for a random time, longer in a
 # large fleet, so that few tell it.
 SURVIVAL_WAIT_PER_DAEMON_S = 0.01
@@ -69,15 +62,6 @@
 REQUEST_DIGEST_BYTES = 6
 
 
-@attrs.define
-class _Queued:
-    """A record to append, and whether it was applied here without the store."""
-
-    change: CrashChange
-    since: float
-    applied: bool = False
-
-
 class QuarantineController:
     """Reports the prompts at engines that crash, and blocks parts that cause crashes.
 
@@ -107,10 +91,8 @@
         Parts whose quarantine ended here and perhaps not in the store.
     broken
         Prompts at targets that may have ended, until that is known.
-    queue
-        Records to append, oldest first.
-    failures
-        Consecutive failed appends.
+    records
+        Records on their way to the store.
     """
 
     def __init__(
@@ -126,7 +108,7 @@
         self.name = name
         self.pool = pool
         self.restarts = restarts
-        self.append = append
+        self.records = CrashRecordQueue(append, self._apply_all, now)
         self.daemons = daemons
         self.now = now
         self.rng = rng
@@ -137,9 +119,6 @@
         self.telling: set[str] = set()
         self.unrecorded_lifts: set[str] = set()
         self.broken: dict[TargetStart, list[BrokenPrompt]] = {}
-        self.queue: list[_Queued] = []
-        self.appending = False
-        self.failures = 0
         self.next_offset = 0
 
     # Requests.
@@ -183,7 +162,7 @@
         still_refuted = self._refuted(parts)
         if not still_refuted:
             return
-        self._publish(PartsSurvived(still_refuted, written_at=self.time_of_day()))
+        self.records.publish(PartsSurvived(still_refuted, written_at=self.time_of_day()))
         for part in still_refuted:
             if part in self.quarantined:
                 self.lift(part)
@@ -223,7 +202,7 @@
             survived = tuple(part for part in report.parts if part in self.survived)
             report = attrs.evolve(report, survived=survived)
             written_at = self.time_of_day()
-            self._publish(CrashReported(report, self.name, written_at=written_at))
+            self.records.publish(CrashReported(report, self.name, written_at=written_at))
 
     def _has_ended(self, target: Target, start: TargetStart) -> bool:
         """Return whether a target ended, and not only connections to it.
@@ -251,52 +230,6 @@
 
     # Records in the store.
 
-    def _publish(self, change: CrashChange) -> None:
-        """Append a record; it is applied when it is read back."""
-        queued = _Queued(change, self.now())
-        if len(self.queue) < MAX_QUEUED:
-            self.queue.append(queued)
-        if self.failures:
-            self._apply_here([queued])
-        if not self.appending:
-            self.appending = True
-            gevent.spawn(self._append_queue)
-
-    def _append_queue(self) -> None:
-        try:
-            while self.queue:
-                pause_s = self._append_batch(list(self.queue))
-                gevent.sleep(pause_s)
-        finally:
-            self.appending = False
-
-    def _append_batch(self, batch: Sequence[_Queued]) -> float:
-        """Append records with one call; return the seconds until the next call."""
-        answer = self.append([item.change for item in batch])
-        if isinstance(answer, Success):
-            self.failures = 0
-            del self.queue[: len(batch)]
-            return APPEND_PERIOD_S
-        if not self.failures:
-            logger.warning(
-                "Crash records not stored.",
-                reason=answer.failure().kind.value,
-                count=len(batch),
-            )
-        pause_s = backoff_s(self.failures, INITIAL_RETRY_S, MAX_RETRY_S)
-        self.failures += 1
-        self._apply_here(batch)
-        oldest = self.now() - MAX_APPEND_AGE_S
-        self.queue = [item for item in self.queue if item.since >= oldest]
-        return pause_s
-
-    def _apply_here(self, batch: Sequence[_Queued]) -> None:
-        """Apply records on this daemon alone while the store does not take them."""
-        fresh = [item for item in batch if not item.applied]
-        for item in fresh:
-            item.applied = True
-        self._apply_all([item.change for item in fresh])
-
     def apply(self, changes: Sequence[Change], next_offset: int, listed: bool) -> None:
         """Apply records that were read; a listing holds all verdicts that are in force."""
         if listed:
@@ -369,7 +302,7 @@
     def _record_verdict(self, part: str) -> None:
         quarantine = self.quarantined.get(part)
         if quarantine is not None and not quarantine.recorded:
-            self._publish(PartQuarantined(part, quarantine))
+            self.records.publish(PartQuarantined(part, quarantine))
 
     def _record_lift(self, part: str) -> None:
         if part in self.unrecorded_lifts:
@@ -377,7 +310,7 @@
 
     def lift(self, part: str) -> None:
         """Lift a quarantine on all daemons."""
-        self._publish(PartQuarantined(part, None))
+        self.records.publish(PartQuarantined(part, None))
 
     def _lift(self, part: str, reason: str) -> None:
         if self.quarantined.pop(part, None) is not None:
