--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -239,7 +239,8 @@
                     self._lift(part, "not listed")
         fresh = [item for item in changes if listed or item.offset >= self.next_offset]
         self.next_offset = max(self.next_offset, next_offset)
-        self._apply_all(fresh)
+        # A listing is in no order, and a survival ends only an earlier verdict.
+        self._apply_all(sorted(fresh, key=lambda item: item.offset))
 
     def _apply_all(self, changes: Iterable[Change]) -> None:
         has_reports, decided_here = False, False
--- a/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
+++ b/tests/test_agaterail/test_gateway/test_quarantinecontroller.py
@@ -10,7 +10,12 @@
     CrashReport,
     TargetStart,
 )
-from agaterail.gateway.controlstore import CrashReported, PartQuarantined, Quarantine
+from agaterail.gateway.controlstore import (
+    CrashReported,
+    PartQuarantined,
+    PartsSurvived,
+    Quarantine,
+)
 from agaterail.gateway.inbound import InboundRequest, PromptPart
 from tests.crashing_fleet import FATAL_PART, SHARED_PART, SHARED_PARTS, CrashingPartTest
 from tests.gateway_fleet import BOUNDS
@@ -105,6 +110,14 @@
         quarantine.apply([], 0, listed=True)
         self.assertEqual(set(quarantine.quarantined), {"other"})
 
+    def test_a_listing_is_applied_in_the_order_of_its_records(self):
+        """A gateway that started let a part pass that had survived before its verdict."""
+        quarantine = self.fleet.daemons[0].quarantine
+        survived = PartsSurvived((FATAL_PART,), 3, written_at=quarantine.time_of_day())
+        verdict = PartQuarantined(FATAL_PART, Quarantine(3), 4)
+        quarantine.apply([verdict, survived], 5, listed=True)
+        self.assertEqual(set(quarantine.quarantined), {FATAL_PART})
+
     def test_reports_of_long_ago_are_left_out(self):
         """A gateway that started found the last report of each host and took it for new."""
         quarantine = self.fleet.daemons[0].quarantine
