--- a/agaterail/decisions/crashevidence.py
+++ b/agaterail/decisions/crashevidence.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+# An engine that sends so many events of an answer does not end at its beginning.
+BEGUN_EVENTS = 4
 # Two crashes may have a rare part in common by chance, as one request that is sent again
 # may meet both.
 MIN_CRASHES = 3
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agaterail.decisions.crashevidence import BEGUN_EVENTS
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.relayprotocol import RelayedHead
 
@@ -20,8 +21,6 @@
 OK_STATUSES = range(200, 300)
 # Only data that has already arrived is read.
 POLL_TIMEOUT_S = 0.005
-# An engine that sends so many events of an answer does not end at its beginning.
-BEGUN_EVENTS = 4
 
 
 class Attempt:
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -129,7 +129,7 @@
             self.restarts,
             append=lambda changes: store.append_crashes(changes, settings.host),
             daemons=lambda: self.rules.daemons,
-            now=lambda: self.now(),
+            now=self.now,
             rng=self.random,
         )
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
@@ -199,7 +199,7 @@
         self._add_relays(handler)
         self._add_streams()
         self.saturation = SaturationMonitor(
-            max_connections(settings.max_descriptors), lambda: self.now()
+            max_connections(settings.max_descriptors), self.now
         )
         self.caller_server = HttpServer(
             settings.caller_listen,
@@ -304,8 +304,8 @@
     def ready(self) -> bool:
         """Return whether the load balancer should open new connections."""
         read_at = self.feeds.read_at
-        knows_targets = read_at[Feed.TARGETS] != NEVER and read_at[Feed.CRASHES] != NEVER
-        knows_all = self.state.desired is not None and knows_targets
+        has_read = all(read_at[feed] != NEVER for feed in (Feed.TARGETS, Feed.CRASHES))
+        knows_all = self.state.desired is not None and has_read
         return knows_all and not self.stopping and not self.saturation.is_saturated
 
     def start(self) -> None:
--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -11,6 +11,7 @@
 
 from agaterail import logs
 from agaterail.decisions.crashevidence import (
+    BEGUN_EVENTS,
     EVIDENCE_S,
     BrokenPrompt,
     CrashEvidence,
@@ -42,8 +43,6 @@
 
 logger = logs.get_logger("quarantine")
 
-# An answer that broke off after more events had got past its beginning.
-MAX_EVENTS_AT_CRASH = 3
 # The connections of an engine that ends break within milliseconds of each other.
 SETTLE_S = 0.03
 CONNECT_TIMEOUT_S = 0.3
@@ -171,7 +170,7 @@
         """Record an answer that broke off; the target may have ended under its prompt."""
         target, inbound = attempt.target, attempt.context.inbound
         parts = _keys(inbound)[-MAX_PARTS:]
-        if not parts or attempt.events > MAX_EVENTS_AT_CRASH:
+        if not parts or attempt.events >= BEGUN_EVENTS:
             return
         if not target.is_ready or target.lapsed_at is not None:
             return  # it was to end
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -14,7 +14,6 @@
 SHARED_PARTS = f"{SHARED_PART}:60"
 ENGINES = 6
 BACK_S = 0.6
-STREAM_OK = 200
 
 
 class CrashingPartTest(unittest.TestCase):
@@ -40,10 +39,6 @@
     def engines(self):
         return [item for item in self.fleet.targets.values() if item.model]
 
-    @property
-    def crashes(self):
-        return sum(engine.born - 1 for engine in self.engines)
-
     @property
     def fatal_arrivals(self):
         """Return how often a request with the part reached an engine."""
