Exchange of engine loads: reports, sums and the view of each daemon

Cause: a daemon of a large fleet sees one request in a hundred and knows neither the load nor the pace of an engine.

Change: where a daemon is less than an eighth of the fleet, it reports to the coordinator of engine-loads/SERVICE what it has under way at each engine, and gets the sums of the others as one byte an engine and figure. Coordinators.call takes a body (POST). Target counts KV tokens, the time since which it is busy, sends that wait for callers, and samples of decode steps. A page and metrics for operators.

--- /dev/null
+++ b/agaterail/engineloads/gatherer.py
@@ -0,0 +1,219 @@
+"""Answers to the reports of engine loads."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import attrs
+
+from agaterail.decisions.engineloads import EngineLoadLedger
+from agaterail.decisions.enginepaces import PaceEstimator
+from agaterail.engineloads import scales
+from agaterail.engineloads.messages import TAG_BYTES, LoadAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agaterail.decisions.engineloads import EngineTotals
+    from agaterail.engineloads.messages import LoadQuestion
+
+# Reports arrive every few milliseconds in a large fleet; sums are kept for this long.
+SUMS_VALID_S = 0.05
+# Paces change within seconds.
+PACES_VALID_S = 0.25
+MAX_SERVICES = 64
+
+
+@attrs.define
+class _Sums:
+    """Codes of the figures of all engines, over all daemons.
+
+    Attributes
+    ----------
+    at
+        Time at which they were computed.
+    """
+
+    at: float = float("-inf")
+    age_s: float = 0.0
+    streams: bytearray = attrs.field(factory=bytearray)
+    prefill_tokens: bytearray = attrs.field(factory=bytearray)
+    kv_tokens: bytearray = attrs.field(factory=bytearray)
+    heard: bytearray = attrs.field(factory=bytearray)
+    silent: dict[int, tuple[int, int]] = attrs.field(factory=dict)
+
+    @classmethod
+    def of_count(cls, count: int, at: float, age_s: float) -> _Sums:
+        """Return the sums before any report for a number of engines."""
+        return cls(
+            at=at,
+            age_s=age_s,
+            streams=bytearray(count),
+            prefill_tokens=bytearray(count),
+            kv_tokens=bytearray(count),
+            heard=bytearray([scales.UNKNOWN_CODE]) * count,
+        )
+
+    def copy(self) -> _Sums:
+        """Return a copy that can be changed."""
+        return attrs.evolve(
+            self,
+            streams=self.streams[:],
+            prefill_tokens=self.prefill_tokens[:],
+            kv_tokens=self.kv_tokens[:],
+            heard=self.heard[:],
+            silent=dict(self.silent),
+        )
+
+    def set(self, index: int, totals: EngineTotals) -> None:
+        """Set the figures of one engine."""
+        self.streams[index] = scales.STREAMS.encode(totals.streams)
+        self.prefill_tokens[index] = scales.TOKENS.encode(totals.prefill_tokens)
+        self.kv_tokens[index] = scales.TOKENS.encode(totals.kv_tokens)
+        self.heard[index] = scales.HEARD_S.encode(self.at - totals.heard_at)
+        if totals.silent_daemons:
+            self.silent[index] = (totals.silent_daemons, totals.silent_domains)
+        else:
+            self.silent.pop(index, None)
+
+
+class ServiceGatherer:
+    """Gathers the reports on the engines of one service.
+
+    Attributes
+    ----------
+    engines
+        Ids and starts of the engines, sorted.
+    listed_at
+        Time at which they were last read from the registry.
+    tag
+        Short hash of these, by which a daemon says which list it knows.
+    """
+
+    def __init__(self) -> None:
+        self.ledger = EngineLoadLedger(PaceEstimator())
+        self.engines: tuple[tuple[str, int], ...] = ()
+        self.listed_at = float("-inf")
+        self.indexes: dict[str, int] = {}
+        self.tag = b""
+        self.sums = _Sums()
+        self.paces = b""
+        self.paced_at = float("-inf")
+
+    def set_engines(self, engines: tuple[tuple[str, int], ...], now: float) -> None:
+        """Set the engines that are registered, sorted."""
+        self.listed_at = now
+        if engines == self.engines:
+            return
+        self.engines = engines
+        self.indexes = {instance: index for index, (instance, _) in enumerate(engines)}
+        self.tag = blake2b(repr(engines).encode(), digest_size=TAG_BYTES).digest()
+        self.ledger.set_engines(engines)
+        self._expire_sums()
+
+    def drop(self, now: float) -> None:
+        """Drop all reports."""
+        self.ledger.drop(now)
+        self._expire_sums()
+
+    def answer(self, asker: str, known_tag: bytes, daemons: float, now: float) -> LoadAnswer:
+        """Return the figures by the reports of all daemons but the asker.
+
+        Parameters
+        ----------
+        known_tag
+            Tag of the list of engines that the asker knows.
+        daemons
+            Number of daemons in the fleet.
+        """
+        self._update(now)
+        sums = self.sums.copy()
+        for row in self.ledger.reported_by(asker):
+            index = self.indexes.get(row.instance)
+            if index is not None:
+                sums.set(index, self.ledger.totals(row.instance, asker))
+        return LoadAnswer(
+            tag=self.tag,
+            engines=None if known_tag == self.tag else self.engines,
+            streams=bytes(sums.streams),
+            prefill_tokens=bytes(sums.prefill_tokens),
+            kv_tokens=bytes(sums.kv_tokens),
+            heard=bytes(sums.heard),
+            paces=self.paces,
+            silent=tuple((index, *counts) for index, counts in sums.silent.items()),
+            age_s=sums.age_s + now - sums.at,
+            fraction=self.ledger.fraction(asker, daemons),
+        )
+
+    def _expire_sums(self) -> None:
+        self.sums.at = self.paced_at = float("-inf")
+
+    def _update(self, now: float) -> None:
+        if now - self.paced_at > PACES_VALID_S:
+            self.paced_at = now
+            pace = self.ledger.paces.pace
+            self.paces = bytes(
+                scales.PACE.encode(pace(instance, now)) for instance, _ in self.engines
+            )
+        if now - self.sums.at > SUMS_VALID_S:
+            self.ledger.expire(now)
+            self.sums = _Sums.of_count(len(self.engines), now, self.ledger.age_s(now))
+            for instance in self.ledger.rows:
+                index = self.indexes.get(instance)
+                if index is not None:
+                    self.sums.set(index, self.ledger.totals(instance))
+
+
+class Gatherer:
+    """Gathers the reports on the engines of all services that ask this daemon.
+
+    Parameters
+    ----------
+    engines_of
+        Returns the ids and starts of a service's engines, sorted.
+    daemons
+        Returns the number of daemons in the fleet.
+    now
+        Returns the time.
+    """
+
+    def __init__(
+        self,
+        engines_of: Callable[[str], tuple[tuple[str, int], ...]],
+        daemons: Callable[[], float],
+        now: Callable[[], float],
+    ) -> None:
+        self.engines_of = engines_of
+        self.daemons = daemons
+        self.now = now
+        self.services: dict[str, ServiceGatherer] = {}
+
+    def answer(self, question: LoadQuestion) -> LoadAnswer | None:
+        """Record a daemon's report and answer it; None if there is nothing to answer."""
+        now = self.now()
+        gatherer = self._of_service(question.service, now)
+        if gatherer is None or not gatherer.ledger.record(question.report, now):
+            return None
+        return gatherer.answer(question.report.daemon, question.tag, self.daemons(), now)
+
+    def drop(self, now: float) -> None:
+        """Drop all reports, as this host was suspended."""
+        for gatherer in self.services.values():
+            gatherer.drop(now)
+
+    def _of_service(self, service: str, now: float) -> ServiceGatherer | None:
+        """Return the gatherer of a service that has engines."""
+        found = self.services.get(service)
+        if found is not None and now - found.listed_at <= SUMS_VALID_S:
+            return found
+        engines = self.engines_of(service)
+        if not engines:
+            self.services.pop(service, None)
+            return None
+        if found is None:
+            if len(self.services) >= MAX_SERVICES:
+                return None
+            found = self.services[service] = ServiceGatherer()
+        found.set_engines(engines, now)
+        return found
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -44,6 +44,10 @@
         Time of the latest event.
     sent_at
         Time at which the request was sent.
+    is_sending
+        Whether events are being sent to the caller, so that none are read.
+    kv_tokens
+        Tokens of memory that the request needs to its end.
     """
 
     def __init__(
@@ -69,7 +73,10 @@
         self.is_open = True
         self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
-        self.target.in_flight += 1
+        self.is_sending = False
+        self.kv_tokens = self._stated_kv_tokens()
+        self.target.begin_request(self.sent_at)
+        self.target.kv_tokens += self.kv_tokens
         self._begin_prefill()
 
     @property
@@ -149,12 +156,20 @@
         self.buffered += data
         return not data or splitter.completes_event(self.buffered)
 
+    def begin_send(self) -> None:
+        """Record that events are about to be relayed."""
+        self.is_sending = True
+        self.target.sending += 1
+
     def record_events(self, count: int) -> None:
         """Record that events were relayed."""
         now = self.daemon.now()
+        self._end_send()
         if self.has_events:
-            self.daemon.shedder_of(self.context.service).pace.record(
-                now - self.last_event_at, count, now
+            gap_s = now - self.last_event_at
+            self.daemon.shedder_of(self.context.service).pace.record(gap_s, count, now)
+            self.daemon.own_loads.record_step(
+                self.target, gap_s, count, self.context.route.gap_objective_s
             )
         else:
             self.has_events = True
@@ -187,9 +202,20 @@
         was_open, self.is_open = self.is_open, False
         if was_open:
             self.target.in_flight -= 1
+            self.target.kv_tokens -= self.kv_tokens
+            self._end_send()
             self._end_prefill()
         return was_open
 
+    def _end_send(self) -> None:
+        if self.is_sending:
+            self.is_sending = False
+            self.target.sending -= 1
+
+    def _stated_kv_tokens(self) -> int:
+        inbound = self.context.inbound
+        return (inbound.stated_tokens or 0) if self.context.route.prompted else 0
+
     def _begin_prefill(self) -> None:
         context = self.context
         if context.route.prompted:
--- a/agaterail/gateway/coordinators.py
+++ b/agaterail/gateway/coordinators.py
@@ -89,7 +89,7 @@
     def step(self) -> None:
         """Follow changes of the coordinators and make contact with them."""
         now = self.now()
-        if now - self.stepped_at > MAX_PAUSE_S:
+        if self.was_suspended:
             # This host was suspended. Another one may have coordinated meanwhile.
             self._notify(now, suspended=True)
         self.stepped_at = now
@@ -97,6 +97,11 @@
         self._record_fleet_size(now)
         self._make_contact(now)
 
+    @property
+    def was_suspended(self) -> bool:
+        """Return whether this host was suspended and users do not know it yet."""
+        return self.now() - self.stepped_at > MAX_PAUSE_S
+
     def follow(self) -> None:
         """Tell users when accounts may have moved to another coordinator."""
         readers = frozenset(self.readers()[:COORDINATORS])
@@ -134,12 +139,23 @@
         """Return whether this daemon coordinates an account."""
         return self.of(account) == self.own_address
 
-    def call(self, coordinator: str, query: str) -> Result[tuple[int, bytes], str]:
-        """Return the status and body of an answer, or the reason why there is none."""
+    def call(
+        self, coordinator: str, query: str, body: bytes = b"", timeout_s: float = ASK_TIMEOUT_S
+    ) -> Result[tuple[int, bytes], str]:
+        """Return the status and body of an answer, or the reason why there is none.
+
+        Parameters
+        ----------
+        query
+            Path and query string.
+        body
+            Body of the message; empty if the query string says all.
+        """
         now = self.now()
         if now < self.backoff_until.get(coordinator, 0.0):
             return Failure("in backoff")
-        called = self.peers.to(coordinator).call("GET", query, timeout_s=ASK_TIMEOUT_S)
+        method = "POST" if body else "GET"
+        called = self.peers.to(coordinator).call(method, query, body, timeout_s=timeout_s)
         if isinstance(called, Success):
             return Success(called.unwrap())
         self.record_failure(coordinator, called.failure().reason)
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -13,6 +13,11 @@
 
 from agaterail import logs
 from agaterail.decisions.buildhistory import BuildHistory
+from agaterail.engineloads import messages as loadmessages
+from agaterail.engineloads.controller import EngineLoadController
+from agaterail.engineloads.gatherer import Gatherer
+from agaterail.engineloads.ownloads import OwnEngineLoads
+from agaterail.engineloads.view import FleetEngineLoads
 from agaterail.gateway import (
     admission,
     allowancecontroller,
@@ -189,6 +194,7 @@
         self.feeds.peer_responder.handlers[targetroomcontroller.PATH] = (
             self.target_rooms.answer
         )
+        self._add_engine_loads()
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -209,6 +215,37 @@
             may_read=self.saturation.may_read,
         )
 
+    def _add_engine_loads(self) -> None:
+        """Exchange the loads of engines with the other daemons."""
+        registry = self.registry
+
+        def start_of(instance: str) -> int | None:
+            target = registry.targets.get(instance)
+            return None if target is None else target.start
+
+        def engines_of(service: str) -> tuple[tuple[str, int], ...]:
+            targets = registry.of_service(service)
+            return tuple(sorted((item.instance, item.start) for item in targets))
+
+        self.own_loads = OwnEngineLoads()
+        self.engine_loads = FleetEngineLoads(start_of, self.now)
+        self.load_reports = EngineLoadController(
+            self.coordinators,
+            self.engine_loads,
+            self.own_loads,
+            Gatherer(engines_of, self.coordinators.largest_fleet, self.now),
+            self.settings.domain,
+            services=lambda: (
+                () if self.state.desired is None else self.state.desired.prompted_services
+            ),
+            targets_of=registry.of_service,
+            reports=self.metrics.load_reports,
+            now=self.now,
+            number=self.random.random,
+        )
+        handlers = self.feeds.peer_responder.prefix_handlers
+        handlers[loadmessages.PATH] = self.load_reports.handle
+
     def _add_relays(self, handler: RequestHandler) -> None:
         """Forward for other daemons, and let them forward for this one."""
         responder = self.feeds.peer_responder
@@ -320,6 +357,7 @@
             self.timers.every(self.paths.period_s, self.paths.step),
             self.timers.every(self.saturation.period_s, self.saturation.step),
             self.timers.every(self.relays.period_s, self.relays.step),
+            self.timers.every(self.load_reports.period_s, self.load_reports.step),
         ]
         self.readiness.start()
         self.caller_server.start()
--- a/agaterail/gateway/desired.py
+++ b/agaterail/gateway/desired.py
@@ -163,6 +163,7 @@
     workspace_by_name: dict[str, Workspace] = attrs.field(init=False)
     has_allowances: bool = attrs.field(init=False)
     longest_stream_s: float = attrs.field(init=False)
+    prompted_services: tuple[str, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Index routes by host, longest prefix first, and workspaces by key."""
@@ -180,6 +181,18 @@
         object.__setattr__(self, "has_allowances", limited)
         streams = (route.timeout_s for route in self.routes if route.resumable)
         object.__setattr__(self, "longest_stream_s", max(streams, default=0.0))
+        object.__setattr__(self, "prompted_services", self._prompted_services())
+
+    def _prompted_services(self) -> tuple[str, ...]:
+        """Return the services of engines that routes with prompts lead to."""
+        prompted = {
+            share.service for route in self.routes if route.prompted for share in route.shares
+        }
+        return tuple(
+            item.name
+            for item in self.services.values()
+            if item.engine is not None and item.name in prompted
+        )
 
     @property
     def has_workspaces(self) -> bool:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -191,6 +191,7 @@
             events_before = self.splitter.event_count
             events = self.splitter.feed(data)
             if events:
+                attempt.begin_send()
                 self._send_events(head, events)
                 attempt.record_events(self.splitter.event_count - events_before)
         if self.splitter.partial.strip() or self.splitter.broken:
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from agaterail import logs
+from agaterail.engineloads import loadspage
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.httpserver import HttpServer
 
@@ -27,6 +28,8 @@
 OK = 200
 NOT_FOUND = 404
 CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4; charset=utf-8"
+LOADS_CONTENT_TYPE = b"Content-Type: text/plain; charset=utf-8"
+LOADS_PAGE = b"/engine-loads"
 
 
 class GatewayMetrics:
@@ -83,6 +86,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.load_reports = Counter(
+            f"{PREFIX}_engine_load_reports",
+            "Reports of engine loads to the daemon that gathers them, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -131,6 +140,11 @@
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
+                (
+                    "engine_loads_age_seconds",
+                    "Age of the last answer with engine loads; -1 without a fresh one.",
+                ),
+                ("engine_loads_known", "Engines whose load at all daemons is known."),
                 ("lease_seconds", "Seconds for which orders may still be given."),
                 ("store_calls", "Calls to the platform's store since the start."),
                 ("channels_opened", "Connections to targets opened since the start."),
@@ -178,6 +192,8 @@
             ),
             "fleet_share": daemon.budget.share,
             "allowances_exhausted": len(daemon.allowances.exhausted),
+            "engine_loads_age_seconds": daemon.engine_loads.age_s(),
+            "engine_loads_known": sum(1 for _ in daemon.engine_loads.known()),
             "lease_seconds": daemon.weights.lease.remaining_s(now),
             "store_calls": daemon.store.calls,
             "channels_opened": daemon.connection_pool.opened,
@@ -188,13 +204,20 @@
 
 
 def start_metrics(daemon: Daemon, address: Address, path: bytes) -> HttpServer | None:
-    """Serve the metrics at one path; if the address cannot be bound, only log that."""
+    """Serve the metrics at one path; if the address cannot be bound, only log that.
+
+    The loads of engines stand on a page below that path.
+    """
+    loads_path = path.rstrip(b"/") + LOADS_PAGE
 
     def handle(inbound: InboundRequest, caller: CallerConnection) -> None:
-        if inbound.path != path:
+        if inbound.path == path:
+            caller.send_answer(OK, [CONTENT_TYPE], daemon.metrics.render(daemon))
+        elif inbound.path == loads_path:
+            page = loadspage.render(daemon.engine_loads)
+            caller.send_answer(OK, [LOADS_CONTENT_TYPE], page)
+        else:
             caller.send_answer(NOT_FOUND, [], b"")
-            return
-        caller.send_answer(OK, [CONTENT_TYPE], daemon.metrics.render(daemon))
 
     try:
         server = HttpServer(address, handle, CallerLimits, daemon.now)
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -82,6 +82,15 @@
         This daemon's requests in flight at the target.
     prefill_tokens
         Prompt tokens sent to the target whose first event has not arrived.
+    kv_tokens
+        Tokens of prompts and outputs of the prompts in flight at the target.
+    busy_since
+        Time since which requests have been in flight there.
+    sending
+        Requests in flight that wait for their callers to take what has arrived.
+    steps, sum_log_step_s
+        Samples of the time of a decode step since they were last reported, and the sum
+        of the logarithms of these times in seconds.
     cordoned_at
         Time at which it was cordoned to load weights; None if it is not cordoned.
     expected_loaded_at
@@ -117,6 +126,11 @@
     registration: Registration
     in_flight: int = 0
     prefill_tokens: int = 0
+    kv_tokens: int = 0
+    busy_since: float = float("-inf")
+    sending: int = 0
+    steps: int = 0
+    sum_log_step_s: float = 0.0
     failures: int = 0
     refusals: int = 0
     backoff_until: float = 0.0
@@ -256,6 +270,24 @@
         """Return when a new request may be sent, or infinity if that is not known."""
         return max(self.takes_requests_at(now), self.backoff_until)
 
+    def begin_request(self, now: float) -> None:
+        """Count a request in flight."""
+        if not self.in_flight:
+            self.busy_since = now
+        self.in_flight += 1
+
+    def waiting_s(self, now: float) -> float:
+        """Return for how long requests have waited for any byte; 0 if none waits."""
+        if self.in_flight <= self.sending:
+            return 0.0
+        return max(0.0, now - max(self.heard_at, self.busy_since))
+
+    def take_steps(self) -> tuple[int, float]:
+        """Return and reset the samples of decode steps."""
+        taken = self.steps, self.sum_log_step_s
+        self.steps, self.sum_log_step_s = 0, 0.0
+        return taken
+
     def is_failing(self, now: float) -> bool:
         """Return whether the target is in backoff after a failure."""
         return self.failures > 0 and now < self.backoff_until
--- /dev/null
+++ b/tests/test_agaterail/test_engineloads/test_exchange.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import unittest
+
+import gevent
+
+from agaterail.gateway.metrics import LOADS_PAGE, start_metrics
+from agaterail.util.address import Address
+from agaterail.util.httpconn import HttpConnections
+from tests.gateway_fleet import LLM, Fleet, free_port
+
+
+class ExchangeTest(unittest.TestCase):
+    """Daemons that exchange loads over their peer ports while streams run."""
+
+    def setUp(self):
+        self.fleet = Fleet(gateways=3)
+        self.addCleanup(self.fleet.stop)
+
+    def enlarge(self):
+        """Let the daemons believe that they are an eighth of the fleet."""
+        for daemon in self.fleet.daemons:
+            daemon.coordinators.daemons = lambda: 8.0
+
+    def figures(self, daemon):
+        return [daemon.engine_loads.figures(name) for name in ("e-0", "e-1")]
+
+    def knows(self, daemon):
+        return None not in self.figures(daemon)
+
+    def wait_known(self):
+        self.fleet.wait(lambda: all(map(self.knows, self.fleet.daemons)))
+
+    def test_daemons_know_of_the_streams_of_others(self):
+        self.enlarge()
+        self.wait_known()
+        for name in ("e-0", "e-1"):
+            self.fleet.targets[name].event_s = 0.1
+        asking = [
+            gevent.spawn(self.fleet.ask, "/once/x", 0, request_id=f"r{number}", stream=True)
+            for number in range(4)
+        ]
+        other = self.fleet.daemons[1]
+        self.fleet.wait(lambda: sum(item.streams for item in self.figures(other)) > 3.5)
+        self.assertGreater(sum(item.kv_tokens for item in self.figures(other)), 400.0)
+        gevent.joinall(asking, timeout=10.0)
+        self.fleet.wait(lambda: sum(item.streams for item in self.figures(other)) < 0.5)
+        for target in self.fleet.daemons[0].registry.of_service(LLM):
+            left = (target.in_flight, target.prefill_tokens, target.kv_tokens, target.sending)
+            self.assertEqual(left, (0, 0, 0, 0))
+
+    def test_small_fleet_sends_nothing(self):
+        before = [daemon.load_reports.exchanges for daemon in self.fleet.daemons]
+        gevent.sleep(1.0)
+        self.assertEqual(before, [{}, {}, {}])
+        self.assertEqual(self.figures(self.fleet.daemons[0]), [None, None])
+
+    def test_page_and_metrics_for_operators(self):
+        self.enlarge()
+        self.wait_known()
+        daemon = self.fleet.daemons[1]
+        address = Address("127.0.0.1", free_port())
+        server = start_metrics(daemon, address, b"/metrics")
+        self.addCleanup(server.close)
+        connections = HttpConnections(address)
+        self.addCleanup(connections.close)
+        status, page = connections.call("GET", "/metrics" + LOADS_PAGE.decode()).unwrap()
+        self.assertEqual(status, 200)
+        rows = [line.split() for line in page.decode().splitlines()[1:]]
+        self.assertEqual([row[:2] for row in rows], [[LLM, "e-0"], [LLM, "e-1"]])
+        _, metrics = connections.call("GET", "/metrics").unwrap()
+        self.assertIn(b"agaterail_engine_loads_known 2.0", metrics)
+        self.assertIn(b'agaterail_engine_load_reports_total{outcome="answered"}', metrics)
+        self.assertEqual(connections.call("GET", "/other").unwrap()[0], 404)
