--- a/agaterail/decisions/engineloads.py
+++ b/agaterail/decisions/engineloads.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Collection, Iterable
 
     from agaterail.decisions.enginepaces import PaceEstimator
 
@@ -136,15 +136,71 @@
 
 @attrs.frozen
 class _ReceivedReport:
+    """A daemon's latest report.
+
+    Attributes
+    ----------
+    counted
+        Rows that are part of the sums, by engine.
+    """
+
     report: DaemonReport
     received_at: float
-    counts_silence: bool
+    counted: dict[str, EngineRow]
 
     def is_valid(self, now: float) -> bool:
         age_s = now - self.received_at
         return age_s <= min(MAX_REPORT_AGE_S, REPORT_PERIODS * self.report.period_s)
 
 
+@attrs.define
+class _Heard:
+    """When a daemon last got a byte from an engine."""
+
+    at: float = float("-inf")
+    daemon: str = ""
+
+
+@attrs.define
+class _EngineSums:
+    """Sums over all daemons for one engine, kept while reports come and go.
+
+    Attributes
+    ----------
+    heard, heard_by_other
+        The daemon that got the latest byte, and the one after it.
+    silent
+        Failure domain of each daemon to which the engine is silent.
+    """
+
+    streams: int = 0
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+    heard: _Heard = attrs.field(factory=_Heard)
+    heard_by_other: _Heard = attrs.field(factory=_Heard)
+    silent: dict[str, str] = attrs.field(factory=dict)
+
+    def add(self, row: EngineRow) -> None:
+        self.streams += row.streams
+        self.prefill_tokens += row.prefill_tokens
+        self.kv_tokens += row.kv_tokens
+
+    def subtract(self, daemon: str, row: EngineRow) -> None:
+        self.streams -= row.streams
+        self.prefill_tokens -= row.prefill_tokens
+        self.kv_tokens -= row.kv_tokens
+        self.silent.pop(daemon, None)
+
+    def record_heard(self, daemon: str, at: float) -> None:
+        """Record a byte; that it came stays true when the report is replaced."""
+        if daemon == self.heard.daemon:
+            self.heard.at = max(self.heard.at, at)
+        elif at > self.heard.at:
+            self.heard, self.heard_by_other = _Heard(at, daemon), self.heard
+        elif at > self.heard_by_other.at:
+            self.heard_by_other = _Heard(at, daemon)
+
+
 class EngineLoadLedger:
     """The latest report of each daemon on the engines of one service.
 
@@ -155,20 +211,26 @@
     ----------
     starts
         Start of each engine that is registered; rows on others do not count.
-    rows
-        Rows on each engine by the daemon that sent them.
+    changed
+        Engines whose sums have changed since this set was last cleared.
     """
 
     def __init__(self, paces: PaceEstimator) -> None:
         self.paces = paces
         self.starts: dict[str, int] = {}
         self.reports: dict[str, _ReceivedReport] = {}
-        self.rows: dict[str, dict[str, tuple[_ReceivedReport, EngineRow]]] = {}
+        self.sums: dict[str, _EngineSums] = {}
+        self.changed: set[str] = set()
         self.accepted_from = float("-inf")
 
     def set_engines(self, engines: Iterable[tuple[str, int]]) -> None:
         """Set the engines that are registered and their starts."""
         self.starts = dict(engines)
+        self.sums = {instance: _EngineSums() for instance in self.starts}
+        self.changed = set(self.starts)
+        for received in self.reports.values():
+            received.counted.clear()
+            self._count(received)
 
     def record(self, report: DaemonReport, now: float) -> bool:
         """Replace a daemon's report; return whether it is accepted."""
@@ -176,10 +238,9 @@
         if now < self.accepted_from or (not is_known and len(self.reports) >= MAX_DAEMONS):
             return False
         self._remove(report.daemon)
-        received = _ReceivedReport(report, now, not report.is_cut_off)
-        self.reports[report.daemon] = received
-        for row in filter(self._is_current, report.rows):
-            self.rows.setdefault(row.instance, {})[report.daemon] = (received, row)
+        received = self.reports[report.daemon] = _ReceivedReport(report, now, {})
+        self._count(received)
+        for row in received.counted.values():
             if row.steps:
                 self.paces.record(row.instance, row.steps, row.sum_log_s, now)
         return True
@@ -193,30 +254,32 @@
     def drop(self, now: float) -> None:
         """Drop all reports, as this host was suspended and cannot tell how old they are."""
         self.reports.clear()
-        self.rows.clear()
+        self.set_engines(self.starts.items())
         self.accepted_from = now + BACKLOG_S
 
     def totals(self, instance: str, asker: str = "") -> EngineTotals:
-        """Return the sums for an engine over all daemons but the asker."""
-        totals = EngineTotals()
-        domains = set()
-        for daemon, (received, row) in self.rows.get(instance, {}).items():
-            if daemon == asker or not self._is_current(row):
-                continue
-            totals.streams += row.streams
-            totals.prefill_tokens += row.prefill_tokens
-            totals.kv_tokens += row.kv_tokens
-            totals.heard_at = max(totals.heard_at, received.received_at - row.heard_s)
-            if row.waiting_s > SILENCE_S and received.counts_silence:
-                totals.silent_daemons += 1
-                domains.add(received.report.domain)
-        totals.silent_domains = len(domains)
+        """Return the sums for a registered engine over all daemons but the asker."""
+        sums = self.sums[instance]
+        received = self.reports.get(asker)
+        own = None if received is None else received.counted.get(instance)
+        heard = sums.heard if sums.heard.daemon != asker else sums.heard_by_other
+        totals = EngineTotals(
+            sums.streams, sums.prefill_tokens, sums.kv_tokens, heard_at=heard.at
+        )
+        if own is not None:
+            totals.streams -= own.streams
+            totals.prefill_tokens -= own.prefill_tokens
+            totals.kv_tokens -= own.kv_tokens
+        if sums.silent:
+            domains = [domain for daemon, domain in sums.silent.items() if daemon != asker]
+            totals.silent_daemons = len(domains)
+            totals.silent_domains = len(set(domains))
         return totals
 
-    def reported_by(self, daemon: str) -> Sequence[EngineRow]:
-        """Return the rows of a daemon's latest report."""
+    def engines_of(self, daemon: str) -> Collection[str]:
+        """Return the engines of which a daemon's latest report tells."""
         received = self.reports.get(daemon)
-        return () if received is None else received.report.rows
+        return () if received is None else received.counted.keys()
 
     def fraction(self, asker: str, daemons: float) -> float:
         """Return the fraction of the other daemons whose reports are held.
@@ -234,15 +297,25 @@
         times = [received.received_at for received in self.reports.values()]
         return now - sum(times) / len(times) if times else 0.0
 
-    def _is_current(self, row: EngineRow) -> bool:
-        return self.starts.get(row.instance) == row.start
+    def _count(self, received: _ReceivedReport) -> None:
+        report = received.report
+        counts_silence = not report.is_cut_off
+        for row in report.rows:
+            instance = row.instance
+            if self.starts.get(instance) != row.start:
+                continue
+            received.counted[instance] = row
+            sums = self.sums[instance]
+            sums.add(row)
+            sums.record_heard(report.daemon, received.received_at - row.heard_s)
+            if row.is_silent and counts_silence:
+                sums.silent[report.daemon] = report.domain
+        self.changed.update(received.counted)
 
     def _remove(self, daemon: str) -> None:
         received = self.reports.pop(daemon, None)
         if received is None:
             return
-        for row in received.report.rows:
-            rows = self.rows.get(row.instance, {})
-            rows.pop(daemon, None)
-            if not rows:
-                self.rows.pop(row.instance, None)
+        for instance, row in received.counted.items():
+            self.sums[instance].subtract(daemon, row)
+        self.changed.update(received.counted)
--- a/agaterail/engineloads/controller.py
+++ b/agaterail/engineloads/controller.py
@@ -226,6 +226,7 @@
             messages.PATH.decode(),
             messages.encode_question(question),
             timeout_s=REPORT_TIMEOUT_S,
+            repeatable=True,
         )
         if not isinstance(called, Success):
             return Failure(called.failure())
--- a/agaterail/engineloads/gatherer.py
+++ b/agaterail/engineloads/gatherer.py
@@ -26,13 +26,17 @@
 
 
 @attrs.define
-class _Sums:
-    """Codes of the figures of all engines, over all daemons.
+class _Codes:
+    """Codes of the figures of all engines.
 
     Attributes
     ----------
     at
-        Time at which they were computed.
+        Time for which they hold.
+    age_s
+        Mean age of the reports at that time.
+    silent
+        Numbers of daemons and of failure domains to which an engine is silent, by index.
     """
 
     at: float = float("-inf")
@@ -44,26 +48,22 @@
     silent: dict[int, tuple[int, int]] = attrs.field(factory=dict)
 
     @classmethod
-    def of_count(cls, count: int, at: float, age_s: float) -> _Sums:
-        """Return the sums before any report for a number of engines."""
-        return cls(
-            at=at,
-            age_s=age_s,
-            streams=bytearray(count),
-            prefill_tokens=bytearray(count),
-            kv_tokens=bytearray(count),
-            heard=bytearray([scales.UNKNOWN_CODE]) * count,
-        )
+    def of_count(cls, count: int) -> _Codes:
+        """Return the codes before any report for a number of engines."""
+        unknown = bytearray([scales.UNKNOWN_CODE])
+        arrays = (bytearray(count), bytearray(count), bytearray(count), unknown * count)
+        return cls(float("-inf"), 0.0, *arrays)
 
-    def copy(self) -> _Sums:
+    def copy(self) -> _Codes:
         """Return a copy that can be changed."""
-        return attrs.evolve(
-            self,
-            streams=self.streams[:],
-            prefill_tokens=self.prefill_tokens[:],
-            kv_tokens=self.kv_tokens[:],
-            heard=self.heard[:],
-            silent=dict(self.silent),
+        return _Codes(
+            self.at,
+            self.age_s,
+            self.streams[:],
+            self.prefill_tokens[:],
+            self.kv_tokens[:],
+            self.heard[:],
+            dict(self.silent),
         )
 
     def set(self, index: int, totals: EngineTotals) -> None:
@@ -97,7 +97,7 @@
         self.listed_at = float("-inf")
         self.indexes: dict[str, int] = {}
         self.tag = b""
-        self.sums = _Sums()
+        self.codes = _Codes()
         self.paces = b""
         self.paced_at = float("-inf")
 
@@ -110,12 +110,12 @@
         self.indexes = {instance: index for index, (instance, _) in enumerate(engines)}
         self.tag = blake2b(repr(engines).encode(), digest_size=TAG_BYTES).digest()
         self.ledger.set_engines(engines)
-        self._expire_sums()
+        self._reset()
 
     def drop(self, now: float) -> None:
         """Drop all reports."""
         self.ledger.drop(now)
-        self._expire_sums()
+        self._reset()
 
     def answer(self, asker: str, known_tag: bytes, daemons: float, now: float) -> LoadAnswer:
         """Return the figures by the reports of all daemons but the asker.
@@ -128,26 +128,25 @@
             Number of daemons in the fleet.
         """
         self._update(now)
-        sums = self.sums.copy()
-        for row in self.ledger.reported_by(asker):
-            index = self.indexes.get(row.instance)
-            if index is not None:
-                sums.set(index, self.ledger.totals(row.instance, asker))
+        codes = self.codes.copy()
+        for instance in self.ledger.engines_of(asker):
+            codes.set(self.indexes[instance], self.ledger.totals(instance, asker))
         return LoadAnswer(
             tag=self.tag,
             engines=None if known_tag == self.tag else self.engines,
-            streams=bytes(sums.streams),
-            prefill_tokens=bytes(sums.prefill_tokens),
-            kv_tokens=bytes(sums.kv_tokens),
-            heard=bytes(sums.heard),
+            streams=bytes(codes.streams),
+            prefill_tokens=bytes(codes.prefill_tokens),
+            kv_tokens=bytes(codes.kv_tokens),
+            heard=bytes(codes.heard),
             paces=self.paces,
-            silent=tuple((index, *counts) for index, counts in sums.silent.items()),
-            age_s=sums.age_s + now - sums.at,
+            silent=tuple((index, *counts) for index, counts in codes.silent.items()),
+            age_s=codes.age_s + now - codes.at,
             fraction=self.ledger.fraction(asker, daemons),
         )
 
-    def _expire_sums(self) -> None:
-        self.sums.at = self.paced_at = float("-inf")
+    def _reset(self) -> None:
+        self.codes = _Codes.of_count(len(self.engines))
+        self.paced_at = float("-inf")
 
     def _update(self, now: float) -> None:
         if now - self.paced_at > PACES_VALID_S:
@@ -156,13 +155,21 @@
             self.paces = bytes(
                 scales.PACE.encode(pace(instance, now)) for instance, _ in self.engines
             )
-        if now - self.sums.at > SUMS_VALID_S:
+        if now - self.codes.at > SUMS_VALID_S:
             self.ledger.expire(now)
-            self.sums = _Sums.of_count(len(self.engines), now, self.ledger.age_s(now))
-            for instance in self.ledger.rows:
-                index = self.indexes.get(instance)
-                if index is not None:
-                    self.sums.set(index, self.ledger.totals(instance))
+            self._update_codes(now)
+
+    def _update_codes(self, now: float) -> None:
+        """Encode the sums that have changed, and all times."""
+        codes, ledger = self.codes, self.ledger
+        codes.at, codes.age_s = now, ledger.age_s(now)
+        for instance in ledger.changed:
+            codes.set(self.indexes[instance], ledger.totals(instance))
+        ledger.changed.clear()
+        encode = scales.HEARD_S.encode
+        codes.heard[:] = bytes(
+            encode(now - ledger.sums[instance].heard.at) for instance, _ in self.engines
+        )
 
 
 class Gatherer:
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -233,7 +233,7 @@
             self.coordinators,
             self.engine_loads,
             self.own_loads,
-            Gatherer(engines_of, self.coordinators.largest_fleet, self.now),
+            Gatherer(engines_of, self._member_count, self.now),
             self.settings.domain,
             services=lambda: (
                 () if self.state.desired is None else self.state.desired.prompted_services
@@ -246,6 +246,10 @@
         handlers = self.feeds.peer_responder.prefix_handlers
         handlers[loadmessages.PATH] = self.load_reports.handle
 
+    def _member_count(self) -> float:
+        """Return the number of daemons, which a reader of the store knows exactly."""
+        return float(len(self.feeds.members.domains)) or self.coordinators.largest_fleet()
+
     def _add_relays(self, handler: RequestHandler) -> None:
         """Forward for other daemons, and let them forward for this one."""
         responder = self.feeds.peer_responder
--- a/tests/test_agaterail/test_engineloads/test_exchange.py
+++ b/tests/test_agaterail/test_engineloads/test_exchange.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 import unittest
 
 import gevent
@@ -49,6 +50,34 @@
             left = (target.in_flight, target.prefill_tokens, target.kv_tokens, target.sending)
             self.assertEqual(left, (0, 0, 0, 0))
 
+    def test_times_between_events_reach_the_gatherer(self):
+        self.enlarge()
+        self.wait_known()
+        for name in ("e-0", "e-1"):
+            self.fleet.targets[name].event_s = 0.05
+        self.fleet.ask("/once/x", 0, stream=True)
+
+        def samples():
+            gatherers = [daemon.load_reports.gatherer for daemon in self.fleet.daemons]
+            ledgers = [item.services[LLM].ledger for item in gatherers if item.services]
+            return [item for ledger in ledgers for item in ledger.paces.samples.values()]
+
+        self.fleet.wait(samples)
+        (found,) = samples()
+        self.assertAlmostEqual(math.exp(found.sum_log_s / found.count), 0.05, delta=0.02)
+
+    def test_report_is_sent_again_on_a_connection_that_was_closed(self):
+        """Guards against a gatherer taken for dead because it closed an idle connection."""
+        self.enlarge()
+        self.wait_known()
+        for daemon in self.fleet.daemons:
+            for connection in list(daemon.feeds.peer_responder.server.connections):
+                connection.close_if_idle()
+        gevent.sleep(1.5)
+        self.assertTrue(all(map(self.knows, self.fleet.daemons)))
+        for daemon in self.fleet.daemons:
+            self.assertEqual(daemon.coordinators.backoff_until, {})
+
     def test_small_fleet_sends_nothing(self):
         before = [daemon.load_reports.exchanges for daemon in self.fleet.daemons]
         gevent.sleep(1.0)
