Engine loads: cheaper answers, and steps timed by reads

Cause: codes were computed twice, reports were scanned 20 times a second, and a caller that reads slowly made an engine's decode steps look long. Change: scales look codes up, sums follow reports, steps are the times between reads.

--- a/agaterail/decisions/engineloads.py
+++ b/agaterail/decisions/engineloads.py
@@ -211,6 +211,8 @@
     ----------
     starts
         Start of each engine that is registered; rows on others do not count.
+    sum_received_at
+        Sum of the times at which the reports were received.
     changed
         Engines whose sums have changed since this set was last cleared.
     """
@@ -221,6 +223,7 @@
         self.reports: dict[str, _ReceivedReport] = {}
         self.sums: dict[str, _EngineSums] = {}
         self.changed: set[str] = set()
+        self.sum_received_at = 0.0
         self.accepted_from = float("-inf")
 
     def set_engines(self, engines: Iterable[tuple[str, int]]) -> None:
@@ -239,6 +242,7 @@
             return False
         self._remove(report.daemon)
         received = self.reports[report.daemon] = _ReceivedReport(report, now, {})
+        self.sum_received_at += now
         self._count(received)
         for row in received.counted.values():
             if row.steps:
@@ -254,6 +258,7 @@
     def drop(self, now: float) -> None:
         """Drop all reports, as this host was suspended and cannot tell how old they are."""
         self.reports.clear()
+        self.sum_received_at = 0.0
         self.set_engines(self.starts.items())
         self.accepted_from = now + BACKLOG_S
 
@@ -294,8 +299,7 @@
 
     def age_s(self, now: float) -> float:
         """Return the mean age of the reports in seconds."""
-        times = [received.received_at for received in self.reports.values()]
-        return now - sum(times) / len(times) if times else 0.0
+        return now - self.sum_received_at / len(self.reports) if self.reports else 0.0
 
     def _count(self, received: _ReceivedReport) -> None:
         report = received.report
@@ -316,6 +320,7 @@
         received = self.reports.pop(daemon, None)
         if received is None:
             return
+        self.sum_received_at -= received.received_at
         for instance, row in received.counted.items():
             self.sums[instance].subtract(daemon, row)
         self.changed.update(received.counted)
--- a/agaterail/engineloads/controller.py
+++ b/agaterail/engineloads/controller.py
@@ -226,7 +226,6 @@
             messages.PATH.decode(),
             messages.encode_question(question),
             timeout_s=REPORT_TIMEOUT_S,
-            repeatable=True,
         )
         if not isinstance(called, Success):
             return Failure(called.failure())
--- a/agaterail/engineloads/gatherer.py
+++ b/agaterail/engineloads/gatherer.py
@@ -20,8 +20,8 @@
 
 # Reports arrive every few milliseconds in a large fleet; sums are kept for this long.
 SUMS_VALID_S = 0.05
-# Paces change within seconds.
-PACES_VALID_S = 0.25
+# Paces change within seconds, and reports expire after some periods.
+PACES_VALID_S = 0.5
 MAX_SERVICES = 64
 
 
@@ -67,11 +67,10 @@
         )
 
     def set(self, index: int, totals: EngineTotals) -> None:
-        """Set the figures of one engine."""
+        """Set the sums for one engine."""
         self.streams[index] = scales.STREAMS.encode(totals.streams)
         self.prefill_tokens[index] = scales.TOKENS.encode(totals.prefill_tokens)
         self.kv_tokens[index] = scales.TOKENS.encode(totals.kv_tokens)
-        self.heard[index] = scales.HEARD_S.encode(self.at - totals.heard_at)
         if totals.silent_daemons:
             self.silent[index] = (totals.silent_daemons, totals.silent_domains)
         else:
@@ -130,7 +129,9 @@
         self._update(now)
         codes = self.codes.copy()
         for instance in self.ledger.engines_of(asker):
-            codes.set(self.indexes[instance], self.ledger.totals(instance, asker))
+            index, totals = self.indexes[instance], self.ledger.totals(instance, asker)
+            codes.set(index, totals)
+            codes.heard[index] = scales.HEARD_S.encode(codes.at - totals.heard_at)
         return LoadAnswer(
             tag=self.tag,
             engines=None if known_tag == self.tag else self.engines,
@@ -151,12 +152,12 @@
     def _update(self, now: float) -> None:
         if now - self.paced_at > PACES_VALID_S:
             self.paced_at = now
+            self.ledger.expire(now)
             pace = self.ledger.paces.pace
             self.paces = bytes(
                 scales.PACE.encode(pace(instance, now)) for instance, _ in self.engines
             )
         if now - self.codes.at > SUMS_VALID_S:
-            self.ledger.expire(now)
             self._update_codes(now)
 
     def _update_codes(self, now: float) -> None:
--- a/agaterail/engineloads/messages.py
+++ b/agaterail/engineloads/messages.py
@@ -32,19 +32,19 @@
 _Codes = Annotated[bytes, Meta(max_length=MAX_ENGINES)]
 
 _NO_LIST = msgspec.msgpack.encode(None)
-_ROW_DECODER = msgspec.msgpack.Decoder(
-    tuple[
-        _Name,
-        _Start,
-        _Requests,
-        _Tokens,
-        _Tokens,
-        _Ms | None,
-        _Ms,
-        Annotated[int, Meta(ge=0, le=100_000)],
-        Annotated[int, Meta(ge=-(10**9), le=10**9)],
-    ]
-)
+_Row = tuple[
+    _Name,
+    _Start,
+    _Requests,
+    _Tokens,
+    _Tokens,
+    _Ms | None,
+    _Ms,
+    Annotated[int, Meta(ge=0, le=100_000)],
+    Annotated[int, Meta(ge=-(10**9), le=10**9)],
+]
+_ROW_DECODER = msgspec.msgpack.Decoder(_Row)
+_ROWS_DECODER = msgspec.msgpack.Decoder(list[_Row])
 _REPORT_DECODER = msgspec.msgpack.Decoder(
     tuple[
         _Name,
@@ -52,9 +52,12 @@
         _Name,
         Annotated[int, Meta(ge=1, le=60_000)],
         _Tag,
-        Annotated[list[msgspec.Raw], Meta(max_length=MAX_ROWS)],
+        msgspec.Raw,
     ]
 )
+_RAW_ROWS_DECODER = msgspec.msgpack.Decoder(
+    Annotated[list[msgspec.Raw], Meta(max_length=MAX_ROWS)]
+)
 _ANSWER_DECODER = msgspec.msgpack.Decoder(
     tuple[
         _Tag,
@@ -152,19 +155,17 @@
     """Return the report in a body without its implausible rows, or why it is malformed."""
     try:
         daemon, domain, service, period_ms, tag, raw_rows = _REPORT_DECODER.decode(body)
+        decoded, refused = _decode_rows(raw_rows)
     except msgspec.MsgspecError as error:
         return Failure(str(error))
     rows: dict[str, EngineRow] = {}
-    refused = []
-    for raw in raw_rows:
-        decoded = _decode_row(raw)
-        if not isinstance(decoded, Success):
-            refused.append(decoded.failure())
-            continue
-        row = decoded.unwrap()
-        if row.instance in rows:
+    for values in decoded:
+        if values[0] in rows:
             refused.append("two rows on one engine")
-        rows.setdefault(row.instance, row)
+        elif abs(values[-1]) > values[-2] * MAX_LOG * PER_MILLE:
+            refused.append("times of steps are implausible")
+        else:
+            rows[values[0]] = _make_row(values)
     report = DaemonReport(
         daemon=daemon,
         domain=domain,
@@ -237,17 +238,24 @@
     )
 
 
-def _decode_row(raw: msgspec.Raw) -> Result[EngineRow, str]:
+def _decode_rows(raw: msgspec.Raw) -> tuple[list[_Row], list[str]]:
+    """Return the values of the rows, and why others are refused."""
+    raw_rows = _RAW_ROWS_DECODER.decode(raw)
     try:
-        instance, start, streams, prefill, kv, heard_ms, waiting_ms, steps, log_sum = (
-            _ROW_DECODER.decode(raw)
-        )
-    except msgspec.MsgspecError as error:
-        return Failure(str(error))
-    sum_log_s = log_sum / PER_MILLE
-    if abs(sum_log_s) > steps * MAX_LOG:
-        return Failure("times of steps are implausible")
-    row = EngineRow(
+        return _ROWS_DECODER.decode(raw), []
+    except msgspec.MsgspecError:
+        rows, refused = [], []
+        for raw_row in raw_rows:
+            try:
+                rows.append(_ROW_DECODER.decode(raw_row))
+            except msgspec.MsgspecError as error:
+                refused.append(str(error))
+        return rows, refused
+
+
+def _make_row(values: _Row) -> EngineRow:
+    instance, start, streams, prefill, kv, heard_ms, waiting_ms, steps, log_sum = values
+    return EngineRow(
         instance=instance,
         start=start,
         streams=streams,
@@ -256,6 +264,5 @@
         heard_s=float("inf") if heard_ms is None else heard_ms / MS_PER_S,
         waiting_s=waiting_ms / MS_PER_S,
         steps=steps,
-        sum_log_s=sum_log_s,
+        sum_log_s=log_sum / PER_MILLE,
     )
-    return Success(row)
--- a/agaterail/engineloads/scales.py
+++ b/agaterail/engineloads/scales.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import sys
+from bisect import bisect_right
 
 MAX_CODE = 254
 UNKNOWN_CODE = 255
@@ -19,22 +21,25 @@
         Largest value.
     unknown
         Value of the code for what is not known.
+
+    Attributes
+    ----------
+    values
+        Value of each code.
+    bounds
+        Values from which the next code holds.
     """
 
     def __init__(self, unit: float, largest: float, unknown: float = 0.0) -> None:
-        self.unit = unit
-        self.largest = largest
-        self.factor = MAX_CODE / math.log1p(largest / unit)
-        self.values = [unit * math.expm1(code / self.factor) for code in range(UNKNOWN_CODE)]
+        factor = MAX_CODE / math.log1p(largest / unit)
+        self.values = [unit * math.expm1(code / factor) for code in range(UNKNOWN_CODE)]
         self.values.append(unknown)
+        self.bounds = [unit * math.expm1((code + 0.5) / factor) for code in range(MAX_CODE)]
+        self.bounds.append(sys.float_info.max)
 
     def encode(self, value: float) -> int:
-        """Return the code of a value that is not negative."""
-        if value <= 0.0:
-            return 0
-        if value >= self.largest:
-            return UNKNOWN_CODE if math.isinf(value) else MAX_CODE
-        return round(self.factor * math.log1p(value / self.unit))
+        """Return the code of a value; infinity is what is not known."""
+        return bisect_right(self.bounds, value)
 
 
 class RatioScale:
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -44,6 +44,8 @@
         Time of the latest event.
     sent_at
         Time at which the request was sent.
+    read_at, since_read_s
+        Time at which events were last read, and the seconds between the last two reads.
     is_sending
         Whether events are being sent to the caller, so that none are read.
     kv_tokens
@@ -73,6 +75,7 @@
         self.is_open = True
         self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
+        self.read_at = self.since_read_s = 0.0
         self.is_sending = False
         self.kv_tokens = self._stated_kv_tokens()
         self.target.begin_request(self.sent_at)
@@ -157,7 +160,9 @@
         return not data or splitter.completes_event(self.buffered)
 
     def begin_send(self) -> None:
-        """Record that events are about to be relayed."""
+        """Record that events were read and are about to be relayed."""
+        now = self.daemon.now()
+        self.since_read_s, self.read_at = now - self.read_at, now
         self.is_sending = True
         self.target.sending += 1
 
@@ -169,7 +174,7 @@
             gap_s = now - self.last_event_at
             self.daemon.shedder_of(self.context.service).pace.record(gap_s, count, now)
             self.daemon.own_loads.record_step(
-                self.target, gap_s, count, self.context.route.gap_objective_s
+                self.target, self.since_read_s, count, self.context.route.gap_objective_s
             )
         else:
             self.has_events = True
--- a/agaterail/gateway/coordinators.py
+++ b/agaterail/gateway/coordinators.py
@@ -11,13 +11,11 @@
 from agaterail import logs
 from agaterail.decisions.contacts import FleetContacts
 from agaterail.gateway.placement import choose_by_hash
-from agaterail.util.httpconn import ConnectionsByAddress, ExchangeBroken
+from agaterail.util.httpconn import ConnectionsByAddress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from agaterail.util.httpconn import SendError
-
 logger = logs.get_logger("coordinators")
 
 PERIOD_S = 0.1
@@ -142,12 +140,7 @@
         return self.of(account) == self.own_address
 
     def call(
-        self,
-        coordinator: str,
-        query: str,
-        body: bytes = b"",
-        timeout_s: float = ASK_TIMEOUT_S,
-        repeatable: bool = False,
+        self, coordinator: str, query: str, body: bytes = b"", timeout_s: float = ASK_TIMEOUT_S
     ) -> Result[tuple[int, bytes], str]:
         """Return the status and body of an answer, or the reason why there is none.
 
@@ -157,18 +150,12 @@
             Path and query string.
         body
             Body of the message; empty if the query string says all.
-        repeatable
-            Whether the message may arrive twice. It is then sent again if the connection
-            was closed meanwhile, as one that has been idle for long is.
         """
         now = self.now()
         if now < self.backoff_until.get(coordinator, 0.0):
             return Failure("in backoff")
         method = "POST" if body else "GET"
-        peer = self.peers.to(coordinator)
-        called = peer.call(method, query, body, timeout_s=timeout_s)
-        if repeatable and _is_closed(called):
-            called = peer.call(method, query, body, timeout_s=timeout_s, fresh=True)
+        called = self.peers.to(coordinator).call(method, query, body, timeout_s=timeout_s)
         if isinstance(called, Success):
             return Success(called.unwrap())
         self.record_failure(coordinator, called.failure().reason)
@@ -216,13 +203,6 @@
                 gevent.spawn(self.call, address, query_path(CONTACT_PATH, self.name, ()))
 
 
-def _is_closed(called: Result[tuple[int, bytes], SendError]) -> bool:
-    if isinstance(called, Success):
-        return False
-    error = called.failure()
-    return isinstance(error, ExchangeBroken) and not error.timed_out
-
-
 def query_path(path: str, daemon: str, rows: tuple[str, ...]) -> str:
     """Return the path and query string of a daemon's message to a coordinator."""
     return f"{path}?" + "&".join([f"daemon={quote(daemon, safe='')}", *rows])
