Engine loads: paces belong to a start; story shows the exchange's lines

Cause: an engine that started anew kept the pace of its former start for some seconds. Change: paces are kept by engine and start; part loads counts as state in story. Result: test_steps_become_the_pace_of_an_engine_since_its_start failed before.

--- a/agaterail/decisions/engineloads.py
+++ b/agaterail/decisions/engineloads.py
@@ -211,6 +211,8 @@
     ----------
     starts
         Start of each engine that is registered; rows on others do not count.
+    runs
+        Name of each engine together with its start, by which paces are kept.
     sum_received_at
         Sum of the times at which the reports were received.
     changed
@@ -220,6 +222,7 @@
     def __init__(self, paces: PaceEstimator) -> None:
         self.paces = paces
         self.starts: dict[str, int] = {}
+        self.runs: dict[str, str] = {}
         self.reports: dict[str, _ReceivedReport] = {}
         self.sums: dict[str, _EngineSums] = {}
         self.changed: set[str] = set()
@@ -229,6 +232,7 @@
     def set_engines(self, engines: Iterable[tuple[str, int]]) -> None:
         """Set the engines that are registered and their starts."""
         self.starts = dict(engines)
+        self.runs = {name: f"{name}/{start}" for name, start in self.starts.items()}
         self.sums = {instance: _EngineSums() for instance in self.starts}
         self.changed = set(self.starts)
         for received in self.reports.values():
@@ -246,7 +250,7 @@
         self._count(received)
         for row in received.counted.values():
             if row.steps:
-                self.paces.record(row.instance, row.steps, row.sum_log_s, now)
+                self.paces.record(self.runs[row.instance], row.steps, row.sum_log_s, now)
         return True
 
     def expire(self, now: float) -> None:
@@ -281,6 +285,10 @@
             totals.silent_domains = len(set(domains))
         return totals
 
+    def pace(self, instance: str, now: float) -> float:
+        """Return the pace of a registered engine since its start."""
+        return self.paces.pace(self.runs[instance], now)
+
     def engines_of(self, daemon: str) -> Collection[str]:
         """Return the engines of which a daemon's latest report tells."""
         received = self.reports.get(daemon)
--- a/agaterail/engineloads/gatherer.py
+++ b/agaterail/engineloads/gatherer.py
@@ -153,7 +153,7 @@
         if now - self.paced_at > PACES_VALID_S:
             self.paced_at = now
             self.ledger.expire(now)
-            pace = self.ledger.paces.pace
+            pace = self.ledger.pace
             self.paces = bytes(
                 scales.PACE.encode(pace(instance, now)) for instance, _ in self.engines
             )
--- a/agaterail/requesttrace.py
+++ b/agaterail/requesttrace.py
@@ -13,7 +13,7 @@
 # Shown at the start of a line or the same in every line, so not repeated as fields.
 PREFIX_FIELDS = frozenset({"timestamp", "host", "part", "event", "level", "request"})
 # Parts whose lines name no request but describe state that decisions depend on.
-STATE_PARTS = frozenset({"state", "feeds", "weights", "fleet", "stop", "main"})
+STATE_PARTS = frozenset({"state", "feeds", "weights", "fleet", "loads", "stop", "main"})
 # Lines of this part describe targets and name the request whose answer told of it.
 NOTICE_PART = "targets"
 NO_USABLE_TARGET = "no usable target"
--- a/tests/test_agaterail/test_decisions/test_engineloads.py
+++ b/tests/test_agaterail/test_decisions/test_engineloads.py
@@ -108,13 +108,15 @@
         self.assertAlmostEqual(self.ledger.fraction("z", 9.0), 3 / 8)
         self.assertEqual(self.ledger.fraction("z", 2.0), 1.0)
 
-    def test_steps_become_paces(self):
+    def test_steps_become_the_pace_of_an_engine_since_its_start(self):
         for turn in range(40):
             for number in range(5):
                 step_s = STEP_S * (2.0 if number == 0 else 1.0)
                 item = row(f"e-{number}", steps=2, sum_log_s=2.0 * math.log(step_s))
                 self.ledger.record(report("a", item), 0.5 * turn)
-        self.assertGreater(self.ledger.paces.pace("e-0", 20.0), 1.6)
+        self.assertGreater(self.ledger.pace("e-0", 20.0), 1.6)
+        self.ledger.set_engines((f"e-{number}", 2) for number in range(5))
+        self.assertEqual(self.ledger.pace("e-0", 20.0), 1.0)
 
     def test_mean_age_of_the_reports(self):
         self.assertEqual(self.ledger.age_s(10.0), 0.0)
--- a/tests/test_agaterail/test_engineloads/test_controller.py
+++ b/tests/test_agaterail/test_engineloads/test_controller.py
@@ -188,7 +188,7 @@
         self.assertEqual(info.call_count, 1)
 
     def test_engine_that_starts_anew_has_no_load_of_its_former_start(self):
-        """Guards against the load of a former start, and its pace, under the same id."""
+        """Guards against the load of a former start under the same id."""
         former = self.asker.view.figures("e-1")
         self.assertGreater(former.streams, 0.0)
         self.fleet.restart("e-1")
