--- /dev/null
+++ b/agaterail/decisions/refusalorder.py
@@ -0,0 +1,243 @@
+"""Which prompts of a service are refused when a part of its load must be."""
+
+from __future__ import annotations
+
+import enum
+import math
+
+import attrs
+
+from agaterail.decisions.offeredload import OfferedLoad
+from agaterail.decisions.returningcallers import ReturningCallers, prefer_returned
+from agaterail.decisions.urgency import LOWEST_PRIORITY, UrgencyLoad, divide_refusals
+from agaterail.decisions.workspaceshares import WorkspaceDemand, share_refusals
+
+# The composition of the load is known from this many prompts. With fewer, the order is
+# mixed with one probability for all.
+ENOUGH_PROMPTS = 8.0
+LOAD_SPAN_S = 3.0
+LOAD_MAX_SPAN_S = 30.0
+# More prompts are needed to tell a workspace's load from chance.
+WORKSPACE_SPAN_S = 6.0
+WORKSPACE_PROMPTS = 16.0
+WORKSPACE_MAX_SPAN_S = 15.0
+MAX_WORKSPACES = 64
+# No workspace, and no first request of a caller, is admitted less often than this part
+# of how often all prompts of the service are.
+MIN_RELATIVE_ADMISSION = 0.3
+SHARES_PERIOD_S = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class OfferedPrompt:
+    """What the order of refusals needs to know of a request.
+
+    Attributes
+    ----------
+    urgency
+        From 0, the most urgent, to 9.
+    tokens
+        Tokens of the prompt and of the expected output.
+    time_limit_s
+        Seconds that the caller waits; None if not given.
+    """
+
+    urgency: int
+    route: str
+    workspace: str
+    tokens: int
+    time_limit_s: float | None = None
+
+
+@attrs.frozen
+class Offer:
+    """A prompt that was recorded as offered.
+
+    Attributes
+    ----------
+    has_returned
+        Whether its caller has come back after a refusal or a failure.
+    """
+
+    prompt: OfferedPrompt
+    has_returned: bool
+
+
+class RefusalReason(enum.Enum):
+    """What most decided on the refusal probability of a prompt."""
+
+    OVERLOAD = "overload"
+    URGENCY = "urgency"
+    WORKSPACE_SHARE = "workspace_share"
+
+
+@attrs.frozen(kw_only=True)
+class RefusalChance:
+    """Probability that a prompt is refused, and what it follows from.
+
+    Attributes
+    ----------
+    part
+        Part of the service's load that is refused.
+    of_urgency
+        Mean probability of its urgency.
+    of_workspace
+        Mean probability of its workspace within the urgency.
+    prompts
+        Number of recent prompts by which the load is known.
+    age_s
+        Mean age of these prompts in seconds.
+    """
+
+    offer: Offer
+    probability: float
+    part: float
+    of_urgency: float
+    of_workspace: float
+    prompts: float
+    age_s: float
+
+    @property
+    def reason(self) -> RefusalReason:
+        """Return what most raised the probability above the part that is refused."""
+        if self.of_workspace - self.of_urgency > max(0.0, self.of_urgency - self.part):
+            return RefusalReason.WORKSPACE_SHARE
+        if self.of_urgency != self.part:
+            return RefusalReason.URGENCY
+        return RefusalReason.OVERLOAD
+
+    def describe(self) -> str:
+        """Return the probability and its inputs as text for the log."""
+        return (
+            f"{self.probability:.2f} of urgency {self.offer.prompt.urgency}"
+            f"{', returned' if self.offer.has_returned else ''}"
+            f" ({self.of_urgency:.2f}, workspace {self.of_workspace:.2f}),"
+            f" by {self.prompts:.0f} prompts of {self.age_s:.1f} s"
+        )
+
+
+@attrs.define
+class _Shares:
+    """Refusal probabilities by workspace, and when they were computed."""
+
+    computed_at: float
+    refused: dict[str | None, float]
+
+
+class RefusalOrder:
+    """Order in which one daemon refuses the prompts of one service.
+
+    Answers a load of several urgencies that the engines cannot bear, while one workspace
+    may ask for much more than the others. The least urgent prompts are refused first;
+    within an urgency those of workspaces that ask for more than an equal share; within
+    both, callers that have returned are refused last. With one urgency, all prompts have
+    the same probability.
+    """
+
+    def __init__(self) -> None:
+        self.loads: OfferedLoad[tuple[int, bool]] = OfferedLoad(
+            LOAD_SPAN_S, ENOUGH_PROMPTS, LOAD_MAX_SPAN_S, 2 * (LOWEST_PRIORITY + 1)
+        )
+        self.workspaces: OfferedLoad[tuple[int, str]] = OfferedLoad(
+            WORKSPACE_SPAN_S, WORKSPACE_PROMPTS, WORKSPACE_MAX_SPAN_S, MAX_WORKSPACES
+        )
+        self.callers = ReturningCallers()
+        self.shares: dict[int, _Shares] = {}
+
+    def offer(self, prompt: OfferedPrompt, now: float) -> Offer:
+        """Record a prompt that arrived."""
+        tokens = max(1, prompt.tokens)
+        has_returned = self.callers.record(prompt.route, prompt.time_limit_s)
+        self.loads.record((prompt.urgency, has_returned), tokens, now)
+        self.workspaces.record((prompt.urgency, prompt.workspace), tokens, now)
+        return Offer(prompt, has_returned)
+
+    def chance(self, offer: Offer, part: float, now: float) -> RefusalChance:
+        """Return the refusal probability of a prompt if a part of the load is refused."""
+        prompt = offer.prompt
+        loads = self._loads_by_urgency()
+        if len(loads) < 2 or part <= 0.0 or prompt.urgency not in loads:
+            return self._chance(offer, part, part, part, part)
+        admitted, of_urgency = self._divide(loads, prompt.urgency, part)
+        lowest = MIN_RELATIVE_ADMISSION * admitted
+        of_workspace = self._share(prompt, of_urgency, lowest, now)
+        probability = prefer_returned(
+            of_workspace,
+            self._returned_part(prompt.urgency),
+            offer.has_returned,
+            max(of_workspace, 1.0 - lowest),
+        )
+        return self._chance(offer, part, probability, of_urgency, of_workspace)
+
+    def _chance(
+        self,
+        offer: Offer,
+        part: float,
+        probability: float,
+        of_urgency: float,
+        of_workspace: float,
+    ) -> RefusalChance:
+        return RefusalChance(
+            offer=offer,
+            part=part,
+            probability=probability,
+            of_urgency=of_urgency,
+            of_workspace=of_workspace,
+            prompts=self.loads.prompts,
+            age_s=self.loads.mean_age_s,
+        )
+
+    def _loads_by_urgency(self) -> dict[int, UrgencyLoad]:
+        sums: dict[int, tuple[float, float]] = {}
+        for (urgency, _), load in self.loads.kinds.items():
+            prompts, tokens = sums.get(urgency, (0.0, 0.0))
+            sums[urgency] = (prompts + load.prompts, tokens + load.tokens)
+        total = self.loads.total
+        return {
+            urgency: UrgencyLoad(prompts / total.prompts, tokens / total.tokens)
+            for urgency, (prompts, tokens) in sorted(sums.items())
+        }
+
+    def _divide(
+        self, loads: dict[int, UrgencyLoad], urgency: int, part: float
+    ) -> tuple[float, float]:
+        """Return how often prompts are admitted, and the probability of one urgency."""
+        known = min(1.0, self.loads.prompts / ENOUGH_PROMPTS)
+        ordered = divide_refusals(part, list(loads.values()))
+        refused = {
+            name: part + known * (item - part)
+            for name, item in zip(loads, ordered, strict=True)
+        }
+        admitted = sum(load.prompts * (1.0 - refused[name]) for name, load in loads.items())
+        return admitted, refused[urgency]
+
+    def _returned_part(self, urgency: int) -> float:
+        kinds = self.loads.kinds
+        returned, first = kinds.get((urgency, True)), kinds.get((urgency, False))
+        if returned is None:
+            return 0.0
+        return returned.tokens / (returned.tokens + (first.tokens if first else 0.0))
+
+    def _share(
+        self, prompt: OfferedPrompt, of_urgency: float, lowest: float, now: float
+    ) -> float:
+        shares = self.shares.get(prompt.urgency)
+        if shares is None or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S:
+            shares = _Shares(now, self._share_refusals(prompt.urgency, of_urgency, lowest))
+            self.shares[prompt.urgency] = shares
+        refused = shares.refused
+        return refused.get(prompt.workspace, refused.get(None, of_urgency))
+
+    def _share_refusals(
+        self, urgency: int, of_urgency: float, lowest: float
+    ) -> dict[str | None, float]:
+        loads = {
+            workspace: load
+            for (own, workspace), load in self.workspaces.kinds.items()
+            if own == urgency
+        }
+        if len(loads) < 2 or of_urgency <= 0.0:
+            return {}
+        total = math.fsum(load.tokens for load in loads.values())
+        demands = {name: WorkspaceDemand.from_load(load) for name, load in loads.items()}
+        return share_refusals(of_urgency, demands, total, lowest)
--- a/agaterail/gateway/cachedirectives.py
+++ b/agaterail/gateway/cachedirectives.py
@@ -9,6 +9,7 @@
 from agaterail.gateway.inbound import normalize_part_name
 from agaterail.gateway.kvstoreindex import SaveQuery
 from agaterail.gateway.placement import choose_by_hash
+from agaterail.gateway.requestcontext import urgency_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -17,8 +18,6 @@
     from agaterail.gateway.placement import Choice
     from agaterail.gateway.requestcontext import RequestContext
 
-LOWEST_PRIORITY = 9
-
 
 @attrs.frozen(kw_only=True)
 class CacheDirectives:
@@ -61,7 +60,7 @@
     directives = CacheDirectives(
         cache_scope=_scope(context, version),
         weights_version=version,
-        priority=_priority(context),
+        priority=urgency_of(context),
     )
     shared = [normalize_part_name(part.name) for part in context.inbound.shared_parts]
     if not stores or not shared or version is None:
@@ -78,9 +77,3 @@
     if context.workspace is not None and context.workspace.isolated:
         scope += f".{context.workspace.name}"
     return scope
-
-
-def _priority(context: RequestContext) -> int:
-    own = context.route.priority if context.workspace is None else context.workspace.priority
-    priority = context.route.priority if own is None else own
-    return max(0, min(LOWEST_PRIORITY, priority))
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -77,6 +77,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.prompts_refused = Counter(
+            f"{PREFIX}_prompts_refused",
+            "Prompts that were refused to make room, by urgency and what decided.",
+            ("urgency", "reason"),
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             f"{PREFIX}_resumed_streams",
             "Streams that callers took up, by how the build that began them was known.",
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from agaterail.decisions.urgency import effective_priority
+
 if TYPE_CHECKING:
     from agaterail.decisions.streamsources import StreamSource
     from agaterail.gateway.desired import Route, Workspace
@@ -66,3 +68,9 @@
         """Return the seconds until the answer's first byte; None before it was sent."""
         at = self.first_byte_at
         return None if at is None else at - self.inbound.received_at
+
+
+def urgency_of(context: RequestContext) -> int:
+    """Return the priority of the workspace, or else of the route: 0 is the first."""
+    own = None if context.workspace is None else context.workspace.priority
+    return effective_priority(context.route.priority, own)
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -9,15 +9,18 @@
 import gevent
 
 from agaterail import logs
+from agaterail.decisions.refusalorder import OfferedPrompt
 from agaterail.errors import ANSWERS, ErrorKind, Failure
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
 from agaterail.gateway.inbound import AttemptHead
 from agaterail.gateway.placement import Choice
 from agaterail.gateway.relayprotocol import RelayedHead
+from agaterail.gateway.requestcontext import urgency_of
 from agaterail.gateway.retrystate import AttemptOutcome
 
 if TYPE_CHECKING:
+    from agaterail.decisions.refusalorder import Offer
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.inbound import AnswerHead
     from agaterail.gateway.requestcontext import RequestContext
@@ -52,6 +55,8 @@
         Why the latest daemon that was to forward the request did not run it.
     permit
         Who gave the latest permit for a target with a limit; empty if none was needed.
+    offer
+        The prompt as it was recorded for the order of refusals; None before.
     """
 
     def __init__(self, daemon: Daemon, context: RequestContext) -> None:
@@ -61,6 +66,7 @@
         self.choice: Choice | None = None
         self.relay_failure: Failure | None = None
         self.permit = ""
+        self.offer: Offer | None = None
 
     def start_attempt(self, last_event_id: str, may_wait: bool = True) -> Attempt | Failure:
         """Send the request to the next target, or return why that is not possible.
@@ -453,16 +459,31 @@
             return None  # decided before the first target was asked for
         random = self.daemon.random
         shedder = self.daemon.shedder_of(self.context.service)
-        if not shedder.should_refuse(random.random(), now):
+        if self.offer is None:
+            self.offer = shedder.order.offer(self._offered_prompt(), now)
+        if not shedder.should_refuse(random.random(), now, self.offer):
             return None
-        left = self.context.deadline - now
+        chance = shedder.chance(self.offer, now)
         reason = (
             f"wait {shedder.mean_wait:.2f} objectives, "
-            f"{shedder.refusal_probability:.2f} refused"
+            f"{shedder.refusal_probability:.2f} refused; {chance.describe()}"
         )
-        hint = retry_after_s(left, random.random(), overloaded=True)
+        self.daemon.metrics.prompts_refused.labels(
+            chance.offer.prompt.urgency, chance.reason.value
+        ).inc()
+        hint = retry_after_s(self.context.deadline - now, random.random(), overloaded=True)
         return Failure(ErrorKind.OVERLOADED, reason, hint)
 
+    def _offered_prompt(self) -> OfferedPrompt:
+        context, inbound = self.context, self.context.inbound
+        return OfferedPrompt(
+            urgency=urgency_of(context),
+            route=context.route.name,
+            workspace=context.workspace_name,
+            tokens=inbound.prompt_tokens + inbound.output_tokens,
+            time_limit_s=inbound.time_limit_s,
+        )
+
     def _fail_quarantined(self, part: str) -> Failure:
         """Return the failure of a request whose prompt was put in quarantine meanwhile."""
         if self.retry_state.runs:
--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from agaterail import logs
+from agaterail.decisions.refusalorder import RefusalOrder
 from agaterail.gateway.streampace import StreamPace
 
+if TYPE_CHECKING:
+    from agaterail.decisions.refusalorder import Offer, RefusalChance
+
 logger = logs.get_logger("shedding")
 
 # Set point of the controller. Waits for first tokens are measured in units of the
@@ -41,7 +47,7 @@
 INTEGRAL_GAIN = 0.1
 PROPORTIONAL_GAIN = 0.3
 # Some prompts are always admitted; otherwise nothing would show that the overload is
-# over.
+# over. This bounds the part of the load that is refused, whatever the order.
 MAX_REFUSAL_PROBABILITY = 0.9
 # The state is reset after this many periods without a prompt.
 MAX_IDLE_PERIODS = 20
@@ -64,13 +70,14 @@
 
 
 class LoadShedder:
-    """Controller of the probability that a prompt of one service is refused.
+    """Controller of the part of one service's load that is refused.
 
     When prompts arrive faster than the engines can prefill them, every prompt waits,
     most miss their objective, running prompts evict cached prefixes from the engines'
     memory, and long streams hit their time limit. A proportional-integral controller
-    (RFC 8033) refuses the excess at random, so no kind of request, prompt size or
-    workspace is refused more often than another. Its input is the worse of two
+    (RFC 8033) refuses the excess at random. With one urgency, no kind of request, prompt
+    size or workspace is refused more often than another; otherwise the refusal order
+    divides the excess. Its input is the worse of two
     measures: the wait for first tokens, and the projected duration of long streams at
     the current pace. Each daemon uses only its own requests. This needs neither
     coordination between daemons nor data from the engines, because a queue at the
@@ -85,7 +92,10 @@
     level
         The worse of the two measures, expressed as a wait in objectives.
     refusal_probability
-        Probability that a prompt is refused.
+        Part of the load that is refused: the probability that a prompt is refused, if
+        all have the same one.
+    order
+        Divides that part among urgencies, workspaces and returning callers.
     """
 
     def __init__(self, service: str, now: float) -> None:
@@ -99,6 +109,7 @@
         self.pace = StreamPace()
         self.timeout_ratio = 0.0
         self.level = 0.0
+        self.order = RefusalOrder()
 
     def begin(self, objective_s: float, now: float) -> PendingPrompt:
         """Register a prompt that is sent to an engine."""
@@ -120,10 +131,22 @@
         if first_token or wait > self.mean_wait:
             self.samples.append(wait)
 
-    def should_refuse(self, number: float, now: float) -> bool:
-        """Decide on one prompt by a random number from 0 to 1."""
+    def should_refuse(self, number: float, now: float, offer: Offer | None = None) -> bool:
+        """Decide on one prompt by a random number from 0 to 1.
+
+        Parameters
+        ----------
+        offer
+            The prompt in the order of refusals; None if all are refused alike.
+        """
         self._advance(now)
-        return number < self.refusal_probability
+        if offer is None:
+            return number < self.refusal_probability
+        return number < self.chance(offer, now).probability
+
+    def chance(self, offer: Offer, now: float) -> RefusalChance:
+        """Return the probability that an offered prompt is refused, and its inputs."""
+        return self.order.chance(offer, self.refusal_probability, now)
 
     def _advance(self, now: float) -> None:
         periods = int((now - self.stepped_at) / CONTROL_PERIOD_S)
