--- a/agaterail/decisions/offeredload.py
+++ b/agaterail/decisions/decayedsums.py
@@ -1,4 +1,4 @@
-"""Tokens of the prompts that were offered lately, by kind."""
+"""Decayed sums over the prompts that one daemon saw lately, by kind."""
 
 from __future__ import annotations
 
@@ -15,29 +15,29 @@
 
 
 @attrs.define
-class KindLoad:
-    """Weighted sums over the prompts of one kind."""
+class KindSums:
+    """Weighted sums of a quantity over the prompts of one kind."""
 
     prompts: float = 0.0
-    tokens: float = 0.0
-    squared_tokens: float = 0.0
+    amount: float = 0.0
+    squares: float = 0.0
 
-    def add(self, tokens: float, weight: float) -> None:
+    def add(self, amount: float, weight: float) -> None:
         """Add one prompt."""
         self.prompts += weight
-        self.tokens += weight * tokens
-        self.squared_tokens += weight * tokens * tokens
+        self.amount += weight * amount
+        self.squares += weight * amount * amount
 
     def scale(self, factor: float) -> None:
         """Multiply all sums by a factor."""
         self.prompts *= factor
-        self.tokens *= factor
-        self.squared_tokens *= factor
+        self.amount *= factor
+        self.squares *= factor
 
 
 @attrs.define
-class OfferedLoad(Generic[K]):
-    """Decayed sums of the prompts that one daemon was offered, by kind.
+class DecayedSums(Generic[K]):
+    """Decayed sums of a quantity, such as tokens, over the prompts of each kind.
 
     Answers a load that differs from daemon to daemon: sums of a busy daemon follow
     within seconds, those of a daemon that sees few prompts reach back further, over
@@ -50,7 +50,7 @@
     max_span_s
         Time constant at a daemon that sees few prompts, in seconds.
     max_kinds
-        Kinds that are kept; beyond it, the half with the least tokens is forgotten.
+        Kinds that are kept; beyond it, the half with the smallest sums is forgotten.
     weight
         Weight of a prompt that is recorded now.
     total
@@ -64,8 +64,8 @@
     max_span_s: float
     max_kinds: int
     weight: float = 1.0
-    total: KindLoad = attrs.field(factory=KindLoad)
-    kinds: dict[K, KindLoad] = attrs.field(factory=dict)
+    total: KindSums = attrs.field(factory=KindSums)
+    kinds: dict[K, KindSums] = attrs.field(factory=dict)
     mean_age_s: float = 0.0
     recorded_at: float = -math.inf
 
@@ -74,17 +74,17 @@
         """Return how many recent prompts the sums amount to."""
         return self.total.prompts / self.weight
 
-    def record(self, kind: K, tokens: float, now: float) -> None:
-        """Record one offered prompt."""
+    def record(self, kind: K, amount: float, now: float) -> None:
+        """Record one prompt."""
         self._decay(now)
         self.mean_age_s *= self.prompts / (self.prompts + 1.0)
-        load = self.kinds.get(kind)
-        if load is None:
+        sums = self.kinds.get(kind)
+        if sums is None:
             if len(self.kinds) >= self.max_kinds:
                 self._forget_smallest()
-            load = self.kinds[kind] = KindLoad()
-        load.add(tokens, self.weight)
-        self.total.add(tokens, self.weight)
+            sums = self.kinds[kind] = KindSums()
+        sums.add(amount, self.weight)
+        self.total.add(amount, self.weight)
 
     def _decay(self, now: float) -> None:
         elapsed = max(0.0, now - self.recorded_at)
@@ -102,16 +102,21 @@
         if self.weight > MAX_WEIGHT:
             self._rescale()
 
+    def mean(self, kind: K, default: float) -> float:
+        """Return the mean of the quantity over the prompts of a kind."""
+        sums = self.kinds.get(kind)
+        return sums.amount / sums.prompts if sums is not None else default
+
     def clear(self) -> None:
         """Forget all prompts."""
         self.kinds.clear()
-        self.total, self.weight, self.mean_age_s = KindLoad(), 1.0, 0.0
+        self.total, self.weight, self.mean_age_s = KindSums(), 1.0, 0.0
 
     def _rescale(self) -> None:
         factor, self.weight = 1.0 / self.weight, 1.0
-        for load in (self.total, *self.kinds.values()):
-            load.scale(factor)
+        for sums in (self.total, *self.kinds.values()):
+            sums.scale(factor)
 
     def _forget_smallest(self) -> None:
-        ordered = sorted(self.kinds.items(), key=lambda item: -item[1].tokens)
+        ordered = sorted(self.kinds.items(), key=lambda item: -item[1].amount)
         self.kinds = dict(ordered[: self.max_kinds // 2])
--- a/agaterail/decisions/refusalorder.py
+++ b/agaterail/decisions/refusalorder.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import enum
-import math
 
 import attrs
 
-from agaterail.decisions.offeredload import OfferedLoad
+from agaterail.decisions.decayedsums import DecayedSums
 from agaterail.decisions.returningcallers import ReturningCallers, prefer_returned
 from agaterail.decisions.urgency import LOWEST_PRIORITY, UrgencyLoad, divide_refusals
 from agaterail.decisions.workspaceshares import WorkspaceDemand, share_refusals
@@ -22,9 +21,17 @@
 WORKSPACE_PROMPTS = 16.0
 WORKSPACE_MAX_SPAN_S = 15.0
 MAX_WORKSPACES = 64
-# No workspace, and no first request of a caller, is admitted less often than this part
-# of how often all prompts of the service are.
-MIN_RELATIVE_ADMISSION = 0.3
+# Callers see how often they are served over some seconds.
+ADMISSION_SPAN_S = 8.0
+ADMISSION_PROMPTS = 16.0
+ADMISSION_MAX_SPAN_S = 30.0
+# How often an urgency or a workspace is admitted over time, relative to all prompts of
+# the service. What is admitted can still fail, and the less urgent fail more often.
+GUARANTEED_ADMISSION = 0.4
+# For a moment, one that was admitted more often lately may be admitted more rarely.
+MIN_ADMISSION = 0.1
+# Least admission of callers that have not returned, relative to all of their workspace.
+FIRST_TRY_ADMISSION = 0.7
 SHARES_PERIOD_S = 0.1
 
 
@@ -121,7 +128,7 @@
     """Refusal probabilities by workspace, and when they were computed."""
 
     computed_at: float
-    refused: dict[str | None, float]
+    refused: dict[str, float]
 
 
 class RefusalOrder:
@@ -135,12 +142,18 @@
     """
 
     def __init__(self) -> None:
-        self.loads: OfferedLoad[tuple[int, bool]] = OfferedLoad(
+        self.loads: DecayedSums[tuple[int, bool]] = DecayedSums(
             LOAD_SPAN_S, ENOUGH_PROMPTS, LOAD_MAX_SPAN_S, 2 * (LOWEST_PRIORITY + 1)
         )
-        self.workspaces: OfferedLoad[tuple[int, str]] = OfferedLoad(
+        self.workspaces: DecayedSums[tuple[int, str]] = DecayedSums(
             WORKSPACE_SPAN_S, WORKSPACE_PROMPTS, WORKSPACE_MAX_SPAN_S, MAX_WORKSPACES
         )
+        self.admissions: DecayedSums[int] = DecayedSums(
+            ADMISSION_SPAN_S, ADMISSION_PROMPTS, ADMISSION_MAX_SPAN_S, LOWEST_PRIORITY + 1
+        )
+        self.workspace_admissions: DecayedSums[tuple[int, str]] = DecayedSums(
+            ADMISSION_SPAN_S, ADMISSION_PROMPTS, ADMISSION_MAX_SPAN_S, MAX_WORKSPACES
+        )
         self.callers = ReturningCallers()
         self.shares: dict[int, _Shares] = {}
 
@@ -155,20 +168,26 @@
     def chance(self, offer: Offer, part: float, now: float) -> RefusalChance:
         """Return the refusal probability of a prompt if a part of the load is refused."""
         prompt = offer.prompt
-        loads = self._loads_by_urgency()
-        if len(loads) < 2 or part <= 0.0 or prompt.urgency not in loads:
+        loads = self._loads_by_urgency() if part > 0.0 else {}
+        if len(loads) < 2 or prompt.urgency not in loads:
             return self._chance(offer, part, part, part, part)
         admitted, of_urgency = self._divide(loads, prompt.urgency, part)
-        lowest = MIN_RELATIVE_ADMISSION * admitted
-        of_workspace = self._share(prompt, of_urgency, lowest, now)
+        of_workspace = self._share(prompt, of_urgency, admitted, now)
         probability = prefer_returned(
             of_workspace,
             self._returned_part(prompt.urgency),
             offer.has_returned,
-            max(of_workspace, 1.0 - lowest),
+            1.0 - FIRST_TRY_ADMISSION * (1.0 - of_workspace),
         )
         return self._chance(offer, part, probability, of_urgency, of_workspace)
 
+    def record_chance(self, chance: RefusalChance, now: float) -> None:
+        """Record how likely a prompt was to be admitted, for the guarantees."""
+        prompt, admission = chance.offer.prompt, 1.0 - chance.probability
+        self.admissions.record(prompt.urgency, admission, now)
+        workspace = (prompt.urgency, prompt.workspace)
+        self.workspace_admissions.record(workspace, admission, now)
+
     def _chance(
         self,
         offer: Offer,
@@ -191,10 +210,10 @@
         sums: dict[int, tuple[float, float]] = {}
         for (urgency, _), load in self.loads.kinds.items():
             prompts, tokens = sums.get(urgency, (0.0, 0.0))
-            sums[urgency] = (prompts + load.prompts, tokens + load.tokens)
+            sums[urgency] = (prompts + load.prompts, tokens + load.amount)
         total = self.loads.total
         return {
-            urgency: UrgencyLoad(prompts / total.prompts, tokens / total.tokens)
+            urgency: UrgencyLoad(prompts / total.prompts, tokens / total.amount)
             for urgency, (prompts, tokens) in sorted(sums.items())
         }
 
@@ -203,7 +222,8 @@
     ) -> tuple[float, float]:
         """Return how often prompts are admitted, and the probability of one urgency."""
         known = min(1.0, self.loads.prompts / ENOUGH_PROMPTS)
-        ordered = divide_refusals(part, list(loads.values()))
+        rarest = min(self.admissions.mean(name, 1.0) for name in loads)
+        ordered = divide_refusals(part, list(loads.values()), self._lowest(rarest))
         refused = {
             name: part + known * (item - part)
             for name, item in zip(loads, ordered, strict=True)
@@ -211,33 +231,46 @@
         admitted = sum(load.prompts * (1.0 - refused[name]) for name, load in loads.items())
         return admitted, refused[urgency]
 
+    def _lowest(self, admission: float) -> float:
+        """Return the least admission, relative to all, by how often it was so far.
+
+        What was admitted more often than guaranteed may be admitted more rarely for a
+        moment, so that a short overload does not reach the more urgent prompts.
+        """
+        total = self.admissions.total
+        of_all = total.amount / total.prompts if total.prompts else 1.0
+        lowest = 2.0 * GUARANTEED_ADMISSION - admission / max(1e-3, of_all)
+        return min(GUARANTEED_ADMISSION, max(MIN_ADMISSION, lowest))
+
     def _returned_part(self, urgency: int) -> float:
         kinds = self.loads.kinds
         returned, first = kinds.get((urgency, True)), kinds.get((urgency, False))
         if returned is None:
             return 0.0
-        return returned.tokens / (returned.tokens + (first.tokens if first else 0.0))
+        return returned.amount / (returned.amount + (first.amount if first else 0.0))
 
     def _share(
-        self, prompt: OfferedPrompt, of_urgency: float, lowest: float, now: float
+        self, prompt: OfferedPrompt, of_urgency: float, admitted: float, now: float
     ) -> float:
         shares = self.shares.get(prompt.urgency)
-        if shares is None or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S:
-            shares = _Shares(now, self._share_refusals(prompt.urgency, of_urgency, lowest))
-            self.shares[prompt.urgency] = shares
-        refused = shares.refused
-        return refused.get(prompt.workspace, refused.get(None, of_urgency))
+        if (
+            shares is None
+            or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S
+            or prompt.workspace not in shares.refused
+        ):
+            refused = self._share_refusals(prompt.urgency, of_urgency, admitted)
+            shares = self.shares[prompt.urgency] = _Shares(now, refused)
+        return shares.refused.get(prompt.workspace, of_urgency)
 
     def _share_refusals(
-        self, urgency: int, of_urgency: float, lowest: float
-    ) -> dict[str | None, float]:
-        loads = {
-            workspace: load
-            for (own, workspace), load in self.workspaces.kinds.items()
-            if own == urgency
-        }
-        if len(loads) < 2 or of_urgency <= 0.0:
+        self, urgency: int, of_urgency: float, admitted: float
+    ) -> dict[str, float]:
+        demands = {}
+        for kind, sums in self.workspaces.kinds.items():
+            if kind[0] == urgency:
+                lowest = admitted * self._lowest(self.workspace_admissions.mean(kind, 1.0))
+                lowest = min(lowest, 1.0 - of_urgency)
+                demands[kind[1]] = WorkspaceDemand.from_sums(sums, lowest)
+        if len(demands) < 2 or of_urgency <= 0.0:
             return {}
-        total = math.fsum(load.tokens for load in loads.values())
-        demands = {name: WorkspaceDemand.from_load(load) for name, load in loads.items()}
-        return share_refusals(of_urgency, demands, total, lowest)
+        return share_refusals(of_urgency, demands)
--- a/agaterail/decisions/urgency.py
+++ b/agaterail/decisions/urgency.py
@@ -10,9 +10,6 @@
     from collections.abc import Sequence
 
 LOWEST_PRIORITY = 9
-# No urgency is admitted less often than this part of how often all prompts of the
-# service are. What is admitted can still fail, and the less urgent fail more often.
-MIN_RELATIVE_ADMISSION = 0.4
 # By how much the order may raise the number of refused prompts, relative to refusing
 # all alike. Small prompts make little room: many would be refused in place of one
 # large, more urgent prompt.
@@ -47,7 +44,7 @@
     tokens: float
 
 
-def divide_refusals(part: float, loads: Sequence[UrgencyLoad]) -> list[float]:
+def divide_refusals(part: float, loads: Sequence[UrgencyLoad], lowest: float) -> list[float]:
     """Divide the part of the load to be refused; return probabilities by urgency.
 
     Answers a load of several urgencies that the engines cannot bear. The least urgent
@@ -61,28 +58,30 @@
         Part of the tokens that must be refused.
     loads
         Loads in order of urgency, the most urgent first.
+    lowest
+        Least admission of an urgency, relative to that of all prompts.
     """
     if len(loads) < 2 or part <= 0.0:
         return [part] * len(loads)
-    ordered = _refuse_in_order(part, loads)
+    ordered = _refuse_in_order(part, loads, lowest)
     total = sum(load.prompts * item for load, item in zip(loads, ordered, strict=True))
     excess, allowed = total - part, MAX_EXTRA_REFUSALS * part
     strength = 1.0 if excess <= allowed else allowed / excess
     return [part + strength * (item - part) for item in ordered]
 
 
-def _refuse_in_order(part: float, loads: Sequence[UrgencyLoad]) -> list[float]:
+def _refuse_in_order(part: float, loads: Sequence[UrgencyLoad], lowest: float) -> list[float]:
     for index in range(len(loads) - 1, -1, -1):
-        admitted, lowest = _admit_partly(index, part, loads)
-        if admitted >= lowest:
+        admitted, admitted_below = _admit_partly(index, part, loads, lowest)
+        if admitted >= admitted_below:
             break
     refused = [0.0] * index + [1.0 - admitted]
-    refused += [1.0 - lowest] * (len(loads) - index - 1)
+    refused += [1.0 - admitted_below] * (len(loads) - index - 1)
     return [min(1.0, max(0.0, item)) for item in refused]
 
 
 def _admit_partly(
-    index: int, part: float, loads: Sequence[UrgencyLoad]
+    index: int, part: float, loads: Sequence[UrgencyLoad], lowest: float
 ) -> tuple[float, float]:
     """Return how often one urgency and those below it are admitted.
 
@@ -90,10 +89,10 @@
     how often all prompts are.
     """
     own, above, below = loads[index], loads[:index], loads[index + 1 :]
-    scale = 1.0 - MIN_RELATIVE_ADMISSION * sum(load.prompts for load in below)
+    scale = 1.0 - lowest * sum(load.prompts for load in below)
     # Admission of those below: ``constant + slope * admission of this urgency``.
-    constant = MIN_RELATIVE_ADMISSION * sum(load.prompts for load in above) / scale
-    slope = MIN_RELATIVE_ADMISSION * own.prompts / scale
+    constant = lowest * sum(load.prompts for load in above) / scale
+    slope = lowest * own.prompts / scale
     tokens_below = sum(load.tokens for load in below)
     left = 1.0 - part - sum(load.tokens for load in above) - constant * tokens_below
     admitted = left / max(1e-12, own.tokens + slope * tokens_below)
--- a/agaterail/gateway/shedding.py
+++ b/agaterail/gateway/shedding.py
@@ -142,7 +142,9 @@
         self._advance(now)
         if offer is None:
             return number < self.refusal_probability
-        return number < self.chance(offer, now).probability
+        chance = self.chance(offer, now)
+        self.order.record_chance(chance, now)
+        return number < chance.probability
 
     def chance(self, offer: Offer, now: float) -> RefusalChance:
         """Return the probability that an offered prompt is refused, and its inputs."""
