--- a/agaterail/decisions/refusalorder.py
+++ b/agaterail/decisions/refusalorder.py
@@ -29,7 +29,7 @@
 # the service. What is admitted can still fail, and the less urgent fail more often.
 GUARANTEED_ADMISSION = 0.4
 # For a moment, one that was admitted more often lately may be admitted more rarely.
-MIN_ADMISSION = 0.1
+MIN_ADMISSION = 0.05
 # Least admission of callers that have not returned, relative to all of their workspace.
 FIRST_TRY_ADMISSION = 0.7
 SHARES_PERIOD_S = 0.1
--- a/agaterail/decisions/workspaceshares.py
+++ b/agaterail/decisions/workspaceshares.py
@@ -14,6 +14,8 @@
 
 # Halvings of the interval in which the level of equal shares lies.
 LEVEL_STEPS = 14
+# Standard deviations of a workspace's sum that may be chance.
+NOISE_DEVIATIONS = 1.5
 
 
 @attrs.frozen
@@ -37,7 +39,7 @@
     @classmethod
     def from_sums(cls, load: KindSums, lowest: float) -> WorkspaceDemand:
         """Return the demand of a workspace of which some prompts were seen."""
-        noise = math.sqrt(load.squares)
+        noise = NOISE_DEVIATIONS * math.sqrt(load.squares)
         return cls(load.amount, max(0.0, load.amount - noise), lowest)
 
     def admitted(self, level: float) -> float:
