--- a/agaterail/decisions/workspaceshares.py
+++ b/agaterail/decisions/workspaceshares.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,8 +13,9 @@
 
 # Halvings of the interval in which the level of equal shares lies.
 LEVEL_STEPS = 14
-# Standard deviations of a workspace's sum that may be chance.
-NOISE_DEVIATIONS = 1.5
+# Two prompts of one workspace within seconds are chance. The sum of more prompts is sure
+# but for this number of them.
+PROMPTS_BY_CHANCE = 2.25
 
 
 @attrs.frozen
@@ -39,8 +39,10 @@
     @classmethod
     def from_sums(cls, load: KindSums, lowest: float) -> WorkspaceDemand:
         """Return the demand of a workspace of which some prompts were seen."""
-        noise = NOISE_DEVIATIONS * math.sqrt(load.squares)
-        return cls(load.amount, max(0.0, load.amount - noise), lowest)
+        # Prompts of one size that would have the same variance of the sum.
+        prompts = load.amount * load.amount / load.squares
+        sure = max(0.0, 1.0 - PROMPTS_BY_CHANCE / prompts)
+        return cls(load.amount, sure * load.amount, lowest)
 
     def admitted(self, level: float) -> float:
         """Return the part admitted with at most ``level`` of the sure tokens."""
