--- a/tests/test_agaterail/test_gateway/test_shedding.py
+++ b/tests/test_agaterail/test_gateway/test_shedding.py
@@ -7,6 +7,7 @@
 import attrs
 
 from agaterail.gateway.shedding import LoadShedder
+from tests.test_agaterail.test_gateway.promptload import LARGE, URGENT, PromptLoad
 
 OBJECTIVE_S = 0.5
 # Callers abandon a stream that brings nothing for this long.
@@ -176,3 +177,116 @@
         shedder = LoadShedder("s", 0.0)
         shedder.end(shedder.begin(0.0, 0.0), 0.05)
         self.assertFalse(shedder.should_refuse(0.0, 0.2))
+
+
+class UrgencyTest(unittest.TestCase):
+    """Urgent prompts keep their room while less urgent ones ask for too much."""
+
+    BURST_S = 6.0
+    # Three times the usual rate of the less urgent prompts.
+    BURST_RATE = 300.0
+    OTHERS = range(1, 16)
+
+    def play(self, prepare=None, **options):
+        """Play the usual load, and a burst; return the load before and after."""
+        rates = options.pop("rates", {"large": self.BURST_RATE})
+        load = PromptLoad(**options)
+        load.run(10.0)
+        load.run(self.BURST_S)
+        load.finish()
+        usual = {kind.name: load.of(kind).part() for kind in (URGENT, LARGE)}
+        load.run(10.0)
+        if prepare is not None:
+            prepare(load)
+        load.run(self.BURST_S, **rates)
+        load.finish()
+        return usual, load
+
+    def assert_urgent_spared(self, usual, load):
+        self.assertGreaterEqual(load.of(URGENT).part(), 0.97 * usual["urgent"])
+
+    def assert_guaranteed(self, load):
+        urgent, large = load.of(URGENT), load.of(LARGE)
+        of_all = (urgent.served + large.served) / (urgent.offered + large.offered)
+        self.assertGreater(large.part(), 0.25 * of_all)
+
+    def test_with_one_probability_the_urgent_are_refused_as_often(self):
+        _, load = self.play(ordered=False)
+        urgent, large = load.of(URGENT), load.of(LARGE)
+        self.assertGreater(urgent.refused / urgent.offered, 0.2)
+        self.assertGreater(
+            urgent.refused / urgent.offered, 0.8 * large.refused / large.offered
+        )
+
+    def test_a_burst_of_less_urgent_prompts_does_not_reach_the_urgent(self):
+        for daemons in (6, 81, 410):
+            with self.subTest(daemons=daemons):
+                usual, load = self.play(daemons=daemons)
+                self.assert_urgent_spared(usual, load)
+                self.assert_guaranteed(load)
+
+    def test_the_order_refuses_no_more_prompts_than_one_probability(self):
+        refused = {}
+        for ordered in (False, True):
+            _, load = self.play(daemons=81, ordered=ordered)
+            refused[ordered] = load.of(URGENT).refused + load.of(LARGE).refused
+        self.assertLess(refused[True], 1.1 * refused[False])
+
+    def test_a_burst_while_a_quarter_of_the_engines_is_gone(self):
+        usual, load = self.play(
+            lambda load: load.fail_engines(0.25),
+            daemons=81,
+            rates={"large": 200.0, "hot": 7.0},
+        )
+        self.assert_urgent_spared(usual, load)
+        self.assert_guaranteed(load)
+
+    def test_daemons_whose_callers_differ(self):
+        # Four fifths of the large prompts come in at a quarter of the daemons.
+        usual, load = self.play(daemons=81, skew=0.8)
+        self.assert_urgent_spared(usual, load)
+        self.assert_guaranteed(load)
+
+    def test_a_workspace_with_seven_times_its_usual_load(self):
+        for daemons in (6, 81, 410):
+            with self.subTest(daemons=daemons):
+                usual, load = self.play(daemons=daemons, engines=11, rates={"hot": 7.0})
+                self.assert_urgent_spared(usual, load)
+                others = load.of(LARGE, self.OTHERS)
+                self.assertGreaterEqual(others.part(), usual["large"] - 0.02)
+
+    def test_a_workspace_with_too_much_load_is_refused_before_the_others(self):
+        # One workspace sends more than all others together, for half a minute.
+        load = PromptLoad(daemons=81)
+        load.run(10.0)
+        load.run(30.0, hot=21.0)
+        hot, others = load.of(LARGE, range(1)), load.of(LARGE, self.OTHERS)
+        self.assertGreater(others.part(), hot.part() + 0.2)
+        every = [load.of(URGENT), load.of(LARGE)]
+        of_all = sum(item.served for item in every) / sum(item.offered for item in every)
+        self.assertGreater(hot.part(), 0.25 * of_all)
+
+    def test_bursts_that_come_and_go_start_shedding_once_each(self):
+        load = PromptLoad(daemons=81)
+        load.run(10.0)
+        changes, refusing = 0, [item.refusing for item in load.shedders]
+        urgent_offered = urgent_served = 0
+        for rate in (self.BURST_RATE, 100.0) * 6:
+            for _ in range(30):
+                load.run(0.1, large=rate)
+                urgent = load.of(URGENT)
+                urgent_offered += urgent.offered
+                urgent_served += urgent.served
+                now = [item.refusing for item in load.shedders]
+                changes += sum(a != b for a, b in zip(refusing, now, strict=True))
+                refusing = now
+        self.assertLess(changes, 2 * 6 * len(load.shedders))
+        self.assertGreater(urgent_served, 0.97 * urgent_offered)
+
+    def test_returned_callers_are_refused_less_often_than_without_the_order(self):
+        again = {}
+        for ordered in (False, True):
+            _, load = self.play(daemons=6, ordered=ordered)
+            both = [load.of(URGENT), load.of(LARGE)]
+            again[ordered] = sum(item.refused_again for item in both)
+        self.assertLess(again[True], again[False])
