--- a/agaterail/cmd/losses.py
+++ b/agaterail/cmd/losses.py
@@ -29,6 +29,8 @@
         return EXIT_USAGE
     for loss in find_losses(parse_log_lines(texts), slot_s):
         print(f"{loss.count:6} {loss.cause.value:36} route={loss.route}", end="")
+        if loss.urgency is not None:
+            print(f" urgency={loss.urgency}", end="")
         print(f" e.g. {' '.join(loss.examples)}")
         print(f"       {_peak_slots(loss)}")
     return 0
--- a/agaterail/decisions/workspaceshares.py
+++ b/agaterail/decisions/workspaceshares.py
@@ -11,8 +11,8 @@
 
     from agaterail.decisions.decayedsums import KindSums
 
-# Halvings of the interval in which the level of equal shares lies.
-LEVEL_STEPS = 14
+# Halvings of the interval in which the level of equal shares lies, before interpolation.
+LEVEL_STEPS = 6
 # Two prompts of one workspace within seconds are chance. The sum of more prompts is sure
 # but for this number of them.
 PROMPTS_BY_CHANCE = 2.25
@@ -96,4 +96,7 @@
             high = middle
         else:
             low = middle
-    return low
+    below, above = admitted_at(low), admitted_at(high)
+    if above <= below:
+        return low
+    return low + (high - low) * min(1.0, (wanted - below) / (above - below))
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -134,7 +134,7 @@
                 ("saturated", "Whether new connections are closed unread."),
                 ("closed_unread", "Connections from callers that were closed unread."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
-                ("refusal_chance", "Largest part of a service's prompts that is refused."),
+                ("refusal_chance", "Largest part of a service's load that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
                 ("lease_seconds", "Seconds for which orders may still be given."),
--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+import re
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -67,15 +68,19 @@
 AT_LIMIT_DETAIL = "no usable target, of "
 # The address of the other daemon follows.
 NOT_FORWARDED_DETAIL = "not run by "
+# In the detail of a prompt that was refused to make room.
+URGENCY_DETAIL = re.compile(r"of urgency (\d)\b")
 DENIALS = frozenset({"no_route", "unauthenticated", "bad_request"})
 
 
 @attrs.define
 class LossGroup:
-    """Lost or late requests with the same route and cause.
+    """Lost or late requests with the same route, cause and urgency.
 
     Attributes
     ----------
+    urgency
+        From 0, the most urgent, to 9; None if the log does not tell.
     by_slot
         Number of requests by the start of the time slot, in seconds of the day.
     examples
@@ -84,6 +89,7 @@
 
     cause: Cause
     route: str
+    urgency: int | None = None
     count: int = 0
     by_slot: dict[int, int] = attrs.field(factory=dict)
     examples: list[str] = attrs.field(factory=list)
@@ -91,7 +97,7 @@
 
 def find_losses(lines: Iterable[LogLine], slot_s: int) -> list[LossGroup]:
     """Group the requests without a complete answer in time, largest group first."""
-    groups: dict[tuple[Cause, str], LossGroup] = {}
+    groups: dict[tuple[Cause, str, int | None], LossGroup] = {}
     for line in lines:
         fields = dict(line.fields)
         cause = cause_of(line.event, fields)
@@ -100,7 +106,8 @@
         if fields.get("relayed"):
             continue  # the daemon that passed the request on tells how it ended
         route = str(fields.get("route") or "-")
-        loss = groups.setdefault((cause, route), LossGroup(cause, route))
+        urgency = _urgency_of(cause, fields)
+        loss = groups.setdefault((cause, route, urgency), LossGroup(cause, route, urgency))
         loss.count += 1
         seconds = seconds_of_day(line.timestamp)
         if not math.isnan(seconds):
@@ -133,6 +140,13 @@
     return None
 
 
+def _urgency_of(cause: Cause, fields: dict[str, Any]) -> int | None:
+    if cause is not Cause.OVERLOAD:
+        return None
+    found = URGENCY_DETAIL.search(str(fields.get("detail")))
+    return None if found is None else int(found[1])
+
+
 def _cause_of_lateness(fields: dict[str, Any]) -> Cause:
     if int(fields.get("sends", 1)) > 1:
         return Cause.LATE_RETRY
--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -458,6 +458,17 @@
         self.assertEqual(fleet.ask("/unsafe/b", request_id="r2").status, 200)
         self.assertIn(b"agaterail_refusal_chance 1.0", daemon.metrics.render(daemon))
 
+    def test_shed_prompts_are_counted_by_urgency_and_reason(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        daemon = fleet.daemons[0]
+        shedder = daemon.shedder_of(LLM)
+        shedder.stepped_at, shedder.refusal_probability = daemon.now() + 60.0, 1.0
+        self.assertEqual(fleet.ask("/once/a", stream=True).status, 503)
+        counted = b'agaterail_prompts_refused_total{reason="overload",urgency="0"} 1.0'
+        self.assertIn(counted, daemon.metrics.render(daemon))
+        self.assertEqual(shedder.order.loads.prompts, 1.0)
+
     def test_finished_and_abandoned_prompts_leave_the_queue(self):
         # Each prompt must leave the queue when it ends. Otherwise the daemon would count
         # disconnected callers as a queue and refuse prompts forever.
--- a/tests/test_agaterail/test_gateway/test_shedding.py
+++ b/tests/test_agaterail/test_gateway/test_shedding.py
@@ -7,7 +7,7 @@
 import attrs
 
 from agaterail.gateway.shedding import LoadShedder
-from tests.test_agaterail.test_gateway.promptload import LARGE, URGENT, PromptLoad
+from tests.prompt_load import LARGE, URGENT, PromptLoad
 
 OBJECTIVE_S = 0.5
 # Callers abandon a stream that brings nothing for this long.
--- a/tests/test_agaterail/test_losses.py
+++ b/tests/test_agaterail/test_losses.py
@@ -34,6 +34,13 @@
         self.assertEqual(loss.by_slot, {start: 2, start + 2: 2, start + 4: 1})
         self.assertEqual(loss.examples, ["r0", "r1", "r2"])
 
+    def test_refused_prompts_are_grouped_by_urgency(self):
+        detail = "wait 1.40 objectives, 0.62 refused; 0.70 of urgency 2 (0.68, workspace 0.70)"
+        texts = [line("Request failed.", kind="overloaded", detail=detail)] * 2
+        texts.append(line("Request failed.", kind="overloaded", detail="expected wait 6.1 s"))
+        found = [(loss.urgency, loss.count) for loss in find_losses(parse_log_lines(texts), 2)]
+        self.assertEqual(found, [(2, 2), (None, 1)])
+
     def test_a_forwarded_request_counts_once(self):
         """Requests that the first daemon had served elsewhere counted as lost."""
         failed = line("Request failed.", kind="no_target", relayed=True)
