--- a/agaterail/decisions/refusalorder.py
+++ b/agaterail/decisions/refusalorder.py
@@ -56,7 +56,7 @@
     time_limit_s: float | None = None
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Offer:
     """A prompt that was recorded as offered.
 
@@ -64,10 +64,14 @@
     ----------
     has_returned
         Whether its caller has come back after a refusal or a failure.
+    is_decided
+        Whether its first decision was recorded. A prompt whose target could not be
+        reached is decided on again.
     """
 
     prompt: OfferedPrompt
     has_returned: bool
+    is_decided: bool = False
 
 
 class RefusalReason(enum.Enum):
@@ -162,7 +166,6 @@
         tokens = max(1, prompt.tokens)
         has_returned = self.callers.record(prompt.route, prompt.time_limit_s)
         self.loads.record((prompt.urgency, has_returned), tokens, now)
-        self.workspaces.record((prompt.urgency, prompt.workspace), tokens, now)
         return Offer(prompt, has_returned)
 
     def chance(self, offer: Offer, part: float, now: float) -> RefusalChance:
@@ -182,10 +185,19 @@
         return self._chance(offer, part, probability, of_urgency, of_workspace)
 
     def record_chance(self, chance: RefusalChance, now: float) -> None:
-        """Record how likely a prompt was to be admitted, for the guarantees."""
-        prompt, admission = chance.offer.prompt, 1.0 - chance.probability
-        self.admissions.record(prompt.urgency, admission, now)
+        """Record how likely a prompt was to be admitted, and the load of its workspace.
+
+        The load comes after the decision: a large prompt that raised its workspace's sum
+        before would be refused more often than a small one.
+        """
+        offer, admission = chance.offer, 1.0 - chance.probability
+        if offer.is_decided:
+            return
+        offer.is_decided = True
+        prompt = offer.prompt
         workspace = (prompt.urgency, prompt.workspace)
+        self.workspaces.record(workspace, max(1, prompt.tokens), now)
+        self.admissions.record(prompt.urgency, admission, now)
         self.workspace_admissions.record(workspace, admission, now)
 
     def _chance(
@@ -253,14 +265,14 @@
         self, prompt: OfferedPrompt, of_urgency: float, admitted: float, now: float
     ) -> float:
         shares = self.shares.get(prompt.urgency)
-        if (
-            shares is None
-            or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S
-            or prompt.workspace not in shares.refused
-        ):
+        if shares is None or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S:
             refused = self._share_refusals(prompt.urgency, of_urgency, admitted)
             shares = self.shares[prompt.urgency] = _Shares(now, refused)
-        return shares.refused.get(prompt.workspace, of_urgency)
+        found = shares.refused.get(prompt.workspace)
+        if found is not None:
+            return found
+        # No prompt of this workspace was seen lately, so it asks for little.
+        return min(shares.refused.values(), default=of_urgency)
 
     def _share_refusals(
         self, urgency: int, of_urgency: float, admitted: float
--- a/tests/test_agaterail/test_decisions/test_refusalorder.py
+++ b/tests/test_agaterail/test_decisions/test_refusalorder.py
@@ -94,6 +94,22 @@
             offered += 3
         self.assertGreater(sum(hot) / len(hot), 0.25 * admitted / offered)
 
+    def test_all_sizes_of_one_urgency_are_refused_alike(self):
+        # The largest tenth, the fifth below it, and the others.
+        sizes = [36_800] + [18_400] * 2 + [5_500] * 7
+        for interval_s in (0.0, 0.6):  # added to the interval of a busy daemon
+            admitted = {tokens: [] for tokens in sizes}
+            for _ in range(1500):
+                self.now += interval_s
+                self.offer(URGENT, 0.4)
+                tokens = self.random.choice(sizes)
+                chance = self.offer(LARGE, 0.4, tokens=tokens)
+                admitted[tokens].append(1.0 - chance.probability)
+            every = [item for items in admitted.values() for item in items]
+            for items in admitted.values():
+                mean = sum(items) / len(items)
+                self.assertGreater(mean, 0.8 * sum(every) / len(every))
+
     def test_callers_that_return_are_refused_last(self):
         self.offer_many(50)
         first, returned = [], []
