--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -80,6 +80,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.prompts_refused = Counter(
+            f"{PREFIX}_prompts_refused",
+            "Prompts that were refused to make room, by urgency and what decided.",
+            ("urgency", "reason"),
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             f"{PREFIX}_resumed_streams",
             "Streams that callers took up, by how the build that began them was known.",
@@ -137,7 +143,7 @@
                 ("saturated", "Whether new connections are closed unread."),
                 ("closed_unread", "Connections from callers that were closed unread."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
-                ("refusal_chance", "Largest part of a service's prompts that is refused."),
+                ("refusal_chance", "Largest part of a service's load that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
                 (
