Place prompts by the figures of the whole fleet

A daemon of a large fleet has mostly none or one of the requests at an engine, and multiplied these by the number of daemons. With fresh figures of the other daemons the cost now counts what is ahead, reading, stalls of running streams, memory and slots at the engine's pace, among the first three engines of the hash order, and further ones only while a first token would be late. Hash weights follow the pace in coarse steps; orders are cached. Without figures choices are as before (tested on random states).

--- a/agaterail/gateway/admission.py
+++ b/agaterail/gateway/admission.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from agaterail.gateway.placement import PREFILL_MS_PER_TOKEN
+from agaterail.decisions.engineplacement import PREFILL_MS_PER_TOKEN
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from agaterail.engineloads.figures import EngineFigures
     from agaterail.gateway.targets import Target
 
 # Callers honor a retry hint of up to a third of their remaining time.
@@ -22,15 +23,24 @@
 RETRY_JITTER = 0.5
 
 
-def expected_wait_s(target: Target, engines: Sequence[Target], daemons: float) -> float:
+def expected_wait_s(
+    target: Target,
+    engines: Sequence[Target],
+    daemons: float,
+    figures: EngineFigures | None = None,
+) -> float:
     """Estimate the wait behind the prompts queued at an engine, in seconds.
 
-    Only the total of the other daemons' prompts can be estimated: each daemon is
+    Figures of the engine tell what the other daemons have there. Without them, only
+    the total of the other daemons' prompts can be estimated: each daemon is
     assumed to have as many outstanding as this one, spread over all engines. This
     daemon's own distribution over the engines says nothing about theirs. If the
     engine's own queue were multiplied by the number of daemons, a single long
     prompt would look like a queue of several seconds.
     """
+    if figures is not None:
+        queued = target.prefill_tokens + figures.prefill_tokens
+        return queued * figures.pace * PREFILL_MS_PER_TOKEN * 1e-3
     serving = [item for item in engines if item.is_ready] or [target]
     mean = sum(item.prefill_tokens for item in serving) / len(serving)
     tokens = target.prefill_tokens + mean * max(0.0, daemons - 1.0)
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -13,6 +13,8 @@
 
 from agaterail import logs
 from agaterail.decisions.buildhistory import BuildHistory
+from agaterail.decisions.enginehomes import EngineHomes
+from agaterail.engineloads.figures import EngineLoads, NoEngineLoads
 from agaterail.gateway import (
     admission,
     allowancecontroller,
@@ -38,7 +40,7 @@
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.pathcontroller import PathController
-from agaterail.gateway.placement import PlacementRules
+from agaterail.gateway.placement import FleetView, PlacementRules
 from agaterail.gateway.quarantinecontroller import QuarantineController
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.relaycontroller import RelayController
@@ -133,6 +135,8 @@
             rng=self.random,
         )
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
+        self.engine_loads: EngineLoads = NoEngineLoads()
+        self.engine_homes: dict[str, EngineHomes] = {}
         self.encode = requests.encode_attempt
         self.stopping = False
         self.metrics = GatewayMetrics()
@@ -372,7 +376,23 @@
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
-        return placement.choose_engine(context.inbound, targets, tried, self.rules, named, now)
+        view = self._fleet_view(context)
+        return placement.choose_engine(
+            context.inbound, targets, tried, self.rules, named, now, view
+        )
+
+    def _fleet_view(self, context: RequestContext) -> FleetView:
+        """Return what is known of a service's engines beyond this daemon's requests."""
+        name, desired = context.service, self.state.desired
+        service = None if desired is None else desired.services.get(name)
+        idempotent = context.route.idempotent
+        return FleetView(
+            loads=self.engine_loads,
+            homes=self.engine_homes.setdefault(name, EngineHomes()),
+            traits=None if service is None else service.engine,
+            route=context.route,
+            is_connected=lambda target: self.connection_pool.has_live(target, idempotent),
+        )
 
     def targets_of(self, context: RequestContext) -> list[Target]:
         """Return the targets of a request's service that may answer it."""
@@ -395,7 +415,8 @@
         if not context.route.prompted:
             return 0.0
         engines = self.registry.of_service(context.service)
-        return admission.expected_wait_s(choice.target, engines, self.rules.daemons)
+        figures = self.engine_loads.figures(choice.target.instance)
+        return admission.expected_wait_s(choice.target, engines, self.rules.daemons, figures)
 
     def shedder_of(self, service: str) -> LoadShedder:
         """Return the load shedder of a service, which may refuse prompts."""
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
-import math
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import attrs
 
+from agaterail.decisions.enginehomes import EngineHomes, hash_number, rank_names
+from agaterail.decisions.engineplacement import (
+    DECODE_SLOWDOWN_MS,
+    PREFILL_MS_PER_TOKEN,
+    Candidate,
+    PlacementCost,
+    PromptLoad,
+    choose_candidate,
+)
+from agaterail.engineloads.figures import EngineLoads, NoEngineLoads
 from agaterail.gateway.weightsplan import is_cordoned, should_have_loaded
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Iterator, Sequence
 
+    from agaterail.engineloads.figures import EngineFigures
+    from agaterail.gateway.desired import EngineTraits, Route
     from agaterail.gateway.inbound import InboundRequest
     from agaterail.gateway.targets import Target
     from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
@@ -20,22 +30,12 @@
 # Engines on outdated weights are ranked lower once the newer version has been desired
 # for this long. Before that, they rank like any other engine.
 DEPRIORITIZE_AFTER_S = 1.5
-# Rendezvous hashing weight of an engine on outdated weights, relative to 1. The first
-# engines on the newest weights have cold caches: with all requests sent to them, most
-# answers would be late, which costs more than answers from older weights.
-OUTDATED_HASH_WEIGHT = 0.6
-# Assumed prefill time of one token. It is within a factor of two for the engines in
-# use, and placement depends only on the order of the costs.
-PREFILL_MS_PER_TOKEN = 0.016
 # Assumed upper bound on the wait in an engine's queue. A request is not sent if the
 # engine's weights would become too old to start it within this time.
 MAX_QUEUE_S = 1.5
-# Each request in decode slows down every step of the others slightly.
-DECODE_SLOWDOWN_MS = 1.0
 # A target in another failure domain is about 1 ms away, and traffic between domains is
 # billed. The penalty is small enough to act only as a tie-breaker.
 CROSS_DOMAIN_MS = 2.0
-HASH_BYTES = 6
 
 
 @attrs.frozen(kw_only=True)
@@ -57,6 +57,31 @@
     daemons: float = 1.0
 
 
+@attrs.frozen(kw_only=True)
+class FleetView:
+    """What a daemon knows of a service's engines beyond its own requests.
+
+    Attributes
+    ----------
+    loads
+        Figures of the engines by the other daemons.
+    homes
+        Hash orders of the service's engines.
+    traits
+        Properties of the service's engines; None if they are not configured.
+    route
+        Route of the prompt; None if its objectives are not known.
+    is_connected
+        Return whether an idle connection to a target can be used.
+    """
+
+    loads: EngineLoads = attrs.field(factory=NoEngineLoads)
+    homes: EngineHomes = attrs.field(factory=EngineHomes)
+    traits: EngineTraits | None = None
+    route: Route | None = None
+    is_connected: Callable[[Target], bool] = lambda _target: False
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """A chosen target and the values behind the choice.
@@ -71,6 +96,10 @@
         Version that made the target's weights outdated; None if they are current.
     relayed
         Whether the target is another daemon, which forwards the request.
+    cost
+        Parts of the cost; None if it follows from this daemon's own requests alone.
+    figures_age_s
+        Age of the figures of the target in seconds; None if there were none.
     """
 
     target: Target
@@ -82,23 +111,25 @@
     weights_version: int | None = None
     outdated_by: DesiredVersion | None = None
     candidates: int = 0
+    cost: PlacementCost | None = None
+    figures_age_s: float | None = None
 
 
 def rank_by_hash(
-    key: str, targets: Sequence[Target], deprioritized: Collection[str] = ()
+    key: str,
+    targets: Sequence[Target],
+    deprioritized: Collection[str] = (),
+    homes: EngineHomes | None = None,
 ) -> list[Target]:
     """Rank targets by weighted rendezvous hashing, in the same order on every daemon."""
-
-    def score(target: Target) -> float:
-        share = OUTDATED_HASH_WEIGHT if target.instance in deprioritized else 1.0
-        return -share / math.log(_hash_number(key, target.instance))
-
-    return sorted(targets, key=score, reverse=True)
+    by_name = {item.instance: item for item in targets}
+    names = (homes or EngineHomes()).order(key, by_name, frozenset(deprioritized))
+    return [by_name[name] for name in names]
 
 
 def choose_by_hash(key: str, names: Sequence[str]) -> str:
     """Choose one of several names for a key, the same one on every daemon."""
-    return max(names, key=lambda name: _hash_number(key, name))
+    return max(names, key=lambda name: hash_number(key, name))
 
 
 def choose_least_loaded(
@@ -121,6 +152,7 @@
     rules: PlacementRules,
     history: VersionHistory | None,
     now: float,
+    view: FleetView | None = None,
 ) -> Choice | None:
     """Return the engine with the lowest expected cost for a prompt.
 
@@ -128,6 +160,7 @@
     same prefix go to the same engine from every daemon without coordination. The
     first engine has the prefix cached; any other must prefill or fetch it.
     """
+    view = view or FleetView()
     allowed = [
         target
         for target in targets
@@ -139,35 +172,118 @@
     usable = [item for item in usable if _accepts_prompts(item, now)] or usable
     if not usable:
         return None
-    shared = inbound.shared_parts
-    deprioritized = {
+    view.homes.refresh([item.instance for item in targets], view.loads.figures, now)
+    ordered = _rank(inbound, usable, view.homes, history, now)
+    choice = _choose_by_figures(inbound, ordered, rules, view)
+    choice = choice or _choose_by_own_requests(inbound, ordered, rules)
+    held = _expected_weights(choice.target, inbound.model, history, now)
+    return attrs.evolve(
+        choice,
+        preferred=ordered[0],
+        weights_version=held,
+        outdated_by=None if history is None or held is None else history.first_after(held),
+        candidates=len(usable),
+    )
+
+
+def _rank(
+    inbound: InboundRequest,
+    usable: list[Target],
+    homes: EngineHomes,
+    history: VersionHistory | None,
+    now: float,
+) -> list[Target]:
+    """Return engines in the hash order of a prompt."""
+    outdated = {
         item.instance
         for item in usable
         if _is_deprioritized(item, inbound.model, history, now)
     }
-    ordered = rank_by_hash(shared[-1].name, usable, deprioritized) if shared else usable
-    shared_tokens = sum(part.tokens for part in shared)
+    if inbound.shared_parts:
+        return rank_by_hash(inbound.shared_parts[-1].name, usable, outdated, homes)
+    if homes.usual is None:
+        return usable
+    # Without shared parts a prompt has no home, and daemons must not choose the same engines.
+    by_name = {item.instance: item for item in usable}
+    names = rank_names(inbound.request_id, list(by_name), homes.weight)
+    return [by_name[name] for name in names]
+
+
+def _choose_by_own_requests(
+    inbound: InboundRequest, ordered: Sequence[Target], rules: PlacementRules
+) -> Choice:
+    """Choose among all engines by what this daemon has under way there."""
+    shared_tokens = sum(part.tokens for part in inbound.shared_parts)
     best: tuple[float, int, float] | None = None
     for rank, target in enumerate(ordered):
         queue_ms = _queue_ms(target, rules.daemons)
         cost = queue_ms + _domain_ms(target, rules.domain)
-        if shared and rank:
+        if rank:
             cost += shared_tokens * PREFILL_MS_PER_TOKEN
         if best is None or cost < best[0]:
             best = (cost, rank, queue_ms)
     assert best is not None
     cost, rank, queue_ms = best
-    target = ordered[rank]
-    held = _expected_weights(target, inbound.model, history, now)
+    return Choice(target=ordered[rank], cost_ms=cost, queue_ms=queue_ms, rank=rank)
+
+
+def _choose_by_figures(
+    inbound: InboundRequest, ordered: Sequence[Target], rules: PlacementRules, view: FleetView
+) -> Choice | None:
+    """Choose among the first engines by the fleet's figures; None if there are none."""
+    usual = view.homes.usual
+    if usual is None:
+        return None
+    seen: list[EngineFigures | None] = []
+
+    def candidates() -> Iterator[Candidate]:
+        for rank, target in enumerate(ordered):
+            seen.append(view.loads.figures(target.instance))
+            yield _candidate(rank, target, seen[-1], rules, view)
+
+    rank, cost = choose_candidate(_prompt_load(inbound, view.route), candidates(), usual)
+    if all(figures is None for figures in seen):
+        return None
+    figures = seen[rank]
     return Choice(
-        target=target,
-        cost_ms=cost,
-        queue_ms=queue_ms,
+        target=ordered[rank],
+        cost_ms=cost.total_ms,
+        queue_ms=cost.wait_ms,
         rank=rank,
-        preferred=ordered[0],
-        weights_version=held,
-        outdated_by=None if history is None or held is None else history.first_after(held),
-        candidates=len(usable),
+        cost=cost,
+        figures_age_s=None if figures is None else figures.age_s,
+    )
+
+
+def _candidate(
+    rank: int,
+    target: Target,
+    figures: EngineFigures | None,
+    rules: PlacementRules,
+    view: FleetView,
+) -> Candidate:
+    traits = view.traits
+    return Candidate(
+        rank=rank,
+        prefill_tokens=target.prefill_tokens,
+        streams=target.in_flight,
+        kv_tokens=target.kv_tokens,
+        figures=figures,
+        slots=0 if traits is None else traits.slots,
+        kv_capacity=0 if traits is None else traits.kv_tokens,
+        domain_ms=_domain_ms(target, rules.domain),
+        is_connected=view.is_connected(target),
+    )
+
+
+def _prompt_load(inbound: InboundRequest, route: Route | None) -> PromptLoad:
+    shared_tokens = sum(part.tokens for part in inbound.shared_parts)
+    return PromptLoad(
+        shared_tokens=shared_tokens,
+        own_tokens=max(0, inbound.prompt_tokens - shared_tokens),
+        output_tokens=inbound.output_tokens,
+        gap_objective_s=0.0 if route is None else route.gap_objective_s,
+        objective_s=0.0 if route is None else route.objective_s,
     )
 
 
@@ -231,9 +347,3 @@
 
 def _load_cost(target: Target, domain: str) -> tuple[float, float]:
     return target.in_flight + 0.5 * (target.registration.domain != domain), target.failures
-
-
-def _hash_number(key: str, name: str) -> float:
-    """Return a number strictly between 0 and 1."""
-    digest = blake2b(f"{key} {name}".encode(), digest_size=HASH_BYTES).digest()
-    return (int.from_bytes(digest, "big") + 1) / (2 ** (8 * HASH_BYTES) + 1)
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -212,6 +212,7 @@
             resumes=context.inbound.resumes[:MAX_LOGGED_ID] or None,
             after_event=context.inbound.last_event_id[:MAX_LOGGED_ID] or None,
             **({"relayed": True} if context.relayed else {}),
+            **_cost_fields(choice),
             **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
             **self._plan_fields(),
@@ -551,6 +552,17 @@
         return Failure(kind, reason, hint_s)
 
 
+def _cost_fields(choice: Choice | None) -> dict[str, object]:
+    """Return log fields about a choice that follows from figures of the fleet."""
+    if choice is None or choice.cost is None:
+        return {}
+    age_s = choice.figures_age_s
+    return {
+        "cost": choice.cost.summary(),
+        "figures_age_s": None if age_s is None else round(age_s, 2),
+    }
+
+
 def _progress(attempt: Attempt) -> dict[str, object]:
     """Return log fields that tell how far the answer to a prompt had got."""
     parts = attempt.context.inbound.shared_parts
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -82,6 +82,8 @@
         This daemon's requests in flight at the target.
     prefill_tokens
         Prompt tokens sent to the target whose first event has not arrived.
+    kv_tokens
+        Tokens of prompts and outputs of the prompts in flight at the target.
     cordoned_at
         Time at which it was cordoned to load weights; None if it is not cordoned.
     expected_loaded_at
@@ -117,6 +119,7 @@
     registration: Registration
     in_flight: int = 0
     prefill_tokens: int = 0
+    kv_tokens: int = 0
     failures: int = 0
     refusals: int = 0
     backoff_until: float = 0.0
--- a/tests/test_agaterail/test_gateway/test_placement.py
+++ b/tests/test_agaterail/test_gateway/test_placement.py
@@ -1,10 +1,19 @@
 from __future__ import annotations
 
+import math
+import random
 import unittest
 from collections import Counter
 
+import attrs
+
+from agaterail.decisions.enginehomes import hash_number
+from agaterail.engineloads.figures import EngineFigures, EngineLoads
+from agaterail.gateway.desired import EngineTraits
 from agaterail.gateway.inbound import InboundRequest, PromptPart
 from agaterail.gateway.placement import (
+    PREFILL_MS_PER_TOKEN,
+    FleetView,
     PlacementRules,
     choose_by_hash,
     choose_engine,
@@ -13,6 +22,7 @@
 )
 from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
 from agaterail.gateway.weightsplan import MAX_REFUSED_TRIES
+from tests.engine_queues import Fleet
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
 RULES = PlacementRules(domain="a", version_s=15.0)
@@ -170,3 +180,128 @@
 
     def test_hash_ranking_contains_every_target(self):
         self.assertEqual(len({item.instance for item in rank_by_hash("k", self.engines)}), 5)
+
+
+class KnownLoads(EngineLoads):
+    """Figures as a test sets them."""
+
+    def __init__(self):
+        self.known = {}
+
+    def figures(self, instance):
+        return self.known.get(instance)
+
+
+class PlacementByFiguresTest(unittest.TestCase):
+    def setUp(self):
+        self.engines = [make_target(f"i-{n}", weights={"m": 1}) for n in range(20)]
+        self.loads = KnownLoads()
+        traits = EngineTraits(
+            slots=12, kv_tokens=86_000, kv_bytes_per_token=1.0, link_mbps=1.0
+        )
+        self.view = FleetView(loads=self.loads, traits=traits)
+        self.rules = attrs.evolve(RULES, daemons=81.0)
+
+    def choose(self, inbound, now=0.0):
+        return choose_engine(inbound, self.engines, (), self.rules, None, now, self.view)
+
+    def know(self, **figures):
+        for engine in self.engines:
+            self.loads.known[engine.instance] = EngineFigures(**figures)
+
+    def test_without_figures_choices_are_as_before(self):
+        draw = random.Random(1)
+        for number in range(300):
+            for engine in draw.sample(self.engines, 5):
+                engine.in_flight = draw.choice((0, 0, 1, 3))
+                engine.prefill_tokens = draw.choice((0, 0, 700, 9000)) * engine.in_flight
+            inbound = make_inbound(f"h{number}", draw.choice((0, 50, 6000)))
+            choice = self.choose(inbound, number)
+            self.assertIs(choice.target, self.cheapest_by_own_requests(inbound))
+            self.assertIsNone(choice.cost)
+
+    def cheapest_by_own_requests(self, inbound):
+        """Return the engine of lowest cost if all daemons send as much as this one."""
+        key, shared = inbound.shared_parts[-1].name, inbound.prompt_tokens - 500
+        ordered = sorted(
+            self.engines, key=lambda item: 1.0 / math.log(hash_number(key, item.instance))
+        )
+
+        def cost_ms(rank):
+            item = ordered[rank]
+            queue_ms = item.prefill_tokens * PREFILL_MS_PER_TOKEN + item.in_flight
+            miss_ms = shared * PREFILL_MS_PER_TOKEN if rank else 0.0
+            return queue_ms * 81.0 + miss_ms
+
+        return ordered[min(range(len(ordered)), key=cost_ms)]
+
+    def test_a_lapse_of_all_figures_leads_back_to_own_requests(self):
+        self.know(prefill_tokens=2000.0)
+        self.assertIsNotNone(self.choose(make_inbound()).cost)
+        self.loads.known.clear()
+        self.assertIsNone(self.choose(make_inbound(), now=0.1).cost)
+
+    def test_prompts_of_other_daemons_move_a_prompt(self):
+        self.know(prefill_tokens=1000.0, age_s=0.3)
+        home = self.choose(make_inbound()).target
+        self.loads.known[home.instance] = EngineFigures(prefill_tokens=60_000.0)
+        choice = self.choose(make_inbound(), now=0.1)
+        self.assertIsNot(choice.target, home)
+        self.assertIs(choice.preferred, home)
+        self.assertEqual(choice.figures_age_s, 0.3)
+
+    def test_prompts_without_shared_parts_spread_over_the_engines(self):
+        """All daemons took the first three engines of the registry."""
+        self.know(prefill_tokens=1000.0)
+        chosen = Counter()
+        for number in range(400):
+            inbound = make_inbound()
+            inbound.prompt, inbound.request_id = inbound.prompt[-1:], f"r{number}"
+            chosen[self.choose(inbound).target.instance] += 1
+        self.assertEqual(len(chosen), 20)
+        self.assertLess(max(chosen.values()), 50)
+
+
+SEEDS = (1, 2, 3)
+
+
+class PlacementUnderLoadTest(unittest.TestCase):
+    """Loads on which prompts of two lengths meet at engines of two paces."""
+
+    def setUp(self):
+        self.missed = Counter()
+
+    def check(self, **load):
+        """Compare choices by figures with those by own requests, on the same prompts."""
+        alone = [Fleet(seed=seed, **{**load, "period_s": math.inf}) for seed in SEEDS]
+        informed = [Fleet(seed=seed, **load) for seed in SEEDS]
+        late = [sum(item.late for item in group) for group in (alone, informed)]
+        paused = [sum(item.paused for item in group) for group in (alone, informed)]
+        self.assertLessEqual(late[1], late[0] / 2, (late, paused))
+        self.assertLessEqual(paused[1], paused[0], (late, paused))
+        self.missed["alone"] += sum(item.missed_tokens for item in alone)
+        self.missed["informed"] += sum(item.missed_tokens for item in informed)
+
+    def test_uneven_loads(self):
+        """Callers waited at the home of a prompt while other engines were idle."""
+        loads = {
+            "six daemons": {"daemons": 6, "period_s": 0.1},
+            "a burst": {"daemons": 81, "burst": 2.0},
+            "half of the figures are lost": {"daemons": 81, "lost": 0.5},
+            "figures of two seconds": {"daemons": 410, "period_s": 2.0},
+            "a hot shared part": {"daemons": 81, "hot": 0.6},
+            "a quarter of the engines is gone": {"daemons": 81, "gone_at": 3.0},
+        }
+        for name, load in loads.items():
+            with self.subTest(name):
+                self.check(**load)
+        self.assertLessEqual(self.missed["informed"], self.missed["alone"])
+
+    def test_no_herd(self):
+        """All daemons turned to the engines that old figures showed as idle."""
+        for daemons, period_s in ((81, 0.5), (410, 2.0)):
+            with self.subTest(daemons=daemons):
+                fleet = Fleet(
+                    seed=1, daemons=daemons, period_s=period_s, parts=1000, seconds=20.0
+                )
+                self.assertLess(fleet.imbalance, 1.25)
