--- a/agaterail/decisions/enginepaces.py
+++ b/agaterail/decisions/enginepaces.py
@@ -36,7 +36,7 @@
     ----------
     count
         Decayed number of samples.
-    sum_log
+    sum_log_s
         Decayed sum of the logarithms of seconds per step.
     at
         Time to which both are decayed.
@@ -45,7 +45,7 @@
     """
 
     count: float
-    sum_log: float
+    sum_log_s: float
     at: float
     heard_at: float
 
@@ -54,7 +54,7 @@
         if now > self.at:
             factor = 0.5 ** ((now - self.at) / HALF_LIFE_S)
             self.count *= factor
-            self.sum_log *= factor
+            self.sum_log_s *= factor
             self.at = now
 
 
@@ -92,7 +92,7 @@
         held.decay(now)
         held.heard_at = now
         held.count += count
-        held.sum_log += mean * count
+        held.sum_log_s += mean * count
 
     def pace(self, instance: str, now: float) -> float:
         """Return the time of a step relative to the median engine's; 1 if unknown."""
@@ -101,7 +101,7 @@
         if held is None or self.median_log is None:
             return 1.0
         held.decay(now)
-        excess = held.sum_log - held.count * self.median_log
+        excess = held.sum_log_s - held.count * self.median_log
         log = excess / (held.count + PRIOR_SAMPLES)
         return math.exp(max(-MAX_LOG, min(MAX_LOG, log)))
 
@@ -126,7 +126,7 @@
                 continue
             held.decay(now)
         means = [
-            held.sum_log / held.count
+            held.sum_log_s / held.count
             for held in self.samples.values()
             if held.count >= MIN_SAMPLES
         ]
