--- a/agaterail/decisions/enginehomes.py
+++ b/agaterail/decisions/enginehomes.py
@@ -76,15 +76,17 @@
         self.refreshed_at = -math.inf
         self.informed_at = -math.inf
 
+    def is_due(self, now: float) -> bool:
+        """Return whether engines and paces should be read again."""
+        return not 0.0 <= now - self.refreshed_at < REFRESH_S
+
     def refresh(
         self,
         names: Sequence[str],
         figures_of: Callable[[str], EngineFigures | None],
         now: float,
     ) -> None:
-        """Follow changes of the engines and of their paces, at most once a period."""
-        if 0.0 <= now - self.refreshed_at < REFRESH_S:
-            return
+        """Follow changes of the engines and of their paces."""
         self.refreshed_at = now
         found = {name: item for name in names if (item := figures_of(name)) is not None}
         self.usual = _mean(list(found.values()))
--- a/agaterail/decisions/engineplacement.py
+++ b/agaterail/decisions/engineplacement.py
@@ -123,8 +123,10 @@
         Wait for a slot.
     distance_ms
         Way to the engine.
+    queue_ms
+        Expected wait behind other prompts and steps, of which ``wait_ms`` is the cost.
     first_token_ms
-        Expected time to the first token, which is no part of the sum.
+        Expected time to the first token. Neither is part of the sum.
     """
 
     wait_ms: float = 0.0
@@ -133,6 +135,7 @@
     memory_ms: float = 0.0
     slots_ms: float = 0.0
     distance_ms: float = 0.0
+    queue_ms: float = 0.0
     first_token_ms: float = 0.0
 
     @property
@@ -187,12 +190,13 @@
     ms_per_token = PREFILL_MS_PER_TOKEN * figures.pace
     streams = figures.streams + candidate.streams
     ahead_ms = (figures.prefill_tokens + candidate.prefill_tokens) * ms_per_token
+    queue_ms = ahead_ms + streams * DECODE_SLOWDOWN_MS
     missed = prompt.shared_tokens if candidate.rank else 0
     reading_ms = (prompt.own_tokens + missed) * ms_per_token
     kv_tokens = figures.kv_tokens + candidate.kv_tokens
     needed = prompt.shared_tokens + prompt.own_tokens + prompt.output_tokens
     return PlacementCost(
-        wait_ms=_wait_ms(prompt, ahead_ms + streams * DECODE_SLOWDOWN_MS),
+        wait_ms=_wait_ms(prompt, queue_ms),
         reading_ms=reading_ms + missed * PREFILL_MS_PER_TOKEN * (READ_AGAIN_FACTOR - 1.0),
         stall_ms=_stall_ms(prompt, streams, ahead_ms, reading_ms),
         memory_ms=_preempted(candidate, streams, kv_tokens, needed)
@@ -200,7 +204,8 @@
         * READ_AGAIN_FACTOR,
         slots_ms=_slots_ms(prompt, candidate, streams, figures.pace),
         distance_ms=candidate.domain_ms + NEW_CONNECTION_MS * (not candidate.is_connected),
-        first_token_ms=ahead_ms + reading_ms,
+        queue_ms=queue_ms,
+        first_token_ms=queue_ms + reading_ms,
     )
 
 
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -416,19 +416,23 @@
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
-        view = self._fleet_view(context)
+        view = self._fleet_view(context, now)
         return placement.choose_engine(
             context.inbound, targets, tried, self.rules, named, now, view
         )
 
-    def _fleet_view(self, context: RequestContext) -> FleetView:
+    def _fleet_view(self, context: RequestContext, now: float) -> FleetView:
         """Return what is known of a service's engines beyond this daemon's requests."""
         name, desired = context.service, self.state.desired
+        homes = self.engine_homes.setdefault(name, EngineHomes())
+        if homes.is_due(now):
+            names = [target.instance for target in self.registry.of_service(name)]
+            homes.refresh(names, self.engine_loads.figures, now)
         service = None if desired is None else desired.services.get(name)
         idempotent = context.route.idempotent
         return FleetView(
             loads=self.engine_loads,
-            homes=self.engine_homes.setdefault(name, EngineHomes()),
+            homes=homes,
             traits=None if service is None else service.engine,
             route=context.route,
             is_connected=lambda target: self.connection_pool.has_live(target, idempotent),
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -92,6 +92,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.placements = Counter(
+            f"{PREFIX}_prompt_placements",
+            "Sends of prompts to engines, by what decided and where they went.",
+            ("basis", "place"),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -66,7 +66,7 @@
     loads
         Figures of the engines by the other daemons.
     homes
-        Hash orders of the service's engines.
+        Hash orders of the service's engines, which the caller refreshes.
     traits
         Properties of the service's engines; None if they are not configured.
     route
@@ -172,7 +172,6 @@
     usable = [item for item in usable if _accepts_prompts(item, now)] or usable
     if not usable:
         return None
-    view.homes.refresh([item.instance for item in targets], view.loads.figures, now)
     ordered = _rank(inbound, usable, view.homes, history, now)
     choice = _choose_by_figures(inbound, ordered, rules, view)
     choice = choice or _choose_by_own_requests(inbound, ordered, rules)
@@ -248,7 +247,7 @@
     return Choice(
         target=ordered[rank],
         cost_ms=cost.total_ms,
-        queue_ms=cost.wait_ms,
+        queue_ms=cost.queue_ms,
         rank=rank,
         cost=cost,
         figures_age_s=None if figures is None else figures.age_s,
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -476,6 +476,7 @@
         left = self.context.deadline - self.daemon.now()
         attempt = Attempt(self.daemon, self.context, choice, connection)
         self.retry_state.record_send(attempt.instance)
+        self._count_placement(choice)
         try:
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
@@ -489,6 +490,12 @@
             raise
         return attempt
 
+    def _count_placement(self, choice: Choice) -> None:
+        if self.context.route.prompted and not choice.relayed:
+            basis = "own requests" if choice.cost is None else "figures"
+            place = "other" if choice.rank else "home"
+            self.daemon.metrics.placements.labels(basis, place).inc()
+
     def _encode(self, choice: Choice, left: float, last_event_id: str) -> tuple[bytes, bytes]:
         context = self.context
         directives = self.daemon.cache_directives(context, choice)
--- a/tests/engine_queues.py
+++ b/tests/engine_queues.py
@@ -277,6 +277,8 @@
         )
         gone = [engine.name for engine in self.engines.values() if engine.is_gone]
         view = attrs.evolve(self.views[prompt.daemon], route=route)
+        if view.homes.is_due(self.now):
+            view.homes.refresh(list(self.engines), view.loads.figures, self.now)
         targets = list(self.targets[prompt.daemon].values())
         choice = choose_engine(prompt.inbound, targets, gone, self.rules, None, self.now, view)
         engine = self.engines[choice.target.instance]
--- a/tests/test_agaterail/test_gateway/test_admission.py
+++ b/tests/test_agaterail/test_gateway/test_admission.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from agaterail.engineloads.figures import EngineFigures
 from agaterail.gateway.admission import expected_wait_s, retry_after_s, would_miss_deadline
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
@@ -28,6 +29,13 @@
         self.assertTrue(would_miss_deadline(wait_s, 5.0))
         self.assertFalse(would_miss_deadline(wait_s, 15.0))
 
+    def test_figures_tell_what_waits_at_the_engine_itself(self):
+        """A prompt was sent to a full engine since the mean of all engines was short."""
+        figures = EngineFigures(prefill_tokens=300_000.0, pace=1.5)
+        self.engines[0].prefill_tokens = 10_000
+        wait_s = expected_wait_s(self.engines[0], self.engines, 81.0, figures)
+        self.assertAlmostEqual(wait_s, 310_000 * 0.016e-3 * 1.5)
+
     def test_retry_hints_are_jittered_and_within_the_deadline(self):
         # Callers that were refused together must not retry together, and no hint may
         # exceed a caller's remaining time.
--- a/tests/test_agaterail/test_gateway/test_placement.py
+++ b/tests/test_agaterail/test_gateway/test_placement.py
@@ -203,6 +203,9 @@
         self.rules = attrs.evolve(RULES, daemons=81.0)
 
     def choose(self, inbound, now=0.0):
+        if self.view.homes.is_due(now):
+            names = [item.instance for item in self.engines]
+            self.view.homes.refresh(names, self.loads.figures, now)
         return choose_engine(inbound, self.engines, (), self.rules, None, now, self.view)
 
     def know(self, **figures):
