--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -161,18 +161,19 @@
     first engine has the prefix cached; any other must prefill or fetch it.
     """
     view = view or FleetView()
-    allowed = [
-        target
-        for target in targets
-        if target.instance not in excluded
-        and _weights_allow(target, inbound.model, history, rules, now)
-    ]
+    allowed, outdated = _by_weights(
+        [item for item in targets if item.instance not in excluded],
+        inbound.model,
+        history,
+        rules,
+        now,
+    )
     usable = _usable(allowed, now)
     # A cordoned engine refuses prompts or soon will.
     usable = [item for item in usable if _accepts_prompts(item, now)] or usable
     if not usable:
         return None
-    ordered = _rank(inbound, usable, view.homes, history, now)
+    ordered = _rank(inbound, usable, outdated, view.homes)
     choice = _choose_by_figures(inbound, ordered, rules, view)
     choice = choice or _choose_by_own_requests(inbound, ordered, rules)
     held = _expected_weights(choice.target, inbound.model, history, now)
@@ -186,18 +187,9 @@
 
 
 def _rank(
-    inbound: InboundRequest,
-    usable: list[Target],
-    homes: EngineHomes,
-    history: VersionHistory | None,
-    now: float,
+    inbound: InboundRequest, usable: list[Target], outdated: set[str], homes: EngineHomes
 ) -> list[Target]:
     """Return engines in the hash order of a prompt."""
-    outdated = {
-        item.instance
-        for item in usable
-        if _is_deprioritized(item, inbound.model, history, now)
-    }
     if inbound.shared_parts:
         return rank_by_hash(inbound.shared_parts[-1].name, usable, outdated, homes)
     if homes.usual is None:
@@ -297,18 +289,46 @@
     return usable or [item for item in targets if item.is_only_refusing(now)]
 
 
-def _weights_allow(
-    target: Target,
+def _by_weights(
+    targets: Sequence[Target],
+    model: str,
+    history: VersionHistory | None,
+    rules: PlacementRules,
+    now: float,
+) -> tuple[list[Target], set[str]]:
+    """Return the targets whose weights may start a request, and which rank lower."""
+    allowed, outdated = [], set()
+    # Engines hold few different versions.
+    known: dict[int | None, tuple[bool, bool]] = {}
+    for target in targets:
+        held = _expected_weights(target, model, history, now)
+        if held not in known:
+            known[held] = _judge_weights(held, model, history, rules, now)
+        is_allowed, is_deprioritized = known[held]
+        if is_allowed:
+            allowed.append(target)
+            if is_deprioritized:
+                outdated.add(target.instance)
+    return allowed, outdated
+
+
+def _judge_weights(
+    held: int | None,
     model: str,
     history: VersionHistory | None,
     rules: PlacementRules,
     now: float,
-) -> bool:
-    held = _expected_weights(target, model, history, now)
+) -> tuple[bool, bool]:
+    """Return whether weights may start a request, and whether they rank lower."""
     if held is None:
-        return not model
+        return not model, False
     outdated_for = None if history is None else history.outdated_for_s(held, now)
-    return outdated_for is None or outdated_for < rules.version_s - MAX_QUEUE_S
+    if outdated_for is None:
+        return True, False
+    return (
+        outdated_for < rules.version_s - MAX_QUEUE_S,
+        outdated_for >= DEPRIORITIZE_AFTER_S,
+    )
 
 
 def _accepts_prompts(target: Target, now: float) -> bool:
@@ -324,16 +344,6 @@
     return max(held, history.newest)
 
 
-def _is_deprioritized(
-    target: Target, model: str, history: VersionHistory | None, now: float
-) -> bool:
-    held = _expected_weights(target, model, history, now)
-    if history is None or held is None:
-        return False
-    outdated_for = history.outdated_for_s(held, now)
-    return outdated_for is not None and outdated_for >= DEPRIORITIZE_AFTER_S
-
-
 def _queue_ms(target: Target, daemons: float) -> float:
     # Assume that each of the other daemons sends about as much as this one.
     prefill = target.prefill_tokens * PREFILL_MS_PER_TOKEN
