--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -218,6 +218,7 @@
             resumes=context.inbound.resumes[:MAX_LOGGED_ID] or None,
             after_event=context.inbound.last_event_id[:MAX_LOGGED_ID] or None,
             **({"relayed": True} if context.relayed else {}),
+            **_cost_fields(choice),
             **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
             **self._plan_fields(),
@@ -496,6 +497,7 @@
         left = self.context.deadline - self.daemon.now()
         attempt = Attempt(self.daemon, self.context, choice, connection)
         self.retry_state.record_send(attempt.instance)
+        self._count_placement(choice)
         try:
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
@@ -509,6 +511,12 @@
             raise
         return attempt
 
+    def _count_placement(self, choice: Choice) -> None:
+        if self.context.route.prompted and not choice.relayed:
+            basis = "own requests" if choice.cost is None else "figures"
+            place = "other" if choice.rank else "home"
+            self.daemon.metrics.placements.labels(basis, place).inc()
+
     def _encode(self, choice: Choice, left: float, last_event_id: str) -> tuple[bytes, bytes]:
         context = self.context
         directives = self.daemon.cache_directives(context, choice)
@@ -572,6 +580,17 @@
         return Failure(kind, reason, hint_s)
 
 
+def _cost_fields(choice: Choice | None) -> dict[str, object]:
+    """Return log fields about a choice that follows from figures of the fleet."""
+    if choice is None or choice.cost is None:
+        return {}
+    age_s = choice.figures_age_s
+    return {
+        "cost": choice.cost.summary(),
+        "figures_age_s": None if age_s is None else round(age_s, 2),
+    }
+
+
 def _progress(attempt: Attempt) -> dict[str, object]:
     """Return log fields that tell how far the answer to a prompt had got."""
     parts = attempt.context.inbound.shared_parts
