--- a/agaterail/decisions/enginehomes.py
+++ b/agaterail/decisions/enginehomes.py
@@ -24,9 +24,9 @@
 # A quick engine has no more memory for cached parts, and gets more of the prompts of other
 # homes anyway since its costs are lower.
 PACE_EXPONENT = 0.25
-STEPS_PER_OCTAVE = 8
+STEPS_PER_OCTAVE = 4
 # Hysteresis, in steps: homes keep their place while estimates of paces vary.
-MIN_CHANGE_STEPS = 0.75
+MIN_CHANGE_STEPS = 1.5
 REFRESH_S = 1.0
 # Paces last longer than loads. Weights stay while the exchange of figures is interrupted.
 KEEP_WEIGHTS_S = 30.0
@@ -63,7 +63,7 @@
     usual
         Mean figures of the engines; None if there are none.
     steps
-        Weight of each engine whose weight isn't 1, in steps of a part of an octave.
+        Speed of each engine that isn't of the usual one, in steps of a part of an octave.
     orders
         Cached orders by key and deprioritized engines.
     """
@@ -72,6 +72,7 @@
         self.usual: EngineFigures | None = None
         self.steps: dict[str, int] = {}
         self.names: tuple[str, ...] = ()
+        self.places: dict[str, tuple[float, float]] = {}
         self.orders: dict[tuple[str, frozenset[str]], list[str]] = {}
         self.refreshed_at = -math.inf
         self.informed_at = -math.inf
@@ -98,11 +99,22 @@
         if steps != self.steps or tuple(names) != self.names:
             self.steps, self.names = steps, tuple(names)
             self.orders.clear()
+            self.places.clear()
 
     def weight(self, name: str) -> float:
         """Return an engine's weight in the hash."""
+        return float(2.0 ** (PACE_EXPONENT * self.steps.get(name, 0) / STEPS_PER_OCTAVE))
+
+    def speed(self, name: str) -> float:
+        """Return an engine's speed, relative to the median engine."""
         return float(2.0 ** (self.steps.get(name, 0) / STEPS_PER_OCTAVE))
 
+    def place(self, name: str) -> tuple[float, float]:
+        """Return a sort key by which quick engines come first, the same on every daemon."""
+        if name not in self.places:
+            self.places[name] = (-self.speed(name), hash_number("", name))
+        return self.places[name]
+
     def order(self, key: str, names: Collection[str], outdated: frozenset[str]) -> list[str]:
         """Return engines in hash order.
 
@@ -135,7 +147,7 @@
     """Return an engine's step, which is kept unless its pace has surely changed."""
     if figures is None:
         return held
-    exact = -PACE_EXPONENT * math.log2(figures.pace) * STEPS_PER_OCTAVE
+    exact = -math.log2(figures.pace) * STEPS_PER_OCTAVE
     return held if abs(exact - held) <= MIN_CHANGE_STEPS else round(exact)
 
 
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,6 +15,7 @@
 from agaterail import logs
 from agaterail.decisions.buildhistory import BuildHistory
 from agaterail.decisions.enginehomes import EngineHomes
+from agaterail.decisions.engineroles import PromptLengths, select_engines
 from agaterail.engineloads import messages as loadmessages
 from agaterail.engineloads.controller import EngineLoadController
 from agaterail.engineloads.gatherer import Gatherer
@@ -123,6 +125,7 @@
         )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
+        self.prompt_lengths: defaultdict[str, PromptLengths] = defaultdict(PromptLengths)
         self.shedders: dict[str, LoadShedder] = {}
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
@@ -436,6 +439,24 @@
             traits=None if service is None else service.engine,
             route=context.route,
             is_connected=lambda target: self.connection_pool.has_live(target, idempotent),
+            role_of=lambda usable: self._engines_of_role(context, usable, homes, now),
+        )
+
+    def _engines_of_role(
+        self,
+        context: RequestContext,
+        usable: list[Target],
+        homes: EngineHomes,
+        now: float,
+    ) -> list[Target]:
+        """Return the engines that read long prompts, or those for the others."""
+        is_long = self.prompt_lengths[context.service].is_long(context.route.name)
+        if is_long is None or homes.usual is None:
+            return usable
+        ordered = sorted(usable, key=lambda item: homes.place(item.instance))
+        reading = self.demand.engines_needed(now) * self.rules.daemons
+        return select_engines(
+            ordered, reading, is_long, lambda item: homes.speed(item.instance)
         )
 
     def targets_of(self, context: RequestContext) -> list[Target]:
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -157,6 +157,9 @@
             # A daemon that passes a request on has counted it.
             self.daemon.budget.record_request(service, self.daemon.now())
             self.daemon.demand.record(inbound.prompt_tokens, self.daemon.now())
+            if route.prompted:
+                lengths = self.daemon.prompt_lengths[service]
+                lengths.record(route.name, inbound.prompt_tokens, route.priority)
         return RequestContext(
             inbound=inbound,
             route=route,
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -73,6 +73,8 @@
         Route of the prompt; None if its objectives are not known.
     is_connected
         Return whether an idle connection to a target can be used.
+    role_of
+        Return those of the usable engines that take prompts of this length.
     """
 
     loads: EngineLoads = attrs.field(factory=NoEngineLoads)
@@ -80,6 +82,7 @@
     traits: EngineTraits | None = None
     route: Route | None = None
     is_connected: Callable[[Target], bool] = lambda _target: False
+    role_of: Callable[[list[Target]], list[Target]] = lambda usable: usable
 
 
 @attrs.frozen(kw_only=True)
@@ -173,6 +176,7 @@
     usable = [item for item in usable if _accepts_prompts(item, now)] or usable
     if not usable:
         return None
+    usable = view.role_of(usable) or usable
     ordered = _rank(inbound, usable, outdated, view.homes)
     choice = _choose_by_figures(inbound, ordered, rules, view)
     choice = choice or _choose_by_own_requests(inbound, ordered, rules)
