Engine loads: another gatherer is asked at once

Cause: with the first coordinator dead a third of the reports had no answer. Change: after a failure the report goes to the other coordinator with the next tick; the list of engines is read five times a second at most.

--- a/agaterail/engineloads/controller.py
+++ b/agaterail/engineloads/controller.py
@@ -201,6 +201,8 @@
         else:
             exchange.failure = answer.failure()
             self.reports.labels("failed").inc()
+            if self.coordinators.of(account_of(service)) not in ("", address):
+                exchange.due_at = self.now()  # another one is asked with the next tick
 
     def _question(self, service: str, now: float) -> LoadQuestion:
         report = DaemonReport(
--- a/agaterail/engineloads/gatherer.py
+++ b/agaterail/engineloads/gatherer.py
@@ -20,6 +20,8 @@
 
 # Reports arrive every few milliseconds in a large fleet; sums are kept for this long.
 SUMS_VALID_S = 0.05
+# Engines come and go within seconds.
+LIST_VALID_S = 0.2
 # Paces change within seconds, and reports expire after some periods.
 PACES_VALID_S = 0.5
 MAX_SERVICES = 64
@@ -213,7 +215,7 @@
     def _of_service(self, service: str, now: float) -> ServiceGatherer | None:
         """Return the gatherer of a service that has engines."""
         found = self.services.get(service)
-        if found is not None and now - found.listed_at <= SUMS_VALID_S:
+        if found is not None and now - found.listed_at <= LIST_VALID_S:
             return found
         engines = self.engines_of(service)
         if not engines:
