--- a/agaterail/decisions/enginehomes.py
+++ b/agaterail/decisions/enginehomes.py
@@ -30,8 +30,11 @@
 REFRESH_S = 1.0
 # Paces last longer than loads. Weights stay while the exchange of figures is interrupted.
 KEEP_WEIGHTS_S = 30.0
-# Bound on the cache, as the number of names in all orders.
+# Bounds on the cache: orders, names in all of them, and characters of a key, which callers
+# choose.
+MAX_CACHED_ORDERS = 512
 MAX_CACHED_NAMES = 50_000
+MAX_CACHED_KEY = 128
 
 
 def hash_number(key: str, name: str) -> float:
@@ -126,7 +129,10 @@
         return self.weight(name) * (OUTDATED_HASH_WEIGHT if name in outdated else 1.0)
 
     def _remember(self, key: tuple[str, frozenset[str]], order: list[str]) -> None:
-        while self.orders and (len(self.orders) + 1) * len(order) > MAX_CACHED_NAMES:
+        if len(key[0]) > MAX_CACHED_KEY:
+            return
+        room = min(MAX_CACHED_ORDERS, MAX_CACHED_NAMES // max(1, len(order)))
+        while len(self.orders) >= max(1, room):
             del self.orders[next(iter(self.orders))]
         self.orders[key] = order
 
--- a/tests/engine_queues.py
+++ b/tests/engine_queues.py
@@ -121,14 +121,13 @@
         if known is None:
             return None
         at, totals, own = known
+        streams, prefill_tokens, kv_tokens = totals[instance]
         mine = own.get((self.daemon, instance), (0, 0, 0))
-        others = [all_ - one for all_, one in zip(totals[instance], mine, strict=True)]
-        pace = self.fleet.engines[instance].pace / max(PACES)
         return EngineFigures(
-            streams=others[0],
-            prefill_tokens=others[1],
-            kv_tokens=others[2],
-            pace=pace,
+            streams=streams - mine[0],
+            prefill_tokens=prefill_tokens - mine[1],
+            kv_tokens=kv_tokens - mine[2],
+            pace=self.fleet.engines[instance].pace / max(PACES),
             age_s=self.fleet.now - at,
         )
 
--- a/tests/test_agaterail/test_decisions/test_enginehomes.py
+++ b/tests/test_agaterail/test_decisions/test_enginehomes.py
@@ -8,6 +8,7 @@
 from agaterail.decisions.enginehomes import (
     KEEP_WEIGHTS_S,
     MAX_CACHED_NAMES,
+    MAX_CACHED_ORDERS,
     EngineHomes,
     hash_number,
     rank_names,
@@ -93,10 +94,15 @@
         self.assertTrue(0.5 < counts[True] / counts[False] < 0.7, counts)
 
     def test_the_cache_of_orders_is_bounded(self):
-        for number in range(MAX_CACHED_NAMES // len(NAMES) + 10):
-            self.homes.order(f"k{number}", NAMES, NONE)
-        held = sum(len(order) for order in self.homes.orders.values())
-        self.assertLessEqual(held, MAX_CACHED_NAMES)
+        """Names of shared parts, which callers choose, took memory without end."""
+        names = [f"i-{number}" for number in range(200)]
+        for known, most in ((NAMES, MAX_CACHED_ORDERS), (names, MAX_CACHED_NAMES // 200)):
+            self.homes.refresh(known, self.figures.get, self.now)
+            for number in range(most + 10):
+                self.homes.order(f"k{number}", known, NONE)
+            self.assertEqual(len(self.homes.orders), most)
+        self.homes.order("k" * 10_000, names, NONE)
+        self.assertTrue(all(len(key) < 10 for key, _ in self.homes.orders))
 
     def test_usual_figures_are_means(self):
         self.figures["i-0"] = EngineFigures(streams=20.0, prefill_tokens=2000.0)
