--- a/tests/test_agaterail/test_gateway/test_daemon.py
+++ b/tests/test_agaterail/test_gateway/test_daemon.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import Mock
 
 import attrs
 import gevent
 import gevent.event
 
+from agaterail.engineloads.figures import EngineFigures
 from agaterail.gateway import peerprotocol
 from agaterail.gateway.controlstore import NEVER, STORE, Feed
 from tests.gateway_fleet import BOUNDS, LLM, MODEL, Answer, Fleet, make_desired, read_all
@@ -458,6 +460,24 @@
         self.assertEqual(fleet.ask("/unsafe/b", request_id="r2").status, 200)
         self.assertIn(b"agaterail_refusal_chance 1.0", daemon.metrics.render(daemon))
 
+    def test_prompt_avoids_an_engine_that_other_daemons_have_filled(self):
+        """A prompt went to its home, behind what all other daemons had sent there."""
+        fleet = Fleet()
+        self.addCleanup(fleet.stop)
+        daemon = fleet.daemons[0]
+        for full, idle in (("e-0", "e-1"), ("e-1", "e-0")):
+            figures = {full: EngineFigures(prefill_tokens=90_000.0), idle: EngineFigures()}
+            daemon.engine_loads = Mock(figures=figures.get)
+            daemon.engine_homes.clear()
+            self.assertTrue(
+                fleet.ask("/resumed/x", request_id=f"r-{idle}", stream=True).whole_stream
+            )
+            self.assertEqual([run.request_id for run in fleet.runs(idle)], [f"r-{idle}"])
+        placed = daemon.metrics.placements.collect()[0].samples
+        counts = {item.labels["basis"]: item.value for item in placed if "_total" in item.name}
+        self.assertIn("figures", counts)
+        self.assertNotIn("own requests", counts)
+
     def test_finished_and_abandoned_prompts_leave_the_queue(self):
         # Each prompt must leave the queue when it ends. Otherwise the daemon would count
         # disconnected callers as a queue and refuse prompts forever.
