Look at twelve engines at most in a choice

Where all engines are overloaded, every choice looked at all of them. Test: test_a_choice_under_overload_looks_at_a_bounded_number_of_engines.

--- a/agaterail/decisions/engineplacement.py
+++ b/agaterail/decisions/engineplacement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,9 @@
 FIGURES_HALF_LIFE_S = 0.7
 # Engines of the hash order among which a prompt has the choice.
 CHOICES = 3
+# Engines that are looked at if a first token may be late at all before. Where all engines are
+# overloaded, a choice must not take longer than usual.
+MAX_CANDIDATES = 12
 # What is read again also delays the prompts behind it.
 READ_AGAIN_FACTOR = 2.0
 # A first token has its full value up to the objective, so short waits cost little. Since the
@@ -173,7 +177,7 @@
         Mean figures of the service's engines, which stand for figures that are missing.
     """
     best_index, best = -1, PlacementCost(wait_ms=math.inf)
-    for index, candidate in enumerate(candidates):
+    for index, candidate in enumerate(itertools.islice(candidates, MAX_CANDIDATES)):
         if index and index % CHOICES == 0 and not _is_late(prompt, best):
             break
         cost = expected_cost(prompt, candidate, usual)
--- a/tests/test_agaterail/test_decisions/test_engineplacement.py
+++ b/tests/test_agaterail/test_decisions/test_engineplacement.py
@@ -6,6 +6,7 @@
 
 from agaterail.decisions.engineplacement import (
     CHOICES,
+    MAX_CANDIDATES,
     Candidate,
     PlacementCost,
     PromptLoad,
@@ -110,6 +111,18 @@
         late = [make_candidate(rank, prefill_tokens=80_000) for rank in range(CHOICES)]
         self.assertEqual(choose(SHORT, *late, make_candidate(CHOICES)), CHOICES)
 
+    def test_a_choice_under_overload_looks_at_a_bounded_number_of_engines(self):
+        """Choices took most of a host's processor time while all engines were overloaded."""
+        looked_at = []
+
+        def candidates():
+            for rank in range(600):
+                looked_at.append(rank)
+                yield make_candidate(rank, prefill_tokens=80_000)
+
+        choose_candidate(SHORT, candidates(), USUAL)
+        self.assertLessEqual(len(looked_at), MAX_CANDIDATES)
+
     def test_missing_figures_are_taken_for_the_usual_ones(self):
         """An engine without figures looked idle."""
         unknown = attrs.evolve(make_candidate(), figures=None)
