--- a/agaterail/decisions/refusalorder.py
+++ b/agaterail/decisions/refusalorder.py
@@ -8,7 +8,7 @@
 
 from agaterail.decisions.decayedsums import DecayedSums
 from agaterail.decisions.returningcallers import ReturningCallers, prefer_returned
-from agaterail.decisions.urgency import LOWEST_PRIORITY, UrgencyLoad, divide_refusals
+from agaterail.decisions.urgency import UrgencyLoad, divide_refusals
 from agaterail.decisions.workspaceshares import WorkspaceDemand, share_refusals
 
 # The composition of the load is known from this many prompts. With fewer, the order is
@@ -33,6 +33,11 @@
 # Least admission of callers that have not returned, relative to all of their workspace.
 FIRST_TRY_ADMISSION = 0.7
 SHARES_PERIOD_S = 0.1
+# Ranks of which a daemon keeps the load; a service rarely has more than a few.
+MAX_RANKS = 32
+
+# Urgency and priority of the route.
+Rank = tuple[int, int]
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +47,9 @@
     Attributes
     ----------
     urgency
-        From 0, the most urgent, to 9.
+        Priority of the workspace, or else of the route: from 0, the most urgent, to 9.
+    route_priority
+        Decides between prompts of the same urgency.
     tokens
         Tokens of the prompt and of the expected output.
     time_limit_s
@@ -50,11 +57,17 @@
     """
 
     urgency: int
+    route_priority: int
     route: str
     workspace: str
     tokens: int
     time_limit_s: float | None = None
 
+    @property
+    def rank(self) -> Rank:
+        """Return the place in the order; the prompts of the highest are refused first."""
+        return self.urgency, self.route_priority
+
 
 @attrs.define(eq=False)
 class Offer:
@@ -91,7 +104,7 @@
     part
         Part of the service's load that is refused.
     of_urgency
-        Mean probability of its urgency.
+        Mean probability of its urgency and its route's priority.
     of_workspace
         Mean probability of its workspace within the urgency.
     prompts
@@ -119,8 +132,10 @@
 
     def describe(self) -> str:
         """Return the probability and its inputs as text for the log."""
+        prompt = self.offer.prompt
         return (
-            f"{self.probability:.2f} of urgency {self.offer.prompt.urgency}"
+            f"{self.probability:.2f} of urgency {prompt.urgency},"
+            f" route {prompt.route_priority}"
             f"{', returned' if self.offer.has_returned else ''}"
             f" ({self.of_urgency:.2f}, workspace {self.of_workspace:.2f}),"
             f" by {self.prompts:.0f} prompts of {self.age_s:.1f} s"
@@ -139,46 +154,47 @@
     """Order in which one daemon refuses the prompts of one service.
 
     Answers a load of several urgencies that the engines cannot bear, while one workspace
-    may ask for much more than the others. The least urgent prompts are refused first;
-    within an urgency those of workspaces that ask for more than an equal share; within
-    both, callers that have returned are refused last. With one urgency, all prompts have
+    may ask for much more than the others. The least urgent prompts are refused first,
+    and of one urgency those of the routes with the least priority; within these, those of
+    workspaces that ask for more than an equal share; within all, callers that have
+    returned are refused last. With one urgency and one route's priority, all prompts have
     the same probability.
     """
 
     def __init__(self) -> None:
-        self.loads: DecayedSums[tuple[int, bool]] = DecayedSums(
-            LOAD_SPAN_S, ENOUGH_PROMPTS, LOAD_MAX_SPAN_S, 2 * (LOWEST_PRIORITY + 1)
+        self.loads: DecayedSums[tuple[Rank, bool]] = DecayedSums(
+            LOAD_SPAN_S, ENOUGH_PROMPTS, LOAD_MAX_SPAN_S, 2 * MAX_RANKS
         )
-        self.workspaces: DecayedSums[tuple[int, str]] = DecayedSums(
+        self.workspaces: DecayedSums[tuple[Rank, str]] = DecayedSums(
             WORKSPACE_SPAN_S, WORKSPACE_PROMPTS, WORKSPACE_MAX_SPAN_S, MAX_WORKSPACES
         )
-        self.admissions: DecayedSums[int] = DecayedSums(
-            ADMISSION_SPAN_S, ADMISSION_PROMPTS, ADMISSION_MAX_SPAN_S, LOWEST_PRIORITY + 1
+        self.admissions: DecayedSums[Rank] = DecayedSums(
+            ADMISSION_SPAN_S, ADMISSION_PROMPTS, ADMISSION_MAX_SPAN_S, MAX_RANKS
         )
-        self.workspace_admissions: DecayedSums[tuple[int, str]] = DecayedSums(
+        self.workspace_admissions: DecayedSums[tuple[Rank, str]] = DecayedSums(
             ADMISSION_SPAN_S, ADMISSION_PROMPTS, ADMISSION_MAX_SPAN_S, MAX_WORKSPACES
         )
         self.callers = ReturningCallers()
-        self.shares: dict[int, _Shares] = {}
+        self.shares: dict[Rank, _Shares] = {}
 
     def offer(self, prompt: OfferedPrompt, now: float) -> Offer:
         """Record a prompt that arrived."""
         tokens = max(1, prompt.tokens)
         has_returned = self.callers.record(prompt.route, prompt.time_limit_s)
-        self.loads.record((prompt.urgency, has_returned), tokens, now)
+        self.loads.record((prompt.rank, has_returned), tokens, now)
         return Offer(prompt, has_returned)
 
     def chance(self, offer: Offer, part: float, now: float) -> RefusalChance:
         """Return the refusal probability of a prompt if a part of the load is refused."""
         prompt = offer.prompt
-        loads = self._loads_by_urgency() if part > 0.0 else {}
-        if len(loads) < 2 or prompt.urgency not in loads:
+        loads = self._loads_by_rank() if part > 0.0 else {}
+        if len(loads) < 2 or prompt.rank not in loads:
             return self._chance(offer, part, part, part, part)
-        admitted, of_urgency = self._divide(loads, prompt.urgency, part)
+        admitted, of_urgency = self._divide(loads, prompt.rank, part)
         of_workspace = self._share(prompt, of_urgency, admitted, now)
         probability = prefer_returned(
             of_workspace,
-            self._returned_part(prompt.urgency),
+            self._returned_part(prompt.rank),
             offer.has_returned,
             1.0 - FIRST_TRY_ADMISSION * (1.0 - of_workspace),
         )
@@ -195,9 +211,9 @@
             return
         offer.is_decided = True
         prompt = offer.prompt
-        workspace = (prompt.urgency, prompt.workspace)
+        workspace = (prompt.rank, prompt.workspace)
         self.workspaces.record(workspace, max(1, prompt.tokens), now)
-        self.admissions.record(prompt.urgency, admission, now)
+        self.admissions.record(prompt.rank, admission, now)
         self.workspace_admissions.record(workspace, admission, now)
 
     def _chance(
@@ -218,21 +234,21 @@
             age_s=self.loads.mean_age_s,
         )
 
-    def _loads_by_urgency(self) -> dict[int, UrgencyLoad]:
-        sums: dict[int, tuple[float, float]] = {}
-        for (urgency, _), load in self.loads.kinds.items():
-            prompts, tokens = sums.get(urgency, (0.0, 0.0))
-            sums[urgency] = (prompts + load.prompts, tokens + load.amount)
+    def _loads_by_rank(self) -> dict[Rank, UrgencyLoad]:
+        sums: dict[Rank, tuple[float, float]] = {}
+        for (rank, _), load in self.loads.kinds.items():
+            prompts, tokens = sums.get(rank, (0.0, 0.0))
+            sums[rank] = (prompts + load.prompts, tokens + load.amount)
         total = self.loads.total
         return {
-            urgency: UrgencyLoad(prompts / total.prompts, tokens / total.amount)
-            for urgency, (prompts, tokens) in sorted(sums.items())
+            rank: UrgencyLoad(prompts / total.prompts, tokens / total.amount)
+            for rank, (prompts, tokens) in sorted(sums.items())
         }
 
     def _divide(
-        self, loads: dict[int, UrgencyLoad], urgency: int, part: float
+        self, loads: dict[Rank, UrgencyLoad], rank: Rank, part: float
     ) -> tuple[float, float]:
-        """Return how often prompts are admitted, and the probability of one urgency."""
+        """Return how often prompts are admitted, and the probability of one rank."""
         known = min(1.0, self.loads.prompts / ENOUGH_PROMPTS)
         rarest = min(self.admissions.mean(name, 1.0) for name in loads)
         ordered = divide_refusals(part, list(loads.values()), self._lowest(rarest))
@@ -241,7 +257,7 @@
             for name, item in zip(loads, ordered, strict=True)
         }
         admitted = sum(load.prompts * (1.0 - refused[name]) for name, load in loads.items())
-        return admitted, refused[urgency]
+        return admitted, refused[rank]
 
     def _lowest(self, admission: float) -> float:
         """Return the least admission, relative to all, by how often it was so far.
@@ -254,9 +270,9 @@
         lowest = 2.0 * GUARANTEED_ADMISSION - admission / max(1e-3, of_all)
         return min(GUARANTEED_ADMISSION, max(MIN_ADMISSION, lowest))
 
-    def _returned_part(self, urgency: int) -> float:
+    def _returned_part(self, rank: Rank) -> float:
         kinds = self.loads.kinds
-        returned, first = kinds.get((urgency, True)), kinds.get((urgency, False))
+        returned, first = kinds.get((rank, True)), kinds.get((rank, False))
         if returned is None:
             return 0.0
         return returned.amount / (returned.amount + (first.amount if first else 0.0))
@@ -264,10 +280,10 @@
     def _share(
         self, prompt: OfferedPrompt, of_urgency: float, admitted: float, now: float
     ) -> float:
-        shares = self.shares.get(prompt.urgency)
+        shares = self.shares.get(prompt.rank)
         if shares is None or not 0.0 <= now - shares.computed_at < SHARES_PERIOD_S:
-            refused = self._share_refusals(prompt.urgency, of_urgency, admitted)
-            shares = self.shares[prompt.urgency] = _Shares(now, refused)
+            refused = self._share_refusals(prompt.rank, of_urgency, admitted)
+            shares = self.shares[prompt.rank] = _Shares(now, refused)
         found = shares.refused.get(prompt.workspace)
         if found is not None:
             return found
@@ -275,11 +291,11 @@
         return min(shares.refused.values(), default=of_urgency)
 
     def _share_refusals(
-        self, urgency: int, of_urgency: float, admitted: float
+        self, rank: Rank, of_urgency: float, admitted: float
     ) -> dict[str, float]:
         demands = {}
         for kind, sums in self.workspaces.kinds.items():
-            if kind[0] == urgency:
+            if kind[0] == rank:
                 lowest = admitted * self._lowest(self.workspace_admissions.mean(kind, 1.0))
                 lowest = min(lowest, 1.0 - of_urgency)
                 demands[kind[1]] = WorkspaceDemand.from_sums(sums, lowest)
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -10,6 +10,7 @@
 
 from agaterail import logs
 from agaterail.decisions.refusalorder import OfferedPrompt
+from agaterail.decisions.urgency import effective_priority
 from agaterail.errors import ANSWERS, ErrorKind, Failure
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
@@ -478,6 +479,7 @@
         context, inbound = self.context, self.context.inbound
         return OfferedPrompt(
             urgency=urgency_of(context),
+            route_priority=effective_priority(context.route.priority, None),
             route=context.route.name,
             workspace=context.workspace_name,
             tokens=inbound.prompt_tokens + inbound.output_tokens,
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -78,6 +78,8 @@
     ----------
     skew
         How much more of the large prompts some daemons get than others, from 0 to 1.
+    own_urgency
+        Priority of all workspaces; None if they have none.
     refusals
         Time, kind and number of the try of each refusal.
     """
@@ -90,9 +92,11 @@
         ordered: bool = True,
         skew: float = 0.0,
         seed: int = 11,
+        own_urgency: int | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.ordered, self.skew, self.workspaces = ordered, skew, workspaces
+        self.own_urgency = own_urgency
         self.now = 0.0
         self.shedders = [LoadShedder("s", 0.0) for _ in range(daemons)]
         self.engines = [Engine() for _ in range(engines)]
@@ -172,7 +176,8 @@
         offer = None
         if self.ordered:
             prompt = OfferedPrompt(
-                urgency=kind.urgency,
+                urgency=kind.urgency if self.own_urgency is None else self.own_urgency,
+                route_priority=kind.urgency,
                 route=kind.name,
                 workspace=str(caller.workspace),
                 tokens=kind.prompt_tokens + kind.events,
--- a/tests/test_agaterail/test_decisions/test_refusalorder.py
+++ b/tests/test_agaterail/test_decisions/test_refusalorder.py
@@ -8,9 +8,16 @@
 from agaterail.decisions.refusalorder import OfferedPrompt, RefusalOrder, RefusalReason
 
 URGENT = OfferedPrompt(
-    urgency=0, route="urgent", workspace="w0", tokens=884, time_limit_s=15.6
+    urgency=0,
+    route_priority=0,
+    route="urgent",
+    workspace="w0",
+    tokens=884,
+    time_limit_s=15.6,
+)
+LARGE = OfferedPrompt(
+    urgency=2, route_priority=2, route="large", workspace="w0", tokens=9200, time_limit_s=5.1
 )
-LARGE = OfferedPrompt(urgency=2, route="large", workspace="w0", tokens=9200, time_limit_s=5.1)
 WORKSPACES = 8
 
 
@@ -56,6 +63,22 @@
         self.assertGreater(means["large"], 0.4)
         self.assertIs(self.offer(LARGE, 0.4).reason, RefusalReason.URGENCY)
 
+    def test_the_route_decides_between_prompts_of_one_urgency(self):
+        own = [attrs.evolve(prompt, urgency=1) for prompt in (URGENT, LARGE)]
+        self.offer_many(50, prompts=own)
+        means = self.offer_many(100, 0.4, prompts=own)
+        self.assertLess(means["urgent"], 0.01)
+        self.assertGreater(means["large"], 0.4)
+
+    def test_the_urgency_goes_before_the_route(self):
+        # The workspace of the large prompts is urgent, that of the others is not.
+        large = attrs.evolve(LARGE, urgency=0)
+        small = attrs.evolve(URGENT, urgency=1, tokens=9200)
+        self.offer_many(50, prompts=(large, small))
+        means = self.offer_many(100, 0.3, prompts=(large, small))
+        self.assertLess(means["large"], 0.01)
+        self.assertGreater(means["urgent"], 0.3)
+
     def test_a_long_overload_leaves_each_urgency_its_guarantee(self):
         # Nine tenths of the load are refused for a minute.
         means = self.offer_many(1500, 0.9)
@@ -128,7 +151,7 @@
         chance = self.offer(LARGE, 0.4, time_limit_s=3.9, workspace="w1")
         self.assertRegex(
             chance.describe(),
-            r"^0\.\d\d of urgency 2, returned \(0\.\d\d, workspace 0\.\d\d\), "
+            r"^0\.\d\d of urgency 2, route 2, returned \(0\.\d\d, workspace 0\.\d\d\), "
             r"by \d+ prompts of \d\.\d s$",
         )
 
--- a/tests/test_agaterail/test_gateway/test_shedding.py
+++ b/tests/test_agaterail/test_gateway/test_shedding.py
@@ -225,6 +225,13 @@
                 self.assert_urgent_spared(usual, load)
                 self.assert_guaranteed(load)
 
+    def test_routes_differ_where_all_workspaces_have_one_priority(self):
+        # The priority of a workspace goes first, so that all prompts had one urgency and
+        # those of the most urgent route were refused as often as the others.
+        usual, load = self.play(daemons=81, own_urgency=1)
+        self.assert_urgent_spared(usual, load)
+        self.assert_guaranteed(load)
+
     def test_the_order_refuses_no_more_prompts_than_one_probability(self):
         refused = {}
         for ordered in (False, True):
