Bounds of everything in an answer that may not end

Cause: an endless header value was read for 6 s, informational heads to the deadline, and bodies without end took gigabytes, as nothing but the parsed headers had a bound. A fast sender also kept all other greenlets from running.

Raw bytes count, as parsers do not report unfinished parts. Past a bound the connection is closed and the attempt is broken; log field 'exceeded' and agaterail_answer_bounds_exceeded{part} name the part. Ends of events are found in linear time. An informational head no longer returns a control connection to its pool while it is being read. READ_BYTES is smaller, so that turns are short.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agaterail.bytelimits.answers import AnswerBoundExceeded, AnswerPart, check_bound
 from agaterail.decisions.crashevidence import BEGUN_EVENTS
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.relayprotocol import RelayedHead
@@ -30,6 +31,8 @@
     ----------
     head
         Head of the answer; None until it arrives.
+    body_bytes
+        Size of ``body_parts``.
     body_parts
         Parts read so far of a body that is relayed only when complete.
     buffered
@@ -61,6 +64,7 @@
         self.pool = daemon.relays.pool if choice.relayed else daemon.connection_pool
         self.head: AnswerHead | None = None
         self.body_parts: list[bytes] = []
+        self.body_bytes = 0
         self.buffered = b""
         self.has_events = False
         self.events = 0
@@ -115,9 +119,13 @@
         TimeoutError
             If the body does not arrive by the deadline.
         OSError
-            If the body is truncated.
+            If the body is truncated or too large to be kept.
         """
         while data := self.connection.read_body(deadline):
+            self.body_bytes += len(data)
+            if self.body_bytes > self.daemon.max_body_bytes:
+                self.body_parts.clear()
+                raise AnswerBoundExceeded(AnswerPart.BODY)
             self.body_parts.append(data)
         return b"".join(self.body_parts)
 
@@ -140,13 +148,14 @@
         Raises
         ------
         OSError
-            If the stream is truncated.
+            If the stream is truncated or exceeds a bound.
         """
         try:
             data = self.connection.read_body(self.daemon.now() + POLL_TIMEOUT_S)
         except TimeoutError:
             return False
         self.buffered += data
+        check_bound(AnswerPart.EVENT, len(self.buffered))
         return not data or splitter.completes_event(self.buffered)
 
     def record_events(self, count: int) -> None:
--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from agaterail import logs
+from agaterail.bytelimits.answers import AnswerPart, exceeded_bounds
 from agaterail.gateway.targetconnection import TargetConnection
 
 if TYPE_CHECKING:
@@ -12,6 +14,8 @@
     from agaterail.gateway.inbound import AnswerHead
     from agaterail.gateway.targets import Target
 
+logger = logs.get_logger("targets")
+
 # If the target closes an idle connection while a request is on its way, it is unknown
 # whether the request ran. Connections are therefore reused only for this fraction of
 # the announced keep-alive timeout, a smaller one for at-most-once requests.
@@ -108,6 +112,9 @@
                 connection.close()
                 return
             self.idle.setdefault(target.instance, []).append(connection)
+        elif connection.has_extra_data:
+            exceeded_bounds.counts[AnswerPart.AFTER_END] += 1
+            logger.info("Target sent data after its answer.", target=target.instance)
 
     def release_unused(self, target: Target, connection: TargetConnection) -> None:
         """Return a connection to the pool on which nothing was sent since ``acquire``."""
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -12,6 +12,7 @@
 from gevent.pool import Group
 
 from agaterail import logs
+from agaterail.bytelimits.answers import max_body_bytes
 from agaterail.decisions.buildhistory import BuildHistory
 from agaterail.gateway import (
     admission,
@@ -135,6 +136,7 @@
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.max_body_bytes = max_body_bytes(settings.memory_mb)
         self.metrics = GatewayMetrics()
         self.notices = TargetNotices(self.registry, self.metrics, self.now)
         self.log_lines_dropped: Callable[[], int] = lambda: 0
--- a/agaterail/gateway/eventstream.py
+++ b/agaterail/gateway/eventstream.py
@@ -2,11 +2,27 @@
 
 from __future__ import annotations
 
+import re
+from typing import TYPE_CHECKING
+
 import attrs
 
-# Without a limit, an event that never ends would be buffered without bound.
-MAX_EVENT_BYTES = 1024 * 1024
+from agaterail.bytelimits.answers import (
+    BOUNDS,
+    COMMENT_COST_BYTES,
+    REPEATED_EVENT_COST_BYTES,
+    AnswerPart,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_EVENT_BYTES = BOUNDS[AnswerPart.EVENT].limit
+MAX_QUIET_BYTES = BOUNDS[AnswerPart.NO_EVENT].limit
 ID_FIELD = b"id"
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# An end of an event may begin with this many bytes of the former data.
+MAX_BOUNDARY_BYTES = 4
 
 
 @attrs.define
@@ -24,28 +40,37 @@
     partial
         Data of an event that is not complete yet.
     broken
-        Whether an event exceeded the size limit; nothing more is relayed then.
+        The part of the current run's stream that exceeded its bound; None if none did.
+        Nothing more of that run is relayed then.
+    quiet_bytes
+        Data of the current run since its last new event, with a cost for each comment.
     event_count
         Number of events with an id that were relayed.
     """
 
     last_id: int | None = None
     partial: bytes = b""
-    broken: bool = False
+    broken: AnswerPart | None = None
+    quiet_bytes: int = 0
     event_count: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete new events after adding the data."""
-        buffered = self.partial + data
-        end = _last_boundary(buffered)
-        if end == 0:
-            self.partial = buffered
-            self.broken = self.broken or len(buffered) > MAX_EVENT_BYTES
+        if self.broken is not None:
             return b""
-        self.partial = buffered[end:]
-        if self.broken:
+        buffered = self.partial + data
+        end = _last_boundary(buffered, len(self.partial))
+        self.partial = buffered[end:] if end else buffered
+        if len(self.partial) > MAX_EVENT_BYTES:
+            self.broken = AnswerPart.EVENT
+        if not end:
             return b""
-        new_events = [event for event in _events(buffered[:end]) if self._is_new(event)]
+        new_events = []
+        for event in _events(buffered[:end]):
+            if self._is_new(event):
+                new_events.append(event)
+            elif self.broken is not None:
+                break
         return b"".join(new_events)
 
     def completes_event(self, data: bytes) -> bool:
@@ -55,42 +80,50 @@
     def discard_partial(self) -> None:
         """Discard the incomplete event of the previous run."""
         self.partial = b""
+        self.broken = None
+        self.quiet_bytes = 0
 
     def _is_new(self, event: bytes) -> bool:
-        if self.broken:
-            return False
         number = _event_id(event)
         if number is None:
             # A comment or preamble has no id, so it cannot be recognized as a repeat.
-            return True
+            if _is_empty(event):
+                self._add_quiet(len(event) + COMMENT_COST_BYTES)
+            else:
+                self.quiet_bytes = 0
+            return self.broken is None
         if self.last_id is not None and number <= self.last_id:
+            self._add_quiet(len(event) + REPEATED_EVENT_COST_BYTES)
             return False
+        self.quiet_bytes = 0
         self.last_id = number
         self.event_count += 1
         return True
 
+    def _add_quiet(self, size: int) -> None:
+        self.quiet_bytes += size
+        if self.quiet_bytes > MAX_QUIET_BYTES:
+            self.broken = AnswerPart.NO_EVENT
+
 
-def _last_boundary(data: bytes) -> int:
-    lf = data.rfind(b"\n\n")
-    crlf = data.rfind(b"\r\n\r\n")
+def _last_boundary(data: bytes, known: int = 0) -> int:
+    """Return the end of the last complete event; there is none in the known data."""
+    start = max(0, known - MAX_BOUNDARY_BYTES)
+    lf = data.rfind(b"\n\n", start)
+    crlf = data.rfind(b"\r\n\r\n", start)
     return max(lf + 2 if lf >= 0 else 0, crlf + 4 if crlf >= 0 else 0)
 
 
-def _events(data: bytes) -> list[bytes]:
-    events = []
+def _events(data: bytes) -> Iterator[bytes]:
     start = 0
-    while start < len(data):
-        lf = data.find(b"\n\n", start)
-        crlf = data.find(b"\r\n\r\n", start)
-        ends = [
-            position
-            for position in (lf + 2 if lf >= 0 else 0, crlf + 4 if crlf >= 0 else 0)
-            if position
-        ]
-        end = min(ends, default=len(data))
-        events.append(data[start:end])
-        start = end
-    return events
+    for match in EVENT_END.finditer(data):
+        yield data[start : match.end()]
+        start = match.end()
+
+
+def _is_empty(event: bytes) -> bool:
+    """Return whether an event holds only comments."""
+    return all(line.startswith(b":") for line in event.splitlines() if line)
 
 
 def _event_id(event: bytes) -> int | None:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from agaterail.bytelimits.answers import AnswerBoundExceeded
 from agaterail.decisions.streamrecords import stream_key
 from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import Failure
@@ -125,7 +126,7 @@
                     continue
                 outcome = AttemptOutcome.SILENT
             except OSError as error:
-                self.sender.log("Exchange with the target failed.", error=str(error))
+                self.sender.log_broken(error)
                 outcome = AttemptOutcome.BROKEN
             if outcome is None:
                 return True
@@ -193,7 +194,9 @@
             if events:
                 self._send_events(head, events)
                 attempt.record_events(self.splitter.event_count - events_before)
-        if self.splitter.partial.strip() or self.splitter.broken:
+            if self.splitter.broken is not None:
+                raise AnswerBoundExceeded(self.splitter.broken)
+        if self.splitter.partial.strip():
             return AttemptOutcome.BROKEN
         if attempt.connection.ended_by_close and not self._is_whole(attempt):
             return AttemptOutcome.BROKEN
@@ -306,9 +309,7 @@
                 return outcome
             self.target_failure = BufferedAnswer(head, attempt.read_rest(deadline))
         except OSError as error:
-            self.sender.log(
-                "Exchange with the target failed.", attempt.choice, error=str(error)
-            )
+            self.sender.log_broken(error, attempt.choice)
             return AttemptOutcome.BROKEN
         return AttemptOutcome.FAILED
 
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.httpserver import HttpServer
 
@@ -83,6 +84,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.answer_bounds = Gauge(
+            f"{PREFIX}_answer_bounds_exceeded",
+            "Answers with a part that exceeds its bound since the start.",
+            ("part",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -183,6 +190,8 @@
             "channels_opened": daemon.connection_pool.opened,
             "log_lines_dropped": daemon.log_lines_dropped(),
         }
+        for part, count in exceeded_bounds.counts.items():
+            self.answer_bounds.labels(part.value).set(count)
         for name, value in values.items():
             self.gauges[name].set(value)
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -9,6 +9,7 @@
 import gevent
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
 from agaterail.errors import ANSWERS, ErrorKind, Failure
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
@@ -159,7 +160,13 @@
         try:
             attempt.read_rest(self.daemon.now() + CONNECT_TIMEOUT_S)
         except OSError as error:
-            self.log("Could not read the rest of a refusal.", attempt.choice, error=str(error))
+            exceeded = exceeded_bounds.record(error)
+            self.log(
+                "Could not read the rest of a refusal.",
+                attempt.choice,
+                error=str(error),
+                exceeded=exceeded,
+            )
             attempt.abandon()
             return
         attempt.finish(healthy=False)
@@ -218,6 +225,13 @@
             **fields,
         )
 
+    def log_broken(self, error: OSError, choice: Choice | None = None) -> None:
+        """Log why an exchange with a target failed, and count a bound that it exceeds."""
+        exceeded = exceeded_bounds.record(error)
+        self.log(
+            "Exchange with the target failed.", choice, error=str(error), exceeded=exceeded
+        )
+
     def _permit_fields(self, choice: Choice | None) -> dict[str, object]:
         """Return log fields about limits of targets, if any were in the way."""
         limit = None if choice is None else choice.target.rate_limit
@@ -479,7 +493,7 @@
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
         except OSError as error:
-            self.log("Exchange with the target failed.", error=str(error))
+            self.log_broken(error)
             self.end_attempt(attempt, AttemptOutcome.BROKEN)
             return None
         except BaseException:
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -13,6 +13,12 @@
 import httptools
 from gevent import select, socket
 
+from agaterail.bytelimits.answers import (
+    AnswerBoundExceeded,
+    AnswerMeter,
+    AnswerPart,
+    check_bound,
+)
 from agaterail.util.callbacks import do_nothing
 from agaterail.util.units import MS_PER_S
 
@@ -21,9 +27,7 @@
 
     from agaterail.gateway.inbound import AnswerHead
 
-READ_BYTES = 64 * 1024
-# An answer with a larger head is treated as broken.
-MAX_HEAD_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
 MIN_FINAL_STATUS = 200
 NO_CONTENT = 204
 NOT_MODIFIED = 304
@@ -48,8 +52,14 @@
     head_done: bool = False
     done: bool = False
     delimited: bool = False
+    is_skipped: bool = False
     chunks: list[bytes] = attrs.field(factory=list)
 
+    @property
+    def is_complete_answer(self) -> bool:
+        """Return whether this is a whole answer, also one to a former request."""
+        return self.done and self.status >= MIN_FINAL_STATUS
+
 
 class TargetConnection:
     """Connection to one target, with at most one request in flight.
@@ -69,6 +79,10 @@
         Time at which the connection was opened.
     ended_early
         Whether the target closed the idle connection before it was due.
+    has_extra_data
+        Whether data after the end of an answer kept the connection from being reused.
+    meter
+        Checks the bounds of what arrives.
     """
 
     def __init__(
@@ -88,7 +102,9 @@
         self.opened_at = self.idle_since = now()
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
+        self.has_extra_data = False
         self.head_bytes = 0
+        self.meter = AnswerMeter()
 
     @classmethod
     def connect(
@@ -126,6 +142,7 @@
         self.current = _Message()
         self.messages.append(self.current)
         self.head_bytes = 0
+        self.meter.begin_answer()
 
     def on_status(self, _reason: bytes) -> None:
         """Record the status code."""
@@ -136,8 +153,8 @@
         """Record a header."""
         assert self.current is not None
         self.head_bytes += len(name) + len(value)
-        if self.head_bytes > MAX_HEAD_BYTES:
-            raise AnswerBroken("the head of the answer is too large")
+        check_bound(AnswerPart.HEAD, self.head_bytes)
+        self.meter.add_header()
         self.current.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -146,6 +163,10 @@
         assert message is not None
         message.status = self.parser.get_status_code()
         message.head_done = True
+        if message.status < MIN_FINAL_STATUS:
+            self.meter.add_informational()
+        else:
+            self.meter.has_head = True
         names = {name.lower(): value.lower() for name, value in message.headers}
         message.delimited = (
             b"content-length" in names
@@ -160,6 +181,7 @@
         """Buffer a part of the body."""
         assert self.current is not None
         self.current.chunks.append(data)
+        self.meter.body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Record the end of the answer."""
@@ -198,6 +220,7 @@
             If the connection is broken.
         """
         self.messages.clear()
+        self.meter.begin_request()
         self.sock.settimeout(timeout_s)
         data = head + body
         self.written = True
@@ -229,10 +252,10 @@
                         return head
                     # A duplicate answer to an earlier request; ours follows.
                     self.reusable = False
+                    self._skip(message)
                     if message.done:
                         self.messages.pop(0)
                         continue
-                    message.chunks.clear()
             if not self._receive(deadline):
                 raise AnswerBroken("the target closed the connection without an answer")
 
@@ -266,11 +289,12 @@
     def finish(self) -> bool:
         """End a completely answered request; return whether to keep the connection."""
         is_writing = self.writer is not None and not self.writer.ready()
-        has_unsolicited = len(self.messages) > 1
+        self.has_extra_data = len(self.messages) > 1 or self._has_unread_data()
         complete = bool(self.messages) and self.messages[0].done
         self.messages.clear()
         self.writer = None
-        if is_writing or has_unsolicited or not complete or not self.reusable or self.closed:
+        is_dirty = is_writing or self.has_extra_data or not complete
+        if is_dirty or not self.reusable or self.closed:
             # Part of the request or answer is outstanding, or unsolicited data arrived.
             # On reuse, the next request or answer would be mixed up with it.
             self.close()
@@ -304,13 +328,41 @@
         self.on_data()
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.meter.end_read(len(data), self._part())
+        except (
+            AnswerBoundExceeded,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self.reusable = False
             # Garbage after a complete answer makes only the connection unusable.
-            if not (self.messages and self.messages[0].done):
-                raise AnswerBroken(f"the answer cannot be parsed: {error}") from error
+            if not (self.messages and self.messages[0].is_complete_answer):
+                raise _answer_error(error) from error
+        if self.meter.ends_turn(len(data)):
+            gevent.sleep(0.0)
         return True
 
+    def _part(self) -> AnswerPart:
+        """Return what bytes belong to that are no body."""
+        message = self.current
+        return (
+            AnswerPart.HEAD if message is None or not message.head_done else AnswerPart.FRAMING
+        )
+
+    def _skip(self, message: _Message) -> None:
+        """Drop what has arrived of an answer to a former request."""
+        if not message.is_skipped:
+            message.is_skipped = True
+            self.meter.add_skipped()
+        self.meter.add_skipped_body(sum(map(len, message.chunks)))
+        message.chunks.clear()
+
+    def _has_unread_data(self) -> bool:
+        try:
+            return bool(self.sock._sock.recv(1, std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def _write_rest(self, rest: memoryview) -> None:
         try:
             self.sock.sendall(rest)
@@ -319,6 +371,14 @@
             self.reusable = False
 
 
+def _answer_error(error: Exception) -> OSError:
+    """Return the error to raise for data that cannot be parsed or exceeds a bound."""
+    cause = error.__context__ if isinstance(error, httptools.HttpParserError) else error
+    if isinstance(cause, AnswerBoundExceeded):
+        return cause
+    return AnswerBroken(f"the answer cannot be parsed: {error}")
+
+
 def wait_readable(
     connections: Sequence[TargetConnection], timeout_s: float
 ) -> list[TargetConnection]:
--- a/agaterail/platform/engines.py
+++ b/agaterail/platform/engines.py
@@ -21,6 +21,8 @@
 # Engines are milliseconds away; one that is silent for this long counts as unreachable.
 CONNECT_TIMEOUT_S = 0.3
 ANSWER_TIMEOUT_S = 0.6
+# Reports list the models and runs of one engine.
+MAX_ANSWER_BYTES = 256 * 1024
 HTTP_OK = 200
 OUTCOME_BY_STATUS = {
     200: OrderOutcome.ALREADY_LOADED,
@@ -74,7 +76,9 @@
     def _call(
         self, target: Target, method: str, path: str, body: bytes
     ) -> Result[tuple[int, bytes], str]:
-        connections = HttpConnections(Address.parse(target.address), CONNECT_TIMEOUT_S)
+        connections = HttpConnections(
+            Address.parse(target.address), CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES
+        )
         headers = {names.EXPECT_INSTANCE.decode(): target.instance}
         if body:
             headers["content-type"] = "application/json"
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -9,20 +9,34 @@
 import gevent
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from geventhttpclient.response import HTTPParseError, HTTPResponse, HTTPSocketPoolResponse
 from returns.result import Failure, Result, Success
 
+from agaterail import logs
+from agaterail.bytelimits.answers import (
+    AnswerBoundExceeded,
+    AnswerMeter,
+    AnswerPart,
+    check_bound,
+    exceeded_bounds,
+)
 from agaterail.util.address import Address
 from agaterail.util.callbacks import do_nothing
 from agaterail.util.readguard import ReadGuard
+from agaterail.util.units import BYTES_PER_MB
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from gevent.socket import socket as Socket  # noqa: N812
 
+logger = logs.get_logger("peers")
+
 POOL_SIZE = 4096
-READ_BYTES = 65536
+READ_BYTES = 16 * 1024
+MIN_FINAL_STATUS = 200
+# Answers that are read whole: states and logs of the fleet, a page of which has some MB.
+MAX_BODY_BYTES = 16 * BYTES_PER_MB
 
 
 @attrs.frozen
@@ -72,6 +86,45 @@
     """Response whose body can be read incrementally."""
 
     guard: ReadGuard | None = None
+    meter: AnswerMeter | None = None
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse data.
+
+        Raises
+        ------
+        HTTPParseError
+            If it is no valid answer.
+        AnswerBoundExceeded
+            If a part of the answer exceeds its bound.
+        """
+        meter = self.meter = self.meter or AnswerMeter()
+        body_bytes, had_head = len(self._body_buffer), self.has_final_head
+        super().feed(data)
+        check_bound(AnswerPart.INFORMATIONAL, meter.informational)
+        meter.body_bytes = len(self._body_buffer) - body_bytes
+        has_head = self.has_final_head
+        meter.has_head = has_head and not had_head
+        meter.end_read(len(data), AnswerPart.FRAMING if has_head else AnswerPart.HEAD)
+        if meter.ends_turn(len(data)):
+            gevent.sleep(0.0)
+
+    @property
+    def has_final_head(self) -> bool:
+        """Return whether the head is complete, and not an informational one."""
+        return self.headers_complete and self.get_code() >= MIN_FINAL_STATUS
+
+    def _on_message_complete(self) -> None:
+        if self.get_code() >= MIN_FINAL_STATUS:
+            super()._on_message_complete()
+        else:
+            # The answer follows on the connection, which is not released yet.
+            HTTPResponse._on_message_complete(self)
+
+    def _on_headers_complete(self) -> int | bool | None:
+        if self.get_code() < MIN_FINAL_STATUS and self.meter is not None:
+            self.meter.informational += 1
+        return super()._on_headers_complete()
 
     def should_close(self) -> bool:
         """Return whether to close the connection: always unless the answer was read fully.
@@ -135,10 +188,21 @@
     geventhttpclient's ``request`` resends a request if a keep-alive connection turns
     out to be closed. The target may have acted on the first copy, so a non-idempotent
     request could run twice. Here, each call is a single attempt.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Largest body that ``call`` reads.
     """
 
-    def __init__(self, address: Address, connect_timeout_s: float = 1.0) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float = 1.0,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         self.address = address
+        self.max_body_bytes = max_body_bytes
         self.pool = _ConnectionPool(
             address.host,
             address.port,
@@ -192,7 +256,7 @@
         try:
             return Success(Response(sock, self.pool, block_size=READ_BYTES, method=method))
         except Exception as error:  # parse errors and socket errors; the response closed it
-            return Failure(ExchangeBroken(str(error), isinstance(error, TimeoutError)))
+            return Failure(self._broken(error))
 
     def call(
         self,
@@ -221,15 +285,24 @@
             return Failure(sent.failure())
         response = sent.unwrap()
         try:
-            return Success((response.status_code, _read_body(response, on_data)))
+            body = _read_body(response, on_data, self.max_body_bytes)
+            return Success((response.status_code, body))
         except Exception as error:
             response.discard()
-            return Failure(ExchangeBroken(str(error), isinstance(error, TimeoutError)))
+            return Failure(self._broken(error))
 
     def close(self) -> None:
         """Close the idle connections."""
         self.pool.close()
 
+    def _broken(self, error: Exception) -> ExchangeBroken:
+        exceeded = exceeded_bounds.record(error)
+        if exceeded is not None:
+            logger.warning(
+                "Answer exceeds a bound.", address=str(self.address), exceeded=exceeded
+            )
+        return ExchangeBroken(str(error), isinstance(error, TimeoutError))
+
 
 class ConnectionsByAddress:
     """Keep-alive connections by address, created when an address is first used."""
@@ -253,11 +326,15 @@
             found.close()
 
 
-def _read_body(response: Response, on_data: Callable[[], None]) -> bytes:
+def _read_body(response: Response, on_data: Callable[[], None], max_bytes: int) -> bytes:
     parts = []
+    size = 0
     on_data()
     while data := response.read_available():
         on_data()
+        size += len(data)
+        if size > max_bytes:
+            raise AnswerBoundExceeded(AnswerPart.BODY)
         parts.append(data)
     response.release()
     return b"".join(parts)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -81,6 +81,8 @@
         Version of its software. Each event names it in a comment.
     born
         Time of its start, in its registration and its reports.
+    answer_repeats
+        How often an answer to a plain request repeats its text.
     built_at
         Monotonic time from which it has the build.
     """
@@ -89,6 +91,7 @@
         self.instance = instance
         self.model = model
         self.events = events
+        self.answer_repeats = 20
         self.build = "v1"
         self.born = 1
         self.built_at = time.monotonic()
@@ -247,7 +250,7 @@
         if self.model:
             return self._stream(sock, run, answer_headers)
         run.end("whole")
-        answer = f"{self.instance} {run.request_id}".encode() * 20
+        answer = f"{self.instance} {run.request_id}".encode() * self.answer_repeats
         if self.undelimited:
             sock.sendall(self._head(200, answer_headers) + answer)
             return not self._end_undelimited(sock)
