One account of held bytes; slow readers no longer stop the relay

Cause: a caller that read slowly held the relay in its send for up to 10 s. The engine cut the unread stream off and was blamed for it: breaker, second run, retry budget. Requests, answers and unsent data of all callers had no bound in all.

CallerConnection sends directly and keeps only the rest, written by a greenlet that exists while there is any. A caller that does not keep up ends as slow_reader, like one that left. ByteAccount charges what is held by connection and in all; above its low mark new connections are closed unread and the host is not ready, above the high one the caller that holds most for longest ends as held_bytes. Large bodies are no longer copied into one buffer with their head.

Tests: test_account, test_slowreaders (slow callers, late callers, stop, marks, a target that does not read its request).

--- a/agaterail/callerwatch.py
+++ b/agaterail/callerwatch.py
@@ -16,8 +16,29 @@
 
     Raised in the greenlet of the request, which stops at once, whatever it is waiting
     for. A filter that must clean up catches the exception and re-raises it.
+
+    Attributes
+    ----------
+    outcome
+        Outcome of the request.
     """
 
+    outcome = "caller_left"
+
+
+class CallerEnded(CallerLeft):
+    """The caller's connection was ended, as too much was held for it or for too long.
+
+    Attributes
+    ----------
+    outcome
+        Outcome of the request.
+    """
+
+    def __init__(self, outcome: str) -> None:
+        super().__init__(outcome)
+        self.outcome = outcome
+
 
 class CallerWatch:
     """Kills the greenlet of a request when its caller disconnects.
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -126,8 +126,11 @@
             if self.body_bytes > self.daemon.max_body_bytes:
                 self.body_parts.clear()
                 raise AnswerBoundExceeded(AnswerPart.BODY)
+            self.context.caller.hold(len(data))
             self.body_parts.append(data)
-        return b"".join(self.body_parts)
+        body = b"".join(self.body_parts)
+        self.body_parts = [body]  # the parts would keep the memory twice
+        return body
 
     def read_body(self, deadline: float) -> bytes:
         """Return the next bytes of a stream, or empty bytes at its end.
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -12,6 +12,7 @@
 from gevent.pool import Group
 
 from agaterail import logs
+from agaterail.bytelimits.account import ByteAccount, Marks
 from agaterail.bytelimits.answers import max_body_bytes
 from agaterail.decisions.buildhistory import BuildHistory
 from agaterail.gateway import (
@@ -136,6 +137,7 @@
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.account = ByteAccount(Marks.of_memory(settings.memory_mb), self.now)
         self.max_body_bytes = max_body_bytes(settings.memory_mb)
         self.metrics = GatewayMetrics()
         self.notices = TargetNotices(self.registry, self.metrics, self.now)
@@ -208,8 +210,10 @@
             handler.handle,
             self._limits,
             self.now,
-            may_read=self.saturation.may_read,
+            may_read=self._may_read,
+            account=self.account,
         )
+        self.feeds.peer_responder.server.account = self.account
 
     def _add_relays(self, handler: RequestHandler) -> None:
         """Forward for other daemons, and let them forward for this one."""
@@ -308,7 +312,15 @@
         read_at = self.feeds.read_at
         has_read = all(read_at[feed] != NEVER for feed in (Feed.TARGETS, Feed.CRASHES))
         knows_all = self.state.desired is not None and has_read
-        return knows_all and not self.stopping and not self.saturation.is_saturated
+        has_room = not self.saturation.is_saturated and not self.account.is_full()
+        return knows_all and not self.stopping and has_room
+
+    def _may_read(self, connections: int) -> bool:
+        """Return whether a new connection from a caller is read."""
+        if self.account.is_full():
+            self.saturation.closed_unread += 1
+            return False
+        return self.saturation.may_read(connections)
 
     def start(self) -> None:
         """Start the controllers and begin to accept callers."""
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -194,6 +194,7 @@
             if events:
                 self._send_events(head, events)
                 attempt.record_events(self.splitter.event_count - events_before)
+            self.context.caller.hold_partial_event(len(self.splitter.partial))
             if self.splitter.broken is not None:
                 raise AnswerBoundExceeded(self.splitter.broken)
         if self.splitter.partial.strip():
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.callerwatch import CallerLeft
+from agaterail.callerwatch import CallerEnded, CallerLeft
 from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import ErrorKind, Failure
 from agaterail.gateway import relayprotocol
@@ -54,7 +54,7 @@
         """
         context: RequestContext | None = None
         failure: Failure | None = None
-        caller_left = False
+        left_as = ""
         try:
             outcome = self._admit(inbound, caller, origin)
             if isinstance(outcome, RequestContext):
@@ -63,14 +63,17 @@
             else:
                 failure = outcome
         except (CallerLeft, OSError) as error:
-            caller_left = True
+            left_as = error.outcome if isinstance(error, CallerLeft) else CallerLeft.outcome
             logger.info(
-                "Caller left.",
+                "Caller ended." if isinstance(error, CallerEnded) else "Caller left.",
                 request=inbound.request_id,
                 target=None if context is None else context.target,
                 first_byte=context is not None and context.first_byte_at is not None,
                 age_s=round(self.daemon.now() - inbound.received_at, 4),
                 reason=type(error).__name__,
+                outcome=left_as,
+                unsent=caller.unsent_bytes or None,
+                held=caller.held.size,
                 relayed=origin is not None or None,
             )
             raise
@@ -87,7 +90,7 @@
         finally:
             if context is not None:
                 self._refund_unused(context)
-            self._record_metrics(inbound, context, failure, caller_left)
+            self._record_metrics(inbound, context, failure, left_as)
         if failure is not None:
             if origin is not None:
                 caller.extra_lines = _relay_lines(failure, context)
@@ -98,13 +101,13 @@
         inbound: InboundRequest,
         context: RequestContext | None,
         failure: Failure | None,
-        caller_left: bool,
+        left_as: str,
     ) -> None:
         kind = "unknown" if context is None else context.route.kind.value
         if failure is not None:
             outcome = failure.kind.value
-        elif caller_left:
-            outcome = "caller_left"
+        elif left_as:
+            outcome = left_as
         else:
             outcome = "cut" if context is not None and context.truncated else "answered"
         self.daemon.metrics.requests.labels(kind, outcome).inc()
--- a/agaterail/gateway/httpserver.py
+++ b/agaterail/gateway/httpserver.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import struct
 from collections import deque
-from socket import MSG_PEEK
+from socket import MSG_PEEK, SO_LINGER, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -13,7 +15,8 @@
 from gevent.server import StreamServer
 
 from agaterail import logs
-from agaterail.callerwatch import CallerLeft, CallerWatch
+from agaterail.bytelimits.account import ByteAccount, HeldBytes, Marks
+from agaterail.callerwatch import CallerEnded, CallerLeft, CallerWatch
 from agaterail.gateway.inbound import InboundRequest
 
 if TYPE_CHECKING:
@@ -27,10 +30,23 @@
 BACKLOG = 1024
 READ_BYTES = 64 * 1024
 READ = 1
-# A caller that reads nothing for this long is disconnected. Until then its stream waits
-# in the kernel's bounded socket buffers and delays no other request.
+# A caller that reads nothing for this long is disconnected. Until then its data waits in
+# the kernel's socket buffer and in the connection's own.
 SEND_TIMEOUT_S = 10.0
+# A stream is read from its target at the target's pace, as targets cut off a stream that
+# is not read for some seconds. Beyond this size, reading waits for the caller.
+MAX_UNSENT_BYTES = 1024 * 1024
+# A caller with more than this unsent for too long does not keep up with its stream.
+BEHIND_BYTES = 64 * 1024
+MAX_BEHIND_S = 5.0
+SLOW_READER = "slow_reader"
+HELD_BYTES = "held_bytes"
+# Frees the kernel's buffer of a caller that was ended, which would be kept for minutes.
+LINGER_RESET = struct.pack("ii", 1, 0)
+UNLIMITED = Marks(low=2**62, high=2**62)
 MAX_PIPELINED_REQUESTS = 16
+# Copying a larger body costs more than another send.
+LARGE_BODY_BYTES = 64 * 1024
 # After an error answer, incoming data is read and discarded for this long. Closing a
 # socket with unread data sends a reset, which may discard the answer.
 LINGER_S = 0.5
@@ -168,10 +184,19 @@
     ----------
     extra_lines
         Header lines of each answer in addition to its own.
+    held
+        Bytes held for the caller: its requests, what is read of their answers, and what
+        is unsent.
+    unsent
+        Data that the socket has not accepted yet, with ``unsent_bytes`` in all. While
+        there is any, ``writer`` sends it.
+    behind_since
+        Time since which more than ``BEHIND_BYTES`` are unsent; None if it is less.
     """
 
-    def __init__(self, sock: Any, http_server: HttpServer) -> None:
+    def __init__(self, sock: Any, address: Any, http_server: HttpServer) -> None:
         self.sock = sock
+        self.address = address
         self.http_server = http_server
         self.reader = RequestReader(http_server.limits, http_server.now)
         self.keep_open = True  # after the current answer
@@ -180,6 +205,14 @@
         self.extra_lines: Sequence[bytes] = ()
         self.wake = gevent.event.Event()
         self.idle = False
+        self.greenlet = gevent.getcurrent()
+        self.held = HeldBytes(http_server.account, lambda: self.end(HELD_BYTES))
+        self.read_bytes = self.answer_bytes = self.partial_bytes = 0
+        self.unsent: deque[memoryview] = deque()
+        self.unsent_bytes = 0
+        self.behind_since: float | None = None
+        self.has_room = gevent.event.Event()
+        self.writer: gevent.Greenlet | None = None
 
     def serve(self) -> None:
         """Answer the connection's requests one by one."""
@@ -194,9 +227,11 @@
             watch = CallerWatch(self.sock)
             try:
                 self.http_server.handle(inbound, self)
+                self._flush()
             finally:
                 watch.stop()
                 self.answering = False
+            self._return_request_bytes(inbound)
             if self.http_server.stopping:
                 # If a stream's head was sent before the stop, it lacks the header
                 # "Connection: close". A further request could arrive so late that
@@ -205,7 +240,14 @@
 
     def send_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
         """Send a complete answer."""
-        self._send(self._head(status, lines, b"Content-Length: %d" % len(body)) + body)
+        self._return_answer_bytes()
+        head = self._head(status, lines, b"Content-Length: %d" % len(body))
+        if len(body) < LARGE_BODY_BYTES:
+            self._send(head + body)
+        else:
+            self._send(head)
+            self._send(body)
+        self._flush()
 
     def send_large_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
         """Send a complete answer whose body may queue behind others on the link.
@@ -217,6 +259,7 @@
         self._send(self._head(status, lines, b"Content-Length: %d" % len(body)))
         gevent.sleep(0.0)
         self._send(body)
+        self._flush()
 
     def start_stream(self, status: int, lines: Sequence[bytes], first: bytes) -> None:
         """Send the head of a streamed answer with its first data."""
@@ -232,11 +275,48 @@
     def end_stream(self) -> None:
         """Send the final chunk of a complete stream."""
         self._send(b"0\r\n\r\n")
+        self._flush()
 
     def abort(self) -> None:
         """Close the connection so that an incomplete answer does not look complete."""
         self.keep_open = False
 
+    def hold(self, size: int) -> None:
+        """Charge bytes that are kept until the current request ends."""
+        self.answer_bytes += size
+        self.held.add(size)
+
+    def hold_partial_event(self, size: int) -> None:
+        """Charge the event that is not complete yet instead of the former one."""
+        if size != self.partial_bytes:
+            self.held.add(size - self.partial_bytes)
+            self.partial_bytes = size
+
+    def end(self, outcome: str) -> None:
+        """End the connection at once; the caller does not get what is unsent."""
+        logger.warning(
+            "Ending a caller.",
+            outcome=outcome,
+            address=self.address,
+            held=self.held.size,
+            held_s=round(self.http_server.now() - self.held.since, 3),
+            unsent=self.unsent_bytes,
+            total=self.http_server.account.total,
+        )
+        self.keep_open = False
+        self.greenlet.kill(CallerEnded(outcome), block=False)
+
+    def close(self) -> None:
+        """Close the socket and return what is held."""
+        if self.unsent:
+            # Fails if the caller has left; the socket is still closed below.
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
+        if self.writer is not None:
+            self.writer.kill(block=False)
+        self.sock.close()
+        self.held.clear()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered.
 
@@ -261,6 +341,8 @@
                 return None
             if not data:
                 return None
+            self.read_bytes += len(data)
+            self.held.add(len(data))
             try:
                 reader.feed(data)
             except RequestRefused as refused:
@@ -318,16 +400,97 @@
             head.append(b"Connection: close")
         return b"\r\n".join([*head, b"", b""])
 
+    def _return_request_bytes(self, inbound: InboundRequest) -> None:
+        """Return the bytes of a request and its answer, but not those of the next one."""
+        self.hold_partial_event(0)
+        is_read_on = bool(self.reader.ready) or self.reader.in_progress
+        returned = min(self.read_bytes, len(inbound.body)) if is_read_on else self.read_bytes
+        self.held.add(-returned)
+        self.read_bytes -= returned
+        self._return_answer_bytes()
+
+    def _return_answer_bytes(self) -> None:
+        self.held.add(-self.answer_bytes)
+        self.answer_bytes = 0
+
+    # Sending to a caller that may read slowly.
+
     def _send(self, data: bytes) -> None:
-        self.sock.settimeout(SEND_TIMEOUT_S)
+        sent = 0
+        if not self.unsent:
+            try:
+                sent = self.sock._sock.send(data)
+            except BlockingIOError:
+                pass
+            except OSError as error:
+                # While relaying events, an OSError would be taken for a failure of the
+                # target, and the stream would run again although the caller has left.
+                raise CallerLeft(str(error)) from error
+            if sent == len(data):
+                return
+        self._keep_unsent(memoryview(data)[sent:])
+
+    def _keep_unsent(self, rest: memoryview) -> None:
+        self.unsent.append(rest)
+        self._record_unsent(len(rest))
+        if self.writer is None or self.writer.ready():
+            self.writer = gevent.spawn(self._write_unsent)
+        while self.streaming and self.unsent_bytes > MAX_UNSENT_BYTES:
+            self.has_room.clear()
+            self.has_room.wait()
+
+    def _write_unsent(self) -> None:
+        """Send what is unsent; end the request if the caller has left or reads nothing."""
+        self.sock.settimeout(min(SEND_TIMEOUT_S, MAX_BEHIND_S / 2))
+        progress_at = self.http_server.now()
         try:
-            sent = self.sock.send(data)
-            if sent < len(data):
-                self.sock.sendall(memoryview(data)[sent:])
+            while self.unsent:
+                sent = self._write_some()
+                now = self.http_server.now()
+                if sent:
+                    progress_at = now
+                if now - progress_at > SEND_TIMEOUT_S or self._is_behind(now):
+                    self.end(SLOW_READER)
+                    return
         except OSError as error:
-            # While relaying events, an OSError would be taken for a failure of the
-            # target, and the stream would run again although the caller has left.
-            raise CallerLeft(str(error)) from error
+            self.keep_open = False
+            self.greenlet.kill(CallerLeft(str(error)), block=False)
+
+    def _write_some(self) -> int:
+        """Send some unsent data; return how much, 0 if the caller reads nothing."""
+        rest = self.unsent[0]
+        try:
+            sent: int = self.sock.send(rest)
+        except TimeoutError:
+            return 0
+        if sent == len(rest):
+            self.unsent.popleft()
+        else:
+            self.unsent[0] = rest[sent:]
+        self._record_unsent(-sent)
+        if self.unsent_bytes <= MAX_UNSENT_BYTES:
+            self.has_room.set()
+        return sent
+
+    def _is_behind(self, now: float) -> bool:
+        """Return whether the caller does not keep up with its stream."""
+        since = self.behind_since
+        return self.streaming and since is not None and now - since > MAX_BEHIND_S
+
+    def _record_unsent(self, size: int) -> None:
+        self.unsent_bytes += size
+        self.held.add(size)
+        if self.unsent_bytes <= BEHIND_BYTES:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = self.http_server.now()
+
+    def _flush(self) -> None:
+        """Wait until all data is sent; a failure of the writer ends this greenlet."""
+        if self.unsent and self.writer is not None:
+            self.writer.join()
+            while self.unsent:
+                gevent.sleep(SEND_TIMEOUT_S)
 
 
 class HttpServer:
@@ -335,6 +498,8 @@
 
     Parameters
     ----------
+    account
+        Account of the bytes held for connections, without limits by default.
     may_read
         Returns whether a new connection is read, given the number of connections with it;
         otherwise it is closed.
@@ -353,6 +518,7 @@
         now: Callable[[], float],
         count_refusal: Callable[[int], None] = lambda _status: None,
         may_read: Callable[[int], bool] = lambda _connections: True,
+        account: ByteAccount | None = None,
     ) -> None:
         self.address = address
         self.handle = handle
@@ -360,6 +526,7 @@
         self.now = now
         self.count_refusal = count_refusal
         self.may_read = may_read
+        self.account = account or ByteAccount(UNLIMITED, now)
         self.stopping = False
         self.connections: set[CallerConnection] = set()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -398,11 +565,11 @@
         """Return the number of requests being read or answered."""
         return sum(item.answering or item.reader.in_progress for item in self.connections)
 
-    def _on_connection(self, sock: Any, _address: Any) -> None:
+    def _on_connection(self, sock: Any, address: Any) -> None:
         if not self.may_read(len(self.connections) + 1):
             sock.close()
             return
-        connection = CallerConnection(sock, self)
+        connection = CallerConnection(sock, address, self)
         self.connections.add(connection)
         try:
             connection.serve()
@@ -411,4 +578,4 @@
             pass
         finally:
             self.connections.discard(connection)
-            sock.close()
+            connection.close()
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -134,6 +134,10 @@
                 ("services_without_path", "Services that no new connection reaches."),
                 ("saturated", "Whether new connections are closed unread."),
                 ("closed_unread", "Connections from callers that were closed unread."),
+                ("held_bytes", "Bytes held for callers: requests, answers, unsent data."),
+                ("held_bytes_low", "Held bytes above which new connections are not read."),
+                ("held_bytes_high", "Held bytes above which callers are ended."),
+                ("callers_ended", "Callers that were ended above the high mark."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's prompts that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
@@ -179,6 +183,10 @@
             "services_without_path": len(daemon.paths.lost_services),
             "saturated": daemon.saturation.is_saturated,
             "closed_unread": daemon.saturation.closed_unread,
+            "held_bytes": daemon.account.total,
+            "held_bytes_low": daemon.account.marks.low,
+            "held_bytes_high": daemon.account.marks.high,
+            "callers_ended": daemon.account.ended,
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -81,6 +81,8 @@
         Version of its software. Each event names it in a comment.
     born
         Time of its start, in its registration and its reports.
+    event_padding
+        Bytes that are added to the text of each event.
     answer_repeats
         How often an answer to a plain request repeats its text.
     built_at
@@ -92,6 +94,7 @@
         self.model = model
         self.events = events
         self.answer_repeats = 20
+        self.event_padding = 0
         self.build = "v1"
         self.born = 1
         self.built_at = time.monotonic()
@@ -290,11 +293,12 @@
                 return False
             if self.pause_before == number and self._client_disconnects(sock, run):
                 return False
-            event = b"id: %d\n: build %s\ndata: %s-%d\n\n" % (
+            event = b"id: %d\n: build %s\ndata: %s-%d%s\n\n" % (
                 number,
                 self.build.encode(),
                 run.request_id.encode(),
                 number,
+                b"." * self.event_padding,
             )
             if break_after == number:
                 run.end("broken")
