--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -13,6 +13,8 @@
 from gevent.pool import Group
 
 from agaterail import logs
+from agaterail.bytelimits.account import ByteAccount, Marks
+from agaterail.bytelimits.answers import max_body_bytes
 from agaterail.decisions.buildhistory import BuildHistory
 from agaterail.decisions.enginehomes import EngineHomes
 from agaterail.decisions.engineroles import PromptLengths, select_engines
@@ -145,6 +147,8 @@
         self.engine_homes: dict[str, EngineHomes] = {}
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.account = ByteAccount(Marks.of_memory(settings.memory_mb), self.now)
+        self.max_body_bytes = max_body_bytes(settings.memory_mb)
         self.metrics = GatewayMetrics()
         self.notices = TargetNotices(self.registry, self.metrics, self.now)
         self.log_lines_dropped: Callable[[], int] = lambda: 0
@@ -217,8 +221,10 @@
             handler.handle,
             self._limits,
             self.now,
-            may_read=self.saturation.may_read,
+            may_read=self._may_read,
+            account=self.account,
         )
+        self.feeds.peer_responder.server.account = self.account
 
     def _add_engine_loads(self) -> None:
         """Exchange the loads of engines with the other daemons."""
@@ -352,7 +358,15 @@
         read_at = self.feeds.read_at
         has_read = all(read_at[feed] != NEVER for feed in (Feed.TARGETS, Feed.CRASHES))
         knows_all = self.state.desired is not None and has_read
-        return knows_all and not self.stopping and not self.saturation.is_saturated
+        has_room = not self.saturation.is_saturated and not self.account.is_full()
+        return knows_all and not self.stopping and has_room
+
+    def _may_read(self, connections: int) -> bool:
+        """Return whether a new connection from a caller is read."""
+        if self.account.is_full():
+            self.saturation.closed_unread += 1
+            return False
+        return self.saturation.may_read(connections)
 
     def start(self) -> None:
         """Start the controllers and begin to accept callers."""
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
 from agaterail.engineloads import loadspage
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.httpserver import HttpServer
@@ -104,6 +105,12 @@
             ("basis", "place"),
             registry=registry,
         )
+        self.answer_bounds = Gauge(
+            f"{PREFIX}_answer_bounds_exceeded",
+            "Answers with a part that exceeds its bound since the start.",
+            ("part",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -148,6 +155,10 @@
                 ("services_without_path", "Services that no new connection reaches."),
                 ("saturated", "Whether new connections are closed unread."),
                 ("closed_unread", "Connections from callers that were closed unread."),
+                ("held_bytes", "Bytes held for callers: requests, answers, unsent data."),
+                ("held_bytes_low", "Held bytes above which new connections are not read."),
+                ("held_bytes_high", "Held bytes above which callers are ended."),
+                ("callers_ended", "Callers that were ended above the high mark."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
                 ("refusal_chance", "Largest part of a service's load that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
@@ -198,6 +209,10 @@
             "services_without_path": len(daemon.paths.lost_services),
             "saturated": daemon.saturation.is_saturated,
             "closed_unread": daemon.saturation.closed_unread,
+            "held_bytes": daemon.account.total,
+            "held_bytes_low": daemon.account.marks.low,
+            "held_bytes_high": daemon.account.marks.high,
+            "callers_ended": daemon.account.ended,
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
@@ -211,6 +226,8 @@
             "channels_opened": daemon.connection_pool.opened,
             "log_lines_dropped": daemon.log_lines_dropped(),
         }
+        for part, count in exceeded_bounds.counts.items():
+            self.answer_bounds.labels(part.value).set(count)
         for name, value in values.items():
             self.gauges[name].set(value)
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -9,6 +9,7 @@
 import gevent
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
 from agaterail.decisions.refusalorder import OfferedPrompt
 from agaterail.decisions.urgency import effective_priority
 from agaterail.errors import ANSWERS, ErrorKind, Failure
@@ -166,7 +167,13 @@
         try:
             attempt.read_rest(self.daemon.now() + CONNECT_TIMEOUT_S)
         except OSError as error:
-            self.log("Could not read the rest of a refusal.", attempt.choice, error=str(error))
+            exceeded = exceeded_bounds.record(error)
+            self.log(
+                "Could not read the rest of a refusal.",
+                attempt.choice,
+                error=str(error),
+                exceeded=exceeded,
+            )
             attempt.abandon()
             return
         attempt.finish(healthy=False)
@@ -226,6 +233,13 @@
             **fields,
         )
 
+    def log_broken(self, error: OSError, choice: Choice | None = None) -> None:
+        """Log why an exchange with a target failed, and count a bound that it exceeds."""
+        exceeded = exceeded_bounds.record(error)
+        self.log(
+            "Exchange with the target failed.", choice, error=str(error), exceeded=exceeded
+        )
+
     def _permit_fields(self, choice: Choice | None) -> dict[str, object]:
         """Return log fields about limits of targets, if any were in the way."""
         limit = None if choice is None else choice.target.rate_limit
@@ -503,8 +517,10 @@
         try:
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
+            if connection.writer is not None:
+                self.context.caller.hold(len(self.context.inbound.body))
         except OSError as error:
-            self.log("Exchange with the target failed.", error=str(error))
+            self.log_broken(error)
             self.end_attempt(attempt, AttemptOutcome.BROKEN)
             return None
         except BaseException:
