--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -44,6 +44,8 @@
         Time of the latest event.
     sent_at
         Time at which the request was sent.
+    hedged_early
+        Whether it was hedged because its engine is suspected to be silent.
     """
 
     def __init__(
@@ -67,9 +69,11 @@
         self.survived = False
         self.last_event_at = 0.0
         self.is_open = True
+        self.hedged_early = False
         self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
         self.target.in_flight += 1
+        daemon.silence.record_begin(self)
         self._begin_prefill()
 
     @property
@@ -152,6 +156,8 @@
     def record_events(self, count: int) -> None:
         """Record that events were relayed."""
         now = self.daemon.now()
+        wait_s = self.connection.waited_s if self.has_events else now - self.sent_at
+        self.daemon.silence.record_wait(self, wait_s)
         if self.has_events:
             self.daemon.shedder_of(self.context.service).pace.record(
                 now - self.last_event_at, count, now
@@ -187,6 +193,7 @@
         was_open, self.is_open = self.is_open, False
         if was_open:
             self.target.in_flight -= 1
+            self.daemon.silence.record_end(self)
             self._end_prefill()
         return was_open
 
--- a/agaterail/gateway/cachedirectives.py
+++ b/agaterail/gateway/cachedirectives.py
@@ -81,6 +81,4 @@
 
 
 def _priority(context: RequestContext) -> int:
-    own = context.route.priority if context.workspace is None else context.workspace.priority
-    priority = context.route.priority if own is None else own
-    return max(0, min(LOWEST_PRIORITY, priority))
+    return max(0, min(LOWEST_PRIORITY, context.priority))
--- a/agaterail/gateway/connectionpool.py
+++ b/agaterail/gateway/connectionpool.py
@@ -145,6 +145,7 @@
     def _record_data(self, target: Target, connection: TargetConnection) -> None:
         """Record data, which shows that a target runs since the connection was opened."""
         self._record_heard(target)
+        target.data_at = target.heard_at
         since = target.unconfirmed_since
         if since is not None and connection.opened_at < since:
             # What arrives at once may have been sent before the target ended.
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -13,6 +13,8 @@
 
 from agaterail import logs
 from agaterail.decisions.buildhistory import BuildHistory
+from agaterail.engineloads.figures import NoEngineLoads
+from agaterail.engineloads.silencecontroller import SilenceController
 from agaterail.gateway import (
     admission,
     allowancecontroller,
@@ -62,6 +64,7 @@
     from collections.abc import Callable, Collection
 
     from agaterail.decisions.allowances import Allowance
+    from agaterail.engineloads.figures import EngineLoads
     from agaterail.gateway.cachedirectives import CacheDirectives
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.desired import KvStoreSpec
@@ -189,6 +192,17 @@
         self.feeds.peer_responder.handlers[targetroomcontroller.PATH] = (
             self.target_rooms.answer
         )
+        self.engine_loads: EngineLoads = NoEngineLoads()
+        self.silence = SilenceController(
+            lambda: self.engine_loads,
+            self.registry,
+            daemons=lambda: self.feeds.members.domains,
+            own_address=str(self.feeds.peer_responder.server.address),
+            report=engine_control.report,
+            metrics=self.metrics,
+            now=self.now,
+            rng=self.random,
+        )
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -318,6 +332,7 @@
             self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
             self.timers.every(self.paths.period_s, self.paths.step),
+            self.timers.every(self.silence.period_s, self.silence.step),
             self.timers.every(self.saturation.period_s, self.saturation.step),
             self.timers.every(self.relays.period_s, self.relays.step),
         ]
@@ -369,6 +384,19 @@
             tried = {*tried, *(item.instance for item in limited)}
         if context.service in self.paths.outages:
             tried = {*tried, *self._unreached(targets, context.route.idempotent)}
+        suspected = self.silence.suspected(context.service)
+        choice = None
+        if suspected:
+            choice = self._choose_among(context, targets, {*tried, *suspected}, now)
+        return choice or self._choose_among(context, targets, tried, now)
+
+    def _choose_among(
+        self,
+        context: RequestContext,
+        targets: list[Target],
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
@@ -16,6 +16,8 @@
 from agaterail.gateway.targetconnection import wait_readable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agaterail.gateway.attempt import Attempt
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.inbound import AnswerHead
@@ -29,6 +31,10 @@
 MIN_SERVER_ERROR_STATUS = 500
 # An engine that broke off has this long to report its start. One that crashed refuses.
 BROKEN_TIMEOUT_S = 0.1
+# A wait for a target is interrupted this often, to learn whether the target is suspected.
+SUSPICION_CHECK_S = 0.2
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -144,7 +150,7 @@
         """Relay an attempt's answer; return how it failed, or None when complete."""
         now = self.daemon.now()
         timeout_s = self.retry_state.first_byte_timeout_s(self.context.deadline - now)
-        head = attempt.read_head(now + timeout_s)
+        head = self._await(attempt, attempt.read_head, now + timeout_s)
         outcome = self._check_head(attempt, head)
         if outcome is not None:
             return outcome
@@ -152,6 +158,22 @@
             return self._relay_stream(attempt, head)
         return self._relay_buffered(attempt, head)
 
+    def _await(self, attempt: Attempt, read: Callable[[float], T], deadline: float) -> T:
+        """Read from a target; time out early if it is suspected to be silent meanwhile."""
+        silence, service = self.daemon.silence, self.context.service
+        while silence.may_hedge_early(attempt):
+            now = self.daemon.now()
+            if now + SUSPICION_CHECK_S >= deadline:
+                break
+            try:
+                return read(now + SUSPICION_CHECK_S)
+            except TimeoutError:
+                retries_left = self.daemon.budget.remaining(service, self.daemon.now())
+                if silence.should_hedge(attempt, retries_left):
+                    self.sender.log("Engine is silent, hedging early.", attempt.choice)
+                    raise
+        return read(deadline)
+
     def _check_head(self, attempt: Attempt, head: AnswerHead) -> AttemptOutcome | None:
         """Return the outcome that rules an answer out, or None if it can be relayed."""
         if head.not_run:
@@ -185,7 +207,7 @@
                 timeout_s = self.retry_state.event_timeout_s(left)
             else:
                 timeout_s = self.retry_state.first_byte_timeout_s(left)
-            data = attempt.read_body(now + timeout_s)
+            data = self._await(attempt, attempt.read_body, now + timeout_s)
             if not data:
                 break
             events_before = self.splitter.event_count
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -77,6 +77,11 @@
             ("outcome",),
             registry=registry,
         )
+        self.early_hedges = Counter(
+            f"{PREFIX}_early_hedges",
+            "Requests sent to a second engine because the first is suspected to be silent.",
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             f"{PREFIX}_resumed_streams",
             "Streams that callers took up, by how the build that began them was known.",
@@ -114,6 +119,7 @@
                 ("targets_usable", "Targets that a request may be sent to."),
                 ("targets_known", "Targets that are registered."),
                 ("targets_cordoned", "Engines that load new weights next."),
+                ("engines_suspected", "Engines that are taken to be silent."),
                 (
                     "targets_resting",
                     "Targets that want no requests of this daemon for a time.",
@@ -162,6 +168,7 @@
             "targets_usable": sum(target.is_usable(now) for target in targets),
             "targets_known": len(targets),
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
+            "engines_suspected": daemon.silence.suspected_count,
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
             "targets_brittle": sum(item.brittle is not None for item in targets),
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -427,6 +427,7 @@
                 outcome = AttemptOutcome.NOT_CONNECTED
                 choice.target.record_failure(now)
                 self.daemon.restarts.record_break(choice.target)
+                self.daemon.silence.record_failure(choice.target)
             self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -67,6 +67,11 @@
         Called whenever data arrives.
     opened_at
         Time at which the connection was opened.
+    waiting_since
+        Time since which data is awaited; None if none is. A reader that is busy elsewhere,
+        with a slow caller for instance, has not begun to wait.
+    waited_s
+        Seconds for which the latest data was awaited.
     ended_early
         Whether the target closed the idle connection before it was due.
     """
@@ -86,6 +91,8 @@
         self.closed = False
         self.ended_early = False
         self.opened_at = self.idle_since = now()
+        self.waiting_since: float | None = None
+        self.waited_s = 0.0
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
         self.head_bytes = 0
@@ -276,6 +283,7 @@
             self.close()
             return False
         self.idle_since = self.now()
+        self.waiting_since = None
         self.written = False
         return True
 
@@ -293,11 +301,16 @@
         self.sock.close()
 
     def _receive(self, deadline: float) -> bool:
-        left = deadline - self.now()
+        now = self.now()
+        left = deadline - now
         if left <= 0.0:
             raise TimeoutError(errno.ETIMEDOUT, "timed out waiting for the answer")
+        if self.waiting_since is None:
+            self.waiting_since = now
         self.sock.settimeout(left)
         data = self.sock.recv(READ_BYTES)
+        self.waited_s = self.now() - self.waiting_since
+        self.waiting_since = None
         if not data:
             self.reusable = False
             return False
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -88,6 +88,9 @@
         Time at which a cordoned target should have loaded.
     heard_at
         Time at which bytes last arrived from it on any connection.
+    data_at
+        Time at which a part of an answer last arrived from it. It may accept connections
+        although it answers nothing.
     rate_limit
         Limit that it names in its answers; None if it names none.
     brittle
@@ -124,6 +127,7 @@
     cordoned_at: float | None = None
     expected_loaded_at: float = float("inf")
     heard_at: float = float("-inf")
+    data_at: float = float("-inf")
     rate_limit: RateLimit | None = None
     brittle: RateLimit | None = None
     leaving: bool = False
