--- a/agaterail/decisions/silence.py
+++ b/agaterail/decisions/silence.py
@@ -24,6 +24,8 @@
 USUAL_FACTOR = 1.5
 # Longer waits say no more than that the service is overloaded.
 MAX_USUAL_S = 2.0
+# A request that was given up is evidence for this long.
+FAILURE_VALID_S = 2.0
 MIN_DAEMONS = 2
 MIN_DOMAINS = 2
 # Engines of a service that are suspected at the same time.
@@ -69,7 +71,7 @@
         Waits for each further event, of which there are many more.
     """
 
-    first: UsualWait = attrs.field(factory=lambda: UsualWait(0.25, rise=0.5, fall=0.1))
+    first: UsualWait = attrs.field(factory=lambda: UsualWait(0.4, rise=0.5, fall=0.1))
     gap: UsualWait = attrs.field(factory=lambda: UsualWait(0.1, rise=0.2, fall=0.01))
 
     def silence_s(self, in_stream: bool = False) -> float:
@@ -92,8 +94,8 @@
         Seconds that this daemon has waited there without a byte; 0 if it does not wait.
     in_stream
         Whether the answer that it waits for has begun.
-    failed
-        Whether a request or a connect of this daemon failed there lately without a byte.
+    failed_s
+        Seconds since a request or a connect of this daemon failed there without a byte.
     heard_s
         Seconds since this daemon got a byte of an answer from it.
     """
@@ -103,7 +105,7 @@
     figures: EngineFigures | None
     wait_s: float = 0.0
     in_stream: bool = False
-    failed: bool = False
+    failed_s: float = float("inf")
     heard_s: float = float("inf")
 
     @property
@@ -112,6 +114,11 @@
         others_s = float("inf") if self.figures is None else self.figures.heard_s
         return min(self.heard_s, others_s)
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether a failure here is recent and nobody got a byte after it."""
+        return self.failed_s < min(FAILURE_VALID_S, self.heard_by_any_s)
+
 
 @attrs.frozen(kw_only=True)
 class Evidence:
@@ -244,7 +251,7 @@
         silent = [
             view
             for view in views
-            if view.failed or view.wait_s > self.usual.silence_s(view.in_stream)
+            if view.has_failed or view.wait_s > self.usual.silence_s(view.in_stream)
         ]
         heard = sum(view.heard_s < MIN_SILENCE_S for view in views)
         if heard < len(silent):
--- a/agaterail/engineloads/silencecontroller.py
+++ b/agaterail/engineloads/silencecontroller.py
@@ -34,7 +34,6 @@
 MAX_TRIALS = 4  # under way at one daemon
 # The daemon that is first in line for the trials of an engine may itself be down.
 SECOND_TRIER_AFTER_S = 1.5
-FAILURE_VALID_S = 2.0
 
 
 class SilenceController:
@@ -221,7 +220,7 @@
             figures=figures,
             wait_s=wait_s,
             in_stream=in_stream,
-            failed=failed_at > max(target.data_at, now - FAILURE_VALID_S),
+            failed_s=now - failed_at,
             heard_s=now - target.data_at,
         )
 
@@ -248,7 +247,7 @@
         for service, instance, suspicion in suspicions:
             if len(self.trials) >= MAX_TRIALS:
                 return
-            is_due = now - self.tried_at.get(instance, suspicion.since) >= TRIAL_PERIOD_S
+            is_due = now - self.tried_at.get(instance, float("-inf")) >= TRIAL_PERIOD_S
             target = self.registry.targets.get(instance)
             if not is_due or target is None or instance in self.trials:
                 continue
@@ -272,6 +271,7 @@
         finally:
             self.trials.discard(target.instance)
         if not isinstance(answer, Success):
+            self.record_failure(target)
             return
         # Told to the other daemons, this ends their suspicions.
         target.data_at = self.now()
--- a/tests/silence_fleet.py
+++ b/tests/silence_fleet.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from agaterail.decisions.silence import EngineView, SuspectedEngines
+from agaterail.decisions.silence import FAILURE_VALID_S, EngineView, SuspectedEngines
 from agaterail.engineloads.figures import EngineFigures
-from agaterail.engineloads.silencecontroller import FAILURE_VALID_S
+from agaterail.engineloads.silencecontroller import SECOND_TRIER_AFTER_S
 
 TICK_S = 0.05
 DECIDE_S = 0.1
@@ -16,8 +16,8 @@
 REPORTED_WAIT_S = 0.4
 TRIAL_S = 0.5
 TIMEOUT_S = 1.0
-EVENTS = 40
-GAP_S = 0.04
+EVENTS = 58
+GAP_S = 0.045
 DOMAINS = 3
 RETRANSMIT_S = 0.2
 
@@ -54,7 +54,7 @@
 
 
 class SilenceFleet:
-    """One request a second of each daemon to random engines, events each 40 ms.
+    """One request a second of each daemon to random engines, 58 events in 2.6 s.
 
     ``is_silent(engine, now)`` says which engines send nothing, ``is_cut(daemon, now)`` which
     daemons get and tell nothing, ``answers_trials(engine, now)`` which engines answer trials.
@@ -136,6 +136,8 @@
             if self.now - item.wait_since > REPORTED_WAIT_S
         }
         silent.update(engine for engine in self.engines if self.has_failed(daemon, engine))
+        if sum(self.now - at < REPORTED_WAIT_S for at in daemon.heard_at) < len(silent):
+            silent.clear()  # more likely cut off itself
         self.count(daemon, daemon.reported, -1)
         daemon.reported = frozenset(silent)
         self.heard_at = list(map(max, self.heard_at, daemon.heard_at))
@@ -149,8 +151,10 @@
             self.silent.setdefault(engine, [0] * DOMAINS)[daemon.domain] += number
 
     def has_failed(self, daemon, engine):
-        lately = max(daemon.heard_at[engine], self.now - FAILURE_VALID_S)
-        return daemon.failed_at[engine] > lately
+        heard_at = daemon.heard_at[engine]
+        if daemon.snapshot is not None:
+            heard_at = max(heard_at, daemon.snapshot.heard_at[engine])
+        return daemon.failed_at[engine] > max(heard_at, self.now - FAILURE_VALID_S)
 
     def view(self, daemon, engine, streams):
         snapshot, figures = daemon.snapshot, None
@@ -172,7 +176,7 @@
             figures=figures,
             wait_s=max(0.0, wait_s),
             in_stream=in_stream,
-            failed=self.has_failed(daemon, engine),
+            failed_s=self.now - daemon.failed_at[engine],
             heard_s=self.now - daemon.heard_at[engine],
         )
 
@@ -184,10 +188,15 @@
         changes = daemon.suspected.update(views, DOMAINS, self.now, self.rng.random())
         for instance, suspicion in list(daemon.suspected.suspected.items()):
             engine = int(instance.removeprefix("e-"))
-            tried_at = daemon.tried_at.get(instance, suspicion.since)
-            if engine % len(self.observers) != daemon.number or self.now < tried_at + TRIAL_S:
+            tried_at = daemon.tried_at.get(instance, float("-inf"))
+            place = (daemon.number - engine) % len(self.observers)  # in line for trials
+            is_in_line = place == 0 or (
+                place == 1 and self.now > suspicion.since + SECOND_TRIER_AFTER_S
+            )
+            if not is_in_line or self.now < tried_at + TRIAL_S:
                 continue
             daemon.tried_at[instance] = self.now
+            daemon.failed_at[engine] = self.now
             if self.answers_trials(engine, self.now):
                 daemon.heard_at[engine] = self.now
                 changes += daemon.suspected.record_trial(instance, self.now)
