--- a/agaterail/engineloads/silencecontroller.py
+++ b/agaterail/engineloads/silencecontroller.py
@@ -97,7 +97,8 @@
         self.services: dict[str, SuspectedEngines] = {}
         self.attempts: dict[str, set[Attempt]] = {}
         self.failed_at: dict[str, float] = {}
-        self.stepped_at = self.resumed_at = now()
+        self.stepped_at = now()
+        self.resumed_at = float("-inf")
         self.trials: set[str] = set()
         self.tried_at: dict[str, float] = {}
         self.triers: dict[str, list[str]] = {}
--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -4,7 +4,9 @@
 import unittest
 
 import gevent
+from returns.result import Failure
 
+from agaterail.engineloads.figures import EngineFigures, EngineLoads
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.gracefulstop import GracefulStop
 from standins.path_cuts import CutKind, PathCut
@@ -150,6 +152,91 @@
         self.assertEqual([target.in_flight for target in targets], [0] * len(targets))
 
 
+class FakeLoads(EngineLoads):
+    """Figures by which the given engines are silent to others."""
+
+    def __init__(self, *silent) -> None:
+        self.silent = silent
+
+    def figures(self, instance):
+        if instance in self.silent:
+            return EngineFigures(silent_daemons=3, silent_domains=2, heard_s=60.0)
+        return EngineFigures(heard_s=0.05)
+
+
+class SilentEngineTest(ForwarderTest):
+    def start(self, service=LLM):
+        targets = super().start(service)
+        self.daemon = self.fleet.daemons[0]
+        self.daemon.engine_loads = FakeLoads()
+        self.daemon.silence.report = lambda _target: Failure("no answer")
+        self.fleet.wait(lambda: self.daemon.silence.active)
+        self.known = self.daemon.registry.targets[targets[0].instance]
+        return targets
+
+    def fall_silent(self, engine):
+        """Let other daemons tell that an engine is silent."""
+        self.known.data_at = float("-inf")
+        self.daemon.engine_loads = FakeLoads(engine.instance)
+
+    def hedges(self):
+        return self.daemon.metrics.early_hedges._value.get()
+
+    def test_a_request_at_a_suspected_engine_is_hedged_at_once(self):
+        """A request waited for its own time-out at an engine that was silent to others."""
+        for pause_before in (0, 4):
+            with self.subTest(pause_before=pause_before):
+                engine, other = self.start()
+                engine.pause_before, engine.pause_s = pause_before, 5.0
+                asked = gevent.spawn(self.ask_stream)
+                self.fleet.wait(lambda engine=engine: engine.runs)
+                gevent.sleep(0.2)
+                self.fall_silent(engine)
+                self.fleet.wait(lambda other=other: other.runs, 0.5)
+                self.assertEqual(asked.get().events, ALL_EVENTS)
+                self.assertEqual(self.hedges(), 1)
+                self.fleet.stop()
+
+    def test_a_request_that_runs_once_is_not_hedged(self):
+        """A request that must not run twice was sent to a second engine."""
+        engine, other = self.start()
+        engine.pause_before, engine.pause_s = 0, 0.8
+        other.pause_before, other.pause_s = 0, 0.8
+        asked = gevent.spawn(self.fleet.ask, "/once/x", stream=True)
+        self.fleet.wait(self.fleet.runs)
+        self.fall_silent(engine if engine.runs else other)
+        self.assertEqual(asked.get().status, 200)
+        self.assertEqual(len(self.fleet.runs()), 1)
+        self.assertEqual(self.hedges(), 0)
+
+    def test_a_request_waits_on_without_retries(self):
+        """A request was asked about again and again, or cut, without a retry left."""
+        engine, other = self.start()
+        engine.pause_before, engine.pause_s = 0, 0.8
+        use_up_budget(self.fleet, other)
+        asked = gevent.spawn(self.ask_stream)
+        self.fleet.wait(lambda: engine.runs)
+        self.fall_silent(engine)
+        self.assertEqual(asked.get().events, ALL_EVENTS)
+        self.assertEqual((other.runs, self.hedges()), ([], 0))
+
+    def test_suspected_engines_are_skipped_until_the_suspicion_ends(self):
+        """Requests went on to an engine that was silent to other daemons."""
+        engine, other = self.start()
+        self.fall_silent(engine)
+        self.fleet.wait(lambda: self.daemon.silence.suspected(LLM))
+        self.ask_stream()
+        self.assertEqual((len(engine.runs), len(other.runs)), (0, 1))
+        other.refuse = True
+        self.assertEqual(self.fleet.ask("/resumed/x", stream=True).events, ALL_EVENTS)
+        self.assertEqual(len(engine.runs), 1, "no other engine was left")
+        other.refuse = False
+        self.daemon.engine_loads = FakeLoads()
+        self.fleet.wait(lambda: not self.daemon.silence.suspected(LLM))
+        self.fleet.ask("/resumed/x", request_id="r2", stream=True)
+        self.assertEqual(len(engine.runs), 2)
+
+
 class HedgedServiceTest(ForwarderTest):
     def test_a_slow_answer_is_relayed_when_the_hedge_fails(self):
         """A slow target was abandoned for one that refused; the caller got an error."""
