Silent engines: evidence of several daemons, trials by one, early hedges

Cause: when a quarter of the engines falls silent, each of 81 daemons finds out by its own time-outs of one to two seconds.

Change: decisions/silence.py suspects engines by own waits and the figures of the others; SilenceController feeds it, tries suspected engines and says which waits to hedge at once. Without figures nothing changes.

--- a/agaterail/decisions/silence.py
+++ b/agaterail/decisions/silence.py
@@ -185,6 +185,8 @@
     ----------
     usual
         How long this daemon usually waits for these engines.
+    has_figures
+        Whether the other daemons' figures are known.
     suspected
         The suspicions, by engine.
     silent_here
@@ -196,25 +198,38 @@
 
     def __init__(self) -> None:
         self.usual = UsualWaits()
+        self.has_figures = False
         self.suspected: dict[str, Suspicion] = {}
         self.silent_here: frozenset[str] = frozenset()
         self.undecided_until = float("-inf")
 
     def update(
-        self, views: Sequence[EngineView], domains: int, now: float, number: float = 0.0
+        self,
+        views: Sequence[EngineView],
+        *,
+        engines: int,
+        heard: int,
+        domains: int,
+        now: float,
+        number: float = 0.0,
     ) -> list[SuspicionChange]:
         """Decide which engines are suspected; return what has changed.
 
         Parameters
         ----------
         views
-            What is known of each engine of the service.
+            What is known of each engine that is suspected or that any daemon waits for.
+        engines
+            Number of engines of the service.
+        heard
+            Number of engines that this daemon got a byte from lately.
         domains
             Number of failure domains with daemons.
         number
             Random number from 0 to 1 that spreads the ends of suspicions.
         """
-        self.silent_here = self._find_silent_here(views)
+        self.has_figures = True
+        self.silent_here = self._find_silent_here(views, heard)
         changes = self._clear_refuted(views, now)
         if now < self.undecided_until:
             return changes
@@ -223,7 +238,7 @@
             evidence = self._evidence(view, domains)
             if evidence is not None:
                 found[view.instance] = (view, evidence)
-        if len(self.suspected.keys() | found.keys()) > len(views) * MAX_SUSPECTED_FRACTION:
+        if len(self.suspected.keys() | found.keys()) > engines * MAX_SUSPECTED_FRACTION:
             self.undecided_until = now + UNDECIDED_S
             return changes + self._clear(list(self.suspected), "too many engines", now)
         until = now + SUSPICION_VALID_S * (1.0 + number)
@@ -244,16 +259,16 @@
 
     def clear(self, now: float) -> list[SuspicionChange]:
         """End all suspicions, since the other daemons' figures are not known."""
+        self.has_figures = False
         self.silent_here = frozenset()
         return self._clear(list(self.suspected), "no figures", now)
 
-    def _find_silent_here(self, views: Sequence[EngineView]) -> frozenset[str]:
+    def _find_silent_here(self, views: Sequence[EngineView], heard: int) -> frozenset[str]:
         silent = [
             view
             for view in views
             if view.has_failed or view.wait_s > self.usual.silence_s(view.in_stream)
         ]
-        heard = sum(view.heard_s < MIN_SILENCE_S for view in views)
         if heard < len(silent):
             return frozenset()
         return frozenset(view.instance for view in silent)
--- a/agaterail/engineloads/silencecontroller.py
+++ b/agaterail/engineloads/silencecontroller.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.decisions.silence import EngineView, SuspectedEngines
+from agaterail.decisions.silence import MIN_SILENCE_S, EngineView, SuspectedEngines
 from agaterail.util import rendezvous
 
 if TYPE_CHECKING:
@@ -27,6 +27,8 @@
 logger = logs.get_logger("silence")
 
 PERIOD_S = 0.1
+# Larger services are decided on less often, as reports are rarer there too.
+ENGINES_PER_PERIOD = 200
 # A step that is this late shows that this process was suspended or does not keep up: what
 # has arrived meanwhile is still unread.
 MAX_PAUSE_S = 0.3
@@ -58,6 +60,8 @@
         Whether there are figures.
     services
         The suspected engines, by service.
+    decides_at
+        Time of the next decision on each service.
     attempts
         Attempts under way, by engine.
     failed_at
@@ -95,6 +99,7 @@
         self.rng = rng
         self.active = False
         self.services: dict[str, SuspectedEngines] = {}
+        self.decides_at: dict[str, float] = {}
         self.attempts: dict[str, set[Attempt]] = {}
         self.failed_at: dict[str, float] = {}
         self.stepped_at = now()
@@ -137,6 +142,18 @@
         if self.active:
             self.failed_at[target.instance] = self.now()
 
+    def waiting_s(self, target: Target, now: float) -> float:
+        """Return for how long an engine has been silent to this daemon; 0 if it is not.
+
+        Other daemons are told this. A wait that is usual is no silence, and a request that
+        was given up counts for a while.
+        """
+        view = self._view(target, self.loads().figures(target.instance), now)
+        usual = self._engines(target.registration.service).usual
+        if view.has_failed:
+            return max(view.wait_s, view.failed_s + MIN_SILENCE_S)
+        return view.wait_s if view.wait_s > usual.silence_s(view.in_stream) else 0.0
+
     def record_wait(self, attempt: Attempt, wait_s: float) -> None:
         """Record how long the latest event of an attempt took."""
         if self.active and attempt.instance not in self.suspected(attempt.context.service):
@@ -184,11 +201,13 @@
         if now - self.stepped_at > PERIOD_S + MAX_PAUSE_S:
             self.resumed_at = now
         self.stepped_at = now
-        self.active = False
         for service, targets in list(self.registry.by_service.items()):
             engines = [item for item in targets if item.is_ready and item.registration.weights]
-            if engines:
+            if engines and now >= self.decides_at.get(service, 0.0):
+                periods = max(1.0, len(engines) / ENGINES_PER_PERIOD)
+                self.decides_at[service] = now + PERIOD_S * (periods - 0.5)
                 self._step_service(service, engines, now)
+        self.active = any(engines.has_figures for engines in self.services.values())
         if not self.active:
             self.failed_at.clear()
         self._start_trials(now)
@@ -199,15 +218,31 @@
         if not any(figures):
             self._log(service, suspected.clear(now))
             return
-        self.active = True
         views = [
             self._view(target, known, now)
             for target, known in zip(targets, figures, strict=True)
+            if self._is_of_interest(target.instance, known, suspected)
         ]
-        domains = len(set(self.daemons().values()))
-        changes = suspected.update(views, domains, now, self.rng.random())
+        changes = suspected.update(
+            views,
+            engines=len(targets),
+            heard=sum(now - target.data_at < MIN_SILENCE_S for target in targets),
+            domains=len(set(self.daemons().values())),
+            now=now,
+            number=self.rng.random(),
+        )
         self._log(service, changes)
 
+    def _is_of_interest(
+        self, instance: str, figures: EngineFigures | None, suspected: SuspectedEngines
+    ) -> bool:
+        return (
+            (figures is not None and figures.silent_daemons > 0)
+            or instance in self.attempts
+            or instance in self.failed_at
+            or instance in suspected.suspected
+        )
+
     def _view(self, target: Target, figures: EngineFigures | None, now: float) -> EngineView:
         instance, wait_s, in_stream = target.instance, 0.0, False
         for attempt in self.attempts.get(instance, ()):
--- a/tests/test_agaterail/test_engineloads/test_silencecontroller.py
+++ b/tests/test_agaterail/test_engineloads/test_silencecontroller.py
@@ -7,6 +7,7 @@
 import gevent
 from returns.result import Failure, Success
 
+from agaterail.decisions.silence import MIN_SILENCE_S
 from agaterail.engineloads.figures import EngineFigures, EngineLoads, NoEngineLoads
 from agaterail.engineloads.silencecontroller import (
     MAX_PAUSE_S,
@@ -116,7 +117,7 @@
         attempt = self.attempt(controller)
         self.step(controller)
         self.loads = NoEngineLoads()
-        self.step(controller)
+        self.step(controller, seconds=PERIOD_S)
         self.assertFalse(controller.suspected(SERVICE))
         self.assertFalse(controller.may_hedge_early(attempt))
         controller.record_failure(attempt.target)
@@ -145,6 +146,16 @@
         self.step(controller, seconds=0.1)
         self.assertEqual(controller.attempts, {})
         self.assertEqual(controller.services[SERVICE].silent_here, {"e-0"})
+        self.assertGreater(controller.waiting_s(attempt.target, self.time), MIN_SILENCE_S)
+
+    def test_a_byte_to_another_daemon_outdates_what_was_given_up(self):
+        """An engine that had come back was suspected again by former failures."""
+        controller = self.make("10.0.0.1:1")
+        self.step(controller)
+        attempt = self.attempt(controller)
+        controller.record_end(attempt)
+        self.loads = FakeLoads()
+        self.assertEqual(controller.waiting_s(attempt.target, self.time + 0.1), 0.0)
 
 
 class TrialTest(ControllerTest):
