--- a/agaterail/decisions/silence.py
+++ b/agaterail/decisions/silence.py
@@ -257,11 +257,11 @@
         """Record that an engine answered a trial; return what has changed."""
         return self._clear([instance], "trial", now)
 
-    def clear(self, now: float) -> list[SuspicionChange]:
+    def clear(self, reason: str, now: float) -> list[SuspicionChange]:
         """End all suspicions, since the other daemons' figures are not known."""
         self.has_figures = False
         self.silent_here = frozenset()
-        return self._clear(list(self.suspected), "no figures", now)
+        return self._clear(list(self.suspected), reason, now)
 
     def _find_silent_here(self, views: Sequence[EngineView], heard: int) -> frozenset[str]:
         silent = [
--- a/agaterail/engineloads/silencecontroller.py
+++ b/agaterail/engineloads/silencecontroller.py
@@ -8,7 +8,13 @@
 from returns.result import Success
 
 from agaterail import logs
-from agaterail.decisions.silence import MIN_SILENCE_S, EngineView, SuspectedEngines
+from agaterail.decisions.silence import (
+    FAILURE_VALID_S,
+    MIN_SILENCE_S,
+    EngineView,
+    SuspectedEngines,
+)
+from agaterail.gateway.cachedirectives import priority_of
 from agaterail.util import rendezvous
 
 if TYPE_CHECKING:
@@ -180,9 +186,9 @@
         suspected = self.suspected(attempt.context.service)
         if attempt.instance not in suspected or not self.may_hedge_early(attempt):
             return False
-        priority = attempt.context.priority
+        priority = priority_of(attempt.context)
         ahead = sum(
-            other.context.priority < priority
+            priority_of(other.context) < priority
             for instance in suspected
             for other in self.attempts.get(instance, ())
             if other.connection.waiting_since is not None and self.may_hedge_early(other)
@@ -201,22 +207,33 @@
         if now - self.stepped_at > PERIOD_S + MAX_PAUSE_S:
             self.resumed_at = now
         self.stepped_at = now
-        for service, targets in list(self.registry.by_service.items()):
-            engines = [item for item in targets if item.is_ready and item.registration.weights]
-            if engines and now >= self.decides_at.get(service, 0.0):
-                periods = max(1.0, len(engines) / ENGINES_PER_PERIOD)
-                self.decides_at[service] = now + PERIOD_S * (periods - 0.5)
-                self._step_service(service, engines, now)
+        for service in list(self.registry.by_service.keys() | self.services.keys()):
+            if now >= self.decides_at.get(service, 0.0):
+                self._step_service(service, now)
         self.active = any(engines.has_figures for engines in self.services.values())
-        if not self.active:
-            self.failed_at.clear()
+        self.failed_at = {
+            instance: at
+            for instance, at in self.failed_at.items()
+            if now - at < FAILURE_VALID_S
+        }
         self._start_trials(now)
 
-    def _step_service(self, service: str, targets: Sequence[Target], now: float) -> None:
+    def _step_service(self, service: str, now: float) -> None:
+        targets = [
+            item
+            for item in self.registry.of_service(service)
+            if item.is_ready and item.registration.weights
+        ]
+        if not targets:
+            if service in self.services:
+                self._log(service, self.services.pop(service).clear("registration gone", now))
+            return
+        periods = max(1.0, len(targets) / ENGINES_PER_PERIOD)
+        self.decides_at[service] = now + PERIOD_S * (periods - 0.5)
         suspected, loads = self._engines(service), self.loads()
         figures = [loads.figures(target.instance) for target in targets]
         if not any(figures):
-            self._log(service, suspected.clear(now))
+            self._log(service, suspected.clear("no figures", now))
             return
         views = [
             self._view(target, known, now)
--- a/agaterail/gateway/cachedirectives.py
+++ b/agaterail/gateway/cachedirectives.py
@@ -61,7 +61,7 @@
     directives = CacheDirectives(
         cache_scope=_scope(context, version),
         weights_version=version,
-        priority=_priority(context),
+        priority=priority_of(context),
     )
     shared = [normalize_part_name(part.name) for part in context.inbound.shared_parts]
     if not stores or not shared or version is None:
@@ -80,5 +80,8 @@
     return scope
 
 
-def _priority(context: RequestContext) -> int:
-    return max(0, min(LOWEST_PRIORITY, context.priority))
+def priority_of(context: RequestContext) -> int:
+    """Return the priority of a request; lower ones are more urgent."""
+    own = context.route.priority if context.workspace is None else context.workspace.priority
+    priority = context.route.priority if own is None else own
+    return max(0, min(LOWEST_PRIORITY, priority))
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -56,12 +56,6 @@
         """Return the name of the workspace; empty if there is none."""
         return "" if self.workspace is None else self.workspace.name
 
-    @property
-    def priority(self) -> int:
-        """Return the priority; lower ones are more urgent."""
-        own = None if self.workspace is None else self.workspace.priority
-        return self.route.priority if own is None else own
-
     @property
     def build(self) -> str:
         """Return the id of the stream's build; empty if it is not known or not fixed."""
--- a/tests/test_agaterail/test_engineloads/test_silencecontroller.py
+++ b/tests/test_agaterail/test_engineloads/test_silencecontroller.py
@@ -7,7 +7,7 @@
 import gevent
 from returns.result import Failure, Success
 
-from agaterail.decisions.silence import MIN_SILENCE_S
+from agaterail.decisions.silence import FAILURE_VALID_S, MIN_SILENCE_S
 from agaterail.engineloads.figures import EngineFigures, EngineLoads, NoEngineLoads
 from agaterail.engineloads.silencecontroller import (
     MAX_PAUSE_S,
@@ -93,8 +93,8 @@
             connection=SimpleNamespace(waiting_since=self.time - 1.0),
             context=SimpleNamespace(
                 service=SERVICE,
-                priority=priority,
-                route=SimpleNamespace(prompted=True),
+                workspace=None,
+                route=SimpleNamespace(prompted=True, priority=priority),
                 retry_state=SimpleNamespace(
                     may_run_again=lambda: fields.get("may_run_again", True)
                 ),
@@ -121,7 +121,24 @@
         self.assertFalse(controller.suspected(SERVICE))
         self.assertFalse(controller.may_hedge_early(attempt))
         controller.record_failure(attempt.target)
+        self.assertEqual(controller.failed_at, {})
+
+    def test_suspicions_end_with_the_engines_of_a_service(self):
+        """A service without engines kept its suspicions."""
+        controller = self.make("10.0.0.1:1")
+        self.step(controller)
+        for target in list(self.registry.targets.values()):
+            self.registry.remove(target.instance, self.time)
+        self.step(controller, seconds=PERIOD_S)
+        self.assertEqual(controller.services, {})
+
+    def test_failures_are_forgotten(self):
+        controller = self.make("10.0.0.1:1")
         self.step(controller)
+        controller.record_failure(self.registry.targets["e-1"])
+        self.step(controller, seconds=PERIOD_S)
+        self.assertIn("e-1", controller.failed_at)
+        self.step(controller, seconds=FAILURE_VALID_S)
         self.assertEqual(controller.failed_at, {})
 
     def test_waits_of_a_process_that_was_suspended_do_not_count(self):
