--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -53,6 +53,8 @@
         Whether events are being sent to the caller, so that none are read.
     kv_tokens
         Tokens of memory that the request needs to its end.
+    hedged_early
+        Whether it was hedged because its engine is suspected to be silent.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.survived = False
         self.last_event_at = 0.0
         self.is_open = True
+        self.hedged_early = False
         self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
         self.read_at = self.since_read_s = 0.0
@@ -84,6 +87,7 @@
         self.kv_tokens = self._stated_kv_tokens()
         self.target.begin_request(self.sent_at)
         self.target.kv_tokens += self.kv_tokens
+        daemon.silence.record_begin(self)
         self._begin_prefill()
 
     @property
@@ -182,6 +186,8 @@
         """Record that events were relayed."""
         now = self.daemon.now()
         self._end_send()
+        wait_s = self.connection.waited_s if self.has_events else now - self.sent_at
+        self.daemon.silence.record_wait(self, wait_s)
         if self.has_events:
             gap_s = now - self.last_event_at
             self.daemon.shedder_of(self.context.service).pace.record(gap_s, count, now)
@@ -221,6 +227,7 @@
             self.target.in_flight -= 1
             self.target.kv_tokens -= self.kv_tokens
             self._end_send()
+            self.daemon.silence.record_end(self)
             self._end_prefill()
         return was_open
 
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -22,6 +22,7 @@
 from agaterail.engineloads.controller import EngineLoadController
 from agaterail.engineloads.gatherer import Gatherer
 from agaterail.engineloads.ownloads import OwnEngineLoads
+from agaterail.engineloads.silencecontroller import SilenceController
 from agaterail.engineloads.view import FleetEngineLoads
 from agaterail.gateway import (
     admission,
@@ -204,6 +205,16 @@
             self.target_rooms.answer
         )
         self._add_engine_loads()
+        self.silence = SilenceController(
+            lambda: self.engine_loads,
+            self.registry,
+            daemons=lambda: self.feeds.members.domains,
+            own_address=str(self.feeds.peer_responder.server.address),
+            report=engine_control.report,
+            metrics=self.metrics,
+            now=self.now,
+            rng=self.random,
+        )
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -378,6 +389,7 @@
             self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
             self.timers.every(self.paths.period_s, self.paths.step),
+            self.timers.every(self.silence.period_s, self.silence.step),
             self.timers.every(self.saturation.period_s, self.saturation.step),
             self.timers.every(self.relays.period_s, self.relays.step),
             self.timers.every(self.load_reports.period_s, self.load_reports.step),
@@ -430,6 +442,19 @@
             tried = {*tried, *(item.instance for item in limited)}
         if context.service in self.paths.outages:
             tried = {*tried, *self._unreached(targets, context.route.idempotent)}
+        suspected = self.silence.suspected(context.service)
+        choice = None
+        if suspected:
+            choice = self._choose_among(context, targets, {*tried, *suspected}, now)
+        return choice or self._choose_among(context, targets, tried, now)
+
+    def _choose_among(
+        self,
+        context: RequestContext,
+        targets: list[Target],
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
