--- a/agaterail/decisions/engineroles.py
+++ b/agaterail/decisions/engineroles.py
@@ -24,6 +24,15 @@
 # Part of the engines that long prompts never get. Under more load, prompts are refused in
 # order of urgency, and the long ones are the less urgent.
 MIN_SHORT_PART = 0.25
+# Part of the engines that is kept from long prompts at most.
+MAX_SHORT_PART = 0.6
+# Part of the slots that short prompts may fill at engines of their own. Their number varies.
+FILLED_PART = 0.6
+# Assumed times by which the prompts of routes share the slots.
+PREFILL_MS_PER_TOKEN = 0.016
+DECODE_MS_PER_TOKEN = 8.0
+# Requests of the last seconds tell how the slots are shared.
+HALF_LIFE_S = 5.0
 # With fewer engines, each kind of prompt would have one or two and wait for these.
 MIN_ENGINES = 8
 # Weight of one prompt in the mean length of its route's prompts.
@@ -46,7 +55,7 @@
 
 @attrs.define
 class _PromptLength:
-    """Mean length of the prompts of one route.
+    """Mean length of the prompts of one route, and their part in the use of slots.
 
     Attributes
     ----------
@@ -56,16 +65,29 @@
         Priority of the route, 0 being the most urgent.
     prompts
         Number of prompts seen.
+    slot_ms
+        Decayed sum of the expected times in a slot, in milliseconds.
+    at
+        Time to which the sum is decayed.
     """
 
     tokens: float
     urgency: int
     prompts: int = 1
+    slot_ms: float = 0.0
+    at: float = -math.inf
 
     def add(self, tokens: int) -> None:
         self.prompts += 1
         self.tokens += max(SMOOTHING, 1.0 / self.prompts) * (tokens - self.tokens)
 
+    def slot_ms_at(self, now: float) -> float:
+        return self.slot_ms * 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
+
+    def add_slot_ms(self, slot_ms: float, now: float) -> None:
+        self.slot_ms = self.slot_ms_at(now) + slot_ms
+        self.at = max(self.at, now)
+
 
 class PromptLengths:
     """Lengths of the prompts of one service's routes."""
@@ -73,7 +95,9 @@
     def __init__(self) -> None:
         self.routes: dict[str, _PromptLength] = {}
 
-    def record(self, route: str, tokens: int, urgency: int) -> None:
+    def record(
+        self, route: str, tokens: int, urgency: int, output_tokens: int, now: float
+    ) -> None:
         """Record a prompt.
 
         Parameters
@@ -82,15 +106,26 @@
             Length of the prompt.
         urgency
             Priority of the route, 0 being the most urgent.
+        output_tokens
+            Expected length of the answer.
         """
         length = self.routes.get(route)
-        if length is not None:
+        if length is None:
+            if len(self.routes) >= MAX_ROUTES:
+                self.routes.clear()
+            length = self.routes[route] = _PromptLength(float(tokens), urgency)
+        else:
             length.urgency = urgency
             length.add(tokens)
-            return
-        if len(self.routes) >= MAX_ROUTES:
-            self.routes.clear()
-        self.routes[route] = _PromptLength(float(tokens), urgency)
+        slot_ms = tokens * PREFILL_MS_PER_TOKEN + output_tokens * DECODE_MS_PER_TOKEN
+        length.add_slot_ms(slot_ms, now)
+
+    def short_part(self, now: float) -> float:
+        """Return the part of the used slots that short prompts use."""
+        used = {name: item.slot_ms_at(now) for name, item in self.routes.items()}
+        total = sum(used.values())
+        short = sum(value for name, value in used.items() if not self.is_long(name))
+        return short / total if total else 0.0
 
     def is_long(self, route: str) -> bool | None:
         """Return whether a route's prompts are long; None if engines are not divided.
@@ -117,12 +152,13 @@
     ordered: Sequence[Item],
     reading: float,
     is_long: bool,
+    short_engines: float = 0.0,
     capacity: Callable[[Item], float] = lambda _engine: 1.0,
 ) -> list[Item]:
     """Return the engines for long prompts, or those for the others.
 
     Long prompts have the first engines, as many as read them in part of their time. The
-    others have the rest, at least a quarter.
+    others have the rest, at least a quarter, and more if their answers fill more slots.
 
     Parameters
     ----------
@@ -130,12 +166,16 @@
         Engines in an order that all daemons share; the quickest first.
     reading
         Engines of usual speed that the prompts of the service keep busy reading.
+    short_engines
+        Engines whose slots the answers to short prompts fill.
     capacity
         Returns the prompts that an engine reads in the time in which a usual one reads one.
     """
-    if len(ordered) < MIN_ENGINES or reading <= 0.0:
+    total = len(ordered)
+    if total < MIN_ENGINES or reading <= 0.0:
         return list(ordered)
-    most = len(ordered) - math.ceil(MIN_SHORT_PART * len(ordered))
+    kept = max(MIN_SHORT_PART * total, short_engines / FILLED_PART)
+    most = total - math.ceil(min(MAX_SHORT_PART * total, kept))
     needed, count = reading / READING_PART, 0
     while count < most and needed > 0.0:
         needed -= capacity(ordered[count])
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -489,13 +489,22 @@
         now: float,
     ) -> list[Target]:
         """Return the engines that read long prompts, or those for the others."""
-        is_long = self.prompt_lengths[context.service].is_long(context.route.name)
-        if is_long is None or homes.usual is None:
+        lengths, usual = self.prompt_lengths[context.service], homes.usual
+        is_long = lengths.is_long(context.route.name)
+        if is_long is None or usual is None:
             return usable
-        ordered = sorted(usable, key=lambda item: homes.place(item.instance))
-        reading = self.demand.engines_needed(now) * self.rules.daemons
+        desired = self.state.desired
+        service = None if desired is None else desired.services.get(context.service)
+        short_engines = 0.0
+        if service is not None and service.engine is not None and service.engine.slots:
+            streams = usual.streams * len(self.registry.of_service(context.service))
+            short_engines = streams * lengths.short_part(now) / service.engine.slots
         return select_engines(
-            ordered, reading, is_long, lambda item: homes.speed(item.instance)
+            sorted(usable, key=lambda item: homes.place(item.instance)),
+            self.demand.engines_needed(now) * self.rules.daemons,
+            is_long,
+            short_engines,
+            lambda item: homes.speed(item.instance),
         )
 
     def targets_of(self, context: RequestContext) -> list[Target]:
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -162,7 +162,13 @@
             self.daemon.demand.record(inbound.prompt_tokens, self.daemon.now())
             if route.prompted:
                 lengths = self.daemon.prompt_lengths[service]
-                lengths.record(route.name, inbound.prompt_tokens, route.priority)
+                lengths.record(
+                    route.name,
+                    inbound.prompt_tokens,
+                    route.priority,
+                    inbound.output_tokens,
+                    self.daemon.now(),
+                )
         return RequestContext(
             inbound=inbound,
             route=route,
--- a/tests/test_agaterail/test_decisions/test_engineroles.py
+++ b/tests/test_agaterail/test_decisions/test_engineroles.py
@@ -54,7 +54,9 @@
     for at, is_long in requests:
         found = engines
         if apart:
-            found = select_engines(engines, reading, is_long, lambda item: 1.0 / item.pace)
+            found = select_engines(
+                engines, reading, is_long, capacity=lambda item: 1.0 / item.pace
+            )
         [engine] = rng.choices(found, [1.0 / item.pace if apart else 1.0 for item in found])
         wait_s = engine.read(at, LONG_S if is_long else SHORT_S) - at
         late[is_long].append(wait_s > (LONG_OBJECTIVE_S if is_long else SHORT_OBJECTIVE_S))
@@ -76,9 +78,15 @@
         self.assertEqual(len(self.names(30, 60.0, True)), 22)
         self.assertEqual(len(self.names(30, 60.0, False)), 8)
 
+    def test_short_prompts_keep_the_engines_whose_slots_they_fill(self):
+        """Urgent answers waited for slots while long prompts had most of the engines."""
+        engines = make_engines(30)
+        self.assertEqual(len(select_engines(engines, 60.0, False, short_engines=9.0)), 15)
+        self.assertEqual(len(select_engines(engines, 60.0, False, short_engines=30.0)), 18)
+
     def test_quicker_engines_count_for_more(self):
         engines = make_engines(30, quick=10)
-        found = select_engines(engines, 6.0, True, lambda item: 1.0 / item.pace)
+        found = select_engines(engines, 6.0, True, capacity=lambda item: 1.0 / item.pace)
         self.assertEqual(len(found), 5)
 
     def test_all_engines_take_all_prompts_if_there_are_few_or_the_load_is_not_known(self):
@@ -119,7 +127,7 @@
         lengths = PromptLengths()
         for route, (tokens, urgency) in prompts.items():
             for _ in range(8):
-                lengths.record(route, tokens, urgency)
+                lengths.record(route, tokens, urgency, output_tokens=100, now=0.0)
         return lengths
 
     def test_long_and_short_routes_are_told_apart(self):
@@ -133,13 +141,13 @@
 
     def test_a_route_is_known_only_after_some_prompts(self):
         lengths = self.lengths(digest=(9_000, 1))
-        lengths.record("reply", 800, 0)
+        lengths.record("reply", 800, 0, output_tokens=100, now=0.0)
         self.assertIsNone(lengths.is_long("digest"))
         self.assertIsNone(lengths.is_long("unknown"))
 
     def test_a_single_long_prompt_changes_nothing(self):
         lengths = self.lengths(digest=(9_000, 1), reply=(800, 0))
-        lengths.record("reply", 40_000, 0)
+        lengths.record("reply", 40_000, 0, output_tokens=100, now=0.0)
         self.assertFalse(lengths.is_long("reply"))
 
     def test_urgent_long_prompts_may_go_to_all_engines(self):
@@ -148,3 +156,12 @@
             with self.subTest(urgency=urgency):
                 lengths = self.lengths(digest=(9_000, urgency), reply=(800, 1))
                 self.assertIsNone(lengths.is_long("digest"))
+
+    def test_slots_are_shared_by_the_length_of_answers(self):
+        lengths = PromptLengths()
+        for _ in range(8):
+            lengths.record("digest", 9_000, 1, output_tokens=50, now=0.0)
+            lengths.record("reply", 800, 0, output_tokens=300, now=0.0)
+        self.assertAlmostEqual(lengths.short_part(1.0), 0.82, delta=0.01)
+        lengths.record("digest", 9_000, 1, output_tokens=50, now=60.0)
+        self.assertLess(lengths.short_part(60.0), 0.01)
