Do not hold prompts at homes that cannot have cached their shared parts

The cost now counts the shared part at the home too, by the part of the route's prompts whose shared parts are new, as told by the decisions on saving. Without a store nothing changes. Test: test_a_prompt_with_new_shared_parts_is_not_held_at_its_home.

--- a/agaterail/decisions/enginehomes.py
+++ b/agaterail/decisions/enginehomes.py
@@ -28,6 +28,8 @@
 # Hysteresis, in steps: homes keep their place while estimates of paces vary.
 MIN_CHANGE_STEPS = 0.75
 REFRESH_S = 1.0
+# Weight of one prompt in the estimate of how many have new shared parts.
+SMOOTHING = 0.1
 # Paces last longer than loads. Weights stay while the exchange of figures is interrupted.
 KEEP_WEIGHTS_S = 30.0
 # Bounds on the cache: orders, names in all of them, and characters of a key, which callers
@@ -69,6 +71,8 @@
         Weight of each engine whose weight isn't 1, in steps of a part of an octave.
     orders
         Cached orders by key and deprioritized engines.
+    new_fractions
+        Part of each route's prompts with shared parts that no prompt had before.
     """
 
     def __init__(self) -> None:
@@ -76,6 +80,7 @@
         self.steps: dict[str, int] = {}
         self.names: tuple[str, ...] = ()
         self.orders: dict[tuple[str, frozenset[str]], list[str]] = {}
+        self.new_fractions: dict[str, float] = {}
         self.refreshed_at = -math.inf
         self.informed_at = -math.inf
 
@@ -102,6 +107,11 @@
             self.steps, self.names = steps, tuple(names)
             self.orders.clear()
 
+    def record_parts(self, route: str, is_new: bool) -> None:
+        """Record whether a prompt of a route had shared parts that were not kept yet."""
+        before = self.new_fractions.get(route, 0.0)
+        self.new_fractions[route] = before + SMOOTHING * (is_new - before)
+
     def weight(self, name: str) -> float:
         """Return an engine's weight in the hash."""
         return float(2.0 ** (self.steps.get(name, 0) / STEPS_PER_OCTAVE))
--- a/agaterail/decisions/engineplacement.py
+++ b/agaterail/decisions/engineplacement.py
@@ -59,7 +59,9 @@
     Attributes
     ----------
     shared_tokens
-        Tokens of its shared parts, which its home most likely has cached.
+        Tokens of its shared parts.
+    new_fraction
+        Probability that its home has not cached these either, since no prompt had them.
     own_tokens
         Tokens that every engine has to read.
     output_tokens
@@ -71,6 +73,7 @@
     """
 
     shared_tokens: int = 0
+    new_fraction: float = 0.0
     own_tokens: int = 0
     output_tokens: int = 0
     gap_objective_s: float = 0.0
@@ -195,7 +198,7 @@
     streams = figures.streams + candidate.streams
     ahead_ms = (figures.prefill_tokens + candidate.prefill_tokens) * ms_per_token
     queue_ms = ahead_ms + streams * DECODE_SLOWDOWN_MS
-    missed = prompt.shared_tokens if candidate.rank else 0
+    missed = prompt.shared_tokens * (1.0 if candidate.rank else prompt.new_fraction)
     reading_ms = (prompt.own_tokens + missed) * ms_per_token
     kv_tokens = figures.kv_tokens + candidate.kv_tokens
     needed = prompt.shared_tokens + prompt.own_tokens + prompt.output_tokens
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -232,7 +232,7 @@
             seen.append(view.loads.figures(target.instance))
             yield _candidate(rank, target, seen[-1], rules, view)
 
-    rank, cost = choose_candidate(_prompt_load(inbound, view.route), candidates(), usual)
+    rank, cost = choose_candidate(_prompt_load(inbound, view), candidates(), usual)
     if all(figures is None for figures in seen):
         return None
     figures = seen[rank]
@@ -267,14 +267,21 @@
     )
 
 
-def _prompt_load(inbound: InboundRequest, route: Route | None) -> PromptLoad:
+def _prompt_load(inbound: InboundRequest, view: FleetView) -> PromptLoad:
     shared_tokens = sum(part.tokens for part in inbound.shared_parts)
-    return PromptLoad(
+    route = view.route
+    load = PromptLoad(
         shared_tokens=shared_tokens,
         own_tokens=max(0, inbound.prompt_tokens - shared_tokens),
         output_tokens=inbound.output_tokens,
-        gap_objective_s=0.0 if route is None else route.gap_objective_s,
-        objective_s=0.0 if route is None else route.objective_s,
+    )
+    if route is None:
+        return load
+    return attrs.evolve(
+        load,
+        new_fraction=view.homes.new_fractions.get(route.name, 0.0),
+        gap_objective_s=route.gap_objective_s,
+        objective_s=route.objective_s,
     )
 
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -500,6 +500,9 @@
         context = self.context
         directives = self.daemon.cache_directives(context, choice)
         context.saves = bool(directives.save_to)
+        homes = self.daemon.engine_homes.get(context.service)
+        if homes is not None and directives.fetch_from:
+            homes.record_parts(context.route.name, context.saves)
         head = AttemptHead(
             time_left_s=max(0.001, left - RETURN_MARGIN_S),
             instance=choice.target.instance,
--- a/tests/test_agaterail/test_decisions/test_enginehomes.py
+++ b/tests/test_agaterail/test_decisions/test_enginehomes.py
@@ -104,6 +104,13 @@
         self.homes.order("k" * 10_000, names, NONE)
         self.assertTrue(all(len(key) < 10 for key, _ in self.homes.orders))
 
+    def test_new_shared_parts_are_known_by_route(self):
+        for _ in range(50):
+            self.homes.record_parts("once", True)
+            self.homes.record_parts("often", False)
+        self.assertGreater(self.homes.new_fractions["once"], 0.9)
+        self.assertEqual(self.homes.new_fractions["often"], 0.0)
+
     def test_usual_figures_are_means(self):
         self.figures["i-0"] = EngineFigures(streams=20.0, prefill_tokens=2000.0)
         self.refresh()
--- a/tests/test_agaterail/test_decisions/test_engineplacement.py
+++ b/tests/test_agaterail/test_decisions/test_engineplacement.py
@@ -47,6 +47,14 @@
         busy = make_candidate(prefill_tokens=40_000)
         self.assertEqual(choose(SHORT, busy, make_candidate(1)), 1)
 
+    def test_a_prompt_with_new_shared_parts_is_not_held_at_its_home(self):
+        """Prompts waited at homes that had cached nothing of them."""
+        home = make_candidate(prefill_tokens=12_000)
+        known = attrs.evolve(LONG, own_tokens=2000)
+        self.assertEqual(choose(known, home, make_candidate(1)), 0)
+        new = attrs.evolve(known, new_fraction=1.0)
+        self.assertEqual(choose(new, home, make_candidate(1)), 1)
+
     def test_own_requests_count_once(self):
         own = make_candidate(own_tokens=10_000)
         others = make_candidate(prefill_tokens=12_000)
