--- a/agaterail/decisions/enginehomes.py
+++ b/agaterail/decisions/enginehomes.py
@@ -28,6 +28,8 @@
 # Hysteresis, in steps: homes keep their place while estimates of paces vary.
 MIN_CHANGE_STEPS = 1.5
 REFRESH_S = 1.0
+# Weight of one prompt in the estimate of how many have new shared parts.
+SMOOTHING = 0.1
 # Paces last longer than loads. Weights stay while the exchange of figures is interrupted.
 KEEP_WEIGHTS_S = 30.0
 # Bounds on the cache: orders, names in all of them, and characters of a key, which callers
@@ -69,6 +71,8 @@
         Speed of each engine that isn't of the usual one, in steps of a part of an octave.
     orders
         Cached orders by key and deprioritized engines.
+    new_fractions
+        Part of each route's prompts with shared parts that no prompt had before.
     """
 
     def __init__(self) -> None:
@@ -77,6 +81,7 @@
         self.names: tuple[str, ...] = ()
         self.places: dict[str, tuple[float, float]] = {}
         self.orders: dict[tuple[str, frozenset[str]], list[str]] = {}
+        self.new_fractions: dict[str, float] = {}
         self.refreshed_at = -math.inf
         self.informed_at = -math.inf
 
@@ -104,6 +109,11 @@
             self.orders.clear()
             self.places.clear()
 
+    def record_parts(self, route: str, is_new: bool) -> None:
+        """Record whether a prompt of a route had shared parts that were not kept yet."""
+        before = self.new_fractions.get(route, 0.0)
+        self.new_fractions[route] = before + SMOOTHING * (is_new - before)
+
     def weight(self, name: str) -> float:
         """Return an engine's weight in the hash."""
         return float(2.0 ** (PACE_EXPONENT * self.steps.get(name, 0) / STEPS_PER_OCTAVE))
