--- a/tests/test_agaterail/test_engineloads/test_exchange.py
+++ b/tests/test_agaterail/test_engineloads/test_exchange.py
@@ -4,6 +4,7 @@
 import unittest
 
 import gevent
+from returns.result import Failure
 
 from agaterail.gateway.metrics import LOADS_PAGE, start_metrics
 from agaterail.util.address import Address
@@ -66,6 +67,33 @@
         (found,) = samples()
         self.assertAlmostEqual(math.exp(found.sum_log_s / found.count), 0.05, delta=0.02)
 
+    def test_daemon_suspects_an_engine_that_is_silent_to_others(self):
+        """Guards against a daemon that finds out by a time-out of its own request."""
+        self.enlarge()
+        self.wait_known()
+        for daemon in self.fleet.daemons:
+            daemon.silence.report = lambda _target: Failure("no answer")
+        self.fleet.ask("/resumed/x", 2, request_id="r0", stream=True)
+        engines = [self.fleet.targets[name] for name in ("e-0", "e-1")]
+        silent, other = sorted(engines, key=lambda item: -len(item.runs))
+        silent.hang, other.event_s = True, 0.2
+        asking = [
+            gevent.spawn(
+                self.fleet.ask, "/resumed/x", number, request_id=f"s{number}", stream=True
+            )
+            for number in range(2)
+        ]
+        uninvolved = self.fleet.daemons[2]
+        self.fleet.wait(lambda: uninvolved.silence.suspected(LLM))
+        self.assertEqual(set(uninvolved.silence.suspected(LLM)), {silent.instance})
+        self.fleet.ask("/resumed/x", 2, request_id="r1", stream=True)
+        self.assertNotIn("r1", [run.request_id for run in silent.runs])
+        silent.hang = False
+        for daemon in self.fleet.daemons:
+            daemon.silence.report = daemon.engine_control.report
+        self.fleet.wait(lambda: not any(d.silence.suspected(LLM) for d in self.fleet.daemons))
+        gevent.joinall(asking, timeout=10.0)
+
     def test_report_after_its_connection_was_closed_is_answered(self):
         """Guards against a gatherer taken for dead because it closed an idle connection."""
         self.enlarge()
