--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -215,6 +215,7 @@
             now=self.now,
             rng=self.random,
         )
+        self.own_loads.waiting_s = self.silence.waiting_s
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
--- a/tests/test_agaterail/test_engineloads/test_ownloads.py
+++ b/tests/test_agaterail/test_engineloads/test_ownloads.py
@@ -26,7 +26,7 @@
 
     def test_engine_without_anything_to_tell_has_no_row(self):
         self.assertEqual(self.take(10.0), ())
-        self.target.heard_at = 8.0
+        self.target.heard_at = self.target.data_at = 8.0
         self.assertEqual(self.take(10.0), ())
 
     def test_row_tells_of_requests_under_way(self):
@@ -38,10 +38,21 @@
         self.assertEqual((row.heard_s, row.waiting_s), (math.inf, 1.0))
 
     def test_engine_that_streamed_lately_has_a_row(self):
-        self.target.heard_at = 9.5
+        self.target.heard_at = self.target.data_at = 9.5
         (row,) = self.take(10.0)
         self.assertEqual((row.streams, row.heard_s, row.waiting_s), (0, 0.5, 0.0))
 
+    def test_a_connection_that_opens_is_no_byte(self):
+        """An engine that accepts connections and answers nothing counted as heard."""
+        self.target.heard_at = 9.9
+        self.assertEqual(self.take(10.0), ())
+
+    def test_an_engine_whose_requests_were_given_up_has_a_row(self):
+        """The evidence against a silent engine ended with the hedges of its requests."""
+        self.own.waiting_s = lambda _target, _now: 0.7
+        (row,) = self.take(10.0)
+        self.assertEqual((row.streams, row.waiting_s), (0, 0.7))
+
     def test_wait_begins_with_the_request_or_the_last_byte(self):
         self.target.heard_at = 2.0
         self.target.begin_request(9.0)
