--- a/agaterail/decisions/engineroles.py
+++ b/agaterail/decisions/engineroles.py
@@ -15,9 +15,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-# Part of the time for which engines of long prompts may read. Their prompts wait longer the
-# nearer it is to 1, and more engines are kept from the other prompts the lower it is.
-READING_PART = 0.7
+# Part of the time for which engines of long prompts may read, by the assumed prefill time,
+# which may be half of the real one. Their prompts wait longer the nearer it is to 1, and more
+# engines are kept from the other prompts the lower it is.
+READING_PART = 0.4
 # Prompts of a route are long if they are this many times as long as those of another route of
 # the service: reading one then takes as long as reading several of the others.
 LONG_RATIO = 4.0
--- a/tests/test_agaterail/test_decisions/test_engineroles.py
+++ b/tests/test_agaterail/test_decisions/test_engineroles.py
@@ -69,7 +69,7 @@
         return [item.instance for item in found]
 
     def test_kinds_are_apart_while_there_is_room(self):
-        long, short = self.names(30, 6.0, True), self.names(30, 6.0, False)
+        long, short = self.names(30, 3.4, True), self.names(30, 3.4, False)
         self.assertEqual(len(long), 9)
         self.assertEqual(len(short), 21)
         self.assertFalse(set(long) & set(short))
@@ -86,7 +86,7 @@
 
     def test_quicker_engines_count_for_more(self):
         engines = make_engines(30, quick=10)
-        found = select_engines(engines, 6.0, True, capacity=lambda item: 1.0 / item.pace)
+        found = select_engines(engines, 3.4, True, capacity=lambda item: 1.0 / item.pace)
         self.assertEqual(len(found), 5)
 
     def test_all_engines_take_all_prompts_if_there_are_few_or_the_load_is_not_known(self):
