Longer pauses between turns of tiny chunks

Cause: test_all_at_once_leave_the_others_on_time failed once in about 30 plays beside a load of 12 (a pause of 0.46 s of 0.3 s): sixteen kilobytes of tiny chunks take milliseconds to parse, and others got one turn after each.

After a full read that is framing to a quarter, others get 5 ms.

--- a/agaterail/bytelimits/answers.py
+++ b/agaterail/bytelimits/answers.py
@@ -15,6 +15,10 @@
 # read counts as if it had brought this many more bytes.
 TURN_BYTES = 16 * 1024
 READ_COST_BYTES = 1024
+# A whole turn of tiny chunks takes milliseconds. Proper senders write each as it comes, so
+# that few are read at once; after more of them than this, others get several turns.
+MIN_BODY_FRACTION = 0.75
+FLOOD_PAUSE_S = 0.005
 # Bytes of framing that each byte of a body may have. Signed chunks have some tens.
 FRAMING_PER_BODY_BYTE = 32
 # Small events cost time rather than memory, so each counts as if it were longer. Comments
@@ -155,6 +159,8 @@
         Informational heads.
     skipped, skipped_body_bytes
         Answers to former requests, and the bytes of their bodies.
+    is_flood
+        Whether the latest read was large, and framing to a large part.
     turn_bytes
         Work since other connections had their turn, in bytes.
     """
@@ -166,6 +172,7 @@
     informational: int = 0
     skipped: int = 0
     skipped_body_bytes: int = 0
+    is_flood: bool = False
     turn_bytes: int = 0
 
     def begin_request(self) -> None:
@@ -211,20 +218,21 @@
         else:
             left = self.framing_bytes + size - self.body_bytes * FRAMING_PER_BODY_BYTE
             self.framing_bytes = max(0, left)
+        self.is_flood = size >= TURN_BYTES and self.body_bytes < size * MIN_BODY_FRACTION
         self.body_bytes = 0
         check_bound(part, self.framing_bytes)
 
-    def ends_turn(self, size: int) -> bool:
-        """Count a read of some bytes; return whether other connections are to run now.
+    def turn_pause_s(self, size: int) -> float | None:
+        """Count a read of some bytes; return for how long others are to run now, if at all.
 
         A read with data at hand does not wait, so a fast sender would keep the others
         from running.
         """
         self.turn_bytes += size + READ_COST_BYTES
         if self.turn_bytes < TURN_BYTES:
-            return False
+            return None
         self.turn_bytes = 0
-        return True
+        return FLOOD_PAUSE_S if self.is_flood else 0.0
 
 
 class BoundCounts:
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -339,8 +339,9 @@
             # Garbage after a complete answer makes only the connection unusable.
             if not (self.messages and self.messages[0].is_complete_answer):
                 raise _answer_error(error) from error
-        if self.meter.ends_turn(len(data)):
-            gevent.sleep(0.0)
+        pause_s = self.meter.turn_pause_s(len(data))
+        if pause_s is not None:
+            gevent.sleep(pause_s)
         return True
 
     def _part(self) -> AnswerPart:
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -106,8 +106,9 @@
         has_head = self.has_final_head
         meter.has_head = has_head and not had_head
         meter.end_read(len(data), AnswerPart.FRAMING if has_head else AnswerPart.HEAD)
-        if meter.ends_turn(len(data)):
-            gevent.sleep(0.0)
+        pause_s = meter.turn_pause_s(len(data))
+        if pause_s is not None:
+            gevent.sleep(pause_s)
 
     @property
     def has_final_head(self) -> bool:
--- a/tests/test_agaterail/test_bytelimits/test_answers.py
+++ b/tests/test_agaterail/test_bytelimits/test_answers.py
@@ -5,6 +5,7 @@
 from agaterail.bytelimits import answers
 from agaterail.bytelimits.answers import (
     BOUNDS,
+    FLOOD_PAUSE_S,
     TURN_BYTES,
     AnswerBoundExceeded,
     AnswerMeter,
@@ -78,7 +79,14 @@
     def test_large_and_many_small_reads_end_a_turn(self):
         for size, most in ((16 * 1024, 1), (1, 16)):
             reads = 1
-            while not self.meter.ends_turn(size):
+            while self.meter.turn_pause_s(size) is None:
                 reads += 1
             self.assertLessEqual(reads, most)
             self.assertLess(self.meter.turn_bytes, TURN_BYTES)
+
+    def test_a_flood_of_tiny_chunks_leaves_others_more_time(self):
+        """Beside several of them, the events of other streams were late."""
+        self.read(TURN_BYTES, body_bytes=TURN_BYTES - 100)
+        self.assertEqual(self.meter.turn_pause_s(TURN_BYTES), 0.0)
+        self.read(TURN_BYTES, body_bytes=TURN_BYTES // 2)
+        self.assertEqual(self.meter.turn_pause_s(TURN_BYTES), FLOOD_PAUSE_S)
