--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -228,6 +228,7 @@
             self.target.kv_tokens -= self.kv_tokens
             self._end_send()
             self.daemon.silence.record_end(self)
+            self.body_parts.clear()
             self._end_prefill()
         return was_open
 
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -317,6 +317,7 @@
             return
         self.closed = True
         self.reusable = False
+        self.messages.clear()
         if self.writer is not None:
             self.writer.kill(block=False)
         # Fails if the peer has already reset the connection; it is still closed below.
@@ -351,8 +352,9 @@
             # Garbage after a complete answer makes only the connection unusable.
             if not (self.messages and self.messages[0].is_complete_answer):
                 raise _answer_error(error) from error
-        if self.meter.ends_turn(len(data)):
-            gevent.sleep(0.0)
+        pause_s = self.meter.turn_pause_s(len(data))
+        if pause_s is not None:
+            gevent.sleep(pause_s)
         return True
 
     def _part(self) -> AnswerPart:
