--- a/agaterail/engineloads/silencecontroller.py
+++ b/agaterail/engineloads/silencecontroller.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import gevent
 from returns.result import Success
 
@@ -24,7 +25,7 @@
     from returns.result import Result
 
     from agaterail.decisions.silence import SuspicionChange
-    from agaterail.engineloads.figures import EngineFigures, EngineLoads
+    from agaterail.engineloads.figures import EngineLoads
     from agaterail.gateway.attempt import Attempt
     from agaterail.gateway.enginecontrol import EngineReport
     from agaterail.gateway.metrics import GatewayMetrics
@@ -38,12 +39,22 @@
 # A step that is this late shows that this process was suspended or does not keep up: what
 # has arrived meanwhile is still unread.
 MAX_PAUSE_S = 0.3
+# Figures that were told within this time of each other are of one answer.
+SAME_ANSWER_S = 0.01
 TRIAL_PERIOD_S = 0.5
 MAX_TRIALS = 4  # under way at one daemon
 # The daemon that is first in line for the trials of an engine may itself be down.
 SECOND_TRIER_AFTER_S = 1.5
 
 
+@attrs.frozen
+class _KnownWaits:
+    """Engines that other daemons wait for, by one answer of the gatherer."""
+
+    told_at: float
+    engines: frozenset[str]
+
+
 class SilenceController:
     """Suspects engines by own waits and the figures of the other daemons.
 
@@ -68,6 +79,8 @@
         The suspected engines, by service.
     decides_at
         Time of the next decision on each service.
+    known_waits
+        Engines that other daemons wait for, by service.
     attempts
         Attempts under way, by engine.
     failed_at
@@ -106,6 +119,7 @@
         self.active = False
         self.services: dict[str, SuspectedEngines] = {}
         self.decides_at: dict[str, float] = {}
+        self.known_waits: dict[str, _KnownWaits] = {}
         self.attempts: dict[str, set[Attempt]] = {}
         self.failed_at: dict[str, float] = {}
         self.stepped_at = now()
@@ -154,7 +168,7 @@
         Other daemons are told this. A wait that is usual is no silence, and a request that
         was given up counts for a while.
         """
-        view = self._view(target, self.loads().figures(target.instance), now)
+        view = self._view(target, now)
         usual = self._engines(target.registration.service).usual
         if view.has_failed:
             return max(view.wait_s, view.failed_s + MIN_SILENCE_S)
@@ -230,15 +244,18 @@
             return
         periods = max(1.0, len(targets) / ENGINES_PER_PERIOD)
         self.decides_at[service] = now + PERIOD_S * (periods - 0.5)
-        suspected, loads = self._engines(service), self.loads()
-        figures = [loads.figures(target.instance) for target in targets]
-        if not any(figures):
+        suspected = self._engines(service)
+        waited_for = self._engines_waited_for(service, targets, now)
+        if waited_for is None:
             self._log(service, suspected.clear("no figures", now))
             return
         views = [
-            self._view(target, known, now)
-            for target, known in zip(targets, figures, strict=True)
-            if self._is_of_interest(target.instance, known, suspected)
+            self._view(target, now)
+            for target in targets
+            if target.instance in waited_for
+            or target.instance in self.attempts
+            or target.instance in self.failed_at
+            or target.instance in suspected.suspected
         ]
         changes = suspected.update(
             views,
@@ -250,17 +267,31 @@
         )
         self._log(service, changes)
 
-    def _is_of_interest(
-        self, instance: str, figures: EngineFigures | None, suspected: SuspectedEngines
-    ) -> bool:
-        return (
-            (figures is not None and figures.silent_daemons > 0)
-            or instance in self.attempts
-            or instance in self.failed_at
-            or instance in suspected.suspected
+    def _engines_waited_for(
+        self, service: str, targets: Sequence[Target], now: float
+    ) -> frozenset[str] | None:
+        """Return the engines that other daemons wait for; None without figures.
+
+        The figures of all engines are read only once for each answer of the gatherer.
+        """
+        loads = self.loads()
+        first = loads.figures(targets[0].instance)
+        told_at = float("nan") if first is None else now - first.age_s
+        known = self.known_waits.get(service)
+        if known is not None and abs(known.told_at - told_at) < SAME_ANSWER_S:
+            return known.engines
+        figures = {item.instance: loads.figures(item.instance) for item in targets}
+        if not any(figures.values()):
+            return None
+        found = frozenset(
+            instance
+            for instance, item in figures.items()
+            if item is not None and item.silent_daemons
         )
+        self.known_waits[service] = _KnownWaits(told_at, found)
+        return found
 
-    def _view(self, target: Target, figures: EngineFigures | None, now: float) -> EngineView:
+    def _view(self, target: Target, now: float) -> EngineView:
         instance, wait_s, in_stream = target.instance, 0.0, False
         for attempt in self.attempts.get(instance, ()):
             waited_s = self._wait_s(attempt, now)
@@ -270,7 +301,7 @@
         return EngineView(
             instance=instance,
             start=target.start,
-            figures=figures,
+            figures=self.loads().figures(instance),
             wait_s=wait_s,
             in_stream=in_stream,
             failed_s=now - failed_at,
