--- a/tests/test_agaterail/test_engineloads/test_silencecontroller.py
+++ b/tests/test_agaterail/test_engineloads/test_silencecontroller.py
@@ -174,6 +174,26 @@
         self.loads = FakeLoads()
         self.assertEqual(controller.waiting_s(attempt.target, self.time + 0.1), 0.0)
 
+    def test_figures_of_all_engines_are_read_once_for_each_answer(self):
+        """Guards against steps that cost more than the requests that they serve."""
+        controller = self.make("10.0.0.1:1")
+        read, told_at = [], self.time
+
+        def figures(instance):
+            read.append(instance)
+            return EngineFigures(age_s=self.time - told_at)
+
+        self.loads.figures = figures
+        self.step(controller)
+        self.assertEqual(set(read), set(self.registry.targets))
+        read.clear()
+        self.step(controller, seconds=PERIOD_S)
+        self.assertEqual(len(read), 1)
+        read.clear()
+        told_at = self.time
+        self.step(controller, seconds=PERIOD_S)
+        self.assertEqual(set(read), set(self.registry.targets))
+
 
 class TrialTest(ControllerTest):
     def setUp(self):
