Engines tell apart urgent and less urgent prompts of one workspace priority

Change: engines get the rank of the pair of both priorities, if there are ten pairs at most. Where no workspace has a priority of its own, what they get is unchanged.

--- a/agaterail/decisions/urgency.py
+++ b/agaterail/decisions/urgency.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
 LOWEST_PRIORITY = 9
 # By how much the order may raise the number of refused prompts, relative to refusing
@@ -28,6 +28,40 @@
     return max(0, min(LOWEST_PRIORITY, priority))
 
 
+def rank_priorities(
+    workspaces: Iterable[int | None], routes: Iterable[int]
+) -> dict[tuple[int, int], int]:
+    """Return priorities from 0 to 9 that also tell apart routes of one workspace priority.
+
+    Answers a load of urgent and less urgent prompts of the same workspaces: by the
+    workspace's priority alone, engines serve both in the order of their arrival.
+
+    Parameters
+    ----------
+    workspaces
+        Priorities of the workspaces; None where the route's holds.
+    routes
+        Priorities of the routes.
+
+    Returns
+    -------
+    dict
+        By effective priority and that of the route; empty if there are too many, or no
+        workspace has a priority of its own.
+    """
+    own, routes = set(workspaces), set(routes)
+    if own <= {None}:
+        return {}
+    pairs = {
+        (effective_priority(route, workspace), effective_priority(route, None))
+        for workspace in own
+        for route in routes
+    }
+    if len(pairs) > LOWEST_PRIORITY + 1:
+        return {}
+    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
+
+
 @attrs.frozen
 class UrgencyLoad:
     """Load offered lately by the prompts of one urgency.
--- a/agaterail/gateway/cachedirectives.py
+++ b/agaterail/gateway/cachedirectives.py
@@ -9,10 +9,10 @@
 from agaterail.gateway.inbound import normalize_part_name
 from agaterail.gateway.kvstoreindex import SaveQuery
 from agaterail.gateway.placement import choose_by_hash
-from agaterail.gateway.requestcontext import urgency_of
+from agaterail.gateway.requestcontext import priority_pair, urgency_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from agaterail.gateway.desired import KvStoreSpec
     from agaterail.gateway.placement import Choice
@@ -48,11 +48,18 @@
     choice: Choice,
     stores: Sequence[KvStoreSpec],
     should_save: Callable[[SaveQuery], bool],
+    priorities: Mapping[tuple[int, int], int] | None = None,
 ) -> CacheDirectives:
     """Return the cache directives for the chosen engine.
 
     The KV store is chosen by a hash of the deepest shared part, so all daemons look for
     a prompt in the same store.
+
+    Parameters
+    ----------
+    priorities
+        Priorities for engines by the effective priority and that of the route; the
+        effective one where they have none.
     """
     if not context.route.prompted:
         return CacheDirectives()
@@ -60,7 +67,7 @@
     directives = CacheDirectives(
         cache_scope=_scope(context, version),
         weights_version=version,
-        priority=urgency_of(context),
+        priority=(priorities or {}).get(priority_pair(context), urgency_of(context)),
     )
     shared = [normalize_part_name(part.name) for part in context.inbound.shared_parts]
     if not stores or not shared or version is None:
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -540,8 +540,13 @@
 
     def cache_directives(self, context: RequestContext, choice: Choice) -> CacheDirectives:
         """Return the cache instructions for the engine; may query a peer."""
+        desired = self.state.desired
         return cachedirectives.cache_directives(
-            context, choice, self._kv_stores(), self.kv_saves.should_save
+            context,
+            choice,
+            self._kv_stores(),
+            self.kv_saves.should_save,
+            None if desired is None else desired.engine_priorities,
         )
 
     def _kv_stores(self) -> tuple[KvStoreSpec, ...]:
--- a/agaterail/gateway/desired.py
+++ b/agaterail/gateway/desired.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from agaterail.decisions.urgency import rank_priorities
+
 if TYPE_CHECKING:
     from agaterail.decisions.allowances import Allowance
 
@@ -150,6 +152,11 @@
     ----------
     longest_stream_s
         Longest time limit in seconds of routes whose streams may be resumed.
+    prompted_services
+        Services of engines that routes with prompts lead to.
+    engine_priorities
+        Priorities that engines get with prompts, by the effective priority and that of
+        the route; empty where the effective priority is all that counts.
     """
 
     version: int
@@ -164,6 +171,7 @@
     has_allowances: bool = attrs.field(init=False)
     longest_stream_s: float = attrs.field(init=False)
     prompted_services: tuple[str, ...] = attrs.field(init=False)
+    engine_priorities: dict[tuple[int, int], int] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Index routes by host, longest prefix first, and workspaces by key."""
@@ -182,6 +190,11 @@
         streams = (route.timeout_s for route in self.routes if route.resumable)
         object.__setattr__(self, "longest_stream_s", max(streams, default=0.0))
         object.__setattr__(self, "prompted_services", self._prompted_services())
+        priorities = rank_priorities(
+            (item.priority for item in self.workspaces),
+            (route.priority for route in self.routes if route.prompted),
+        )
+        object.__setattr__(self, "engine_priorities", priorities)
 
     def _prompted_services(self) -> tuple[str, ...]:
         """Return the services of engines that routes with prompts lead to."""
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -74,3 +74,8 @@
     """Return the priority of the workspace, or else of the route: 0 is the first."""
     own = None if context.workspace is None else context.workspace.priority
     return effective_priority(context.route.priority, own)
+
+
+def priority_pair(context: RequestContext) -> tuple[int, int]:
+    """Return the effective priority and that of the route."""
+    return urgency_of(context), effective_priority(context.route.priority, None)
--- a/tests/test_agaterail/test_decisions/test_urgency.py
+++ b/tests/test_agaterail/test_decisions/test_urgency.py
@@ -8,6 +8,7 @@
     UrgencyLoad,
     divide_refusals,
     effective_priority,
+    rank_priorities,
 )
 
 LOWEST = 0.4
@@ -90,3 +91,18 @@
         self.assertEqual(effective_priority(3, 0), 0)
         self.assertEqual(effective_priority(3, 70), LOWEST_PRIORITY)
         self.assertEqual(effective_priority(-1, None), 0)
+
+
+class RankPrioritiesTest(unittest.TestCase):
+    def test_the_workspace_comes_first_and_the_route_breaks_ties(self):
+        ranks = rank_priorities([1, 0, None], [2, 0])
+        ordered = sorted(ranks, key=ranks.__getitem__)
+        self.assertEqual(ordered, [(0, 0), (0, 2), (1, 0), (1, 2), (2, 2)])
+        self.assertEqual(sorted(ranks.values()), [0, 1, 2, 3, 4])
+
+    def test_the_effective_priority_is_all_that_counts_without_workspace_priorities(self):
+        self.assertEqual(rank_priorities([None], [2, 0]), {})
+        self.assertEqual(rank_priorities([], [2, 0]), {})
+
+    def test_too_many_pairs_are_not_told_apart(self):
+        self.assertEqual(rank_priorities(range(6), [0, 2]), {})
--- a/tests/test_agaterail/test_gateway/test_cachedirectives.py
+++ b/tests/test_agaterail/test_gateway/test_cachedirectives.py
@@ -55,6 +55,18 @@
             self.directives(make_context(make_workspace(priority=70))).priority, 9
         )
 
+    def test_engines_tell_apart_routes_of_one_workspace_priority(self):
+        """Engines served urgent prompts after less urgent ones of the same workspace."""
+        context = make_context(make_workspace(priority=1))
+        directives = cache_directives(
+            context,
+            SimpleNamespace(weights_version=4),
+            STORES,
+            lambda _query: True,
+            {(1, 0): 3, (1, 2): 4},
+        )
+        self.assertEqual(directives.priority, 4)
+
     def test_a_stored_prompt_is_fetched_and_not_saved(self):
         first = self.directives(make_context())
         self.assertEqual(first.save_to, first.fetch_from)
