--- a/agaterail/engineloads/ownloads.py
+++ b/agaterail/engineloads/ownloads.py
@@ -6,11 +6,10 @@
 from typing import TYPE_CHECKING
 
 from agaterail.decisions.engineloads import HEARD_LATELY_S, EngineRow
+from agaterail.gateway.targets import Target
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from agaterail.gateway.targets import Target
+    from collections.abc import Callable, Iterable
 
 # Events that arrive closer together were held back on their way.
 MIN_STEP_S = 0.001
@@ -23,10 +22,13 @@
     ----------
     active
         Whether reports are sent; otherwise no samples are kept.
+    waiting_s
+        Returns for how long an engine has been silent to this daemon.
     """
 
     def __init__(self) -> None:
         self.active = False
+        self.waiting_s: Callable[[Target, float], float] = Target.waiting_s
 
     def record_step(
         self, target: Target, seconds: float, events: int, max_pause_s: float
@@ -52,9 +54,9 @@
         """Return a row for each engine of which there is something to tell."""
         rows = []
         for target in targets:
-            heard_s = now - target.heard_at
+            heard_s, waiting_s = now - target.data_at, self.waiting_s(target, now)
             steps, sum_log_s = target.take_steps()
-            if not (target.in_flight or steps or heard_s <= HEARD_LATELY_S):
+            if not (target.in_flight or steps or waiting_s or heard_s <= HEARD_LATELY_S):
                 continue
             row = EngineRow(
                 instance=target.instance,
@@ -63,7 +65,7 @@
                 prefill_tokens=target.prefill_tokens,
                 kv_tokens=target.kv_tokens,
                 heard_s=heard_s,
-                waiting_s=target.waiting_s(now),
+                waiting_s=waiting_s,
                 steps=steps,
                 sum_log_s=sum_log_s,
             )
--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agaterail.bytelimits.answers import AnswerBoundExceeded, AnswerPart, check_bound
 from agaterail.decisions.crashevidence import BEGUN_EVENTS
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.relayprotocol import RelayedHead
@@ -30,6 +31,8 @@
     ----------
     head
         Head of the answer; None until it arrives.
+    body_bytes
+        Size of ``body_parts``.
     body_parts
         Parts read so far of a body that is relayed only when complete.
     buffered
@@ -50,6 +53,8 @@
         Whether events are being sent to the caller, so that none are read.
     kv_tokens
         Tokens of memory that the request needs to its end.
+    hedged_early
+        Whether it was hedged because its engine is suspected to be silent.
     """
 
     def __init__(
@@ -67,12 +72,14 @@
         self.pool = daemon.relays.pool if choice.relayed else daemon.connection_pool
         self.head: AnswerHead | None = None
         self.body_parts: list[bytes] = []
+        self.body_bytes = 0
         self.buffered = b""
         self.has_events = False
         self.events = 0
         self.survived = False
         self.last_event_at = 0.0
         self.is_open = True
+        self.hedged_early = False
         self.sent_at = daemon.now()
         self.pending_prompt: PendingPrompt | None = None
         self.read_at = self.since_read_s = 0.0
@@ -80,6 +87,7 @@
         self.kv_tokens = self._stated_kv_tokens()
         self.target.begin_request(self.sent_at)
         self.target.kv_tokens += self.kv_tokens
+        daemon.silence.record_begin(self)
         self._begin_prefill()
 
     @property
@@ -125,11 +133,18 @@
         TimeoutError
             If the body does not arrive by the deadline.
         OSError
-            If the body is truncated.
+            If the body is truncated or too large to be kept.
         """
         while data := self.connection.read_body(deadline):
+            self.body_bytes += len(data)
+            if self.body_bytes > self.daemon.max_body_bytes:
+                self.body_parts.clear()
+                raise AnswerBoundExceeded(AnswerPart.BODY)
+            self.context.caller.hold(len(data))
             self.body_parts.append(data)
-        return b"".join(self.body_parts)
+        body = b"".join(self.body_parts)
+        self.body_parts = [body]  # the parts would keep the memory twice
+        return body
 
     def read_body(self, deadline: float) -> bytes:
         """Return the next bytes of a stream, or empty bytes at its end.
@@ -150,13 +165,14 @@
         Raises
         ------
         OSError
-            If the stream is truncated.
+            If the stream is truncated or exceeds a bound.
         """
         try:
             data = self.connection.read_body(self.daemon.now() + POLL_TIMEOUT_S)
         except TimeoutError:
             return False
         self.buffered += data
+        check_bound(AnswerPart.EVENT, len(self.buffered))
         return not data or splitter.completes_event(self.buffered)
 
     def begin_send(self) -> None:
@@ -170,6 +186,8 @@
         """Record that events were relayed."""
         now = self.daemon.now()
         self._end_send()
+        wait_s = self.connection.waited_s if self.has_events else now - self.sent_at
+        self.daemon.silence.record_wait(self, wait_s)
         if self.has_events:
             gap_s = now - self.last_event_at
             self.daemon.shedder_of(self.context.service).pace.record(gap_s, count, now)
@@ -209,6 +227,8 @@
             self.target.in_flight -= 1
             self.target.kv_tokens -= self.kv_tokens
             self._end_send()
+            self.daemon.silence.record_end(self)
+            self.body_parts.clear()
             self._end_prefill()
         return was_open
 
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,11 +13,16 @@
 from gevent.pool import Group
 
 from agaterail import logs
+from agaterail.bytelimits.account import ByteAccount, Marks
+from agaterail.bytelimits.answers import max_body_bytes
 from agaterail.decisions.buildhistory import BuildHistory
+from agaterail.decisions.enginehomes import EngineHomes
+from agaterail.decisions.engineroles import PromptLengths, select_engines
 from agaterail.engineloads import messages as loadmessages
 from agaterail.engineloads.controller import EngineLoadController
 from agaterail.engineloads.gatherer import Gatherer
 from agaterail.engineloads.ownloads import OwnEngineLoads
+from agaterail.engineloads.silencecontroller import SilenceController
 from agaterail.engineloads.view import FleetEngineLoads
 from agaterail.gateway import (
     admission,
@@ -43,7 +49,7 @@
 from agaterail.gateway.membership import MembershipController
 from agaterail.gateway.metrics import GatewayMetrics
 from agaterail.gateway.pathcontroller import PathController
-from agaterail.gateway.placement import PlacementRules
+from agaterail.gateway.placement import FleetView, PlacementRules
 from agaterail.gateway.quarantinecontroller import QuarantineController
 from agaterail.gateway.readiness import make_readiness_server
 from agaterail.gateway.relaycontroller import RelayController
@@ -122,6 +128,7 @@
         )
         self.budget = RetryBudget(bounds.retries)
         self.demand = Demand()
+        self.prompt_lengths: defaultdict[str, PromptLengths] = defaultdict(PromptLengths)
         self.shedders: dict[str, LoadShedder] = {}
         self.connection_pool = ConnectionPool(requests.decode_answer_head, self.now)
         self.registry.on_gone = self.connection_pool.drop
@@ -138,8 +145,11 @@
             rng=self.random,
         )
         self.rules = PlacementRules(domain=settings.domain, version_s=bounds.version_s)
+        self.engine_homes: dict[str, EngineHomes] = {}
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.account = ByteAccount(Marks.of_memory(settings.memory_mb), self.now)
+        self.max_body_bytes = max_body_bytes(settings.memory_mb)
         self.metrics = GatewayMetrics()
         self.notices = TargetNotices(self.registry, self.metrics, self.now)
         self.log_lines_dropped: Callable[[], int] = lambda: 0
@@ -195,6 +205,17 @@
             self.target_rooms.answer
         )
         self._add_engine_loads()
+        self.silence = SilenceController(
+            lambda: self.engine_loads,
+            self.registry,
+            daemons=lambda: self.feeds.members.domains,
+            own_address=str(self.feeds.peer_responder.server.address),
+            report=engine_control.report,
+            metrics=self.metrics,
+            now=self.now,
+            rng=self.random,
+        )
+        self.own_loads.waiting_s = self.silence.waiting_s
         self.readiness = make_readiness_server(
             settings.ready_listen, names.READY_PATH, lambda: self.ready, self.now
         )
@@ -212,8 +233,10 @@
             handler.handle,
             self._limits,
             self.now,
-            may_read=self.saturation.may_read,
+            may_read=self._may_read,
+            account=self.account,
         )
+        self.feeds.peer_responder.server.account = self.account
 
     def _add_engine_loads(self) -> None:
         """Exchange the loads of engines with the other daemons."""
@@ -347,7 +370,15 @@
         read_at = self.feeds.read_at
         has_read = all(read_at[feed] != NEVER for feed in (Feed.TARGETS, Feed.CRASHES))
         knows_all = self.state.desired is not None and has_read
-        return knows_all and not self.stopping and not self.saturation.is_saturated
+        has_room = not self.saturation.is_saturated and not self.account.is_full()
+        return knows_all and not self.stopping and has_room
+
+    def _may_read(self, connections: int) -> bool:
+        """Return whether a new connection from a caller is read."""
+        if self.account.is_full():
+            self.saturation.closed_unread += 1
+            return False
+        return self.saturation.may_read(connections)
 
     def start(self) -> None:
         """Start the controllers and begin to accept callers."""
@@ -359,6 +390,7 @@
             self.timers.every(self.coordinators.period_s, self.coordinators.step),
             self.timers.every(self.allowances.period_s, self.allowances.step),
             self.timers.every(self.paths.period_s, self.paths.step),
+            self.timers.every(self.silence.period_s, self.silence.step),
             self.timers.every(self.saturation.period_s, self.saturation.step),
             self.timers.every(self.relays.period_s, self.relays.step),
             self.timers.every(self.load_reports.period_s, self.load_reports.step),
@@ -411,10 +443,70 @@
             tried = {*tried, *(item.instance for item in limited)}
         if context.service in self.paths.outages:
             tried = {*tried, *self._unreached(targets, context.route.idempotent)}
+        suspected = self.silence.suspected(context.service)
+        choice = None
+        if suspected:
+            choice = self._choose_among(context, targets, {*tried, *suspected}, now)
+        return choice or self._choose_among(context, targets, tried, now)
+
+    def _choose_among(
+        self,
+        context: RequestContext,
+        targets: list[Target],
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
         if not context.route.prompted:
             return placement.choose_least_loaded(targets, tried, self.rules, now)
         named = self.state.weights.get(context.inbound.model)
-        return placement.choose_engine(context.inbound, targets, tried, self.rules, named, now)
+        view = self._fleet_view(context, now)
+        return placement.choose_engine(
+            context.inbound, targets, tried, self.rules, named, now, view
+        )
+
+    def _fleet_view(self, context: RequestContext, now: float) -> FleetView:
+        """Return what is known of a service's engines beyond this daemon's requests."""
+        name, desired = context.service, self.state.desired
+        homes = self.engine_homes.setdefault(name, EngineHomes())
+        if homes.is_due(now):
+            names = [target.instance for target in self.registry.of_service(name)]
+            homes.refresh(names, self.engine_loads.figures, now)
+        service = None if desired is None else desired.services.get(name)
+        idempotent = context.route.idempotent
+        return FleetView(
+            loads=self.engine_loads,
+            homes=homes,
+            traits=None if service is None else service.engine,
+            route=context.route,
+            is_connected=lambda target: self.connection_pool.has_live(target, idempotent),
+            role_of=lambda usable: self._engines_of_role(context, usable, homes, now),
+        )
+
+    def _engines_of_role(
+        self,
+        context: RequestContext,
+        usable: list[Target],
+        homes: EngineHomes,
+        now: float,
+    ) -> list[Target]:
+        """Return the engines that read long prompts, or those for the others."""
+        lengths, usual = self.prompt_lengths[context.service], homes.usual
+        is_long = lengths.is_long(context.route.name)
+        if is_long is None or usual is None:
+            return usable
+        desired = self.state.desired
+        service = None if desired is None else desired.services.get(context.service)
+        short_engines = 0.0
+        if service is not None and service.engine is not None and service.engine.slots:
+            streams = usual.streams * len(self.registry.of_service(context.service))
+            short_engines = streams * lengths.short_part(now) / service.engine.slots
+        return select_engines(
+            sorted(usable, key=lambda item: homes.place(item.instance)),
+            self.demand.engines_needed(now) * self.rules.daemons,
+            is_long,
+            short_engines,
+            lambda item: homes.speed(item.instance),
+        )
 
     def targets_of(self, context: RequestContext) -> list[Target]:
         """Return the targets of a request's service that may answer it."""
@@ -437,7 +529,8 @@
         if not context.route.prompted:
             return 0.0
         engines = self.registry.of_service(context.service)
-        return admission.expected_wait_s(choice.target, engines, self.rules.daemons)
+        figures = self.engine_loads.figures(choice.target.instance)
+        return admission.expected_wait_s(choice.target, engines, self.rules.daemons, figures)
 
     def shedder_of(self, service: str) -> LoadShedder:
         """Return the load shedder of a service, which may refuse prompts."""
@@ -447,8 +540,13 @@
 
     def cache_directives(self, context: RequestContext, choice: Choice) -> CacheDirectives:
         """Return the cache instructions for the engine; may query a peer."""
+        desired = self.state.desired
         return cachedirectives.cache_directives(
-            context, choice, self._kv_stores(), self.kv_saves.should_save
+            context,
+            choice,
+            self._kv_stores(),
+            self.kv_saves.should_save,
+            None if desired is None else desired.engine_priorities,
         )
 
     def _kv_stores(self) -> tuple[KvStoreSpec, ...]:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
+from agaterail.bytelimits.answers import AnswerBoundExceeded
 from agaterail.decisions.streamrecords import stream_key
 from agaterail.decisions.streamsources import StreamSource
 from agaterail.errors import Failure
@@ -16,6 +17,8 @@
 from agaterail.gateway.targetconnection import wait_readable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agaterail.gateway.attempt import Attempt
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.inbound import AnswerHead
@@ -29,6 +32,10 @@
 MIN_SERVER_ERROR_STATUS = 500
 # An engine that broke off has this long to report its start. One that crashed refuses.
 BROKEN_TIMEOUT_S = 0.1
+# A wait for a target is interrupted this often, to learn whether the target is suspected.
+SUSPICION_CHECK_S = 0.2
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -125,7 +132,7 @@
                     continue
                 outcome = AttemptOutcome.SILENT
             except OSError as error:
-                self.sender.log("Exchange with the target failed.", error=str(error))
+                self.sender.log_broken(error)
                 outcome = AttemptOutcome.BROKEN
             if outcome is None:
                 return True
@@ -144,7 +151,7 @@
         """Relay an attempt's answer; return how it failed, or None when complete."""
         now = self.daemon.now()
         timeout_s = self.retry_state.first_byte_timeout_s(self.context.deadline - now)
-        head = attempt.read_head(now + timeout_s)
+        head = self._await(attempt, attempt.read_head, now + timeout_s)
         outcome = self._check_head(attempt, head)
         if outcome is not None:
             return outcome
@@ -152,6 +159,22 @@
             return self._relay_stream(attempt, head)
         return self._relay_buffered(attempt, head)
 
+    def _await(self, attempt: Attempt, read: Callable[[float], T], deadline: float) -> T:
+        """Read from a target; time out early if it is suspected to be silent meanwhile."""
+        silence, service = self.daemon.silence, self.context.service
+        while silence.may_hedge_early(attempt):
+            now = self.daemon.now()
+            if now + SUSPICION_CHECK_S >= deadline:
+                break
+            try:
+                return read(now + SUSPICION_CHECK_S)
+            except TimeoutError:
+                retries_left = self.daemon.budget.remaining(service, self.daemon.now())
+                if silence.should_hedge(attempt, retries_left):
+                    self.sender.log("Engine is silent, hedging early.", attempt.choice)
+                    raise
+        return read(deadline)
+
     def _check_head(self, attempt: Attempt, head: AnswerHead) -> AttemptOutcome | None:
         """Return the outcome that rules an answer out, or None if it can be relayed."""
         if head.not_run:
@@ -185,7 +208,7 @@
                 timeout_s = self.retry_state.event_timeout_s(left)
             else:
                 timeout_s = self.retry_state.first_byte_timeout_s(left)
-            data = attempt.read_body(now + timeout_s)
+            data = self._await(attempt, attempt.read_body, now + timeout_s)
             if not data:
                 break
             events_before = self.splitter.event_count
@@ -194,7 +217,10 @@
                 attempt.begin_send()
                 self._send_events(head, events)
                 attempt.record_events(self.splitter.event_count - events_before)
-        if self.splitter.partial.strip() or self.splitter.broken:
+            self.context.caller.hold_partial_event(len(self.splitter.partial))
+            if self.splitter.broken is not None:
+                raise AnswerBoundExceeded(self.splitter.broken)
+        if self.splitter.partial.strip():
             return AttemptOutcome.BROKEN
         if attempt.connection.ended_by_close and not self._is_whole(attempt):
             return AttemptOutcome.BROKEN
@@ -307,9 +333,7 @@
                 return outcome
             self.target_failure = BufferedAnswer(head, attempt.read_rest(deadline))
         except OSError as error:
-            self.sender.log(
-                "Exchange with the target failed.", attempt.choice, error=str(error)
-            )
+            self.sender.log_broken(error, attempt.choice)
             return AttemptOutcome.BROKEN
         return AttemptOutcome.FAILED
 
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
 from agaterail.engineloads import loadspage
 from agaterail.gateway.desired import CallerLimits
 from agaterail.gateway.httpserver import HttpServer
@@ -80,6 +81,17 @@
             ("outcome",),
             registry=registry,
         )
+        self.prompts_refused = Counter(
+            f"{PREFIX}_prompts_refused",
+            "Prompts that were refused to make room, by urgency and what decided.",
+            ("urgency", "reason"),
+            registry=registry,
+        )
+        self.early_hedges = Counter(
+            f"{PREFIX}_early_hedges",
+            "Requests sent to a second engine because the first is suspected to be silent.",
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             f"{PREFIX}_resumed_streams",
             "Streams that callers took up, by how the build that began them was known.",
@@ -92,6 +104,18 @@
             ("outcome",),
             registry=registry,
         )
+        self.placements = Counter(
+            f"{PREFIX}_prompt_placements",
+            "Sends of prompts to engines, by what decided and where they went.",
+            ("basis", "place"),
+            registry=registry,
+        )
+        self.answer_bounds = Gauge(
+            f"{PREFIX}_answer_bounds_exceeded",
+            "Answers with a part that exceeds its bound since the start.",
+            ("part",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -123,6 +147,7 @@
                 ("targets_usable", "Targets that a request may be sent to."),
                 ("targets_known", "Targets that are registered."),
                 ("targets_cordoned", "Engines that load new weights next."),
+                ("engines_suspected", "Engines that are taken to be silent."),
                 (
                     "targets_resting",
                     "Targets that want no requests of this daemon for a time.",
@@ -136,8 +161,12 @@
                 ("services_without_path", "Services that no new connection reaches."),
                 ("saturated", "Whether new connections are closed unread."),
                 ("closed_unread", "Connections from callers that were closed unread."),
+                ("held_bytes", "Bytes held for callers: requests, answers, unsent data."),
+                ("held_bytes_low", "Held bytes above which new connections are not read."),
+                ("held_bytes_high", "Held bytes above which callers are ended."),
+                ("callers_ended", "Callers that were ended above the high mark."),
                 ("forwarding", "Requests of other daemons that are being forwarded."),
-                ("refusal_chance", "Largest part of a service's prompts that is refused."),
+                ("refusal_chance", "Largest part of a service's load that is refused."),
                 ("fleet_share", "Part of the fleet's partitions that this daemon holds."),
                 ("allowances_exhausted", "Workspaces whose allowance is used up."),
                 (
@@ -176,6 +205,7 @@
             "targets_usable": sum(target.is_usable(now) for target in targets),
             "targets_known": len(targets),
             "targets_cordoned": sum(item.cordoned_at is not None for item in targets),
+            "engines_suspected": daemon.silence.suspected_count,
             "targets_resting": sum(now < item.rest_until for item in targets),
             "targets_limited": sum(item.rate_limit is not None for item in targets),
             "targets_brittle": sum(item.brittle is not None for item in targets),
@@ -186,6 +216,10 @@
             "services_without_path": len(daemon.paths.lost_services),
             "saturated": daemon.saturation.is_saturated,
             "closed_unread": daemon.saturation.closed_unread,
+            "held_bytes": daemon.account.total,
+            "held_bytes_low": daemon.account.marks.low,
+            "held_bytes_high": daemon.account.marks.high,
+            "callers_ended": daemon.account.ended,
             "forwarding": daemon.relay_responder.in_flight,
             "refusal_chance": max(
                 (item.refusal_probability for item in daemon.shedders.values()), default=0.0
@@ -199,6 +233,8 @@
             "channels_opened": daemon.connection_pool.opened,
             "log_lines_dropped": daemon.log_lines_dropped(),
         }
+        for part, count in exceeded_bounds.counts.items():
+            self.answer_bounds.labels(part.value).set(count)
         for name, value in values.items():
             self.gauges[name].set(value)
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -9,15 +9,20 @@
 import gevent
 
 from agaterail import logs
+from agaterail.bytelimits.answers import exceeded_bounds
+from agaterail.decisions.refusalorder import OfferedPrompt
+from agaterail.decisions.urgency import effective_priority
 from agaterail.errors import ANSWERS, ErrorKind, Failure
 from agaterail.gateway.admission import retry_after_s, would_miss_deadline
 from agaterail.gateway.attempt import Attempt
 from agaterail.gateway.inbound import AttemptHead
 from agaterail.gateway.placement import Choice
 from agaterail.gateway.relayprotocol import RelayedHead
+from agaterail.gateway.requestcontext import urgency_of
 from agaterail.gateway.retrystate import AttemptOutcome
 
 if TYPE_CHECKING:
+    from agaterail.decisions.refusalorder import Offer
     from agaterail.gateway.daemon import Daemon
     from agaterail.gateway.inbound import AnswerHead
     from agaterail.gateway.requestcontext import RequestContext
@@ -52,6 +57,8 @@
         Why the latest daemon that was to forward the request did not run it.
     permit
         Who gave the latest permit for a target with a limit; empty if none was needed.
+    offer
+        The prompt as it was recorded for the order of refusals; None before.
     """
 
     def __init__(self, daemon: Daemon, context: RequestContext) -> None:
@@ -61,6 +68,7 @@
         self.choice: Choice | None = None
         self.relay_failure: Failure | None = None
         self.permit = ""
+        self.offer: Offer | None = None
 
     def start_attempt(self, last_event_id: str, may_wait: bool = True) -> Attempt | Failure:
         """Send the request to the next target, or return why that is not possible.
@@ -159,7 +167,13 @@
         try:
             attempt.read_rest(self.daemon.now() + CONNECT_TIMEOUT_S)
         except OSError as error:
-            self.log("Could not read the rest of a refusal.", attempt.choice, error=str(error))
+            exceeded = exceeded_bounds.record(error)
+            self.log(
+                "Could not read the rest of a refusal.",
+                attempt.choice,
+                error=str(error),
+                exceeded=exceeded,
+            )
             attempt.abandon()
             return
         attempt.finish(healthy=False)
@@ -212,12 +226,20 @@
             resumes=context.inbound.resumes[:MAX_LOGGED_ID] or None,
             after_event=context.inbound.last_event_id[:MAX_LOGGED_ID] or None,
             **({"relayed": True} if context.relayed else {}),
+            **_cost_fields(choice),
             **self._permit_fields(choice),
             **self._outdated_weights_fields(choice),
             **self._plan_fields(),
             **fields,
         )
 
+    def log_broken(self, error: OSError, choice: Choice | None = None) -> None:
+        """Log why an exchange with a target failed, and count a bound that it exceeds."""
+        exceeded = exceeded_bounds.record(error)
+        self.log(
+            "Exchange with the target failed.", choice, error=str(error), exceeded=exceeded
+        )
+
     def _permit_fields(self, choice: Choice | None) -> dict[str, object]:
         """Return log fields about limits of targets, if any were in the way."""
         limit = None if choice is None else choice.target.rate_limit
@@ -427,6 +449,7 @@
                 outcome = AttemptOutcome.NOT_CONNECTED
                 choice.target.record_failure(now)
                 self.daemon.restarts.record_break(choice.target)
+                self.daemon.silence.record_failure(choice.target)
             self._record_outcome(choice.target.instance, outcome)
             self.log("Could not connect to the target.", error=str(error))
             return None
@@ -453,16 +476,32 @@
             return None  # decided before the first target was asked for
         random = self.daemon.random
         shedder = self.daemon.shedder_of(self.context.service)
-        if not shedder.should_refuse(random.random(), now):
+        if self.offer is None:
+            self.offer = shedder.order.offer(self._offered_prompt(), now)
+        if not shedder.should_refuse(random.random(), now, self.offer):
             return None
-        left = self.context.deadline - now
+        chance = shedder.chance(self.offer, now)
         reason = (
             f"wait {shedder.mean_wait:.2f} objectives, "
-            f"{shedder.refusal_probability:.2f} refused"
+            f"{shedder.refusal_probability:.2f} refused; {chance.describe()}"
         )
-        hint = retry_after_s(left, random.random(), overloaded=True)
+        self.daemon.metrics.prompts_refused.labels(
+            chance.offer.prompt.urgency, chance.reason.value
+        ).inc()
+        hint = retry_after_s(self.context.deadline - now, random.random(), overloaded=True)
         return Failure(ErrorKind.OVERLOADED, reason, hint)
 
+    def _offered_prompt(self) -> OfferedPrompt:
+        context, inbound = self.context, self.context.inbound
+        return OfferedPrompt(
+            urgency=urgency_of(context),
+            route_priority=effective_priority(context.route.priority, None),
+            route=context.route.name,
+            workspace=context.workspace_name,
+            tokens=inbound.prompt_tokens + inbound.output_tokens,
+            time_limit_s=inbound.time_limit_s,
+        )
+
     def _fail_quarantined(self, part: str) -> Failure:
         """Return the failure of a request whose prompt was put in quarantine meanwhile."""
         if self.retry_state.runs:
@@ -475,11 +514,14 @@
         left = self.context.deadline - self.daemon.now()
         attempt = Attempt(self.daemon, self.context, choice, connection)
         self.retry_state.record_send(attempt.instance)
+        self._count_placement(choice)
         try:
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
+            if connection.writer is not None:
+                self.context.caller.hold(len(self.context.inbound.body))
         except OSError as error:
-            self.log("Exchange with the target failed.", error=str(error))
+            self.log_broken(error)
             self.end_attempt(attempt, AttemptOutcome.BROKEN)
             return None
         except BaseException:
@@ -488,10 +530,19 @@
             raise
         return attempt
 
+    def _count_placement(self, choice: Choice) -> None:
+        if self.context.route.prompted and not choice.relayed:
+            basis = "own requests" if choice.cost is None else "figures"
+            place = "other" if choice.rank else "home"
+            self.daemon.metrics.placements.labels(basis, place).inc()
+
     def _encode(self, choice: Choice, left: float, last_event_id: str) -> tuple[bytes, bytes]:
         context = self.context
         directives = self.daemon.cache_directives(context, choice)
         context.saves = bool(directives.save_to)
+        homes = self.daemon.engine_homes.get(context.service)
+        if homes is not None and directives.fetch_from:
+            homes.record_parts(context.route.name, context.saves)
         head = AttemptHead(
             time_left_s=max(0.001, left - RETURN_MARGIN_S),
             instance=choice.target.instance,
@@ -551,6 +602,17 @@
         return Failure(kind, reason, hint_s)
 
 
+def _cost_fields(choice: Choice | None) -> dict[str, object]:
+    """Return log fields about a choice that follows from figures of the fleet."""
+    if choice is None or choice.cost is None:
+        return {}
+    age_s = choice.figures_age_s
+    return {
+        "cost": choice.cost.summary(),
+        "figures_age_s": None if age_s is None else round(age_s, 2),
+    }
+
+
 def _progress(attempt: Attempt) -> dict[str, object]:
     """Return log fields that tell how far the answer to a prompt had got."""
     parts = attempt.context.inbound.shared_parts
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -81,6 +81,10 @@
         Version of its software. Each event names it in a comment.
     born
         Time of its start, in its registration and its reports.
+    event_padding
+        Bytes that are added to the text of each event.
+    answer_repeats
+        How often an answer to a plain request repeats its text.
     built_at
         Monotonic time from which it has the build.
     """
@@ -89,6 +93,8 @@
         self.instance = instance
         self.model = model
         self.events = events
+        self.answer_repeats = 20
+        self.event_padding = 0
         self.build = "v1"
         self.born = 1
         self.built_at = time.monotonic()
@@ -247,7 +253,7 @@
         if self.model:
             return self._stream(sock, run, answer_headers)
         run.end("whole")
-        answer = f"{self.instance} {run.request_id}".encode() * 20
+        answer = f"{self.instance} {run.request_id}".encode() * self.answer_repeats
         if self.undelimited:
             sock.sendall(self._head(200, answer_headers) + answer)
             return not self._end_undelimited(sock)
@@ -287,11 +293,12 @@
                 return False
             if self.pause_before == number and self._client_disconnects(sock, run):
                 return False
-            event = b"id: %d\n: build %s\ndata: %s-%d\n\n" % (
+            event = b"id: %d\n: build %s\ndata: %s-%d%s\n\n" % (
                 number,
                 self.build.encode(),
                 run.request_id.encode(),
                 number,
+                b"." * self.event_padding,
             )
             if break_after == number:
                 run.end("broken")
--- a/tests/engine_load_fleet.py
+++ b/tests/engine_load_fleet.py
@@ -102,7 +102,8 @@
     def hear(self, *engines) -> None:
         """Receive bytes from engines."""
         for engine in engines:
-            self.targets[engine].heard_at = self.fleet.now()
+            target = self.targets[engine]
+            target.heard_at = target.data_at = self.fleet.now()
 
     def step(self) -> None:
         self.coordinators.step()
--- a/tests/test_agaterail/test_gateway/test_attempt.py
+++ b/tests/test_agaterail/test_gateway/test_attempt.py
@@ -2,6 +2,7 @@
 
 import types
 import unittest
+from unittest import mock
 
 from agaterail.engineloads.ownloads import OwnEngineLoads
 from agaterail.gateway.attempt import Attempt
@@ -15,6 +16,9 @@
 
 
 class Connection:
+    waited_s = 0.0
+    waiting_since = None
+
     def close(self):
         pass
 
@@ -47,6 +51,7 @@
             connection_pool=None,
             shedder_of=lambda _service: self.shedder,
             own_loads=self.own_loads,
+            silence=mock.Mock(),
         )
         inbound = InboundRequest(
             method=b"POST", target=b"/", headers=[], prompt_tokens=900, output_tokens=50
