--- a/agaterail/decisions/engineroles.py
+++ b/agaterail/decisions/engineroles.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from agaterail.decisions.engineplacement import DECODE_MS_PER_TOKEN, PREFILL_MS_PER_TOKEN
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
@@ -29,9 +31,6 @@
 MAX_SHORT_PART = 0.6
 # Part of the slots that short prompts may fill at engines of their own. Their number varies.
 FILLED_PART = 0.6
-# Assumed times by which the prompts of routes share the slots.
-PREFILL_MS_PER_TOKEN = 0.016
-DECODE_MS_PER_TOKEN = 8.0
 # Requests of the last seconds tell how the slots are shared.
 HALF_LIFE_S = 5.0
 # With fewer engines, each kind of prompt would have one or two and wait for these.
