Test of a restart noticed at a connect waits for the first question's end

The test slept 50 ms and then changed the answers; when the process stands still for as long within the first question, that question gets the second answer. Shown: with a stall of 60 ms put into the first question the former test gives (1, 6), the new one passes. Change: the test waits until the first question has ended. What it asserts, and that the second question comes within 20 ms of the connect, is as before.

--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -80,7 +80,9 @@
         target = make_target()
         self.answers = Failure("refused")
         self.controller.record_break(target)
-        gevent.sleep(0.05)
+        with gevent.Timeout(0.5):
+            while target.instance not in self.controller.silent:
+                gevent.sleep(0.005)
         self.answers = Success(SimpleNamespace(born=6))
         self.controller.record_connect(target)
         gevent.sleep(0.02)
