--- a/tests/test_agaterail/test_tables_reader.py
+++ b/tests/test_agaterail/test_tables_reader.py
@@ -46,7 +46,7 @@
     def change(self, edit_id, priority, version):
         return append(self.log, edit(edit_id, put(chat_route(priority=priority), version)))
 
-    def urgency_of(self, reader):
+    def priority_of(self, reader):
         return reader.tables.routes["chat"].row.priority
 
     def test_an_edit_accepted_while_a_snapshot_was_written_is_kept(self):
@@ -59,7 +59,7 @@
         self.log.expire(TABLES_STREAM, 1)
         reader = TablesReader(self.log)
         read_all(reader)
-        self.assertEqual(self.urgency_of(reader), 1)
+        self.assertEqual(self.priority_of(reader), 1)
         self.assertEqual(reader.tables.through, 2)
 
     def test_a_late_snapshot_does_not_revert_newer_edits(self):
@@ -70,7 +70,7 @@
         read_all(self.reader)
         self.write(old)
         read_all(self.reader)
-        self.assertEqual(self.urgency_of(self.reader), 1)
+        self.assertEqual(self.priority_of(self.reader), 1)
 
     def test_a_gap_is_not_folded_over(self):
         # Records 1 and 2 expire unread, and record 3 changes the row that record 2
@@ -83,7 +83,7 @@
         step = read_all(self.reader)
         self.assertTrue(step.gap)
         self.assertEqual(self.reader.tables.through, 0)
-        self.assertEqual(self.urgency_of(self.reader), 5)
+        self.assertEqual(self.priority_of(self.reader), 5)
 
     def test_a_snapshot_closes_the_gap_of_a_reader_that_fell_behind(self):
         other = TablesReader(self.log)
@@ -111,7 +111,7 @@
         self.log.expire(TABLES_STREAM, 1)
         reader = TablesReader(self.log)
         self.assertFalse(read_all(reader).gap)
-        self.assertEqual(self.urgency_of(reader), 1)
+        self.assertEqual(self.priority_of(reader), 1)
 
     def test_chunks_without_a_mark_are_ignored(self):
         # The writer stops between the last chunk and the mark.
@@ -148,7 +148,7 @@
         self.log.append(TABLES_STREAM, b"\xc1 no record")
         self.change("e1", 1, 0)
         read_all(self.reader)
-        self.assertEqual(self.urgency_of(self.reader), 1)
+        self.assertEqual(self.priority_of(self.reader), 1)
 
     def test_an_empty_read_counts_as_the_end_of_the_log(self):
         # Otherwise the commands would read in a loop without a pause.
