Review: a late copy of a refusal makes a request run twice (TWICE)

Cause: a request that an engine refuses for newer weights is sent to the same engine again, on the same channel and under the same id. A late second copy of the refusal is then taken for the answer to the second sending, and the request goes to another engine although the first one runs it.

The harness records what each server ran.

--- a/review/harness.py
+++ b/review/harness.py
@@ -167,6 +167,13 @@
         return self.complete and self.status == 200 and "server-stamp" in self.headers
 
 
+@attrs.define
+class Channel:
+    """A client's channel to a machine."""
+
+    sock: Any
+
+
 class Fleet:
     """The platform's store, the servers and the machines of one run."""
 
@@ -411,16 +418,16 @@
         kind: str,
         machine: Machine,
         parts: str = "ab:600,cd:300",
-        deadline_s: float = 0.0,
+        channel: Channel | None = None,
     ) -> Exchange:
-        """Send one request on a new channel and read its answer."""
+        """Send one request, on a new channel if none is given, and read its answer."""
         number = next(self.numbers)
         exchange = Exchange(f"r{number:06x}", kind, machine.name, time.monotonic())
         self.requests.append(exchange)
-        limit_s = deadline_s or ROUTES[kind]["timeout_ms"] / 1e3
+        limit_s = ROUTES[kind]["timeout_ms"] / 1e3
         try:
             with gevent.Timeout(limit_s, TimeoutError("time limit of the client")):
-                self._exchange(exchange, machine, parts, limit_s)
+                self._exchange(exchange, machine, parts, limit_s, channel)
         except (OSError, ValueError) as error:
             exchange.error = str(error) or type(error).__name__
         exchange.ended_at = time.monotonic()
@@ -436,7 +443,12 @@
         return exchange
 
     def _exchange(
-        self, exchange: Exchange, machine: Machine, parts: str, limit_s: float
+        self,
+        exchange: Exchange,
+        machine: Machine,
+        parts: str,
+        limit_s: float,
+        channel: Channel | None,
     ) -> None:
         plain = ROUTES[exchange.kind]["service"] == PLAIN
         body = b"" if exchange.kind == "lookup" else b"x" * 600
@@ -451,14 +463,33 @@
             lines += [f"Model: {MODEL}", "Token-Usage: 900,10", f"Prompt-Prefix: {parts}"]
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        sock = socket.create_connection((machine.ip, FRONT_PORT), timeout=1.0)
+        request = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+        if channel is not None:
+            channel.sock.sendall(request)
+            _read_answer(channel.sock, exchange)
+            return
+        sock = open_channel(machine)
         try:
-            sock.settimeout(None)
-            sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            sock.sendall(request)
             _read_answer(sock, exchange)
         finally:
             sock.close()
 
+    def send_on_kept_channel(self, kind: str, machine: Machine, pause_s: float) -> None:
+        """Send requests one after the other on a channel that is kept where possible."""
+        while True:
+            try:
+                channel = Channel(open_channel(machine))
+            except OSError:
+                gevent.sleep(pause_s)
+                continue
+            keeps = True
+            while keeps:
+                exchange = self.send(kind, machine, channel=channel)
+                keeps = exchange.complete and exchange.headers.get("connection") != "close"
+                gevent.sleep(random.expovariate(1.0 / pause_s))
+            channel.sock.close()
+
     def send_forever(
         self, kind: str, pause_s: float, choose: Callable[[], Machine], **fields: Any
     ) -> None:
@@ -485,6 +516,13 @@
             server.stop()
         self.store.stop()
 
+    def record_runs(self) -> None:
+        """Record what each server ran."""
+        for server in self.servers.values():
+            for run in server.runs:
+                text = f"ran {run.request_id} with weights {run.weights}: {run.outcome}"
+                self.record.line(f"server {server.instance}: {text}", run.started_at)
+
     def count_in_logs(self, text: str) -> int:
         """Return how many log lines of the gateways contain a text."""
         return sum(
@@ -527,6 +565,13 @@
             return
 
 
+def open_channel(machine: Machine) -> Any:
+    """Open a channel to a machine, within the second that clients allow."""
+    sock = socket.create_connection((machine.ip, FRONT_PORT), timeout=1.0)
+    sock.settimeout(None)
+    return sock
+
+
 def has_trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -548,6 +593,7 @@
     try:
         fleet = Fleet(record)
         held = case(fleet, record)
+        fleet.record_runs()
     except (Unusable, OSError) as error:
         record.say(f"the case could not be run: {error}")
         return EXIT_UNUSABLE
