--- a/review/harness.py
+++ b/review/harness.py
@@ -185,6 +185,7 @@
         self.store = PlatformStoreStandIn()
         self.store_address = self.store.start(f"{self.network}.1", STORE_PORT)
         self.servers: dict[str, PlatformTargetStandIn] = {}
+        self.addresses_of: dict[str, str] = {}
         self.entries: dict[str, bytes] = {}
         self.heartbeats: dict[str, gevent.Greenlet] = {}
         self.requests: list[Exchange] = []
@@ -236,6 +237,7 @@
         """Start a server and register it."""
         address = server.start(f"{self.network}.{next(self.addresses)}", SERVER_PORT)
         self.servers[server.instance] = server
+        self.addresses_of[server.instance] = address
         server.on_loaded = lambda: self.register(server, service, address, zone)
         self.register(server, service, address, zone)
 
