Review: cases 1 and 2 at the site's own rates of traffic

Cause: the scripts of RECOVER and ROUTE sent more plain requests than the site.

The harness draws what prompts are about, and ends its processes on SIGTERM too.

--- a/review/harness.py
+++ b/review/harness.py
@@ -39,6 +39,9 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_PEER_PORT = 18782, 18789, 18783, 17340
 SERVER_PORT, STORE_PORT = 18080, 18784
 READINESS_PERIOD_S = 0.5
+THINGS = 102  # that prompts are about
+# The site's requests a second by their route.
+RATES_PER_S = {"lookup": 4.0, "booking": 8.05, "digest": 13.7, "help": 18.6}
 EXIT_HELD, EXIT_BROKEN, EXIT_UNUSABLE = 0, 1, 2
 # The bounds of the sheet of mwanga-lpr.
 BOUNDS = {
@@ -419,7 +422,7 @@
         self,
         kind: str,
         machine: Machine,
-        parts: str = "ab:600,cd:300",
+        parts: str = "",
         channel: Channel | None = None,
     ) -> Exchange:
         """Send one request, on a new channel if none is given, and read its answer."""
@@ -462,6 +465,8 @@
             f"Deadline-Ms: {int(limit_s * 1e3)}",
         ]
         if not plain:
+            shared = f"{random.randrange(1, THINGS + 1):x}:600"
+            parts = parts or f"{shared},{random.randrange(16**8):x}:300"
             lines += [f"Model: {MODEL}", "Token-Usage: 900,10", f"Prompt-Prefix: {parts}"]
         if body:
             lines.append(f"Content-Length: {len(body)}")
@@ -589,6 +594,7 @@
     folder
         Folder of the case, which gets ``record.txt``.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_UNUSABLE))
     record = Record(folder / "record.txt")
     record.say(f"TROUBLE={'1' if has_trouble() else '0'}")
     fleet = None
