--- a/agaterail/chat.py
+++ b/agaterail/chat.py
@@ -8,6 +8,8 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from agaterail.util.untrusted import DecodeError, load_json
+
 MAX_MESSAGES = 10_000
 
 
@@ -39,8 +41,8 @@
         The request, or an error message that names the invalid field.
     """
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError):
+        fields = load_json(body)
+    except DecodeError:
         return Failure("The body is not valid JSON.")
     if not isinstance(fields, dict):
         return Failure("The body is not a JSON object.")
@@ -82,7 +84,10 @@
         content = ""
     if isinstance(content, list):
         # Includes parts other than text, since they also distinguish prompts.
-        content = json.dumps(content, sort_keys=True)
+        try:
+            content = json.dumps(content, sort_keys=True)
+        except RecursionError:
+            return None
     if not isinstance(content, str):
         return None
     return Message(item["role"], content)
--- a/agaterail/cmd/status.py
+++ b/agaterail/cmd/status.py
@@ -11,6 +11,7 @@
 
 from agaterail import settings_rules
 from agaterail.status import StatusQuery
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,7 +37,7 @@
         address = loaded.unwrap().peer_listen
         print(f"The daemon at {address} did not answer: {answer.failure()}", file=sys.stderr)
         return EXIT_FAILED
-    report = json.loads(answer.unwrap().report)
+    report = load_json(answer.unwrap().report)
     if as_json:
         print(json.dumps(report))
     else:
--- a/agaterail/codec.py
+++ b/agaterail/codec.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from agaterail.records import TablesRecord
+from agaterail.util.untrusted import load_msgpack
 
 converter = make_converter(omit_if_default=True)
 configure_tagged_union(TablesRecord, converter)
@@ -29,6 +30,6 @@
         The object, or a message that says why the bytes cannot be decoded.
     """
     try:
-        return Success(converter.structure(msgpack.unpackb(data, raw=False), kind))
-    except Exception as error:  # cattrs and msgpack raise many unrelated types
+        return Success(converter.structure(load_msgpack(data), kind))
+    except Exception as error:  # cattrs raises many unrelated types
         return Failure(f"{type(error).__name__}: {error}")
--- a/agaterail/engineloads/messages.py
+++ b/agaterail/engineloads/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import attrs
 import msgspec
@@ -11,6 +11,7 @@
 
 from agaterail.decisions.engineloads import DaemonReport, EngineRow
 from agaterail.util.units import MS_PER_S
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 # The version in the path changes with the format. Daemons of another release answer 404.
 PATH = b"/engine-loads/1"
@@ -43,9 +44,9 @@
     Annotated[int, Meta(ge=0, le=100_000)],
     Annotated[int, Meta(ge=-(10**9), le=10**9)],
 ]
-_ROW_DECODER = msgspec.msgpack.Decoder(_Row)
-_ROWS_DECODER = msgspec.msgpack.Decoder(list[_Row])
-_REPORT_DECODER = msgspec.msgpack.Decoder(
+_ROW_DECODER: MsgpackDecoder[_Row] = MsgpackDecoder(_Row)
+_ROWS_DECODER: MsgpackDecoder[list[_Row]] = MsgpackDecoder(list[_Row])
+_REPORT_DECODER: MsgpackDecoder[Any] = MsgpackDecoder(
     tuple[
         _Name,
         _Name,
@@ -55,10 +56,10 @@
         msgspec.Raw,
     ]
 )
-_RAW_ROWS_DECODER = msgspec.msgpack.Decoder(
+_RAW_ROWS_DECODER: MsgpackDecoder[list[msgspec.Raw]] = MsgpackDecoder(
     Annotated[list[msgspec.Raw], Meta(max_length=MAX_ROWS)]
 )
-_ANSWER_DECODER = msgspec.msgpack.Decoder(
+_ANSWER_DECODER: MsgpackDecoder[Any] = MsgpackDecoder(
     tuple[
         _Tag,
         Annotated[tuple[tuple[_Name, _Start], ...], Meta(max_length=MAX_ENGINES)] | None,
@@ -156,7 +157,7 @@
     try:
         daemon, domain, service, period_ms, tag, raw_rows = _REPORT_DECODER.decode(body)
         decoded, refused = _decode_rows(raw_rows)
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
     rows: dict[str, EngineRow] = {}
     for values in decoded:
@@ -199,7 +200,7 @@
         tag, engines, streams, prefill, kv, heard, paces, silent, age_ms, per_mille = (
             _ANSWER_DECODER.decode(body)
         )
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
     answer = LoadAnswer(
         tag=tag,
@@ -243,12 +244,12 @@
     raw_rows = _RAW_ROWS_DECODER.decode(raw)
     try:
         return _ROWS_DECODER.decode(raw), []
-    except msgspec.MsgspecError:
+    except DecodeError:
         rows, refused = [], []
         for raw_row in raw_rows:
             try:
                 rows.append(_ROW_DECODER.decode(raw_row))
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 refused.append(str(error))
         return rows, refused
 
--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -5,7 +5,6 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-import msgpack
 from returns.result import Failure, Result, Success
 
 from agaterail.engines import (
@@ -27,6 +26,7 @@
     from collections.abc import Sequence
 
     from agaterail.util.address import Address
+from agaterail.util.untrusted import DecodeError, load_json, load_msgpack
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -169,16 +169,16 @@
 
 def _parse_json(data: bytes) -> Result[dict[str, Any], str]:
     try:
-        return _require_object(json.loads(data))
-    except ValueError as error:
+        return _require_object(load_json(data))
+    except DecodeError as error:
         return Failure(f"malformed answer: {error}")
 
 
 def _parse_msgpack(data: bytes) -> Result[dict[str, Any], str]:
     try:
-        return _require_object(msgpack.unpackb(data))
-    except Exception as error:  # msgpack raises many unrelated types
-        return Failure(f"malformed answer: {error!r}")
+        return _require_object(load_msgpack(data))
+    except DecodeError as error:
+        return Failure(f"malformed answer: {error}")
 
 
 def _require_object(value: object) -> Result[dict[str, Any], str]:
--- a/agaterail/gateway/allowancecontroller.py
+++ b/agaterail/gateway/allowancecontroller.py
@@ -21,6 +21,7 @@
     WorkspaceCredit,
 )
 from agaterail.gateway.coordinators import COORDINATORS, query_path, split_query
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -40,7 +41,7 @@
 MAX_REPORTS_PER_MESSAGE = 64
 OK = 200
 
-_DECODER = msgspec.msgpack.Decoder(list[Grant | None])
+_DECODER: MsgpackDecoder[list[Grant | None]] = MsgpackDecoder(list[Grant | None])
 
 
 @attrs.frozen
@@ -229,7 +230,7 @@
             return []
         try:
             grants = _DECODER.decode(body)
-        except msgspec.MsgspecError as error:
+        except DecodeError as error:
             self.coordinators.record_failure(coordinator, str(error))
             return []
         return grants if len(grants) == len(reports) else []
--- a/agaterail/gateway/controlstore.py
+++ b/agaterail/gateway/controlstore.py
@@ -4,6 +4,7 @@
 
 import abc
 import enum
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,7 +13,7 @@
 from agaterail.decisions.crashevidence import CrashReport  # noqa: TC001
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from returns.result import Result
 
@@ -326,11 +327,14 @@
     ----------
     calls
         Number of calls since the start.
+    skipped
+        Number of records of each feed that could not be decoded since the start.
     on_data
         Called whenever data of a read of a feed arrives.
     """
 
     calls = 0
+    skipped: Mapping[Feed, int] = MappingProxyType({})
     on_data: Callable[[Feed], None] = staticmethod(lambda _feed: None)
 
     @abc.abstractmethod
--- a/agaterail/gateway/crashprotocol.py
+++ b/agaterail/gateway/crashprotocol.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from agaterail.gateway.controlstore import CrashReported, PartQuarantined, PartsSurvived
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,7 +36,7 @@
         return [*self.reports, *self.survivals, *self.verdicts]
 
 
-_DECODER = msgspec.msgpack.Decoder(CrashMessage)
+_DECODER: MsgpackDecoder[CrashMessage] = MsgpackDecoder(CrashMessage)
 
 
 def encode(changes: Sequence[CrashChange]) -> bytes:
@@ -54,6 +55,6 @@
         return Failure("too large")
     try:
         changes = _DECODER.decode(body).changes
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
     return Success(changes) if len(changes) <= MAX_RECORDS else Failure("too many records")
--- a/agaterail/gateway/documents.py
+++ b/agaterail/gateway/documents.py
@@ -9,11 +9,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from agaterail.util.untrusted import DecodeError, JsonDecoder, decode_pruned
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-_MEMBERS = msgspec.json.Decoder(dict[str, msgspec.Raw])
-_ROWS = msgspec.json.Decoder(list[msgspec.Raw])
+_MEMBERS: JsonDecoder[dict[str, msgspec.Raw]] = JsonDecoder(dict[str, msgspec.Raw])
+_ROWS: JsonDecoder[list[msgspec.Raw]] = JsonDecoder(list[msgspec.Raw])
 LIST_START = b"["
 
 
@@ -94,18 +96,8 @@
     change of one row takes the memory of one row.
     """
     try:
-        found = _MEMBERS.decode(text)
-        lists = {n for n, raw in found.items() if memoryview(raw)[:1] == LIST_START}
-        return Success(
-            Document(
-                {name: bytes(raw) for name, raw in found.items() if name not in lists},
-                {
-                    name: _decode_rows(found[name], former.tables.get(name, ()))
-                    for name in lists
-                },
-            )
-        )
-    except msgspec.MsgspecError as error:
+        return Success(decode_pruned(lambda kept: _split(kept, former), text))
+    except DecodeError as error:
         return Failure(str(error))
 
 
@@ -136,6 +128,15 @@
     return Success(document)
 
 
+def _split(text: bytes, former: Document) -> Document:
+    found = _MEMBERS.decode(text)
+    lists = {n for n, raw in found.items() if memoryview(raw)[:1] == LIST_START}
+    return Document(
+        {name: bytes(raw) for name, raw in found.items() if name not in lists},
+        {name: _decode_rows(found[name], former.tables.get(name, ())) for name in lists},
+    )
+
+
 def _decode_rows(text: msgspec.Raw, former: Sequence[bytes]) -> tuple[bytes, ...]:
     known = {row: row for row in former}
     rows = (bytes(raw) for raw in _ROWS.decode(text))
--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -28,6 +28,8 @@
 # A registration lapses after three heartbeats without a write. The first of them was due
 # up to one heartbeat before the outage.
 SHORTEST_OUTAGE_HEARTBEATS = 2.0
+# Name in the log of the loop that reads all feeds from peers.
+FROM_PEERS = "all from peers"
 
 
 class FeedHub:
@@ -77,14 +79,15 @@
     def start(self) -> None:
         """Start to follow the feeds and to answer peers."""
         self.peer_responder.server.start()
-        steps = [DirectFollower(self, feed).step for feed in Feed]
-        for step in (*steps, self.poller.step):
+        steps = [(feed.value, DirectFollower(self, feed).step) for feed in Feed]
+        for name, step in (*steps, (FROM_PEERS, self.poller.step)):
             self.daemon.greenlets.spawn(
                 run_forever,
                 step,
                 logger,
                 "Following a feed failed unexpectedly.",
                 MAX_BACKOFF_S,
+                feed=name,
             )
 
     @property
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -117,6 +117,12 @@
             ("part",),
             registry=registry,
         )
+        self.records_skipped = Gauge(
+            f"{PREFIX}_records_skipped",
+            "Records of the store that could not be decoded since the start.",
+            ("feed",),
+            registry=registry,
+        )
         self.workspace_labels: set[str] = set()
         self.first_byte = Histogram(
             f"{PREFIX}_first_byte_seconds",
@@ -246,6 +252,8 @@
         }
         for part, count in exceeded_bounds.counts.items():
             self.answer_bounds.labels(part.value).set(count)
+        for feed, count in daemon.store.skipped.items():
+            self.records_skipped.labels(feed.value).set(count)
         for name, value in values.items():
             self.gauges[name].set(value)
 
--- a/agaterail/gateway/peerprotocol.py
+++ b/agaterail/gateway/peerprotocol.py
@@ -12,6 +12,7 @@
 from agaterail.gateway.controlstore import Feed
 from agaterail.gateway.demand import DemandReport
 from agaterail.gateway.relayed import PackedRecord
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from agaterail.decisions.fleetmembers import FleetMembers
@@ -109,7 +110,7 @@
     members: dict[str, str] | None = None
 
 
-_DECODER = msgspec.msgpack.Decoder(PeerAnswer)
+_DECODER: MsgpackDecoder[PeerAnswer] = MsgpackDecoder(PeerAnswer)
 
 
 def encode_query(query: PeerQuery) -> str:
@@ -195,5 +196,5 @@
     """Return the answer in a body, or why it is malformed."""
     try:
         return Success(_DECODER.decode(body))
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
--- a/agaterail/gateway/quarantinecontroller.py
+++ b/agaterail/gateway/quarantinecontroller.py
@@ -368,18 +368,22 @@
         has_reports, decided_here = False, False
         oldest = self.time_of_day() - EVIDENCE_S
         for change in changes:
-            match change:
-                case CrashReported() | PartsSurvived() if change.written_at < oldest:
-                    continue
-                case CrashReported():
-                    has_reports = True
-                    decided_here = decided_here or change.reporter == self.name
-                    self.evidence.add(change.report, self.now())
-                    self._tell_refuted(change.report.parts)
-                case PartsSurvived():
-                    self._apply_survival(change.parts)
-                case PartQuarantined():
-                    self._apply_verdict(change, stored)
+            # A change that fails must not keep the others of its reading from being applied.
+            try:
+                match change:
+                    case CrashReported() | PartsSurvived() if change.written_at < oldest:
+                        continue
+                    case CrashReported():
+                        has_reports = True
+                        decided_here = decided_here or change.reporter == self.name
+                        self.evidence.add(change.report, self.now())
+                        self._tell_refuted(change.report.parts)
+                    case PartsSurvived():
+                        self._apply_survival(change.parts)
+                    case PartQuarantined():
+                        self._apply_verdict(change, stored)
+            except Exception:
+                logger.exception("Could not apply a change.", offset=change.offset)
         if has_reports:
             self._decide(decided_here)
 
--- a/agaterail/gateway/relayed/documents.py
+++ b/agaterail/gateway/relayed/documents.py
@@ -14,6 +14,7 @@
 from agaterail.gateway.controlstore import DocumentRecord
 from agaterail.gateway.documents import EMPTY, Difference, Document
 from agaterail.gateway.relayed import PackedRecord, RelayedFeed
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -29,6 +30,7 @@
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024
 # Base offset of a difference from the empty document, which is the whole document.
 NO_BASE = -1
+_DECODER: MsgpackDecoder[Difference] = MsgpackDecoder(Difference)
 
 
 @attrs.define
@@ -137,6 +139,6 @@
         text = unpacker.decompress(data, MAX_UNPACKED_BYTES)
         if not unpacker.eof:
             return Failure("truncated or too large difference")
-        return Success(msgspec.msgpack.decode(text, type=Difference))
-    except (zlib.error, msgspec.MsgspecError) as error:
+        return Success(_DECODER.decode(text))
+    except (zlib.error, DecodeError) as error:
         return Failure(str(error))
--- a/agaterail/gateway/relayprotocol.py
+++ b/agaterail/gateway/relayprotocol.py
@@ -17,6 +17,7 @@
 
 from agaterail.errors import ErrorKind
 from agaterail.gateway.inbound import AnswerHead
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -131,7 +132,7 @@
     start: int = 0
 
 
-_STATUS_DECODER = msgspec.msgpack.Decoder(RelayStatus)
+_STATUS_DECODER: MsgpackDecoder[RelayStatus] = MsgpackDecoder(RelayStatus)
 
 
 def encode_query(service: str, sender: str) -> str:
@@ -162,7 +163,7 @@
     """Return the answer in a body, or why it is malformed."""
     try:
         found = _STATUS_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
     return Success(attrs.evolve(found, daemons=found.daemons[:MAX_ADDRESSES]))
 
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -112,13 +112,17 @@
         """
         registered = []
         for change in changes:
-            if isinstance(change, DesiredPublished):
-                self._apply_desired(change, now, arrival)
-            elif isinstance(change, WeightsNamed):
-                known_at = self._earliest_naming_time(now, at_start, previous_read_at)
-                self._apply_weights(change, now, known_at, at_start)
-            elif isinstance(change, TargetChanged) and self._apply_target(change, now):
-                registered.append(change)
+            # A change that fails must not keep the others of its reading from being applied.
+            try:
+                if isinstance(change, DesiredPublished):
+                    self._apply_desired(change, now, arrival)
+                elif isinstance(change, WeightsNamed):
+                    known_at = self._earliest_naming_time(now, at_start, previous_read_at)
+                    self._apply_weights(change, now, known_at, at_start)
+                elif isinstance(change, TargetChanged) and self._apply_target(change, now):
+                    registered.append(change)
+            except Exception:
+                logger.exception("Could not apply a change.", offset=change.offset)
         if registered:
             _log_registered(registered, arrival)
 
--- a/agaterail/gateway/streamprotocol.py
+++ b/agaterail/gateway/streamprotocol.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from agaterail.decisions.streamrecords import KEY_BYTES
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -55,8 +56,10 @@
     age_s: float = 0.0
 
 
-_ENTRIES_DECODER = msgspec.msgpack.Decoder(tuple[StreamEntry, ...])
-_ANSWER_DECODER = msgspec.msgpack.Decoder(StreamAnswer)
+_ENTRIES_DECODER: MsgpackDecoder[tuple[StreamEntry, ...]] = MsgpackDecoder(
+    tuple[StreamEntry, ...]
+)
+_ANSWER_DECODER: MsgpackDecoder[StreamAnswer] = MsgpackDecoder(StreamAnswer)
 
 
 def encode_entries(entries: Sequence[StreamEntry]) -> bytes:
@@ -68,7 +71,7 @@
     """Return the records in a body, or why it is malformed."""
     try:
         entries = _ENTRIES_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
     if len(entries) > MAX_BATCH or not all(entry.is_valid for entry in entries):
         return Failure("records are implausible")
@@ -103,5 +106,5 @@
     """Return the answer in a body, or why it is malformed."""
     try:
         return Success(_ANSWER_DECODER.decode(body))
-    except msgspec.MsgspecError as error:
+    except DecodeError as error:
         return Failure(str(error))
--- a/agaterail/gateway/targetcoordination.py
+++ b/agaterail/gateway/targetcoordination.py
@@ -12,6 +12,7 @@
 from agaterail import logs
 from agaterail.gateway.coordinators import COORDINATORS
 from agaterail.util.units import MS_PER_S
+from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,7 +30,7 @@
 
 Demand = TypeVar("Demand")
 Ledger = TypeVar("Ledger", bound="PermitLedger | RoomLedger")
-_DECODER = msgspec.msgpack.Decoder(float | None)
+_DECODER: MsgpackDecoder[float | None] = MsgpackDecoder(float | None)
 
 
 @attrs.frozen
@@ -134,7 +135,7 @@
         if status == OK:
             try:
                 return _DECODER.decode(body)
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 reason = str(error)
         self.unsupported_until[coordinator] = self.now() + UNSUPPORTED_BACKOFF_S
         logger.info("Coordinator grants no permits.", peer=coordinator, reason=reason)
--- a/agaterail/hostlists/http.py
+++ b/agaterail/hostlists/http.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import json
-
 from returns.result import Failure, Result, Success
 
 from agaterail.hostlists import Host, HostList, HostRole, HostState
 from agaterail.util.address import Address
 from agaterail.util.httpconn import HttpConnections
+from agaterail.util.untrusted import load_json
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
@@ -44,7 +43,7 @@
         if response.status_code != HTTP_OK:
             return Failure(f"status {response.status_code}")
         try:
-            hosts = tuple(_parse_host(fields) for fields in json.loads(body)["hosts"])
+            hosts = tuple(_parse_host(fields) for fields in load_json(body)["hosts"])
         except (ValueError, KeyError, TypeError) as error:
             return Failure(f"malformed list: {error!r}")
         self.hosts = hosts
--- a/agaterail/kvstores/http.py
+++ b/agaterail/kvstores/http.py
@@ -9,6 +9,7 @@
 
 from agaterail.kvstores import KvStore
 from agaterail.util.httpconn import HttpConnections
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,6 +36,6 @@
         if status != HTTP_OK:
             return Failure(f"status {status}")
         try:
-            return Success(int(json.loads(data)["blocks"]))
+            return Success(int(load_json(data)["blocks"]))
         except (ValueError, KeyError, TypeError) as error:
             return Failure(f"malformed answer: {error}")
--- a/agaterail/logstore/http.py
+++ b/agaterail/logstore/http.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import msgpack
 from returns.result import Failure, Result, Success
 
 from agaterail.logstore import LogError, LogErrorKind, LogRecord, LogSlice, LogStore
 from agaterail.util.address import Address
 from agaterail.util.httpconn import ConnectFailed, HttpConnections
+from agaterail.util.untrusted import load_msgpack
 
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_CONTENT_TOO_LARGE = 413
@@ -31,7 +31,10 @@
         status, body = answer.unwrap()
         if status != HTTP_OK:
             return Failure(_status_error(status))
-        return Success(msgpack.unpackb(body)["offset"])
+        try:
+            return Success(load_msgpack(body)["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            return Failure(_malformed_answer(error))
 
     def read(
         self, stream: str, offset: int, limit: int = 1000, wait_s: float = 0.0
@@ -46,9 +49,12 @@
         status, body = answer.unwrap()
         if status != HTTP_OK:
             return Failure(_status_error(status))
-        fields = msgpack.unpackb(body)
-        records = [LogRecord(number, data) for number, data in fields["records"]]
-        return Success(LogSlice(records, fields["first"], fields["end"]))
+        try:
+            fields = load_msgpack(body)
+            records = [LogRecord(number, data) for number, data in fields["records"]]
+            return Success(LogSlice(records, fields["first"], fields["end"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return Failure(_malformed_answer(error))
 
 
 def _transport_error(error: object) -> LogError:
@@ -57,6 +63,10 @@
     return LogError(LogErrorKind.UNANSWERED, str(error))
 
 
+def _malformed_answer(error: Exception) -> LogError:
+    return LogError(LogErrorKind.UNANSWERED, f"malformed answer: {error!r}")
+
+
 def _status_error(status: int) -> LogError:
     if status == HTTP_TOO_MANY_REQUESTS:
         return LogError(LogErrorKind.THROTTLED)
--- a/agaterail/peers/__init__.py
+++ b/agaterail/peers/__init__.py
@@ -20,6 +20,7 @@
 
 from agaterail import logs
 from agaterail.peers import envelope
+from agaterail.util.untrusted import load_msgpack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -206,7 +207,7 @@
         if body is None:
             return Failure("wrong secret or corrupted message")
         try:
-            sender, name, fields = msgpack.unpackb(body)
+            sender, name, fields = load_msgpack(body)
             return Success((sender, decode_message(MESSAGE_TYPES[name], fields)))
         except Exception as error:  # msgpack and cattrs raise many unrelated types
             return Failure(f"{type(error).__name__}: {error}")
--- a/agaterail/platform/cacheevents.py
+++ b/agaterail/platform/cacheevents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -12,6 +11,7 @@
 from agaterail.platform import fields, names
 from agaterail.platform.fields import MalformedError
 from agaterail.util.httpconn import ConnectionsByAddress
+from agaterail.util.untrusted import load_json
 
 CONNECT_TIMEOUT_S = 0.3
 # Time beyond the requested wait before a long poll times out.
@@ -43,7 +43,7 @@
             return Failure(f"status {status}")
         try:
             return Success(decode_cache_changes(body))
-        except ValueError as error:  # MalformedError and JSON errors
+        except ValueError as error:  # MalformedError and DecodeError
             return Failure(str(error))
 
 
@@ -55,7 +55,7 @@
     ValueError
         If the body is malformed.
     """
-    answer = fields.json_object(json.loads(body), "the answer")
+    answer = fields.json_object(load_json(body), "the answer")
     events = fields.array(answer, "events")
     return CacheChangeBatch(
         epoch=fields.integer(answer, "boot_epoch"),
--- a/agaterail/platform/crashrecords.py
+++ b/agaterail/platform/crashrecords.py
@@ -10,7 +10,6 @@
 import zlib
 from typing import TYPE_CHECKING, Any
 
-from agaterail import logs
 from agaterail.decisions.crashevidence import BrokenPrompt, CrashReport, TargetStart
 from agaterail.gateway.controlstore import (
     CrashReported,
@@ -19,12 +18,11 @@
     Quarantine,
 )
 from agaterail.platform import fields
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from agaterail.gateway.controlstore import CrashChange, FeedRecord
 
-logger = logs.get_logger("store")
-
 HOST_KEYS = 64
 REPORT_PREFIX = "crash/"
 SURVIVAL_PREFIX = "survived/"
@@ -52,20 +50,17 @@
 
 
 def decode(record: FeedRecord) -> CrashChange | None:
-    """Decode a record; return None if it is malformed or its key is unknown."""
+    """Decode a record; return None if its key is unknown.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed.
+    """
     if record.key.startswith(VERDICT_PREFIX) and not record.value:
         part = record.key.removeprefix(VERDICT_PREFIX)
         return PartQuarantined(part, None, record.offset)
-    try:
-        return _decode_value(record)
-    except ValueError as error:
-        logger.warning(
-            "Skipped a malformed record.",
-            key=record.key,
-            offset=record.offset,
-            reason=str(error),
-        )
-        return None
+    return _decode_value(record)
 
 
 def _encode_report(change: CrashReported) -> dict[str, Any]:
@@ -100,7 +95,7 @@
 
 
 def _decode_value(record: FeedRecord) -> CrashChange | None:
-    decoded = fields.json_object(json.loads(record.value), "the record")
+    decoded = fields.json_object(load_json(record.value), "the record")
     if record.key.startswith(VERDICT_PREFIX):
         part = record.key.removeprefix(VERDICT_PREFIX)
         return PartQuarantined(part, _decode_verdict(decoded), record.offset)
--- a/agaterail/platform/desired.py
+++ b/agaterail/platform/desired.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -24,6 +23,8 @@
 )
 from agaterail.platform import fields
 from agaterail.platform.fields import MalformedError
+from agaterail.util.address import Address
+from agaterail.util.untrusted import decode_pruned, load_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,7 +88,7 @@
                     limits=_decode_limits(members),
                 )
             )
-        except ValueError as error:  # MalformedError and JSON errors
+        except ValueError as error:  # MalformedError and DecodeError
             return Failure(str(error))
 
     def _decode_rows(
@@ -142,15 +143,16 @@
 
 
 def _decode_members(document: Document) -> dict[str, Any]:
-    return {name: json.loads(text) for name, text in document.members.items()}
+    return {name: decode_pruned(load_json, text) for name, text in document.members.items()}
 
 
 def _decode_row(name: str, row: bytes, decode: Callable[[dict[str, Any]], Any]) -> Any:
     """Decode one row; return None if it is malformed."""
     try:
-        return decode(fields.json_object(json.loads(row), "the row"))
-    except ValueError as error:  # MalformedError and JSON errors
-        logger.warning("Skipped a malformed row.", table=name, reason=str(error))
+        return decode(fields.json_object(decode_pruned(load_json, row), "the row"))
+    # Whatever is wrong with a row, the others stay in force.
+    except Exception as error:
+        logger.warning("Skipped a malformed row.", table=name, reason=repr(error))
         return None
 
 
@@ -190,7 +192,7 @@
     if row.get("kv_store_addr"):
         return KvStoreSpec(
             name=name,
-            address=fields.string(row, "kv_store_addr"),
+            address=str(Address.parse(fields.string(row, "kv_store_addr"))),
             domain=fields.string(row, "zone"),
             link_mbps=fields.number(row, "link_mbps", 0.0),
         )
--- a/agaterail/platform/engines.py
+++ b/agaterail/platform/engines.py
@@ -17,6 +17,7 @@
 from agaterail.platform import fields, names
 from agaterail.util.address import Address
 from agaterail.util.httpconn import HttpConnections
+from agaterail.util.untrusted import load_json
 
 # Engines are milliseconds away; one that is silent for this long counts as unreachable.
 CONNECT_TIMEOUT_S = 0.3
@@ -90,7 +91,7 @@
 
 
 def _decode_report(body: bytes) -> EngineReport:
-    decoded = fields.json_object(json.loads(body), "the report")
+    decoded = fields.json_object(load_json(body), "the report")
     models = (fields.json_object(item, "a model") for item in fields.array(decoded, "models"))
     return EngineReport(
         loading=fields.boolean(decoded, "busy"),
--- a/agaterail/platform/feedrecords.py
+++ b/agaterail/platform/feedrecords.py
@@ -4,10 +4,10 @@
 
 import base64
 import binascii
-import json
 import struct
 import time
-from typing import TYPE_CHECKING, Any
+from collections import Counter, OrderedDict
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from returns.result import Success
 
@@ -28,22 +28,45 @@
 from agaterail.platform import crashrecords, fields, names
 from agaterail.platform.desired import DesiredDecoder, decode_weights
 from agaterail.platform.registrations import decode_registration
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from returns.result import Result
+
     from agaterail.gateway.controlstore import Change, Record
     from agaterail.gateway.documents import Document
 
 logger = logs.get_logger("store")
 
+T = TypeVar("T")
+
 RECORD_LENGTH = struct.Struct(">I")
+# Skipped records that are remembered, so that listings do not report them again.
+MAX_KNOWN_SKIPPED = 1024
+# Length to which another writer's text is cut in the log.
+MAX_LOGGED = 120
 
 
 class RecordDecoder:
-    """Decodes records; operators' documents are parsed against their previous version."""
+    """Decodes records; operators' documents are parsed against their previous version.
+
+    Other writers can add any record. One that cannot be decoded, for whatever reason, is
+    skipped: if it stopped its feed, no later record would be applied, and a daemon that
+    starts would never know any target.
+
+    Attributes
+    ----------
+    skipped
+        Number of records of each feed that were skipped.
+    known_skipped
+        The latest of them, by feed, key and offset.
+    """
 
     def __init__(self) -> None:
+        self.skipped: Counter[Feed] = Counter()
+        self.known_skipped: OrderedDict[tuple[Feed, str, int], None] = OrderedDict()
         self.latest_documents: dict[str, Document] = {}
         self.desired_decoder = DesiredDecoder()
 
@@ -67,14 +90,23 @@
         previous = self.latest_documents.get(record.key, documents.EMPTY)
         parsed = documents.parse(record.value, previous)
         if not isinstance(parsed, Success):
-            _log_skipped(record, parsed.failure())
+            self._skip(Feed.OPERATORS, record, parsed.failure())
             return None
         document = parsed.unwrap()
         self.latest_documents[record.key] = document
         return DocumentRecord(record.offset, record.key, document)
 
     def decode_change(self, feed: Feed, record: Record) -> Change | None:
-        """Decode a record; return None if it is malformed or its key is unknown."""
+        """Decode a record; return None if it is skipped or its key is unknown."""
+        try:
+            return self._decode_change(feed, record)
+        except fields.MalformedError as error:
+            self._skip(feed, record, str(error))
+        except Exception as error:
+            self._skip(feed, record, repr(error))
+        return None
+
+    def _decode_change(self, feed: Feed, record: Record) -> Change | None:
         if isinstance(record, DocumentRecord):
             return self._decode_operator_change(record)
         if feed is Feed.CRASHES:
@@ -90,22 +122,31 @@
             return self._decode_desired_change(record)
         if not record.key.startswith(names.VERSION_KEY_PREFIX):
             return None
-        weights = decode_weights(record.document)
-        if isinstance(weights, Success):
-            named = weights.unwrap()
-            return WeightsNamed(record.offset, named.model, named.version)
-        _log_skipped(record, weights.failure())
-        return None
+        named = _unwrap(decode_weights(record.document))
+        return WeightsNamed(record.offset, named.model, named.version)
 
-    def _decode_desired_change(self, record: DocumentRecord) -> Change | None:
+    def _decode_desired_change(self, record: DocumentRecord) -> Change:
         began = time.perf_counter()
-        desired = self.desired_decoder.decode(record.document)
-        if not isinstance(desired, Success):
-            _log_skipped(record, desired.failure())
-            return None
+        desired = _unwrap(self.desired_decoder.decode(record.document))
         took_s = time.perf_counter() - began
-        size = record.document.size
-        return DesiredPublished(record.offset, desired.unwrap(), size, took_s)
+        return DesiredPublished(record.offset, desired, record.document.size, took_s)
+
+    def _skip(self, feed: Feed, record: Record, reason: str) -> None:
+        """Count and log a record, unless that was done at a former reading."""
+        place = (feed, record.key, record.offset)
+        if place in self.known_skipped:
+            return
+        self.known_skipped[place] = None
+        if len(self.known_skipped) > MAX_KNOWN_SKIPPED:
+            self.known_skipped.popitem(last=False)
+        self.skipped[feed] += 1
+        logger.warning(
+            "Skipped a malformed record.",
+            feed=feed.value,
+            key=record.key[:MAX_LOGGED],
+            offset=record.offset,
+            reason=reason[:MAX_LOGGED],
+        )
 
 
 def split_records(data: bytes, offset: int) -> list[tuple[int, bytes]] | None:
@@ -157,9 +198,9 @@
             value = base64.b64decode(fields.string(row, "value"), validate=True)
         except binascii.Error as error:
             raise fields.MalformedError(str(error)) from error
-        records.append(
-            FeedRecord(fields.integer(row, "offset"), fields.string(row, "key"), value)
-        )
+        # Messages between daemons and queries of the store hold no lone surrogates.
+        key = fields.string(row, "key").encode("utf-8", "replace").decode()
+        records.append(FeedRecord(fields.integer(row, "offset"), key, value))
     return records
 
 
@@ -232,36 +273,28 @@
 def _decode_target_change(record: FeedRecord) -> Change | None:
     if not record.value:
         return TargetChanged(record.offset, record.key, None)
-    entry = decode_registration(record.key, record.value)
-    if isinstance(entry, Success):
-        return TargetChanged(record.offset, record.key, entry.unwrap())
-    _log_skipped(record, entry.failure())
-    return None
-
-
-def _log_skipped(record: Record, reason: str) -> None:
-    logger.warning(
-        "Skipped a malformed record.", key=record.key, offset=record.offset, reason=reason
+    entry = _unwrap(decode_registration(record.key, record.value))
+    return TargetChanged(record.offset, record.key, entry)
+
+
+def _unwrap(decoded: Result[T, str]) -> T:
+    """Return a decoded value; raise MalformedError with the reason if there is none."""
+    if isinstance(decoded, Success):
+        return decoded.unwrap()
+    raise fields.MalformedError(decoded.failure())
+
+
+def _decode_lease_change(record: FeedRecord) -> Change:
+    decoded = fields.json_object(load_json(record.value), "the lease")
+    idle, load = decoded.get("released_idle_s"), decoded.get("load_s")
+    planned = decoded.get("planned")
+    entry = LeaseEntry(
+        host=fields.string(decoded, "host"),
+        boot=fields.string(decoded, "boot"),
+        released_idle_s=None if idle is None else fields.number(decoded, "released_idle_s"),
+        load_s=None if load is None else fields.number(decoded, "load_s"),
+        naming=_decode_naming(decoded.get("naming")),
+        planned=None if planned is None else _decode_loads(planned),
+        loaded=_decode_loads(decoded.get("loaded", [])),
     )
-
-
-def _decode_lease_change(record: FeedRecord) -> Change | None:
-    try:
-        decoded = fields.json_object(json.loads(record.value), "the lease")
-        idle, load = decoded.get("released_idle_s"), decoded.get("load_s")
-        planned = decoded.get("planned")
-        entry = LeaseEntry(
-            host=fields.string(decoded, "host"),
-            boot=fields.string(decoded, "boot"),
-            released_idle_s=None
-            if idle is None
-            else fields.number(decoded, "released_idle_s"),
-            load_s=None if load is None else fields.number(decoded, "load_s"),
-            naming=_decode_naming(decoded.get("naming")),
-            planned=None if planned is None else _decode_loads(planned),
-            loaded=_decode_loads(decoded.get("loaded", [])),
-        )
-    except ValueError as error:
-        _log_skipped(record, str(error))
-        return None
     return LeaseChanged(record.offset, entry)
--- a/agaterail/platform/fields.py
+++ b/agaterail/platform/fields.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
+# Range of the integers that messages between daemons can carry.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+
 
 class MalformedError(ValueError):
     """A required field is missing, or a field has the wrong type."""
@@ -39,7 +44,11 @@
     field = value.get(name, default)
     if isinstance(field, bool) or not isinstance(field, (int, float)):
         raise MalformedError(f"{name} is not a number")
-    if field != field or abs(field) == float("inf"):
+    try:
+        is_finite = math.isfinite(field)
+    except OverflowError:
+        is_finite = False
+    if not is_finite:
         raise MalformedError(f"{name} is not finite")
     return field
 
@@ -49,6 +58,8 @@
     field = value.get(name, default)
     if isinstance(field, bool) or not isinstance(field, int):
         raise MalformedError(f"{name} is not an integer")
+    if not MIN_INTEGER <= field <= MAX_INTEGER:
+        raise MalformedError(f"{name} is out of range")
     return field
 
 
--- a/agaterail/platform/registrations.py
+++ b/agaterail/platform/registrations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -10,6 +9,8 @@
 from agaterail.gateway.targets import Registration
 from agaterail.platform import fields
 from agaterail.platform.fields import MalformedError
+from agaterail.util.address import Address
+from agaterail.util.untrusted import load_json
 
 READY = "ready"
 STATES = (READY, "draining")
@@ -22,19 +23,15 @@
     or an unknown state is rejected and yields no target.
     """
     try:
-        decoded = fields.json_object(json.loads(value), "the entry")
+        decoded = fields.json_object(load_json(value), "the entry")
         state = fields.string(decoded, "state")
         if state not in STATES:
             raise MalformedError("state is unknown")
-        address = fields.string(decoded, "address")
-        host, separator, port = address.rpartition(":")
-        if not separator or not host or not port.isdigit():
-            raise MalformedError("address is not of the form IP:port")
         return Success(
             Registration(
                 instance=instance,
                 service=fields.string(decoded, "service"),
-                address=address,
+                address=str(Address.parse(fields.string(decoded, "address"))),
                 domain=fields.string(decoded, "zone"),
                 ready=state == READY,
                 slots=fields.integer(decoded, "slots", 0),
@@ -43,7 +40,7 @@
                 build=_build(decoded),
             )
         )
-    except ValueError as error:  # MalformedError and JSON errors
+    except ValueError as error:  # MalformedError, DecodeError and invalid addresses
         return Failure(str(error))
 
 
--- a/agaterail/platform/settings.py
+++ b/agaterail/platform/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -19,6 +18,7 @@
 from agaterail.platform import fields
 from agaterail.platform.fields import MalformedError
 from agaterail.util.address import Address
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -42,7 +42,7 @@
     """Read the settings file, JSON that is rendered from the deploy file's template."""
     try:
         with open(path, encoding="utf-8") as file:
-            decoded = json.load(file)
+            decoded = load_json(file.read())
     except (OSError, ValueError) as error:
         return Failure(SettingsFileProblem(path, str(error)))
     try:
--- a/agaterail/platform/store.py
+++ b/agaterail/platform/store.py
@@ -26,6 +26,7 @@
 from agaterail.platform import crashrecords, feedrecords, fields, names
 from agaterail.platform.feedrecords import RecordDecoder
 from agaterail.util.httpconn import ConnectFailed, ExchangeBroken, HttpConnections
+from agaterail.util.untrusted import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -72,6 +73,7 @@
         self.use_new_connection = False
         self.calls = 0
         self.decoder = RecordDecoder()
+        self.skipped = self.decoder.skipped
 
     def listing(self, feed: Feed) -> Result[FeedSlice, StoreError]:
         """Read the newest record of each key, page by page.
@@ -270,7 +272,7 @@
         if not isinstance(answer, Success):
             return Failure(answer.failure())
         try:
-            return Success(fields.json_object(json.loads(answer.unwrap()), "the answer"))
+            return Success(fields.json_object(load_json(answer.unwrap()), "the answer"))
         except ValueError as error:
             return Failure(StoreError(StoreErrorKind.MALFORMED, str(error)))
 
@@ -323,7 +325,7 @@
     if status == HTTP_GONE:
         try:
             first = fields.integer(
-                fields.json_object(json.loads(content), "the answer"), "first"
+                fields.json_object(load_json(content), "the answer"), "first"
             )
         except ValueError as error:
             return StoreError(StoreErrorKind.MALFORMED, str(error))
--- a/agaterail/requesttrace.py
+++ b/agaterail/requesttrace.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
+from agaterail.util.untrusted import DecodeError, load_json
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -53,8 +54,8 @@
         if start < 0:
             continue
         try:
-            found = json.loads(text[start:])
-        except ValueError:
+            found = load_json(text[start:])
+        except DecodeError:
             continue  # a line of another program, or a truncated one
         if not isinstance(found, dict) or "event" not in found:
             continue
--- a/tests/test_agaterail/test_gateway/test_unreadablerecords.py
+++ b/tests/test_agaterail/test_gateway/test_unreadablerecords.py
@@ -7,7 +7,8 @@
 
 from agaterail.gateway.controlstore import Feed
 from agaterail.platform import names
-from tests.gateway_fleet import PLAIN, Fleet
+from agaterail.platform.store import LEASE_TOPIC
+from tests.gateway_fleet import MODEL, PLAIN, Fleet, make_desired
 
 DEPTH = 60_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
@@ -73,3 +74,94 @@
                 self.restart()
                 self.assertEqual(len(self.fleet.daemons[0].registry.targets), 4)
                 self.assert_served()
+
+    def test_an_unreadable_registration_hides_a_target_that_leaves(self):
+        """Guards against a follower that reads the same record again and again."""
+        self.fleet.store.put("keyed.servers", "x-1", UNREADABLE["lists"])
+        entry = json.loads(
+            self.fleet.targets["p-0"].registration(*self.fleet.addresses["p-0"])
+        )
+        entry["state"] = "draining"
+        self.fleet.store.put("keyed.servers", "p-0", json.dumps(entry).encode())
+        registry = self.fleet.daemons[0].registry
+        self.fleet.wait(lambda: not registry.targets["p-0"].registration.ready)
+
+    def test_an_unused_member_of_a_desired_state_ends_all_service(self):
+        """Guards against a valid state that is unreadable because of a member we ignore."""
+        for name, text in (
+            ("member", with_member(make_desired(2), "unused", NESTED)),
+            ("row", _with_nested_route(make_desired(3))),
+        ):
+            with self.subTest(name):
+                self.fleet.store.put("keyed.op", "config", text)
+                version = json.loads(text.replace(NESTED, b"0"))["version"]
+                self.wait_until_read(Feed.OPERATORS, names.OPERATOR_TOPIC)
+                self.assertEqual(self.fleet.daemons[0].state.desired.version, version)
+                self.assertEqual(len(self.fleet.daemons[0].state.desired.routes), 5)
+                self.restart()
+                self.assert_served()
+
+    def test_an_unreadable_desired_state_replaces_the_one_in_force(self):
+        """Guards against a record without a valid state that ends the service."""
+        for text in (NESTED, b"[" * 5000, b'{"version": 9, "routes": "x"}', b'{"version": 9'):
+            self.fleet.store.put("keyed.op", "config", text)
+            self.wait_until_read(Feed.OPERATORS, names.OPERATOR_TOPIC)
+            self.assert_served()
+
+    def test_an_unused_member_hides_a_weights_version(self):
+        """Guards against new weights that are never loaded."""
+        text = with_member({"model": MODEL, "version": 2}, "unused", NESTED)
+        self.fleet.store.put("keyed.op", f"version/{MODEL}", text)
+        state = self.fleet.daemons[0].state
+        self.fleet.wait(lambda: MODEL in state.weights and state.weights[MODEL].newest == 2)
+        self.restart()
+        state = self.fleet.daemons[0].state
+        self.fleet.wait(lambda: MODEL in state.weights and state.weights[MODEL].newest == 2)
+
+    def test_an_unreadable_crash_record_keeps_daemons_from_being_ready(self):
+        """Guards against a daemon that waits for the records of crashes for ever."""
+        for key in ("crash/1", "survived/1", "part/x", "other"):
+            self.fleet.store.put(names.CRASHES_TOPIC, key, NESTED)
+        self.wait_until_read(Feed.CRASHES, names.CRASHES_TOPIC)
+        self.restart()
+        self.assert_served()
+
+    def test_an_unreadable_lease_record_stops_the_lease(self):
+        """Guards against a lease that nobody can follow or take over."""
+        self.fleet.store._append_record(LEASE_TOPIC, 0, NESTED)
+        self.wait_until_read(Feed.LEASE, LEASE_TOPIC)
+        self.fleet.store.put(
+            "keyed.op", f"version/{MODEL}", json.dumps({"model": MODEL, "version": 3}).encode()
+        )
+        for target in self.fleet.targets.values():
+            target.announced_version = 3
+        engines = [self.fleet.targets[name] for name in ("e-0", "e-1")]
+        self.fleet.wait(lambda: all(item.version == 3 for item in engines), 15.0)
+
+    def test_a_skipped_record_is_counted_once(self):
+        """Guards against a line in the log at each listing of the same record."""
+        self.fleet.store.put("keyed.servers", "x-1", NESTED)
+        self.wait_until_read(Feed.TARGETS, names.TARGETS_TOPIC)
+        daemon = self.fleet.daemons[0]
+        for _ in range(3):
+            listing = daemon.store.listing(Feed.TARGETS).unwrap()
+            self.assertEqual(len(daemon.store.decode(Feed.TARGETS, listing.records)), 4)
+        self.assertEqual(daemon.store.decoder.skipped[Feed.TARGETS], 1)
+        page = daemon.metrics.render(daemon).decode()
+        self.assertIn('agaterail_records_skipped{feed="targets"} 1.0', page)
+
+
+class RelayedUnreadableRecordsTest(UnreadableRecordsTest):
+    gateways = 4
+
+    def test_an_unreadable_registration_leaves_restarted_daemons_without_targets(self):
+        """Guards against daemons that stop at a record which a peer passed on."""
+        self.fleet.store.put("keyed.servers", "x-1", NESTED)
+        self.wait_until_read(Feed.TARGETS, names.TARGETS_TOPIC)
+        self.restart()
+        self.assert_served()
+
+
+def _with_nested_route(desired):
+    text = json.dumps(desired).encode()
+    return text.replace(b'"name": "safe"', b'"name": "safe", "unused": ' + NESTED, 1)
--- a/tests/test_agaterail/test_platform/test_feedrecords.py
+++ b/tests/test_agaterail/test_platform/test_feedrecords.py
@@ -3,6 +3,9 @@
 import json
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from agaterail.gateway.controlstore import (
     EngineLoad,
     Feed,
@@ -15,6 +18,24 @@
 from agaterail.util.address import Address
 from standins.platform_store import PlatformStoreStandIn
 
+NAMES = """
+version routes services tenants limits name host path_prefix kind service timeout_ms weight
+target_latency_ms traffic_split kv_store_addr engine models slots unit rate_per_s address
+zone state born model naming written_at reading_age_s ages planned loaded boot load_s
+released_idle_s at by target prompts survived parts crashes requests x
+"""
+MEMBERS = st.sampled_from(NAMES.split())
+FEEDS_AND_KEYS = st.sampled_from(
+    [
+        (Feed.OPERATORS, "config"),
+        (Feed.OPERATORS, "version/m"),
+        (Feed.TARGETS, "i-1"),
+        (Feed.LEASE, ""),
+        (Feed.CRASHES, "crash/1"),
+        (Feed.CRASHES, "survived/1"),
+        (Feed.CRASHES, "part/a"),
+    ]
+)
 LOADS = (EngineLoad("i-1", "m", 2), EngineLoad("i-2", "m", 3))
 
 
@@ -100,3 +121,38 @@
                 value = json.dumps({"host": "h", "boot": "b", "planned": loads}).encode()
                 record = FeedRecord(0, "", value)
                 self.assertEqual(self.store.decode(Feed.LEASE, [record]), [])
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(MEMBERS, inner, max_size=4),
+    max_leaves=30,
+)
+
+
+class AnyRecordTest(unittest.TestCase):
+    """No record of another writer makes the decoder of its feed fail."""
+
+    def decode(self, feed, key, value):
+        decoder = RecordDecoder()
+        records = decoder.to_records(feed, [FeedRecord(1, key, value)])
+        for record in records:
+            decoder.decode_change(feed, record)
+
+    @given(FEEDS_AND_KEYS, st.dictionaries(MEMBERS, JSON_VALUES))
+    def test_members_of_any_type_are_skipped(self, place, members):
+        self.decode(*place, json.dumps(members).encode())
+
+    @given(FEEDS_AND_KEYS, st.binary())
+    def test_any_bytes_are_skipped(self, place, value):
+        self.decode(*place, value)
+
+    def test_rows_of_any_type_leave_the_others_in_force(self):
+        """Guards against an unhashable or huge value that ends the decoding of a state."""
+        rows = [{"name": "w", "unit": []}, {"name": "w", "rate_per_s": int("9" * 400)}, 7]
+        state = {"version": 1, "tenants": [*rows, {"name": "w1"}]}
+        decoder = RecordDecoder()
+        value = json.dumps(state).encode()
+        (record,) = decoder.to_records(Feed.OPERATORS, [FeedRecord(1, "config", value)])
+        change = decoder.decode_change(Feed.OPERATORS, record)
+        self.assertIn("w1", [item.name for item in change.state.workspaces])
