--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -88,6 +88,8 @@
         Whether data after the end of an answer kept the connection from being reused.
     meter
         Checks the bounds of what arrives.
+    write_error
+        Why the current request could not be written whole; None if it was, or may still be.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self.waited_s = 0.0
         self.keep_alive_s: float | None = None
         self.writer: gevent.Greenlet | None = None
+        self.write_error: OSError | None = None
         self.has_extra_data = False
         self.head_bytes = 0
         self.meter = AnswerMeter()
@@ -227,6 +230,7 @@
             If the connection is broken.
         """
         self.messages.clear()
+        self.write_error = None
         self.meter.begin_request()
         self.sock.settimeout(timeout_s)
         data = head + body
@@ -281,8 +285,7 @@
             if message.done:
                 return b""
             if not self._receive(deadline):
-                if message.delimited:
-                    raise AnswerBroken("the body is truncated")
+                self._check_end(message)
                 message.done = True
         data = b"".join(message.chunks)
         message.chunks.clear()
@@ -295,7 +298,7 @@
 
     def finish(self) -> bool:
         """End a completely answered request; return whether to keep the connection."""
-        is_writing = self.writer is not None and not self.writer.ready()
+        is_writing = self._is_writing()
         self.has_extra_data = len(self.messages) > 1 or self._has_unread_data()
         complete = bool(self.messages) and self.messages[0].done
         self.messages.clear()
@@ -357,6 +360,28 @@
             gevent.sleep(pause_s)
         return True
 
+    def _check_end(self, message: _Message) -> None:
+        """Check that an answer may end with its connection.
+
+        The kernel reports a reset once. If the writer has learned of it, the reader sees
+        only an end of file. A target that closes the connection before it has read the
+        whole request resets it too, and the report may come after the end of file.
+
+        Raises
+        ------
+        AnswerBroken
+            If the answer is truncated, or the connection may have been reset.
+        """
+        if message.delimited:
+            raise AnswerBroken("the body is truncated")
+        if self.write_error is not None:
+            raise AnswerBroken(f"the connection was reset: {self.write_error}")
+        if self._is_writing():
+            raise AnswerBroken("the connection ended before the whole request was written")
+
+    def _is_writing(self) -> bool:
+        return self.writer is not None and not self.writer.ready()
+
     def _part(self) -> AnswerPart:
         """Return what bytes belong to that are no body."""
         message = self.current
@@ -381,8 +406,8 @@
     def _write_rest(self, rest: memoryview) -> None:
         try:
             self.sock.sendall(rest)
-        except OSError:
-            # The reader notices the broken connection and reports it.
+        except OSError as error:
+            self.write_error = error
             self.reusable = False
 
 
