--- a/agaterail/gateway/relayprotocol.py
+++ b/agaterail/gateway/relayprotocol.py
@@ -17,6 +17,7 @@
 
 from agaterail.errors import ErrorKind
 from agaterail.gateway.inbound import AnswerHead
+from agaterail.util.answerheads import check_single
 from agaterail.util.untrusted import DecodeError, MsgpackDecoder
 
 if TYPE_CHECKING:
@@ -222,8 +223,9 @@
     """
 
     def decode_relayed(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
-        found = {name.lower(): value for name, value in headers}
         added = (OUTCOME_HEADER, BUILD_HEADER, START_HEADER)
+        check_single(headers, added)
+        found = {name.lower(): value for name, value in headers}
         others = [pair for pair in headers if pair[0].lower() not in added]
         refusal, target = _decode_outcome(found.get(OUTCOME_HEADER))
         known = attrs.asdict(decode(status, others), recurse=False)
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -19,6 +19,7 @@
     AnswerPart,
     check_bound,
 )
+from agaterail.util.answerheads import MalformedHead, check_head
 from agaterail.util.callbacks import do_nothing
 from agaterail.util.units import MS_PER_S
 
@@ -48,6 +49,7 @@
     """An answer as parsed so far."""
 
     status: int = 0
+    reason: bytes = b""
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
     head_done: bool = False
     done: bool = False
@@ -154,24 +156,27 @@
         self.head_bytes = 0
         self.meter.begin_answer()
 
-    def on_status(self, _reason: bytes) -> None:
-        """Record the status code."""
+    def on_status(self, reason: bytes) -> None:
+        """Record the status code, and the next part of the text after it."""
         assert self.current is not None
         self.current.status = self.parser.get_status_code()
+        self.current.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
+        """Record a header; a trailer is only counted."""
         assert self.current is not None
         self.head_bytes += len(name) + len(value)
         check_bound(AnswerPart.HEAD, self.head_bytes)
         self.meter.add_header()
-        self.current.headers.append((name, value))
+        if not self.current.head_done:
+            self.current.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Record the end of the head and how the body is delimited."""
         message = self.current
         assert message is not None
         message.status = self.parser.get_status_code()
+        check_head(message.status, message.reason, message.headers)
         message.head_done = True
         if message.status < MIN_FINAL_STATUS:
             self.meter.add_informational()
@@ -414,7 +419,7 @@
 def _answer_error(error: Exception) -> OSError:
     """Return the error to raise for data that cannot be parsed or exceeds a bound."""
     cause = error.__context__ if isinstance(error, httptools.HttpParserError) else error
-    if isinstance(cause, AnswerBoundExceeded):
+    if isinstance(cause, AnswerBoundExceeded | MalformedHead):
         return cause
     return AnswerBroken(f"the answer cannot be parsed: {error}")
 
--- a/agaterail/platform/names.py
+++ b/agaterail/platform/names.py
@@ -97,6 +97,11 @@
     }
 )
 
+# Headers of which an answer has one at most. A second one belongs to another answer.
+SINGLE_IN_ANSWERS = frozenset(
+    {REQUEST_ID, NOT_RUN, SERVER_STAMP, INSTANCE, WEIGHTS_VERSION, KEEP_ALIVE}
+)
+
 READY_PATH = b"/agaterail/readiness"
 ORDER_PATH = "/agaterail/order"
 CACHE_EVENTS_PATH = "/agaterail/kv-events"
--- a/agaterail/platform/requests.py
+++ b/agaterail/platform/requests.py
@@ -9,6 +9,7 @@
 
 from agaterail.gateway.inbound import AnswerHead, Notice, PromptPart
 from agaterail.platform import names
+from agaterail.util.answerheads import check_single
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -99,7 +100,14 @@
 
 
 def decode_answer_head(status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
-    """Decode the status and headers of a target's answer."""
+    """Decode the status and headers of a target's answer.
+
+    Raises
+    ------
+    MalformedHead
+        If a header comes twice of which an answer has one.
+    """
+    check_single(headers, names.SINGLE_IN_ANSWERS)
     by_name = {name.lower(): value for name, value in headers}
     passed_on = tuple(
         (name, value)
--- a/tests/test_agaterail/test_gateway/test_targetconnection.py
+++ b/tests/test_agaterail/test_gateway/test_targetconnection.py
@@ -59,3 +59,79 @@
         with self.assertRaises(AnswerBroken):
             while self.connection.read_body(time.monotonic() + 1.0):
                 pass
+
+
+class CutAnswerTest(unittest.TestCase):
+    """A second answer to a former request breaks off where the next answer begins."""
+
+    OURS = answer(b"new", b"ours")
+    FORMER = (
+        b"HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nRequest-Id: old\r\nRetry-After: 1\r\n"
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 Unavailable\r\nContent-Length: 9\r\nNot-Run: 1\r\nX: y\r\n"
+        b"Request-Id: old\r\n\r\n123456789",
+        b"HTTP/1.1 421 Misdirected\r\nInstance-Id: i\r\nRequest-Id: old\r\n"
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: old\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n",
+        b"HTTP/1.1 500 Error\r\nServer-Stamp: s\r\nRequest-Id: old\r\n\r\ntheirs",
+    )
+
+    def read(self, data):
+        """Return status, refusal and body as read, or None if the answer is broken."""
+        own, target = gevent.socket.socketpair()
+        connection = TargetConnection(own, decode_answer_head, time.monotonic)
+        try:
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", b"", 1.0)
+            target.recv(100)
+            target.sendall(data)
+            target.close()
+            head = connection.read_head("new", time.monotonic() + 1.0)
+            body = b""
+            while part := connection.read_body(time.monotonic() + 1.0):
+                body += part
+            return head.status, head.not_run, body
+        except OSError:
+            return None
+        finally:
+            connection.close()
+
+    def test_the_beginning_of_a_second_answer_becomes_part_of_the_next(self):
+        """Guards against a refusal of a request that runs, and against mixed answers."""
+        for former in self.FORMER:
+            for length in range(len(former)):
+                with self.subTest(former=former[:16], length=length):
+                    found = self.read(former[:length] + self.OURS)
+                    self.assertIn(found, (None, (200, False, b"ours")))
+
+    def test_a_header_that_comes_twice_is_believed(self):
+        """Guards against heads of two answers of which the last line wins."""
+        for line in (b"Request-Id: old", b"Not-Run: 1\r\nnot-run: 1", b"Server-Stamp: s"):
+            lines = b"Server-Stamp: t\r\n" + line
+            with self.subTest(line=line):
+                data = self.OURS.replace(b"Request-Id", lines + b"\r\nRequest-Id")
+                self.assertIsNone(self.read(data))
+
+    def test_an_invalid_status_is_no_answer(self):
+        """Guards against callers that get a status 000, and against waiting for more."""
+        for status in (b"000", b"001", b"099", b"600", b"999", b"2000", b"-20", b"2x0"):
+            with self.subTest(status=status):
+                self.assertIsNone(self.read(self.OURS.replace(b"200", status, 1)))
+
+    def test_a_header_with_an_invalid_name_is_no_header(self):
+        """Guards against callers that get a line that is no header."""
+        for name in (b"A B", b"A ", b" A", b"A\tB", b"A\x01B", b"A\x00", b"\xe9", b"", b"A/B"):
+            for status in (b"200 OK", b"103 Early"):
+                first = b"HTTP/1.1 %b\r\n%b: 1\r\n" % (status, name)
+                rest = b"" if status == b"200 OK" else b"\r\n" + self.OURS
+                data = first + (rest or self.OURS.partition(b"\r\n")[2])
+                with self.subTest(name=name, status=status):
+                    self.assertIsNone(self.read(data))
+
+    def test_a_trailer_is_a_header(self):
+        """Guards against a refusal that stands after the answer's body."""
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: new\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nours\r\n0\r\nNot-Run: 1\r\n\r\n"
+        )
+        self.assertEqual(self.read(chunked), (200, False, b"ours"))
