A target that leaves stays out of use when its latest start is read later (DRAIN)

What callers saw: nothing; an engine that had said that it leaves got requests again, 4 s after all six machines had passed that on, as soon as the entry of its latest start was read.

Cause: the notice was recorded for the start that was registered, as an answer does not name its start. If the engine had started again unregistered, the notice was dropped with the former start: when the entry was read, or when the engine reported its start. A restart that breaks no connection is not noticed at all.

Change: the start that answers counts as known only if the connection is older than a registration takes to be read, and no connection has broken since. If it is not known, the target is presumed to leave also after a later start; engines are asked whether they do (all their answers say so), others are taken back after 15 s. Answers that are forwarded name no start if it is not known.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from agaterail.bytelimits.answers import AnswerBoundExceeded, AnswerPart, check_bound
 from agaterail.decisions.crashevidence import BEGUN_EVENTS
+from agaterail.gateway.controlstore import Feed
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.relayprotocol import RelayedHead
 
@@ -22,6 +23,8 @@
 OK_STATUSES = range(200, 300)
 # Only data that has already arrived is read.
 POLL_TIMEOUT_S = 0.005
+# Targets have registered their start about this long after it.
+REGISTRATION_DELAY_S = 2.0
 
 
 class Attempt:
@@ -106,6 +109,22 @@
             return self.target.build_at(self.connection.opened_at)
         return self.head.build if isinstance(self.head, RelayedHead) else ""
 
+    @property
+    def is_start_known(self) -> bool:
+        """Return whether surely the latest known start of the target answers.
+
+        A start that the target has registered before the connection was opened would have
+        been read by now. One that broke no connection here is not noticed otherwise.
+        """
+        read_at = self.daemon.feeds.read_at[Feed.TARGETS]
+        is_registered = self.connection.opened_at + REGISTRATION_DELAY_S < read_at
+        return self.target.is_confirmed and is_registered
+
+    @property
+    def known_start(self) -> int:
+        """Return the start time of the target that answers; 0 if it is not known."""
+        return self.target.start if self.is_start_known else 0
+
     @property
     def is_stream(self) -> bool:
         """Return whether the target answers with an event stream."""
@@ -274,7 +293,9 @@
             return
         self._record_weights(self.target, head)
         request_id = self.context.inbound.request_id
-        self.daemon.notices.record(self.target, head, self.sent_at, request_id)
+        self.daemon.notices.record(
+            self.target, head, self.sent_at, request_id, self.is_start_known
+        )
 
     def _record_forwarded(self, head: RelayedHead) -> None:
         """Record the head of an answer that another daemon got from a target."""
--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -434,6 +434,7 @@
         if Feed.TARGETS in self.feeds.offsets:
             self.build_history.begin(self.now())
         self.notices.step()
+        self.restarts.ask_presumed(self.registry.targets.values())
         self.relay_responder.step()
         self.connection_pool.close_stale()
         stores = [spec.address for spec in self._kv_stores()]
--- a/agaterail/gateway/enginecontrol.py
+++ b/agaterail/gateway/enginecontrol.py
@@ -26,6 +26,8 @@
         Number of orders accepted since the engine's start.
     born
         Start time as a Unix timestamp in milliseconds; 0 if the engine does not name it.
+    leaving
+        Whether the engine says that it leaves.
     """
 
     loading: bool
@@ -34,6 +36,7 @@
     running: int
     weights: dict[str, int]
     born: int = 0
+    leaving: bool = False
 
 
 class InFlightPolicy(enum.Enum):
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -407,7 +407,7 @@
         if self.context.relayed:
             assert self.attempt is not None
             self.context.caller.extra_lines = relayprotocol.forwarded_lines(
-                self.context.target, self.context.build, self.attempt.target.start
+                self.context.target, self.context.build, self.attempt.known_start
             )
         self.context.first_byte_at = self.daemon.now()
 
--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -11,7 +11,7 @@
 from agaterail.util.backoff import backoff_s
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from returns.result import Result
 
@@ -87,6 +87,26 @@
     def _may_learn(self, target: Target) -> bool:
         return not target.is_confirmed and not target.reported_born
 
+    def ask_presumed(self, targets: Iterable[Target]) -> None:
+        """Ask the engines that are presumed to leave whether they do."""
+        for target in targets:
+            if target.presumed_until is not None and target.registration.weights:
+                self._question(target)
+
+    def _check_presumption(self, target: Target, report: EngineReport) -> None:
+        if target.presumed_until is None:
+            return
+        if report.leaving:
+            target.record_leaving(is_start_known=True)
+        else:
+            target.end_presumption()
+        logger.info(
+            "Target asked whether it leaves.",
+            target=target.instance,
+            born=report.born,
+            leaving=report.leaving,
+        )
+
     def _is_valid(self, target: Target) -> bool:
         is_recent = self.now() - target.confirmed_at < CONFIRMED_VALID_S
         return is_recent and target.is_confirmed and not target.gone
@@ -127,9 +147,11 @@
                 )
             return
         self.silent.discard(target.instance)
-        born = found.unwrap().born
+        report = found.unwrap()
+        born = report.born
         if born == registration.born:
             target.confirm(asked_at)
+            self._check_presumption(target, report)
             return
         target.record_break(self.now())
         target.record_restart(born)
--- a/agaterail/gateway/targetnotices.py
+++ b/agaterail/gateway/targetnotices.py
@@ -50,7 +50,12 @@
         self.reported_others: dict[tuple[str, str], None] = {}
 
     def record(
-        self, target: Target, head: AnswerHead, sent_at: float, request_id: str
+        self,
+        target: Target,
+        head: AnswerHead,
+        sent_at: float,
+        request_id: str,
+        is_start_known: bool = True,
     ) -> None:
         """Record the notices in the head of an answer.
 
@@ -58,6 +63,8 @@
         ----------
         sent_at
             Time at which the request of the answer was sent.
+        is_start_known
+            Whether the answer surely comes from the latest known start of the target.
         """
         if head.instance not in ("", target.instance):
             self._count(head, OTHER_INSTANCE)
@@ -66,7 +73,7 @@
         self._count(head, OWN)
         target = self.registry.current(target)
         if head.leaving:
-            self._record_leaving(target.instance, target.start, request_id)
+            self._record_leaving(target.instance, target.start, is_start_known, request_id)
         self._record_bounds(target, head, sent_at, request_id)
         if head.status in REST_STATUSES and head.retry_after_s:
             self._record_rest(target, head.retry_after_s, request_id)
@@ -87,29 +94,36 @@
         """
         self._count(head, FORWARDED)
         if head.leaving and head.target:
-            self._record_leaving(head.target, head.start, request_id, peer)
+            self._record_leaving(head.target, head.start, bool(head.start), request_id, peer)
         target = self.registry.targets.get(head.target)
         if target is not None:
             self._record_bounds(target, head, sent_at, request_id)
 
     def step(self) -> None:
-        """Log the ends of rests."""
+        """End presumptions that targets leave, and log the ends of rests."""
         now = self.now()
+        for target in self.registry.expire_presumptions(now):
+            logger.info(
+                "Target presumed to leave no more.",
+                target=target.instance,
+                born=target.start,
+            )
         for instance, target in list(self.resting.items()):
             if now >= target.rest_until or target.gone:
                 del self.resting[instance]
                 logger.info("Rest of a target ended.", target=instance, gone=target.gone)
 
     def _record_leaving(
-        self, instance: str, start: int, request_id: str, peer: str = ""
+        self, instance: str, start: int, is_start_known: bool, request_id: str, peer: str = ""
     ) -> None:
-        if not self.registry.record_leaving(instance, start):
+        if not self.registry.record_leaving(instance, start, is_start_known):
             return
         target = self.registry.targets.get(instance)
         logger.info(
             "Target leaves.",
             target=instance,
             born=start,
+            start_known=is_start_known,
             request=request_id,
             peer=peer or None,
             registered_ready=None if target is None else target.registration.ready,
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -24,6 +24,9 @@
 # within tens of milliseconds to 2 s, so its backoff starts shorter.
 INITIAL_REFUSAL_BACKOFF_S = 0.1
 MAX_REFUSAL_BACKOFF_S = 0.8
+# A target that leaves ends within seconds. One that still runs after this time was started
+# anew after it had said so.
+PRESUMED_LEAVING_S = 15.0
 MAX_LEFT = 1024
 MAX_DEPARTED = 256
 # Beginnings of the ids of builds.
@@ -106,6 +109,11 @@
         Refusals per second that it bears from all daemons; None if it names no number.
     leaving
         Whether it said in an answer that it leaves. This holds until it starts anew.
+    leaving_unconfirmed
+        Whether a later start than the registered one may have said so.
+    presumed_until
+        Time until which it is presumed to leave, as its former start or this one said so;
+        None if it is not presumed, infinite until the time is set.
     rest_until
         Time until which it wants no requests of this daemon.
     permits
@@ -145,6 +153,8 @@
     rate_limit: RateLimit | None = None
     brittle: RateLimit | None = None
     leaving: bool = False
+    leaving_unconfirmed: bool = False
+    presumed_until: float | None = None
     rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
     unconfirmed_since: float | None = None
@@ -191,7 +201,7 @@
     def has_notices(self) -> bool:
         """Return whether the target has said what it bears."""
         is_limited = self.rate_limit is not None or self.brittle is not None
-        return is_limited or math.isfinite(self.rest_until)
+        return is_limited or math.isfinite(self.rest_until) or self.leaving_unconfirmed
 
     @property
     def start(self) -> int:
@@ -207,18 +217,43 @@
         """Record a start that was not registered yet; a former one may have left."""
         if born != self.reported_born:
             self.reported_born = born
-            self.leaving = False
+            if self.leaving and self.leaving_unconfirmed:
+                self.presumed_until = math.inf
+            else:
+                self.leaving = False
+
+    def record_leaving(self, is_start_known: bool) -> None:
+        """Record that the target said that it leaves.
+
+        Parameters
+        ----------
+        is_start_known
+            Whether surely its latest known start said so.
+        """
+        self.leaving = True
+        self.leaving_unconfirmed = not is_start_known
+        self.presumed_until = None
+
+    def end_presumption(self) -> None:
+        """Take back that the target leaves, which a former start may have said."""
+        self.leaving = self.leaving_unconfirmed = False
+        self.presumed_until = None
 
     def adopt_notices(self, former: Target) -> None:
         """Take over what the target may have said since the start that it registered now.
 
         Limits and rests end by themselves. That it leaves holds only for the start that
-        said so.
+        said so, and is presumed if that may have been this one.
         """
         self.rate_limit, self.brittle = former.rate_limit, former.brittle
         self.rest_until, self.permits = former.rest_until, former.permits
         if former.start in (0, self.registration.born):
             self.leaving = self.leaving or former.leaving
+            self.leaving_unconfirmed = former.leaving_unconfirmed
+            self.presumed_until = former.presumed_until
+        elif former.leaving and former.leaving_unconfirmed and not self.leaving:
+            self.leaving = self.leaving_unconfirmed = True
+            self.presumed_until = math.inf
 
     def build_at(self, opened_at: float) -> str:
         """Return the id of the build at a connection; empty if it is not known."""
@@ -378,13 +413,15 @@
         """
         return self.targets.get(target.instance, target)
 
-    def record_leaving(self, instance: str, start: int) -> bool:
+    def record_leaving(self, instance: str, start: int, is_start_known: bool = True) -> bool:
         """Record that a target leaves; return whether this was not known.
 
         Parameters
         ----------
         start
             Start time of the target that leaves; 0 if it is not known.
+        is_start_known
+            Whether it surely is that start. A later one may not have registered yet.
         """
         target = self.targets.get(instance)
         if target is None:
@@ -396,7 +433,7 @@
             # Its registration is read later here than where the answer came from.
             target.record_restart(start)
         is_new = not target.leaving
-        target.leaving = True
+        target.record_leaving(is_start_known)
         return is_new
 
     def remove(self, instance: str, now: float) -> None:
@@ -413,6 +450,25 @@
         """Record that the store answers again after an outage."""
         self.returned_at = now
 
+    def expire_presumptions(self, now: float) -> list[Target]:
+        """Take targets back into use that no answer has said leave since they started.
+
+        Returns
+        -------
+        list
+            Targets of which it is presumed no more that they leave.
+        """
+        ended = []
+        for target in self.targets.values():
+            if target.presumed_until is None:
+                continue
+            if target.presumed_until == math.inf:
+                target.presumed_until = now + PRESUMED_LEAVING_S
+            elif now >= target.presumed_until:
+                target.end_presumption()
+                ended.append(target)
+        return ended
+
     def expire(self, now: float) -> list[Target]:
         """Drop lapsed targets after the grace period and return them."""
         if self._in_grace(now):
--- a/agaterail/platform/engines.py
+++ b/agaterail/platform/engines.py
@@ -16,7 +16,7 @@
 from agaterail.gateway.targets import Target
 from agaterail.platform import fields, names
 from agaterail.util.address import Address
-from agaterail.util.httpconn import HttpConnections
+from agaterail.util.httpconn import Answer, HttpConnections
 from agaterail.util.untrusted import load_json
 
 # Engines are milliseconds away; one that is silent for this long counts as unreachable.
@@ -48,11 +48,11 @@
         answer = self._call(target, "GET", names.REPORT_PATH, b"")
         if not isinstance(answer, Success):
             return Failure(answer.failure())
-        status, body = answer.unwrap()
-        if status != HTTP_OK:
-            return Failure(f"status {status}")
+        found = answer.unwrap()
+        if found.status != HTTP_OK:
+            return Failure(f"status {found.status}")
         try:
-            return Success(_decode_report(body))
+            return Success(_decode_report(found))
         except ValueError as error:
             return Failure(str(error))
 
@@ -71,12 +71,11 @@
         answer = self._call(target, "POST", names.ORDER_PATH, json.dumps(body).encode())
         if not isinstance(answer, Success):
             return OrderOutcome.UNANSWERED
-        status, _ = answer.unwrap()
-        return OUTCOME_BY_STATUS.get(status, OrderOutcome.UNANSWERED)
+        return OUTCOME_BY_STATUS.get(answer.unwrap().status, OrderOutcome.UNANSWERED)
 
     def _call(
         self, target: Target, method: str, path: str, body: bytes
-    ) -> Result[tuple[int, bytes], str]:
+    ) -> Result[Answer, str]:
         connections = HttpConnections(
             Address.parse(target.address), CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES
         )
@@ -84,14 +83,14 @@
         if body:
             headers["content-type"] = "application/json"
         try:
-            answer = connections.call(method, path, body, headers, ANSWER_TIMEOUT_S)
+            answer = connections.exchange(method, path, body, headers, ANSWER_TIMEOUT_S)
         finally:
             connections.close()
         return answer.alt(lambda error: error.reason)
 
 
-def _decode_report(body: bytes) -> EngineReport:
-    decoded = fields.json_object(load_json(body), "the report")
+def _decode_report(answer: Answer) -> EngineReport:
+    decoded = fields.json_object(load_json(answer.body), "the report")
     models = (fields.json_object(item, "a model") for item in fields.array(decoded, "models"))
     return EngineReport(
         loading=fields.boolean(decoded, "busy"),
@@ -103,4 +102,5 @@
             fields.string(item, "name"): fields.integer(item, "version") for item in models
         },
         born=fields.integer(decoded, "born", 0),
+        leaving=answer.headers.get(names.LEAVING.decode(), "").strip() == "1",
     )
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -65,6 +65,21 @@
 SendError = ConnectFailed | ExchangeBroken
 
 
+@attrs.frozen
+class Answer:
+    """A complete answer.
+
+    Attributes
+    ----------
+    headers
+        Values by name in lower case; of a name that comes more than once, the last one.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 class _ConnectionPool(ConnectionPool):
     """Connection pool that can also open a new connection on request."""
 
@@ -317,13 +332,28 @@
         Result
             Status code and body.
         """
+        found = self.exchange(method, path, body, headers, timeout_s, fresh, on_data)
+        return found.map(lambda answer: (answer.status, answer.body))
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+        fresh: bool = False,
+        on_data: Callable[[], None] = do_nothing,
+    ) -> Result[Answer, SendError]:
+        """Send one request and read its complete answer, with its headers."""
         sent = self.send(method, path, body, headers, timeout_s, fresh)
         if not isinstance(sent, Success):
             return Failure(sent.failure())
         response = sent.unwrap()
         try:
             body = _read_body(response, on_data, self.max_body_bytes)
-            return Success((response.status_code, body))
+            found = {name.lower(): value for name, value in response.items()}
+            return Success(Answer(response.status_code, found, body))
         except Exception as error:
             response.discard()
             return Failure(self._broken(error))
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -33,6 +33,18 @@
         gevent.sleep(0.01)
         return self.answers
 
+    def test_a_presumption_that_a_target_leaves_outlasts_its_answer(self):
+        """Guards against engines out of use, and against requests to those that leave."""
+        for leaving in (False, True):
+            with self.subTest(leaving=leaving):
+                target = make_target()
+                target.leaving, target.presumed_until = True, 200.0
+                self.answers = Success(SimpleNamespace(born=5, leaving=leaving))
+                self.controller.ask_presumed([target, make_target()])
+                gevent.sleep(0.05)
+                self.assertEqual(target.is_ready, not leaving)
+                self.assertIsNone(target.presumed_until)
+
     def test_a_target_that_reports_its_registered_start_is_confirmed(self):
         target = make_target()
         self.assertTrue(self.controller.confirm(target))
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -3,7 +3,13 @@
 import unittest
 
 from agaterail.decisions.ratelimits import RateLimit
-from agaterail.gateway.targets import MAX_DEPARTED, Registration, Target, TargetRegistry
+from agaterail.gateway.targets import (
+    MAX_DEPARTED,
+    PRESUMED_LEAVING_S,
+    Registration,
+    Target,
+    TargetRegistry,
+)
 
 
 def make_registration(instance="i-1", service="s", address="10.0.0.1:80", **fields):
@@ -111,6 +117,40 @@
         self.assertFalse(self.registry.put(make_registration(born=7)).is_usable(1.0))
         self.assertTrue(self.registry.put(make_registration(born=8)).is_usable(1.0))
 
+    def test_a_start_that_registers_late_is_used_although_it_leaves(self):
+        """Guards against requests to a target that left before it was registered."""
+        for say_before_report in (True, False):
+            with self.subTest(say_before_report=say_before_report):
+                registry = TargetRegistry(lapse_grace_s=2.0)
+                target = registry.put(make_registration(born=7))
+                target.record_break(1.0)
+                if say_before_report:
+                    registry.record_leaving("i-1", 7, is_start_known=False)
+                    target.record_restart(8)
+                    self.assertFalse(target.is_ready)
+                else:
+                    registry.record_leaving("i-1", 7, is_start_known=False)
+                self.assertFalse(registry.put(make_registration(born=8)).is_ready)
+
+    def test_a_late_start_is_used_although_its_entry_lapsed_before(self):
+        """Guards against a presumption that ends with the former registration."""
+        self.registry.put(make_registration(born=7)).record_break(1.0)
+        self.registry.record_leaving("i-1", 7, is_start_known=False)
+        self.registry.remove("i-1", 2.0)
+        self.assertFalse(self.registry.put(make_registration(born=8)).is_ready)
+
+    def test_a_presumption_that_a_target_leaves_ends(self):
+        """Guards against a target that is out of use for good as its former start left."""
+        self.registry.put(make_registration(born=7)).record_break(1.0)
+        self.registry.record_leaving("i-1", 7, is_start_known=False)
+        target = self.registry.put(make_registration(born=8))
+        self.assertEqual(self.registry.expire_presumptions(10.0), [])
+        self.assertEqual(
+            self.registry.expire_presumptions(10.0 + PRESUMED_LEAVING_S), [target]
+        )
+        self.assertTrue(target.is_ready)
+        self.assertEqual(self.registry.expire_presumptions(100.0), [])
+
     def test_an_entry_without_a_start_does_not_end_that_a_target_leaves(self):
         """An entry that named no start was taken for a restart of a leaving target."""
         for starts in ((5, 0, 5), (0, 5, 5), (5, 0, 0)):
