A start that surely began after its target had left is not presumed to leave

Cause: each later start was presumed to leave, however long after the notice it registered.

Change: a start that registered after the former reading of the targets began half a second before that reading at the earliest. If the target had said before that that it leaves, a former start said so. After an outage the former reading is old, and the presumption holds. A start that an engine reports by itself is decided by the same report.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -9,6 +9,7 @@
 from agaterail.gateway.controlstore import Feed
 from agaterail.gateway.desired import RequestKind
 from agaterail.gateway.relayprotocol import RelayedHead
+from agaterail.gateway.targets import REGISTRATION_DELAY_S
 
 if TYPE_CHECKING:
     from agaterail.gateway.daemon import Daemon
@@ -23,8 +24,6 @@
 OK_STATUSES = range(200, 300)
 # Only data that has already arrived is read.
 POLL_TIMEOUT_S = 0.005
-# Targets have registered their start about this long after it.
-REGISTRATION_DELAY_S = 2.0
 
 
 class Attempt:
--- a/agaterail/gateway/restartcontroller.py
+++ b/agaterail/gateway/restartcontroller.py
@@ -97,7 +97,7 @@
         if target.presumed_until is None:
             return
         if report.leaving:
-            target.record_leaving(is_start_known=True)
+            target.record_leaving(is_start_known=True, at=self.now())
         else:
             target.end_presumption()
         logger.info(
@@ -155,6 +155,7 @@
             return
         target.record_break(self.now())
         target.record_restart(born)
+        self._check_presumption(target, report)
         # Until this start is registered, nothing more is to be learned.
         logger.info(
             "Target started anew.",
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -13,7 +13,7 @@
     TargetChanged,
     WeightsNamed,
 )
-from agaterail.gateway.targets import TargetRegistry
+from agaterail.gateway.targets import REGISTRATION_DELAY_S, TargetRegistry
 from agaterail.gateway.versionhistory import VersionHistory
 from agaterail.util.units import MS_PER_S
 
@@ -119,7 +119,9 @@
                 elif isinstance(change, WeightsNamed):
                     known_at = self._earliest_naming_time(now, at_start, previous_read_at)
                     self._apply_weights(change, now, known_at, at_start)
-                elif isinstance(change, TargetChanged) and self._apply_target(change, now):
+                elif isinstance(change, TargetChanged) and self._apply_target(
+                    change, now, previous_read_at
+                ):
                     registered.append(change)
             except Exception:
                 logger.exception("Could not apply a change.", offset=change.offset)
@@ -268,7 +270,9 @@
         if at_start:
             self._restore_ages(change.model, now)
 
-    def _apply_target(self, change: TargetChanged, now: float) -> bool:
+    def _apply_target(
+        self, change: TargetChanged, now: float, previous_read_at: float | None
+    ) -> bool:
         """Apply a change of one target; return whether its registration is new."""
         if change.offset < self.target_offsets.get(change.instance, -1):
             return False
@@ -288,7 +292,10 @@
             self._trim_tombstones()
             return False
         former = None if known is None else known.registration
-        return self.registry.put(change.entry).registration != former
+        started_after = NEVER
+        if previous_read_at is not None:
+            started_after = previous_read_at - REGISTRATION_DELAY_S
+        return self.registry.put(change.entry, started_after).registration != former
 
     def _trim_tombstones(self) -> None:
         removed = [name for name in self.target_offsets if name not in self.registry.targets]
--- a/agaterail/gateway/targetnotices.py
+++ b/agaterail/gateway/targetnotices.py
@@ -116,7 +116,7 @@
     def _record_leaving(
         self, instance: str, start: int, is_start_known: bool, request_id: str, peer: str = ""
     ) -> None:
-        if not self.registry.record_leaving(instance, start, is_start_known):
+        if not self.registry.record_leaving(instance, start, is_start_known, self.now()):
             return
         target = self.registry.targets.get(instance)
         logger.info(
--- a/agaterail/gateway/targets.py
+++ b/agaterail/gateway/targets.py
@@ -24,6 +24,9 @@
 # within tens of milliseconds to 2 s, so its backoff starts shorter.
 INITIAL_REFUSAL_BACKOFF_S = 0.1
 MAX_REFUSAL_BACKOFF_S = 0.8
+# Targets register their start at once. In an outage of the store, which shows in the age of
+# the former reading, they cannot.
+REGISTRATION_DELAY_S = 0.5
 # A target that leaves ends within seconds. One that still runs after this time was started
 # anew after it had said so.
 PRESUMED_LEAVING_S = 15.0
@@ -111,6 +114,8 @@
         Whether it said in an answer that it leaves. This holds until it starts anew.
     leaving_unconfirmed
         Whether a later start than the registered one may have said so.
+    leaving_at
+        Time at which it said so last.
     presumed_until
         Time until which it is presumed to leave, as its former start or this one said so;
         None if it is not presumed, infinite until the time is set.
@@ -154,6 +159,7 @@
     brittle: RateLimit | None = None
     leaving: bool = False
     leaving_unconfirmed: bool = False
+    leaving_at: float = float("-inf")
     presumed_until: float | None = None
     rest_until: float = float("-inf")
     permits: TargetPermits = attrs.field(factory=TargetPermits)
@@ -222,15 +228,17 @@
             else:
                 self.leaving = False
 
-    def record_leaving(self, is_start_known: bool) -> None:
+    def record_leaving(self, is_start_known: bool, at: float) -> None:
         """Record that the target said that it leaves.
 
         Parameters
         ----------
         is_start_known
             Whether surely its latest known start said so.
+        at
+            Time at which it said so.
         """
-        self.leaving = True
+        self.leaving, self.leaving_at = True, at
         self.leaving_unconfirmed = not is_start_known
         self.presumed_until = None
 
@@ -239,11 +247,16 @@
         self.leaving = self.leaving_unconfirmed = False
         self.presumed_until = None
 
-    def adopt_notices(self, former: Target) -> None:
+    def adopt_notices(self, former: Target, started_after: float = -math.inf) -> None:
         """Take over what the target may have said since the start that it registered now.
 
         Limits and rests end by themselves. That it leaves holds only for the start that
         said so, and is presumed if that may have been this one.
+
+        Parameters
+        ----------
+        started_after
+            Time after which this start surely began.
         """
         self.rate_limit, self.brittle = former.rate_limit, former.brittle
         self.rest_until, self.permits = former.rest_until, former.permits
@@ -252,8 +265,11 @@
             self.leaving_unconfirmed = former.leaving_unconfirmed
             self.presumed_until = former.presumed_until
         elif former.leaving and former.leaving_unconfirmed and not self.leaving:
+            if former.leaving_at <= started_after:
+                return
             self.leaving = self.leaving_unconfirmed = True
             self.presumed_until = math.inf
+        self.leaving_at = former.leaving_at
 
     def build_at(self, opened_at: float) -> str:
         """Return the id of the build at a connection; empty if it is not known."""
@@ -381,8 +397,14 @@
         self.on_gone: Callable[[Target], None] = lambda _target: None
         self.on_replaced: Callable[[Registration], None] = lambda _registration: None
 
-    def put(self, registration: Registration) -> Target:
-        """Add or update a registration; a restart discards earlier observations."""
+    def put(self, registration: Registration, started_after: float = -math.inf) -> Target:
+        """Add or update a registration; a restart discards earlier observations.
+
+        Parameters
+        ----------
+        started_after
+            Time after which the target surely started, if this start is new.
+        """
         known = self.targets.get(registration.instance)
         if not registration.born:
             registration = attrs.evolve(registration, born=self._last_start(registration))
@@ -401,7 +423,7 @@
         target.leaving = self.left.get(registration.instance) == registration.born
         former = self.departed.pop(registration.instance, known)
         if former is not None:
-            target.adopt_notices(former)
+            target.adopt_notices(former, started_after)
         self.targets[registration.instance] = target
         self._add_to_index(target, registration.service)
         return target
@@ -413,7 +435,9 @@
         """
         return self.targets.get(target.instance, target)
 
-    def record_leaving(self, instance: str, start: int, is_start_known: bool = True) -> bool:
+    def record_leaving(
+        self, instance: str, start: int, is_start_known: bool = True, at: float = 0.0
+    ) -> bool:
         """Record that a target leaves; return whether this was not known.
 
         Parameters
@@ -422,6 +446,8 @@
             Start time of the target that leaves; 0 if it is not known.
         is_start_known
             Whether it surely is that start. A later one may not have registered yet.
+        at
+            Time at which the target said so.
         """
         target = self.targets.get(instance)
         if target is None:
@@ -433,7 +459,7 @@
             # Its registration is read later here than where the answer came from.
             target.record_restart(start)
         is_new = not target.leaving
-        target.record_leaving(is_start_known)
+        target.record_leaving(is_start_known, at)
         return is_new
 
     def remove(self, instance: str, now: float) -> None:
--- a/tests/test_agaterail/test_gateway/test_targets.py
+++ b/tests/test_agaterail/test_gateway/test_targets.py
@@ -139,6 +139,16 @@
         self.registry.remove("i-1", 2.0)
         self.assertFalse(self.registry.put(make_registration(born=8)).is_ready)
 
+    def test_a_start_after_the_target_had_left_is_out_of_use(self):
+        """Guards against targets out of use that surely started after they had left."""
+        for started_after, is_ready in ((4.0, False), (6.0, True)):
+            with self.subTest(started_after=started_after):
+                registry = TargetRegistry(lapse_grace_s=2.0)
+                registry.put(make_registration(born=7))
+                registry.record_leaving("i-1", 7, is_start_known=False, at=5.0)
+                found = registry.put(make_registration(born=8), started_after)
+                self.assertEqual(found.is_ready, is_ready)
+
     def test_a_presumption_that_a_target_leaves_ends(self):
         """Guards against a target that is out of use for good as its former start left."""
         self.registry.put(make_registration(born=7)).record_break(1.0)
