--- a/agaterail/gateway/daemon.py
+++ b/agaterail/gateway/daemon.py
@@ -78,6 +78,7 @@
     from agaterail.gateway.controlstore import ControlStore
     from agaterail.gateway.desired import KvStoreSpec
     from agaterail.gateway.enginecontrol import EngineControl
+    from agaterail.gateway.gracefulstop import StopWindow
     from agaterail.gateway.hostsettings import HostSettings
     from agaterail.gateway.kvstoreindex import CacheFeed
     from agaterail.gateway.placement import Choice
@@ -150,6 +151,7 @@
         self.engine_homes: dict[str, EngineHomes] = {}
         self.encode = requests.encode_attempt
         self.stopping = False
+        self.stop_window: StopWindow | None = None
         self.account = ByteAccount(Marks.of_memory(settings.memory_mb), self.now)
         self.max_body_bytes = max_body_bytes(settings.memory_mb)
         self.metrics = GatewayMetrics()
--- a/agaterail/gateway/handler.py
+++ b/agaterail/gateway/handler.py
@@ -14,6 +14,7 @@
 from agaterail.gateway.admission import retry_after_s
 from agaterail.gateway.desired import pick_service
 from agaterail.gateway.forwarder import Forwarder
+from agaterail.gateway.httpserver import AnswerInterrupted
 from agaterail.gateway.relayprotocol import RelayRefusal
 from agaterail.gateway.requestcontext import RequestContext, keys_of
 from agaterail.gateway.retrystate import RetryState
@@ -62,6 +63,8 @@
                 failure = Forwarder(self.daemon, context).run()
             else:
                 failure = outcome
+        except AnswerInterrupted:
+            failure = self._interrupt(context, caller)
         except (CallerLeft, OSError) as error:
             left_as = error.outcome if isinstance(error, CallerLeft) else CallerLeft.outcome
             logger.info(
@@ -96,6 +99,18 @@
                 caller.extra_lines = _relay_lines(failure, context)
             self._send_failure(inbound, caller, failure, context)
 
+    def _interrupt(
+        self, context: RequestContext | None, caller: CallerConnection
+    ) -> Failure | None:
+        """Return the failure of a request whose process ends; None if it has an answer."""
+        if context is not None and context.first_byte_at is not None:
+            caller.abort()
+            context.truncated = True
+            return None
+        if context is not None and context.retry_state.runs:
+            return Failure(ErrorKind.TARGET_TIMEOUT, "the host is shutting down")
+        return Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.0)
+
     def _record_metrics(
         self,
         inbound: InboundRequest,
--- a/agaterail/gateway/httpserver.py
+++ b/agaterail/gateway/httpserver.py
@@ -79,6 +79,10 @@
         self.reason = reason
 
 
+class AnswerInterrupted(Exception):  # noqa: N818
+    """The process ends before the request does, which gets its final answer now."""
+
+
 class RequestReader:
     """Parses one connection's data into complete requests.
 
@@ -583,6 +587,13 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def interrupt_answers(self) -> int:
+        """Interrupt the requests that are being answered; return how many these are."""
+        answering = [item for item in self.connections if item.answering]
+        for connection in answering:
+            connection.greenlet.kill(AnswerInterrupted(), block=False)
+        return len(answering)
+
     def stop_accepting(self) -> None:
         """Close the listener."""
         self.server.stop_accepting()
@@ -605,7 +616,7 @@
         self.connections.add(connection)
         try:
             connection.serve()
-        except (OSError, CallerLeft):
+        except (OSError, CallerLeft, AnswerInterrupted):
             # The caller left or does not read, so no answer can be sent.
             pass
         finally:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -70,6 +70,7 @@
         self.relay_failure: Failure | None = None
         self.permit = ""
         self.offer: Offer | None = None
+        self.full_deadline = context.deadline
 
     def start_attempt(self, last_event_id: str, may_wait: bool = True) -> Attempt | Failure:
         """Send the request to the next target, or return why that is not possible.
@@ -82,7 +83,7 @@
             Whether to wait for an engine that goes on with the stream soon.
         """
         while True:
-            blocked = self._check_quarantine()
+            blocked = self._check_stop() or self._check_quarantine()
             if blocked is not None:
                 return blocked
             opened = self._connect(may_wait)
@@ -503,6 +504,22 @@
             time_limit_s=inbound.time_limit_s,
         )
 
+    def _check_stop(self) -> Failure | None:
+        """Return why a request is not sent while the process stops; None if it is.
+
+        A request that may not end before the process is turned away while that is true:
+        later, it could only be cut.
+        """
+        window, context = self.daemon.stop_window, self.context
+        if window is None:
+            return None
+        now = self.daemon.now()
+        if not self.retry_state.runs and not window.allows(now, self.full_deadline):
+            reason = f"the process ends in {window.ends_at - now:.1f} s"
+            return Failure(ErrorKind.SHUTTING_DOWN, reason, retry_after_s=0.0)
+        context.deadline = min(self.full_deadline, window.ends_at)
+        return None
+
     def _check_quarantine(self) -> Failure | None:
         """Return why a request that may end its target is not sent; None if it is."""
         quarantine, keys = self.daemon.quarantine, self.context.keys
