--- a/agaterail/platform/cacheevents.py
+++ b/agaterail/platform/cacheevents.py
@@ -35,6 +35,7 @@
             f"{names.CACHE_EVENTS_PATH}?since={since}",
             headers={names.WAIT_MS: str(int(wait_s / S_PER_MS))},
             timeout_s=wait_s + LONG_POLL_MARGIN_S,
+            answer_s=wait_s + LONG_POLL_MARGIN_S,
         )
         if not isinstance(called, Success):
             return Failure(called.failure().reason)
--- a/agaterail/platform/engines.py
+++ b/agaterail/platform/engines.py
@@ -83,7 +83,9 @@
         if body:
             headers["content-type"] = "application/json"
         try:
-            answer = connections.exchange(method, path, body, headers, ANSWER_TIMEOUT_S)
+            answer = connections.exchange(
+                method, path, body, headers, ANSWER_TIMEOUT_S, answer_s=ANSWER_TIMEOUT_S
+            )
         finally:
             connections.close()
         return answer.alt(lambda error: error.reason)
--- a/agaterail/util/httpconn.py
+++ b/agaterail/util/httpconn.py
@@ -45,6 +45,8 @@
 SINGLE_HEADERS = (b"x-request-id", b"x-not-run", b"x-weights-version")
 # Answers that are read whole: states and logs of the fleet, a page of which has some MB.
 MAX_BODY_BYTES = 16 * BYTES_PER_MB
+# Time for a whole answer. The largest take seconds on a slow link.
+MAX_ANSWER_S = 30.0
 
 
 @attrs.frozen
@@ -306,7 +308,8 @@
             self.pool.release_socket(sock)
             raise
         try:
-            return Success(Response(sock, self.pool, block_size=READ_BYTES, method=method))
+            with gevent.Timeout(timeout_s, _timed_out("head")):
+                return Success(Response(sock, self.pool, block_size=READ_BYTES, method=method))
         except Exception as error:  # parse errors and socket errors; the response closed it
             return Failure(self._broken(error))
 
@@ -319,20 +322,25 @@
         timeout_s: float = 5.0,
         fresh: bool = False,
         on_data: Callable[[], None] = do_nothing,
+        answer_s: float = MAX_ANSWER_S,
     ) -> Result[tuple[int, bytes], SendError]:
         """Send one request and read its complete answer.
 
         Parameters
         ----------
+        timeout_s
+            Timeout for the head and for each read of the body.
         on_data
             Called when the head arrives and whenever data of the body arrives.
+        answer_s
+            Timeout for the whole answer.
 
         Returns
         -------
         Result
             Status code and body.
         """
-        found = self.exchange(method, path, body, headers, timeout_s, fresh, on_data)
+        found = self.exchange(method, path, body, headers, timeout_s, fresh, on_data, answer_s)
         return found.map(lambda answer: (answer.status, answer.body))
 
     def exchange(
@@ -344,6 +352,7 @@
         timeout_s: float = 5.0,
         fresh: bool = False,
         on_data: Callable[[], None] = do_nothing,
+        answer_s: float = MAX_ANSWER_S,
     ) -> Result[Answer, SendError]:
         """Send one request and read its complete answer, with its headers."""
         sent = self.send(method, path, body, headers, timeout_s, fresh)
@@ -351,7 +360,8 @@
             return Failure(sent.failure())
         response = sent.unwrap()
         try:
-            body = _read_body(response, on_data, self.max_body_bytes)
+            with gevent.Timeout(answer_s, _timed_out("answer")):
+                body = _read_body(response, on_data, self.max_body_bytes)
             found = {name.lower(): value for name, value in response.items()}
             return Success(Answer(response.status_code, found, body))
         except Exception as error:
@@ -393,6 +403,10 @@
             found.close()
 
 
+def _timed_out(part: str) -> TimeoutError:
+    return TimeoutError(errno.ETIMEDOUT, f"timed out reading the {part}")
+
+
 def _to_bytes(text: str) -> bytes:
     return text.encode("utf-8", "replace")
 
--- a/tests/test_agaterail/test_util/test_httpconn.py
+++ b/tests/test_agaterail/test_util/test_httpconn.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import time
 import unittest
 
@@ -155,3 +156,33 @@
         for status in (b"000", b"099", b"600", b"999"):
             with self.subTest(status=status):
                 self.assertIsNone(self.call(self.OURS.replace(b"200", status, 1)))
+
+
+class SlowAnswerTest(unittest.TestCase):
+    """Answers whose bytes come one by one and never end."""
+
+    def call(self, first, each, **timeouts):
+        def serve(sock, _address):
+            sock.recv(65536)
+            sock.sendall(first)
+            with contextlib.suppress(OSError):
+                while True:
+                    sock.sendall(each)
+                    gevent.sleep(0.05)
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        connections = HttpConnections(Address("127.0.0.1", server.server_port))
+        with gevent.Timeout(2.0):
+            called = connections.call("GET", "/", **timeouts)
+        self.assertTrue(called.failure().timed_out)
+        self.assertEqual(connections.pool.size - connections.pool._semaphore.counter, 0)
+
+    def test_a_body_of_single_chunks_never_ends(self):
+        """Guards against a report that is waited for as long as an engine sends it."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.call(head, b"1\r\n#\r\n", timeout_s=0.3, answer_s=0.4)
+
+    def test_a_head_of_single_headers_never_ends(self):
+        self.call(b"HTTP/1.1 200 OK\r\n", b"A: 1\r\n", timeout_s=0.3)
