Weights versions are kept by time, not by count (VERSION)

What callers saw: thirty versions named 0.3 s apart; 158 to 202 requests began on weights that had been replaced more than 8 s before.

Cause: the history of a model kept 16 versions. Without the version that had made an engine's weights outdated, the engine counted as outdated since a later one.

Change: beyond 16, versions are kept for 120 s, which exceeds any time limit for outdated weights; 512 at most.

Measured: ManyVersionsTest on: the first version after 1 is 16, now 2.

--- a/agaterail/gateway/versionhistory.py
+++ b/agaterail/gateway/versionhistory.py
@@ -9,9 +9,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Enough for all versions within the time limit for outdated weights; older ones have no
-# effect.
+# Versions that are kept however old they are.
 MAX_VERSIONS = 16
+# More versions are kept for this long, which exceeds any time limit for outdated weights.
+# Without the version that made its weights outdated, an engine would count as outdated
+# since a later one.
+KEPT_S = 120.0
+MAX_YOUNG_VERSIONS = 512
 
 
 @attrs.frozen
@@ -87,8 +91,9 @@
         self, version: int, known_at: float, assumed: bool = False
     ) -> VersionHistory:
         """Return a copy with a new version."""
-        kept = self.versions[-(MAX_VERSIONS - 1) :]
-        return VersionHistory((*kept, DesiredVersion(version, known_at, assumed)))
+        return VersionHistory(
+            _without_old((*self.versions, DesiredVersion(version, known_at, assumed)))
+        )
 
     def ages(self, now: float) -> tuple[VersionAge, ...]:
         """Return the ages of all versions."""
@@ -123,7 +128,16 @@
             by_version[version] = DesiredVersion(version, known_at[version], assumed=True)
         observed = [item for item in self.versions if not item.assumed]
         kept = [by_version[version] for version in sorted(by_version)]
-        return VersionHistory((*kept, *observed)[-MAX_VERSIONS:])
+        return VersionHistory(_without_old((*kept, *observed)))
+
+
+def _without_old(versions: tuple[DesiredVersion, ...]) -> tuple[DesiredVersion, ...]:
+    """Return the versions that may still decide for how long weights are outdated."""
+    young_from = versions[-1].known_at - KEPT_S
+    kept = len(versions) - MAX_VERSIONS
+    while kept > 0 and versions[kept - 1].known_at >= young_from:
+        kept -= 1
+    return versions[max(kept, len(versions) - MAX_YOUNG_VERSIONS, 0) :]
 
 
 def record_ages(
--- a/tests/test_agaterail/test_gateway/test_versionhistory.py
+++ b/tests/test_agaterail/test_gateway/test_versionhistory.py
@@ -19,9 +19,13 @@
 from agaterail.gateway.state import MAX_REGULAR_READING_GAP_S, GatewayState
 from agaterail.gateway.targets import TargetRegistry
 from agaterail.gateway.versionhistory import (
+    KEPT_S,
     MAX_VERSIONS,
+    MAX_YOUNG_VERSIONS,
+    DesiredVersion,
     VersionAge,
     VersionAgeRecord,
+    VersionHistory,
     record_ages,
 )
 from tests.gateway_fleet import BOUNDS, MODEL, Fleet
@@ -121,6 +125,28 @@
         self.assertIsNone(found)
 
 
+class ManyVersionsTest(unittest.TestCase):
+    def name(self, count, every_s):
+        found = VersionHistory(())
+        for version in range(2, 2 + count):
+            found = found.with_version(version, version * every_s)
+        return found
+
+    def test_weights_count_as_outdated_since_a_later_version(self):
+        """Guards against requests on weights that many versions have made outdated."""
+        found = self.name(30, 0.3)
+        self.assertEqual(found.first_after(1).version, 2)
+        ages = found.ages(10.0)
+        started = VersionHistory((DesiredVersion(31, 9.0, assumed=True),))
+        restored = started.with_restored_ages(ages, since=10.0, read_at=10.0)
+        self.assertEqual(restored.first_after(1).version, 2)
+
+    def test_versions_without_effect_are_dropped(self):
+        self.assertEqual(len(self.name(100, 2 * KEPT_S).versions), MAX_VERSIONS)
+        self.assertEqual(len(self.name(1000, 0.01).versions), MAX_YOUNG_VERSIONS)
+        self.assertEqual(self.name(1000, 0.01).newest, 1001)
+
+
 class VersionAgeMachine(RuleBasedStateMachine):
     """Processes that start, are suspended, read and write records, on inaccurate clocks."""
 
