A request that an engine refused for its weights is sent again on another connection (TWICE)

What callers saw: requests that run once ran at two engines.

Cause: an engine refuses a request for newer weights; the request is sent to it again under the same id, on the same connection. A late second copy of the refusal is then taken for the answer to the second send, as the id is the same, and another engine gets the request.

Change: the connection of such a refusal is closed before the request is sent again, so that no connection carries one id twice. It costs a connection for each engine that a daemon finds with newer weights.

--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -132,6 +132,11 @@
             has_weights=head.weights_version,
             resend=resend,
         )
+        if resend:
+            # A late second copy of the refusal would be taken for the answer to the next
+            # send, as both have the id of the request.
+            attempt.abandon()
+            return
         self._finish_refused(attempt)
 
     def _handle_relay_refusal(self, attempt: Attempt) -> None:
--- a/tests/test_agaterail/test_gateway/test_forwarder.py
+++ b/tests/test_agaterail/test_gateway/test_forwarder.py
@@ -361,6 +361,23 @@
         self.assertEqual(engine.version, 4)
 
 
+class SecondRefusalTest(ForwarderTest):
+    def test_a_second_copy_of_a_refusal_answers_the_next_send(self):
+        """Guards against a request that runs at two engines, of which one looks refused."""
+        engine, _ = self.start()
+        engine.version, engine.work_s, send = 2, 0.2, engine._send
+
+        def send_refusals_twice(sock, status, headers, body=b""):
+            if status == 421:
+                gevent.spawn_later(0.05, send, sock, status, headers, body)
+            return send(sock, status, headers, body)
+
+        engine._send = send_refusals_twice
+        answer = self.fleet.ask("/once/x", stream=True)
+        self.assertEqual(answer.events, ALL_EVENTS)
+        self.assertEqual(len(self.fleet.runs()), 1)
+
+
 class BegunStreamTest(BuildsTest):
     gateways = 2
 
