An entry of a target with a field missing names no target (ROUTE)

What callers saw: 17 to 24 lookups and bookings were run by model engines, and answered 200.

Cause: another writer's entries under the engines' ids lacked fields and named another service. Missing numbers were filled in, and the engine moved to that service until its next heartbeat.

Change: slots, seq_no and cold_remaining_ms are required, numbers, and slots not negative. An entry without a version of the software or a start still serves, as before: tests name that, and not all installations send a start. An entry of another writer with all fields cannot be told from an engine's own.

--- a/agaterail/platform/registrations.py
+++ b/agaterail/platform/registrations.py
@@ -14,16 +14,21 @@
 
 READY = "ready"
 STATES = (READY, "draining")
+# Numbers that each target's own entry has and that are of no use here.
+UNUSED_NUMBERS = ("seq_no", "cold_remaining_ms")
 
 
 def decode_registration(instance: str, value: bytes) -> Result[Registration, str]:
     """Decode the registration in a record's value.
 
     Entries can also come from other writers. An entry with a missing field, a wrong type
-    or an unknown state is rejected and yields no target.
+    or an unknown state is rejected and yields no target: filled in, it could move a target
+    to a service whose requests it must not run.
     """
     try:
         decoded = fields.json_object(load_json(value), "the entry")
+        for name in UNUSED_NUMBERS:
+            fields.number(decoded, name)
         state = fields.string(decoded, "state")
         if state not in STATES:
             raise MalformedError("state is unknown")
@@ -34,7 +39,7 @@
                 address=str(Address.parse(fields.string(decoded, "address"))),
                 domain=fields.string(decoded, "zone"),
                 ready=state == READY,
-                slots=fields.integer(decoded, "slots", 0),
+                slots=_slots(decoded),
                 born=fields.integer(decoded, "born", 0),
                 weights=_weights(decoded),
                 build=_build(decoded),
@@ -44,6 +49,13 @@
         return Failure(str(error))
 
 
+def _slots(decoded: dict[str, Any]) -> int:
+    slots = fields.integer(decoded, "slots")
+    if slots < 0:
+        raise MalformedError("slots is negative")
+    return slots
+
+
 def _build(decoded: dict[str, Any]) -> str:
     """Return the version of the target's software; empty if it names none."""
     # Unlike the models, which have versions of their own, a target serves without it.
--- a/tests/test_agaterail/test_platform/test_desired.py
+++ b/tests/test_agaterail/test_platform/test_desired.py
@@ -145,6 +145,7 @@
         "address": "1.2.3.4:80",
         "zone": "z",
         "slots": 4,
+        "cold_remaining_ms": 0,
         "state": "ready",
         "models": [{"name": "m", "version": 2, "adapters": []}],
         "born": 17,
