A request that was passed on is not ended for one that is still being read (LOST)

Idle connections kept the memory of their last request: up to 157 MB resident of 150.

Cause: above the high mark of held bytes, the connection that held most for longest was ended, whatever its request had come to, and without an answer. A body that was being sent was held twice, joined to its head. Two more copies of memory were in no account: the loop of a connection referred to the request it had answered until the next one came.

Change: a body that finds no room while it is read is refused with 503 and a time to come back, at its head if its length says so; a request that was passed on is ended only if nothing else holds anything (its callers' unsent answers come before it). Head and body are sent without joining them, so that a body is held once. A connection keeps no request that it has answered.

--- a/agaterail/bytelimits/account.py
+++ b/agaterail/bytelimits/account.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,6 +24,8 @@
 # that the process grows by about twice what it holds.
 LOW_FRACTION = 0.3
 HIGH_FRACTION = 0.5
+# Connections that hold less give no room, whatever their requests have come to.
+MIN_ENDED_BYTES = 64 * 1024
 # Hysteresis, so that readiness does not change with each buffer.
 RECOVERY_FRACTION = 0.7
 
@@ -36,7 +39,8 @@
     low
         Bytes above which no new connections are read.
     high
-        Bytes above which the caller that holds most for longest is ended.
+        Bytes above which requests that are being read are turned away, and if none is, the
+        caller that holds most for longest is ended.
     """
 
     low: int
@@ -50,6 +54,14 @@
         return cls(int(room * LOW_FRACTION), int(room * HIGH_FRACTION))
 
 
+class HolderState(enum.IntEnum):
+    """What ending a connection costs its caller, the cheapest last."""
+
+    PASSED_ON = 0  # the request may run, and its caller would not learn of it
+    UNSENT = 1  # the caller does not keep up with its answer
+    READING = 2  # the request has not run, which its caller is told
+
+
 @attrs.define(eq=False)
 class HeldBytes:
     """Bytes held for one connection.
@@ -60,12 +72,15 @@
         Time since which any are held.
     end
         Ends the connection's request at once.
+    state
+        Returns what ending it costs.
     is_ending
         Whether it was chosen to be ended.
     """
 
     account: ByteAccount
     end: Callable[[], None] = do_nothing
+    state: Callable[[], HolderState] = lambda: HolderState.PASSED_ON
     size: int = 0
     since: float = 0.0
     is_ending: bool = False
@@ -126,17 +141,27 @@
         self.was_full = self.total > self.marks.low * fraction
         return self.was_full
 
+    def fits(self, size: int) -> bool:
+        """Return whether a request that holds so many bytes more stays below the mark."""
+        return self.total - self.ending + size <= self.marks.high
+
     def end_largest(self) -> None:
         """End the connections that hold most for longest until the rest is below the mark.
 
-        Their bytes are returned soon, when their requests have ended.
+        Those whose requests have not run come first: a request that was passed on is ended
+        only if nothing else is left. Their bytes are returned soon, when their requests have
+        ended.
         """
         now = self.now()
         while self.total - self.ending > self.marks.high:
             staying = (item for item in self.holders if not item.is_ending)
             largest = max(
                 staying,
-                key=lambda item: (item.size * (now - item.since), item.size),
+                key=lambda item: (
+                    item.state() if item.size >= MIN_ENDED_BYTES else HolderState.PASSED_ON,
+                    item.size * (now - item.since),
+                    item.size,
+                ),
                 default=None,
             )
             if largest is None:
--- a/agaterail/gateway/httpserver.py
+++ b/agaterail/gateway/httpserver.py
@@ -16,7 +16,13 @@
 from gevent.server import StreamServer
 
 from agaterail import logs
-from agaterail.bytelimits.account import ByteAccount, HeldBytes, Marks
+from agaterail.bytelimits.account import (
+    MIN_ENDED_BYTES,
+    ByteAccount,
+    HeldBytes,
+    HolderState,
+    Marks,
+)
 from agaterail.callerwatch import CallerEnded, CallerLeft, CallerWatch
 from agaterail.gateway.inbound import InboundRequest
 from agaterail.util.callbacks import do_nothing
@@ -79,6 +85,11 @@
         self.reason = reason
 
 
+# Bodies that are being passed on give their room back within a second.
+REFUSAL_LINES = {503: (b"Retry-After: 0.5",)}
+MAX_LENGTH_DIGITS = 15
+
+
 class AnswerInterrupted(Exception):  # noqa: N818
     """The process ends before the request does, which gets its final answer now."""
 
@@ -98,12 +109,17 @@
         self.ready: deque[InboundRequest] = deque()
         self.current: InboundRequest | None = None
         self.head_bytes = 0
-        self.body_parts: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.body_bytes = self.stated_bytes = 0
         self.body_hash: blake2b | None = None
         self.in_head = False
         self.wants_continue = False
 
+    @property
+    def remaining_bytes(self) -> int:
+        """Return how many bytes of the body are still to come, as far as that is stated."""
+        return max(0, self.stated_bytes - self.body_bytes)
+
     @property
     def in_progress(self) -> bool:
         """Return whether part of a request has been read."""
@@ -138,7 +154,7 @@
     def close(self) -> None:
         """Drop all data at once; the parser refers back here until garbage collection."""
         self.current = None
-        self.body_parts = []
+        self.body = bytearray()
         self.ready.clear()
 
     # Parser callbacks.
@@ -149,8 +165,8 @@
             method=b"", target=b"", headers=[], received_at=self.now()
         )
         self.in_head = True
-        self.body_parts = []
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.body_bytes = self.stated_bytes = 0
         self.body_hash = None
 
     def on_url(self, part: bytes) -> None:
@@ -164,6 +180,8 @@
         self.current.headers.append((name, value))
         if name.lower() == b"expect" and value.lower() == b"100-continue":
             self.wants_continue = True
+        if name.lower() == b"content-length" and value.isdigit():
+            self.stated_bytes = int(value[:MAX_LENGTH_DIGITS])
 
     def on_headers_complete(self) -> None:
         """Record the method and check the request target."""
@@ -176,7 +194,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body."""
-        self.body_parts.append(data)
+        self.body += data
         self.body_bytes += len(data)
         if self.body_bytes > self.limits().max_body_bytes:
             raise RequestRefused(413, "the body is too large")
@@ -187,14 +205,14 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         assert self.current is not None
-        self.current.body = b"".join(self.body_parts)
+        self.current.body = bytes(self.body)
         if self.body_hash is not None:
             self.current.body_digest = self.body_hash.digest()
         self.current.keep_alive = bool(self.parser.should_keep_alive())
         self.current.complete_at = self.now()
         self.ready.append(self.current)
         self.current = None
-        self.body_parts = []
+        self.body = bytearray()
 
 
 class CallerConnection:
@@ -228,7 +246,10 @@
         self.wake = gevent.event.Event()
         self.idle = False
         self.greenlet = gevent.getcurrent()
-        self.held = HeldBytes(http_server.account, lambda: self.end(HELD_BYTES))
+        self.held = HeldBytes(
+            http_server.account, lambda: self.end(HELD_BYTES), self._holder_state
+        )
+        self.is_turned_away = False
         self.read_bytes = self.answer_bytes = self.partial_bytes = 0
         self.unsent: deque[memoryview] = deque()
         self.unsent_bytes = 0
@@ -239,28 +260,36 @@
 
     def serve(self) -> None:
         """Answer the connection's requests one by one."""
-        while self.keep_open:
-            inbound = self._next_request()
-            if inbound is None:
-                return
-            self.keep_open = inbound.keep_alive
-            self.answering = True
-            self.streaming = False
-            self.extra_lines = ()
-            watch = CallerWatch(self.sock)
-            try:
-                self.http_server.handle(inbound, self)
-                self._flush()
-            finally:
-                watch.stop()
-                self.answering = False
-            self._return_request_bytes(inbound)
+        while self.keep_open and self._serve_next():
             if self.http_server.stopping:
                 # If a stream's head was sent before the stop, it lacks the header
                 # "Connection: close". A further request could arrive so late that
                 # the process exits in the middle of its answer.
                 return
 
+    def _serve_next(self) -> bool:
+        """Answer the next request; return whether there was one.
+
+        Nothing refers to the request afterwards, so that an idle connection does not keep
+        the memory of its last body.
+        """
+        inbound = self._next_request()
+        if inbound is None:
+            return False
+        self.keep_open = inbound.keep_alive
+        self.answering = True
+        self.streaming = False
+        self.extra_lines = ()
+        watch = CallerWatch(self.sock)
+        try:
+            self.http_server.handle(inbound, self)
+            self._flush()
+        finally:
+            watch.stop()
+            self.answering = False
+        self._return_request_bytes(inbound)
+        return True
+
     def send_answer(self, status: int, lines: Sequence[bytes], body: bytes) -> None:
         """Send a complete answer."""
         head = self._head(status, lines, b"Content-Length: %d" % len(body))
@@ -318,7 +347,14 @@
             self.partial_bytes = size
 
     def end(self, outcome: str) -> None:
-        """End the connection at once; the caller does not get what is unsent."""
+        """End the connection at once; the caller does not get what is unsent.
+
+        A request that is still being read is refused with its next bytes, so that its
+        caller learns that it has not run.
+        """
+        if self._holder_state() is HolderState.READING:
+            self.is_turned_away = True
+            return
         logger.warning(
             "Ending a caller.",
             outcome=outcome,
@@ -373,8 +409,9 @@
             self.held.add(len(data))
             try:
                 reader.feed(data)
+                self._check_room()
             except RequestRefused as refused:
-                if reader.ready:
+                if reader.ready and not self.is_turned_away:
                     # Complete requests before the invalid data are still answered.
                     self.keep_open = False
                     break
@@ -386,6 +423,24 @@
                     self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return reader.ready.popleft()
 
+    def _check_room(self) -> None:
+        """Check that the request that is being read may be held.
+
+        Raises
+        ------
+        RequestRefused
+            If it was chosen to give room to others, or there is none for its body.
+        """
+        remaining = self.reader.remaining_bytes if self.reader.in_progress else 0
+        has_room = remaining < MIN_ENDED_BYTES or self.http_server.account.fits(remaining)
+        if self.is_turned_away or not has_room:
+            raise RequestRefused(503, "no room for the request")
+
+    def _holder_state(self) -> HolderState:
+        if not self.answering and self.reader.in_progress:
+            return HolderState.READING
+        return HolderState.UNSENT if self.unsent_bytes else HolderState.PASSED_ON
+
     def _wait_idle(self) -> bool:
         """Wait for the next request; return whether there is data to read."""
         self.wake.clear()
@@ -406,11 +461,15 @@
 
     def _refuse(self, refused: RequestRefused) -> None:
         logger.info(
-            "Rejected a malformed request.", status=refused.status, reason=refused.reason
+            "Rejected a request before it was read.",
+            status=refused.status,
+            reason=refused.reason,
+            read=self.read_bytes,
+            total=self.http_server.account.total,
         )
         self.http_server.count_refusal(refused.status)
         self.keep_open = False
-        self.send_answer(refused.status, [], b"")
+        self.send_answer(refused.status, REFUSAL_LINES.get(refused.status, ()), b"")
         self._linger()
 
     def _linger(self) -> None:
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -550,8 +550,6 @@
         try:
             encode = self._encode_relayed if choice.relayed else self._encode
             connection.send(*encode(choice, left, last_event_id), timeout_s=max(0.001, left))
-            if connection.writer is not None:
-                self.context.caller.hold(len(self.context.inbound.body))
         except OSError as error:
             self.log_broken(error)
             self.end_attempt(attempt, AttemptOutcome.BROKEN)
--- a/agaterail/gateway/targetconnection.py
+++ b/agaterail/gateway/targetconnection.py
@@ -238,11 +238,12 @@
         self.write_error = None
         self.meter.begin_request()
         self.sock.settimeout(timeout_s)
-        data = head + body
         self.written = True
-        sent = self.sock.send(data)
-        if sent < len(data):
-            self.writer = gevent.spawn(self._write_rest, memoryview(data)[sent:])
+        # Not joined: a copy of a large body would take as much memory again.
+        sent = self.sock.sendmsg([head, body])
+        rest = [memoryview(head)[sent:], memoryview(body)[max(0, sent - len(head)) :]]
+        if any(rest):
+            self.writer = gevent.spawn(self._write_rest, rest)
 
     def read_head(self, request_id: str, deadline: float) -> AnswerHead:
         """Return the head of the answer to a request, waiting for it if necessary.
@@ -408,9 +409,10 @@
         except OSError:
             return False
 
-    def _write_rest(self, rest: memoryview) -> None:
+    def _write_rest(self, rest: Sequence[memoryview]) -> None:
         try:
-            self.sock.sendall(rest)
+            for part in rest:
+                self.sock.sendall(part)
         except OSError as error:
             self.write_error = error
             self.reusable = False
