A stream goes on only at a build that a reading since its connection has confirmed (ORDER)

Cause: while the store is silent, a new start is not read; a daemon that has no connection to the engine notices no break; and an engine that has ended again cannot be asked when its stream breaks off.

Change: a stream that breaks off goes on only if its engine, or a reading of the targets, has confirmed the registered start since the connection was opened. It waits up to 1 s for such a reading; then its source is given up and its record contradicted, so that no other daemon takes it up. While no readings come, engines are asked as their streams begin.

Ruled out as enough: the age of the reading when the stream begins, as readings are up to 1.8 s old while the store answers.

--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -119,6 +119,17 @@
         is_registered = self.connection.opened_at + REGISTRATION_DELAY_S < read_at
         return self.target.is_confirmed and is_registered
 
+    @property
+    def is_build_proven(self) -> bool:
+        """Return whether the target surely was of its registered build at the connection.
+
+        Either the target or a reading of the targets has confirmed its start since then. A
+        start that breaks no connection and is not registered yet is not noticed otherwise.
+        """
+        opened_at = self.connection.opened_at
+        is_confirmed = self.target.is_confirmed and self.target.confirmed_at >= opened_at
+        return is_confirmed or self.daemon.feeds.read_at[Feed.TARGETS] >= opened_at
+
     @property
     def known_start(self) -> int:
         """Return the start time of the target that answers; 0 if it is not known."""
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import attrs
+import gevent
 
 from agaterail.bytelimits.answers import AnswerBoundExceeded
 from agaterail.decisions.streamrecords import stream_key
@@ -32,6 +33,11 @@
 MIN_SERVER_ERROR_STATUS = 500
 # An engine that broke off has this long to report its start. One that crashed refuses.
 BROKEN_TIMEOUT_S = 0.1
+# Readings of the targets are up to three waits old while the store answers. A stream that
+# breaks off waits for the next one if its connection is younger than the latest.
+MAX_READING_AGE_S = 1.8
+PROOF_TIMEOUT_S = 1.0
+PROOF_POLL_S = 0.02
 # A wait for a target is interrupted this often, to learn whether the target is suspected.
 SUSPICION_CHECK_S = 0.2
 
@@ -379,6 +385,13 @@
             if context.source.is_known and not context.relayed:
                 key = stream_key(context.workspace_name, context.inbound.request_id)
                 self.daemon.streams.record(key, context.source)
+            self._ask_for_proof(attempt)
+
+    def _ask_for_proof(self, attempt: Attempt) -> None:
+        """Have the engine confirm its start while no readings of the targets come."""
+        is_quiet = self.daemon.feeds.targets_age_s() > MAX_READING_AGE_S
+        if is_quiet and not attempt.choice.relayed and not attempt.is_build_proven:
+            gevent.spawn(self.daemon.restarts.confirm, attempt.target)
 
     def _check_source(self) -> None:
         """Give a stream's source up if the engine that broke off is of a later start.
@@ -390,10 +403,11 @@
             return
         if not attempt.has_events or not context.source.is_known:
             return
+        is_proven = self._await_proof(attempt)
         self.daemon.restarts.confirm(attempt.target, BROKEN_TIMEOUT_S)
-        if not attempt.target.reported_born:
+        if is_proven and not attempt.target.reported_born:
             return
-        self.sender.log("Build of the stream given up.", attempt.choice)
+        self.sender.log("Build of the stream given up.", attempt.choice, proven=is_proven)
         if not context.relayed:
             key = stream_key(context.workspace_name, context.inbound.request_id)
             # It contradicts the former record, so that no host goes on with the stream.
@@ -402,6 +416,16 @@
             )
         context.source = StreamSource(context.service, "")
 
+    def _await_proof(self, attempt: Attempt) -> bool:
+        """Wait for a reading of the targets since a connection; return whether one came."""
+        wait_s = min(PROOF_TIMEOUT_S, self._time_left_s())
+        until = self.daemon.now() + wait_s
+        while not attempt.is_build_proven:
+            if self.daemon.now() >= until:
+                return False
+            gevent.sleep(PROOF_POLL_S)
+        return True
+
     def _mark_answer_started(self) -> None:
         self.answer_started = True
         if self.context.relayed:
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -197,3 +197,26 @@
         self.assertTrue(any(item.build == former for item in self.engines))
         gevent.sleep(0.05)
         self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
+
+    def test_a_restart_in_an_outage_of_the_store_joins_two_builds(self):
+        """Guards against a stream that goes on at the build of an engine's former start.
+
+        The store is silent, so that the new start is not read, and the engine is gone when
+        its stream has broken off, so that it cannot be asked.
+        """
+        self.fleet.ask("/resumed/x", request_id="r0", stream=True)
+        engine = self.engine_of("r0")
+        for daemon in self.daemons:
+            target, report = daemon.registry.targets[engine.instance], daemon.restarts.report
+            daemon.restarts.report = lambda item, gone=target, report=report: (
+                Failure("no answer") if item is gone else report(item)
+            )
+            daemon.connection_pool.drop(target)
+        self.fleet.store.silent = True
+        self.addCleanup(setattr, self.fleet.store, "silent", False)
+        gevent.sleep(0.7)  # reads that were waiting have ended
+        engine.build, engine.born = "v9", 2
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual(self.engine_of("r1"), engine)
+        self.assertEqual((answer.builds, answer.whole_stream), ({"v9"}, False))
+        self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
