--- a/agaterail/gateway/feedhub.py
+++ b/agaterail/gateway/feedhub.py
@@ -123,7 +123,8 @@
         elif feed is Feed.CRASHES:
             self.daemon.quarantine.apply(changes, next_offset, reading.listed)
         elif feed is Feed.TARGETS and reading.listed:
-            self.daemon.state.apply_listing(changes, next_offset, now, reading.arrival)
+            keys = [record.key for record in reading.records]
+            self.daemon.state.apply_listing(changes, next_offset, now, reading.arrival, keys)
         else:
             self.daemon.state.apply(changes, now, at_start, reading.arrival, previous_read_at)
             self._observe_delay(changes, reading.arrival)
--- a/agaterail/gateway/state.py
+++ b/agaterail/gateway/state.py
@@ -146,9 +146,18 @@
         next_offset: int,
         now: float,
         arrival: Arrival | None = None,
+        skipped: Iterable[str] = (),
     ) -> None:
-        """Apply a listing of the targets at an offset; targets not on it are removed."""
+        """Apply a listing of the targets at an offset; targets not on it are removed.
+
+        Parameters
+        ----------
+        skipped
+            Targets on the listing whose entries cannot be decoded. As when such an entry
+            is read by itself, the former one stays in force.
+        """
         listed = {change.instance for change in changes if isinstance(change, TargetChanged)}
+        listed.update(skipped)
         # Tombstones are renewed too: an older listing that was overtaken by this one may
         # still contain a target that has been removed twice.
         known = dict.fromkeys([*self.target_offsets, *self.registry.targets])
--- a/tests/test_agaterail/test_gateway/test_unreadablerecords.py
+++ b/tests/test_agaterail/test_gateway/test_unreadablerecords.py
@@ -86,6 +86,16 @@
         registry = self.fleet.daemons[0].registry
         self.fleet.wait(lambda: not registry.targets["p-0"].registration.ready)
 
+    def test_a_listing_with_an_unreadable_entry_removes_its_target(self):
+        """Guards against a target that is lost when its entry is overwritten and listed."""
+        self.fleet.store.put("keyed.servers", "p-0", UNREADABLE["lists"])
+        self.wait_until_read(Feed.TARGETS, names.TARGETS_TOPIC)
+        for daemon in self.fleet.daemons:
+            daemon.feeds.reset(Feed.TARGETS)
+        self.wait_until_read(Feed.TARGETS, names.TARGETS_TOPIC)
+        for daemon in self.fleet.daemons:
+            self.assertIn("p-0", daemon.registry.targets)
+
     def test_an_unused_member_of_a_desired_state_ends_all_service(self):
         """Guards against a valid state that is unreadable because of a member we ignore."""
         for name, text in (
