A malformed Retry-After of an engine fails no request (own interface)

Cause: float() of another's header, outside of any handler: the caller got a 500 for an engine's refusal. nan and negative values were passed on.

Change: a value that is no finite number of seconds counts as none.

--- a/agaterail/engines/http.py
+++ b/agaterail/engines/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Result, Success
@@ -48,7 +49,7 @@
         self.weights_version = str(response.get("x-weights-version", ""))
         self.refused = response.get("x-not-run") == "true"
         hint = response.get("retry-after")
-        self.retry_after_s = float(hint) if isinstance(hint, str) else None
+        self.retry_after_s = _decode_seconds(hint)
 
     def read_available(self) -> bytes:
         """Return the next bytes, or empty bytes at the end; raises OSError."""
@@ -167,6 +168,15 @@
         return Success(data) if status == HTTP_OK else Failure(f"status {status}")
 
 
+def _decode_seconds(hint: object) -> float | None:
+    """Return a number of seconds; None if there is none or it is malformed."""
+    try:
+        seconds = float(hint) if isinstance(hint, str) else math.nan
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0.0 else None
+
+
 def _parse_json(data: bytes) -> Result[dict[str, Any], str]:
     try:
         return _require_object(load_json(data))
