Soak: records of another writer that nobody can decode (--foreign)

They stand in the lists of targets, crashes and weights until the end of the run, while gateways are killed, stopped and cut off. No check excuses anything for them.

--- a/tests/test_tools/test_soak.py
+++ b/tests/test_tools/test_soak.py
@@ -33,6 +33,8 @@
 CRASHES_SEED, CRASHES_SECONDS = 2, 8.0
 # The former product broke this seed.
 REPEATS_SEED, REPEATS_SECONDS = 1, 10.0
+# The former product served nothing after the faults of this seed.
+FOREIGN_SEED, FOREIGN_SECONDS = 1, 8.0
 
 
 class SoakTest(unittest.TestCase):
@@ -75,6 +77,12 @@
             result = soak(CRASHES_SEED, pathlib.Path(folder), options)
             self.assertEqual(result.problems, [])
 
+    def test_records_of_another_writer_stop_no_service(self):
+        with tempfile.TemporaryDirectory() as folder:
+            options = SoakOptions(seconds=FOREIGN_SECONDS, in_rounds=True, with_foreign=True)
+            result = soak(FOREIGN_SEED, pathlib.Path(folder), options)
+            self.assertEqual(result.problems, [])
+
     def test_prompts_that_reach_engines_after_the_fifth_crash_are_found(self):
         arrivals = [(4.0, "r0"), *((9.0 + number, f"r{number}") for number in range(4))]
         engine = SimpleNamespace(arrivals=arrivals)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -52,6 +52,11 @@
         action="store_true",
         help="a caller repeats a request that ends its targets",
     )
+    parser.add_argument(
+        "--foreign",
+        action="store_true",
+        help="another writer adds records that nobody can decode",
+    )
     arguments = parser.parse_args()
     seeds = [*arguments.seeds, *(secrets.randbelow(10**6) for _ in range(arguments.fresh))]
     options = SoakOptions(
@@ -65,6 +70,7 @@
         with_strain=arguments.strain,
         with_crashes=arguments.crashes,
         with_repeats=arguments.repeats,
+        with_foreign=arguments.foreign,
     )
     failed = 0
     for seed in seeds:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,6 +14,7 @@
 from tools.soak.crashes import CrashInjector, check_crashes, check_repeats
 from tools.soak.cuts import CutInjector, check_cuts
 from tools.soak.faults import FaultInjector
+from tools.soak.foreign import ForeignInjector
 from tools.soak.notices import NoticeChecker, NoticeInjector
 from tools.soak.outages import OutageInjector
 from tools.soak.retries import RetryWindow, StrainInjector, worst_retry_windows
@@ -74,6 +75,8 @@
         Whether some prompts end the engines that begin to answer them.
     with_repeats
         Whether a caller repeats a request that ends its targets.
+    with_foreign
+        Whether another writer adds records that nobody can decode.
     """
 
     seconds: float = 15.0
@@ -86,6 +89,7 @@
     with_strain: bool = False
     with_crashes: bool = False
     with_repeats: bool = False
+    with_foreign: bool = False
 
 
 def soak(seed: int, folder: pathlib.Path, options: SoakOptions) -> SoakResult:
@@ -113,6 +117,9 @@
         others = [
             gevent.spawn(crashes.run, seconds if options.with_crashes else 0.0),
             gevent.spawn(crashes.run_repeats, seconds if options.with_repeats else 0.0),
+            gevent.spawn(
+                ForeignInjector(testbed, seed).run, seconds if options.with_foreign else 0.0
+            ),
             gevent.spawn(NoticeInjector(testbed, seed).run, seconds),
             gevent.spawn(cuts.run, seconds if options.with_cuts else 0.0),
             gevent.spawn(builds.run, seconds if options.with_builds else 0.0),
