--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -274,6 +274,10 @@
         """
         if self._time_left_s() < MIN_TIME_LEFT_S:
             return False
+        if silent.has_events and not silent.choice.relayed and not silent.is_build_proven:
+            # The hedge might be of another build than what the caller has.
+            self.sender.log("No hedge, build of the stream not confirmed.", silent.choice)
+            return True
         silent.target.record_failure(self.daemon.now())
         while self._time_left_s() >= MIN_TIME_LEFT_S:
             started = self.sender.start_attempt(self._last_event_id(), may_wait=False)
--- a/tests/test_agaterail/test_gateway/test_restartcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_restartcontroller.py
@@ -204,6 +204,25 @@
         The store is silent, so that the new start is not read, and the engine is gone when
         its stream has broken off, so that it cannot be asked.
         """
+        engine = self.restart_unnoticed()
+        answer = self.begin("r1", goes_on=True)
+        self.assertEqual(self.engine_of("r1"), engine)
+        self.assertEqual((answer.builds, answer.whole_stream), ({"v9"}, False))
+        self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
+
+    def test_a_hedge_in_an_outage_of_the_store_joins_two_builds(self):
+        """Guards against a hedge at the build of an engine's former start."""
+        engine = self.restart_unnoticed()
+        engine.pause_before, engine.pause_s = 4, 1.3
+        answer = self.fleet.ask("/resumed/x", request_id="r1", stream=True)
+        self.assertEqual(self.engine_of("r1"), engine)
+        self.assertEqual(answer.builds, {"v9"})
+
+    def restart_unnoticed(self):
+        """Start an engine with another build while the store is silent; return it.
+
+        No daemon has a connection to it, and it does not answer questions.
+        """
         self.fleet.ask("/resumed/x", request_id="r0", stream=True)
         engine = self.engine_of("r0")
         for daemon in self.daemons:
@@ -216,7 +235,4 @@
         self.addCleanup(setattr, self.fleet.store, "silent", False)
         gevent.sleep(0.7)  # reads that were waiting have ended
         engine.build, engine.born = "v9", 2
-        answer = self.begin("r1", goes_on=True)
-        self.assertEqual(self.engine_of("r1"), engine)
-        self.assertEqual((answer.builds, answer.whole_stream), ({"v9"}, False))
-        self.assertEqual(self.take_up("s1", "r1", "3").status, 503)
+        return engine
