--- a/agaterail/util/untrusted.py
+++ b/agaterail/util/untrusted.py
@@ -54,11 +54,11 @@
     return _decode(msgspec.msgpack.decode, data)
 
 
-class MsgpackDecoder(Generic[T]):
-    """Decodes MessagePack values of one type."""
+class TypedDecoder(Generic[T]):
+    """Decodes values of one type with a decoder of msgspec."""
 
-    def __init__(self, kind: Any) -> None:
-        self.decoder = msgspec.msgpack.Decoder(kind)
+    def __init__(self, decoder: Any) -> None:
+        self.decoder = decoder
 
     def decode(self, data: bytes | msgspec.Raw) -> T:
         """Decode a value.
@@ -71,21 +71,18 @@
         return _decode(self.decoder.decode, data)
 
 
-class JsonDecoder(Generic[T]):
-    """Decodes JSON texts of one type."""
+class MsgpackDecoder(TypedDecoder[T]):
+    """Decodes MessagePack values of one type."""
 
     def __init__(self, kind: Any) -> None:
-        self.decoder = msgspec.json.Decoder(kind)
+        super().__init__(msgspec.msgpack.Decoder(kind))
 
-    def decode(self, data: bytes | msgspec.Raw) -> T:
-        """Decode a text.
 
-        Raises
-        ------
-        DecodeError
-            If it is malformed, of another type or nested too deeply.
-        """
-        return _decode(self.decoder.decode, data)
+class JsonDecoder(TypedDecoder[T]):
+    """Decodes JSON texts of one type."""
+
+    def __init__(self, kind: Any) -> None:
+        super().__init__(msgspec.json.Decoder(kind))
 
 
 def decode_pruned(decode: Callable[[bytes], T], text: bytes) -> T:
