--- a/agaterail/gateway/attempt.py
+++ b/agaterail/gateway/attempt.py
@@ -24,6 +24,8 @@
 OK_STATUSES = range(200, 300)
 # Only data that has already arrived is read.
 POLL_TIMEOUT_S = 0.005
+# Two waits of a read. While the store answers, readings of the targets are rarely older.
+MAX_READING_AGE_S = 1.2
 
 
 class Attempt:
@@ -120,15 +122,18 @@
         return self.target.is_confirmed and is_registered
 
     @property
-    def is_build_proven(self) -> bool:
-        """Return whether the target surely was of its registered build at the connection.
+    def is_build_doubtful(self) -> bool:
+        """Return whether the target may have started anew with another build unnoticed.
 
-        Either the target or a reading of the targets has confirmed its start since then. A
-        start that breaks no connection and is not registered yet is not noticed otherwise.
+        This is so while no readings of the targets come, unless the target or a reading has
+        confirmed its start since the connection was opened. A start that breaks no
+        connection here shows in nothing else.
         """
-        opened_at = self.connection.opened_at
-        is_confirmed = self.target.is_confirmed and self.target.confirmed_at >= opened_at
-        return is_confirmed or self.daemon.feeds.read_at[Feed.TARGETS] >= opened_at
+        opened_at, feeds = self.connection.opened_at, self.daemon.feeds
+        if self.target.is_confirmed and self.target.confirmed_at >= opened_at:
+            return False
+        is_read = feeds.read_at[Feed.TARGETS] >= opened_at
+        return not is_read and feeds.targets_age_s() > MAX_READING_AGE_S
 
     @property
     def known_start(self) -> int:
--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -33,9 +33,7 @@
 MIN_SERVER_ERROR_STATUS = 500
 # An engine that broke off has this long to report its start. One that crashed refuses.
 BROKEN_TIMEOUT_S = 0.1
-# Readings of the targets are up to three waits old while the store answers. A stream that
-# breaks off waits for the next one if its connection is younger than the latest.
-MAX_READING_AGE_S = 1.8
+# A stream that breaks off waits this long for a reading that confirms its build.
 PROOF_TIMEOUT_S = 1.0
 PROOF_POLL_S = 0.02
 # A wait for a target is interrupted this often, to learn whether the target is suspected.
@@ -274,7 +272,7 @@
         """
         if self._time_left_s() < MIN_TIME_LEFT_S:
             return False
-        if silent.has_events and not silent.choice.relayed and not silent.is_build_proven:
+        if silent.has_events and not silent.choice.relayed and silent.is_build_doubtful:
             # The hedge might be of another build than what the caller has.
             self.sender.log("No hedge, build of the stream not confirmed.", silent.choice)
             return True
@@ -393,8 +391,7 @@
 
     def _ask_for_proof(self, attempt: Attempt) -> None:
         """Have the engine confirm its start while no readings of the targets come."""
-        is_quiet = self.daemon.feeds.targets_age_s() > MAX_READING_AGE_S
-        if is_quiet and not attempt.choice.relayed and not attempt.is_build_proven:
+        if not attempt.choice.relayed and attempt.is_build_doubtful:
             gevent.spawn(self.daemon.restarts.confirm, attempt.target)
 
     def _check_source(self) -> None:
@@ -421,10 +418,10 @@
         context.source = StreamSource(context.service, "")
 
     def _await_proof(self, attempt: Attempt) -> bool:
-        """Wait for a reading of the targets since a connection; return whether one came."""
+        """Wait until the build of a stream is in no doubt; return whether that is so."""
         wait_s = min(PROOF_TIMEOUT_S, self._time_left_s())
         until = self.daemon.now() + wait_s
-        while not attempt.is_build_proven:
+        while attempt.is_build_doubtful:
             if self.daemon.now() >= until:
                 return False
             gevent.sleep(PROOF_POLL_S)
--- a/tests/test_agaterail/test_outcomes.py
+++ b/tests/test_agaterail/test_outcomes.py
@@ -58,6 +58,8 @@
     ("server.py", "_read_body"): BEFORE_FORWARDING,
     ("server.py", "_refusal"): BEFORE_FORWARDING,
     ("filters/forward.py", "_refusal"): EXPLICIT_REFUSAL,
+    ("gateway/handler.py", "_interrupt"): "the request was sent to no target, or refused",
+    ("gateway/sender.py", "_check_stop"): "the request was sent to no target, or refused",
     ("filters/forward.py", "_send_failure"): NOTHING_SENT,
     ("gateway/handler.py", "_admit"): BEFORE_FORWARDING,
     ("gateway/handler.py", "_charge"): BEFORE_FORWARDING,
