--- a/agaterail/gateway/forwarder.py
+++ b/agaterail/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from agaterail.errors import Failure
 from agaterail.gateway import relayprotocol
 from agaterail.gateway.eventstream import EventSplitter
+from agaterail.gateway.requestcontext import urgency_of
 from agaterail.gateway.retrystate import MIN_TIME_LEFT_S, AttemptOutcome
 from agaterail.gateway.sender import Sender
 from agaterail.gateway.targetconnection import wait_readable
@@ -243,8 +244,11 @@
             last_id=self.splitter.last_id,
             output_tokens=self.context.inbound.output_tokens,
             late=self._is_late(),
+            paused=self.context.has_paused,
+            longest_pause_s=round(self.context.longest_pause_s, 3),
             ran_weights=head.weights_version,
         )
+        self._count_lateness()
         return None
 
     def _accepts_connections(self, attempt: Attempt) -> bool:
@@ -368,6 +372,8 @@
         self.sender.log("Answered.", status=answer.head.status, late=self._is_late())
 
     def _send_events(self, head: AnswerHead, events: bytes) -> None:
+        if events:
+            self.context.record_events_sent(self.daemon.now())
         if self.answer_started:
             self.context.caller.send_chunk(events)
             return
@@ -436,6 +442,21 @@
             )
         self.context.first_byte_at = self.daemon.now()
 
+    def _count_lateness(self) -> None:
+        """Count a complete stream that was late, by what was late first.
+
+        The daemon that passed a request on counts it.
+        """
+        if self.context.relayed:
+            return
+        if self._is_late():
+            part = "first_event"
+        elif self.context.has_paused:
+            part = "pause"
+        else:
+            return
+        self.daemon.metrics.late_streams.labels(urgency_of(self.context), part).inc()
+
     def _is_late(self) -> bool:
         first_s = self.context.first_byte_s
         return first_s is not None and first_s > self.context.route.objective_s
--- a/agaterail/gateway/metrics.py
+++ b/agaterail/gateway/metrics.py
@@ -88,6 +88,12 @@
             ("urgency", "reason"),
             registry=registry,
         )
+        self.late_streams = Counter(
+            f"{PREFIX}_late_streams",
+            "Complete streams that were late, by urgency and by what was late first.",
+            ("urgency", "part"),
+            registry=registry,
+        )
         self.early_hedges = Counter(
             f"{PREFIX}_early_hedges",
             "Requests sent to a second engine because the first is suspected to be silent.",
--- a/agaterail/gateway/requestcontext.py
+++ b/agaterail/gateway/requestcontext.py
@@ -39,6 +39,10 @@
         first event, and if the stream cannot be resumed.
     keys
         What may crash its target.
+    last_sent_at
+        When the last events were sent to the caller; None before the first.
+    longest_pause_s
+        Longest time between two sends of events.
     """
 
     inbound: InboundRequest
@@ -57,6 +61,8 @@
     cost: float = 0.0
     charged_runs: int = 0
     source: StreamSource | None = None
+    last_sent_at: float | None = None
+    longest_pause_s: float = 0.0
 
     @property
     def workspace_name(self) -> str:
@@ -74,6 +80,18 @@
         at = self.first_byte_at
         return None if at is None else at - self.inbound.received_at
 
+    @property
+    def has_paused(self) -> bool:
+        """Return whether the caller waited longer for further events than the route allows."""
+        allowed_s = self.route.gap_objective_s
+        return allowed_s > 0.0 and self.longest_pause_s > allowed_s
+
+    def record_events_sent(self, now: float) -> None:
+        """Record that events were sent to the caller."""
+        if self.last_sent_at is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
+        self.last_sent_at = now
+
 
 def keys_of(inbound: InboundRequest, service: str, workspace: Workspace | None) -> RequestKeys:
     """Return the keys of a request.
--- a/agaterail/losses.py
+++ b/agaterail/losses.py
@@ -49,6 +49,7 @@
     LATE_QUEUE = "late, behind other prompts"
     LATE_ELSEWHERE = "late, not at the prompt's home"
     LATE_HOME = "late, at the prompt's home"
+    LATE_PAUSE = "late, paused between events"
     LATE_PLAIN = "late, a plain request"
 
 
@@ -137,7 +138,7 @@
         return Cause.TARGET_FAILURE
     if event in ("Answered.", "Stream complete.") and fields.get("late"):
         return _cause_of_lateness(fields)
-    return None
+    return Cause.LATE_PAUSE if event == "Stream complete." and fields.get("paused") else None
 
 
 def _urgency_of(cause: Cause, fields: dict[str, Any]) -> int | None:
--- a/tests/test_agaterail/test_losses.py
+++ b/tests/test_agaterail/test_losses.py
@@ -68,6 +68,7 @@
             ("Stream complete.", late | {"queue_ms": 300.0}, Cause.LATE_QUEUE),
             ("Stream complete.", late | {"rank": 2}, Cause.LATE_ELSEWHERE),
             ("Stream complete.", late | {"rank": 0}, Cause.LATE_HOME),
+            ("Stream complete.", {"late": False, "paused": True}, Cause.LATE_PAUSE),
             ("Request failed.", {"kind": "internal"}, Cause.OTHER_REFUSAL),
             (
                 "Request failed.",
