--- a/tests/engine_queues.py
+++ b/tests/engine_queues.py
@@ -16,14 +16,71 @@
 from agaterail.gateway.placement import FleetView, PlacementRules, choose_engine
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
-STEP_MS = 5.05
-TOKENS_PER_MS = 40.0
-CHUNK = 4096
-EVENT_STEPS = 6
-GAP_S = 0.6
-PACES = (0.55, 1.2, 1.2, 1.2)
 LATENCY_S = 0.15
-TRAITS = EngineTraits(slots=12, kv_tokens=86_000, kv_bytes_per_token=1.0, link_mbps=1.0)
+
+
+@attrs.frozen(kw_only=True)
+class EngineKind:
+    """Engines of a service, and what its callers ask of them.
+
+    Attributes
+    ----------
+    step_ms
+        Time of a decode step.
+    tokens_per_ms
+        Prompt tokens that are read in a millisecond.
+    chunk
+        Prompt tokens that are read in a step at most.
+    event_steps
+        Decode steps of an event.
+    gap_s
+        Longest pause between events with which an answer is on time.
+    paces
+        Relative durations of everything, for one engine after the other.
+    slots, kv_tokens
+        Requests and tokens that an engine runs at once.
+    objectives_s
+        Seconds up to which the first tokens of long and short prompts are on time.
+    output_tokens
+        Tokens of the answers to long and to short prompts.
+    """
+
+    step_ms: float = 5.05
+    tokens_per_ms: float = 40.0
+    chunk: int = 4096
+    event_steps: int = 6
+    gap_s: float = 0.6
+    paces: tuple[float, ...] = (0.55, 1.2, 1.2, 1.2)
+    slots: int = 12
+    kv_tokens: int = 86_000
+    objectives_s: tuple[float, float] = (0.835, 1.215)
+    output_tokens: tuple[int, int] = (9, 49)
+
+    @property
+    def traits(self) -> EngineTraits:
+        """Return what daemons know of the engines."""
+        return EngineTraits(
+            slots=self.slots,
+            kv_tokens=self.kv_tokens,
+            kv_bytes_per_token=1.0,
+            link_mbps=1.0,
+        )
+
+
+SLOW_ENGINES = EngineKind()
+# Their chunks are too short for a pause that is too long, whatever they read.
+QUICK_ENGINES = EngineKind(
+    step_ms=4.84,
+    tokens_per_ms=74.8,
+    chunk=2048,
+    event_steps=5,
+    gap_s=0.3,
+    paces=(1.0, 1.0, 1.3, 1.0),
+    slots=16,
+    kv_tokens=105_687,
+    objectives_s=(0.5, 0.3),
+    output_tokens=(52, 290),
+)
 
 
 @attrs.define(eq=False)
@@ -45,6 +102,7 @@
     """One engine: a step decodes a token of each stream and reads up to a chunk."""
 
     name: str
+    kind: EngineKind
     pace: float
     waiting: deque[Prompt] = attrs.field(factory=deque)
     reading: deque[Prompt] = attrs.field(factory=deque)
@@ -63,12 +121,12 @@
         self.is_busy = bool(self.reading or self.streams)
         if not self.is_busy:
             return None
-        left = CHUNK
+        left = self.kind.chunk
         for prompt in self.reading:
             read = min(left, prompt.unread)
             prompt.unread -= read
             left -= read
-        seconds = self.pace * (STEP_MS + (CHUNK - left) / TOKENS_PER_MS) * 1e-3
+        seconds = self.pace * self._step_ms(self.kind.chunk - left) * 1e-3
         self.busy_s += seconds
         return now + seconds
 
@@ -85,15 +143,18 @@
         while self.streams and self.streams[0][0] <= step:
             prompt = heapq.heappop(self.streams)[2]
             self.kv_used -= prompt.inbound.stated_tokens
-            events = [*self.step_ends[prompt.first_step :: EVENT_STEPS], now]
+            events = [*self.step_ends[prompt.first_step :: self.kind.event_steps], now]
             prompt.gap_s = max(after - at for at, after in itertools.pairwise(events))
             ended.append(prompt)
         return read, ended
 
+    def _step_ms(self, read_tokens: int) -> float:
+        return self.kind.step_ms + read_tokens / self.kind.tokens_per_ms
+
     def _admit(self) -> None:
-        while self.waiting and len(self.streams) + len(self.reading) < TRAITS.slots:
+        while self.waiting and len(self.streams) + len(self.reading) < self.kind.slots:
             prompt = self.waiting[0]
-            if self.kv_used + prompt.inbound.stated_tokens > TRAITS.kv_tokens:
+            if self.kv_used + prompt.inbound.stated_tokens > self.kind.kv_tokens:
                 return
             self.reading.append(self.waiting.popleft())
             self.kv_used += prompt.inbound.stated_tokens
@@ -104,7 +165,10 @@
                 self.missed_tokens += shared.tokens
             self.cached[shared.name] = shared.tokens
             self.cached.move_to_end(shared.name)
-            while sum(self.cached.values()) + self.kv_used > TRAITS.kv_tokens + CHUNK:
+            while (
+                sum(self.cached.values()) + self.kv_used
+                > self.kind.kv_tokens + self.kind.chunk
+            ):
                 self.cached.popitem(last=False)
 
 
@@ -127,7 +191,7 @@
             streams=streams - mine[0],
             prefill_tokens=prefill_tokens - mine[1],
             kv_tokens=kv_tokens - mine[2],
-            pace=self.fleet.engines[instance].pace / max(PACES),
+            pace=self.fleet.engines[instance].pace / max(self.fleet.kind.paces),
             age_s=self.fleet.now - at,
         )
 
@@ -154,6 +218,7 @@
 
     seed: int
     daemons: int
+    kind: EngineKind = SLOW_ENGINES
     engine_count: int = 16
     seconds: float = 8.0
     period_s: float = 0.5
@@ -169,13 +234,17 @@
         """Make the engines, the daemons and the prompts."""
         self.random = random.Random(self.seed)
         names = [f"i-{number}" for number in range(self.engine_count)]
-        self.engines = {name: Engine(name, PACES[n % 4]) for n, name in enumerate(names)}
+        paces = self.kind.paces
+        self.engines = {
+            name: Engine(name, self.kind, paces[n % len(paces)])
+            for n, name in enumerate(names)
+        }
         self.targets = [
             {name: make_target(name, weights={"m": 1}) for name in names}
             for _ in range(self.daemons)
         ]
         self.views = [
-            FleetView(loads=FleetLoads(self, number), traits=TRAITS)
+            FleetView(loads=FleetLoads(self, number), traits=self.kind.traits)
             for number in range(self.daemons)
         ]
         self.rules = PlacementRules(domain="a", version_s=15.0, daemons=self.daemons)
@@ -192,7 +261,7 @@
     @property
     def paused(self) -> int:
         """Return the number of answers with too long a pause."""
-        return sum(item.gap_s > GAP_S for item in self.prompts)
+        return sum(item.gap_s > self.kind.gap_s for item in self.prompts)
 
     @property
     def missed_tokens(self) -> int:
@@ -226,9 +295,9 @@
                 model="m",
                 prompt=(shared, PromptPart("own", int(own) + 1)),
                 prompt_tokens=shared.tokens + int(own) + 1,
-                output_tokens=9 if is_long else 49,
+                output_tokens=self.kind.output_tokens[not is_long],
             )
-            objective_s = 0.835 if is_long else 1.215
+            objective_s = self.kind.objectives_s[not is_long]
             yield Prompt(at, inbound, objective_s, draw.randrange(self.daemons))
 
     def play(self) -> None:
@@ -272,7 +341,7 @@
             shares=(),
             timeout_s=10.0,
             objective_s=prompt.objective_s,
-            gap_objective_s=GAP_S,
+            gap_objective_s=self.kind.gap_s,
         )
         gone = [engine.name for engine in self.engines.values() if engine.is_gone]
         view = attrs.evolve(self.views[prompt.daemon], route=route)
--- a/tests/test_agaterail/test_gateway/test_placement.py
+++ b/tests/test_agaterail/test_gateway/test_placement.py
@@ -22,7 +22,7 @@
 )
 from agaterail.gateway.versionhistory import DesiredVersion, VersionHistory
 from agaterail.gateway.weightsplan import MAX_REFUSED_TRIES
-from tests.engine_queues import Fleet
+from tests.engine_queues import QUICK_ENGINES, Fleet
 from tests.test_agaterail.test_gateway.test_targets import make_target
 
 RULES = PlacementRules(domain="a", version_s=15.0)
@@ -300,6 +300,22 @@
                 self.check(**load)
         self.assertLessEqual(self.missed["informed"], self.missed["alone"])
 
+    def test_overload_of_all_engines(self):
+        """Daemons left crowded homes for engines that old figures showed as less busy."""
+        load = {
+            "kind": QUICK_ENGINES,
+            "daemons": 195,
+            "engine_count": 24,
+            "seconds": 12.0,
+            "period_s": 1.0,
+            "rate": 6.5,
+            "parts": 800,
+        }
+        alone = [Fleet(seed=seed, **{**load, "period_s": math.inf}) for seed in SEEDS]
+        informed = [Fleet(seed=seed, **load) for seed in SEEDS]
+        late = [sum(item.late for item in group) for group in (alone, informed)]
+        self.assertLessEqual(late[1], late[0])
+
     def test_no_herd(self):
         """All daemons turned to the engines that old figures showed as idle."""
         for daemons, period_s in ((81, 0.5), (410, 2.0)):
