A taken up stream goes on at the only known build only by a reading made since (ORDER)

Callers saw (reported by another operator; shown here by a test): a daemon that was out of step for less than 2 s while engines of a new build joined took up a stream that other daemons had begun there, and let it go on at an engine of the former build. Cause: without a record of the stream, a daemon concludes from its registrations that one build alone can have begun it. Its reading could be 2 s old for that, and a stream of a build that joined since begins and breaks within that time; daemons that are cut off cannot say so. Evidence: OutOfStepTest fails before, (200, {'v1'}) in place of a refusal: the view is 0.52 s old, two daemons were asked and none answered. Change: such a conclusion needs a reading that was made after the request arrived. It is waited for while readings come at all; otherwise the stream is refused at once, as before. A stream that reached its caller was begun at an engine that was registered before, so that reading has it.

--- a/agaterail/gateway/resumedstreams.py
+++ b/agaterail/gateway/resumedstreams.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 from agaterail import logs
 from agaterail.decisions.streamrecords import stream_key
 from agaterail.decisions.streamsources import StreamSource
@@ -24,6 +26,7 @@
 READING_SKEW_S = 5.0
 # Readings are up to three waits old at daemons that poll others.
 MAX_VIEW_AGE_S = 2.0
+READING_POLL_S = 0.02
 MAX_LOGGED_ID = 64
 RETRY_AFTER_S = 0.5
 
@@ -99,7 +102,7 @@
 
     def _only_source(self, inbound: InboundRequest) -> tuple[StreamSource | None, str]:
         """Return the only source that the stream can have, or why there may be others."""
-        if self.view_age_s() > MAX_VIEW_AGE_S:
+        if not self._await_reading(inbound.received_at):
             return None, "old reading"
         now = self.now()
         window_s = self.longest_s() + READING_SKEW_S
@@ -114,6 +117,18 @@
             return None, f"{len(builds)} builds"
         return StreamSource(service, builds.pop()), ""
 
+    def _await_reading(self, since: float) -> bool:
+        """Wait for a reading of the registrations that was made since a time.
+
+        A daemon that stood still or was cut off does not know the builds that joined
+        meanwhile, and other daemons may have begun the stream there a moment ago.
+        """
+        while self.now() - self.view_age_s() < since:
+            if self.view_age_s() > MAX_VIEW_AGE_S:
+                return False
+            gevent.sleep(READING_POLL_S)
+        return True
+
     def _reject(
         self, inbound: InboundRequest, found: FoundSource | None, reason: str
     ) -> Failure:
--- a/tests/test_agaterail/test_gateway/test_streamcontroller.py
+++ b/tests/test_agaterail/test_gateway/test_streamcontroller.py
@@ -14,7 +14,7 @@
 from agaterail.gateway.streamprotocol import MAX_BATCH, StreamEntry
 from agaterail.util.httpconn import ConnectFailed
 from tests.build_fleet import BuildsTest
-from tests.gateway_fleet import LLM, make_desired, route_row
+from tests.gateway_fleet import LLM, MODEL, Fleet, make_desired, route_row
 
 STREAMS = 12
 
@@ -209,6 +209,40 @@
         self.assertEqual(self.take_up_unnamed(), 503)
 
 
+class OutOfStepTest(BuildsTest):
+    """A gateway that reads nothing and reaches no other one while engines of a build join."""
+
+    def setUp(self):
+        self.fleet = Fleet(gateways=self.gateways)
+        self.addCleanup(self.fleet.stop)
+        self.late = self.daemons[1]
+        self.late.build_history.since = self.late.now() - 600.0
+        self.apply_reading = self.late.feeds.apply_reading
+        self.late.feeds.apply_reading = lambda _feed, _reading: None
+        for daemon in self.daemons:
+            daemon.feeds.peer_responder.server.close()
+        for instance in ("e-2", "e-3"):
+            self.fleet.add_target(instance, LLM, MODEL, "v2")
+        others = (self.daemons[0], self.daemons[2])
+        self.fleet.wait(lambda: all("e-3" in item.registry.targets for item in others))
+        for engine in self.engines:
+            engine.refuse = engine.build == "v1"
+        self.first = self.begin("r1")
+        for engine in self.engines:
+            engine.refuse = False
+
+    def test_a_stream_goes_on_at_the_only_build_that_is_known(self):
+        """Guards against a stream of a new build that goes on at an engine of the old one."""
+        self.assertEqual((self.first.builds, "e-3" in self.late.registry.targets), ({"v2"}, 0))
+        second = self.take_up("s1", "r1", self.first.last_event_id)
+        self.assertEqual((second.status, second.builds), (503, set()))
+
+    def test_a_reading_made_since_shows_the_new_build(self):
+        self.late.feeds.apply_reading = self.apply_reading
+        second = self.take_up("s1", "r1", self.first.last_event_id)
+        self.assertIn(second.builds, (set(), {"v2"}))
+
+
 class FakePeers:
     """Connections whose calls the test answers."""
 
