--- a/agaterail/decisions/engineplacement.py
+++ b/agaterail/decisions/engineplacement.py
@@ -39,6 +39,11 @@
 FIGURES_HALF_LIFE_S = 0.7
 # Engines of the hash order among which a prompt has the choice.
 CHOICES = 3
+# From this part of the objective on, the usual queue shows that all engines are crowded.
+CROWDED_FRACTION = 0.25
+# Engines among which a prompt has the choice then. With more of them, all daemons turn to
+# the engines that were the least crowded some time ago, and others stand idle.
+CROWDED_CHOICES = 2
 # Engines that are looked at if a first token may be late at all before. Where all engines are
 # overloaded, a choice must not take longer than usual.
 MAX_CANDIDATES = 12
@@ -168,9 +173,9 @@
 ) -> tuple[int, PlacementCost]:
     """Return the index of the cheapest of the first candidates, and its cost.
 
-    More of them are looked at only while a prompt would be late at all before. All daemons
-    have the same figures, so a choice among all engines would send every prompt to the one
-    that was idle when these were gathered.
+    More of them are looked at only while a prompt would be late at all before, and fewer
+    while all engines are crowded. All daemons have the same figures, so a choice among all
+    engines would send every prompt to the one that was idle when these were gathered.
 
     Parameters
     ----------
@@ -180,7 +185,8 @@
         Mean figures of the service's engines, which stand for figures that are missing.
     """
     best_index, best = -1, PlacementCost(wait_ms=math.inf)
-    for index, candidate in enumerate(itertools.islice(candidates, MAX_CANDIDATES)):
+    most = CROWDED_CHOICES if is_crowded(prompt, usual) else MAX_CANDIDATES
+    for index, candidate in enumerate(itertools.islice(candidates, most)):
         if index and index % CHOICES == 0 and not _is_late(prompt, best):
             break
         cost = expected_cost(prompt, candidate, usual)
@@ -189,6 +195,16 @@
     return best_index, best
 
 
+def is_crowded(prompt: PromptLoad, usual: EngineFigures) -> bool:
+    """Return whether the usual queue is a notable part of a prompt's objective.
+
+    Then no engine is free for long, and leaving an engine for another one gains little.
+    """
+    allowed_ms = prompt.objective_s * 1e3 * CROWDED_FRACTION
+    queue_ms = _queue_ms(usual.prefill_tokens, usual.streams, usual.pace)
+    return 0.0 < allowed_ms < queue_ms
+
+
 def expected_cost(
     prompt: PromptLoad, candidate: Candidate, usual: EngineFigures
 ) -> PlacementCost:
@@ -196,8 +212,9 @@
     figures = aged(candidate.figures, usual)
     ms_per_token = PREFILL_MS_PER_TOKEN * figures.pace
     streams = figures.streams + candidate.streams
-    ahead_ms = (figures.prefill_tokens + candidate.prefill_tokens) * ms_per_token
-    queue_ms = ahead_ms + streams * DECODE_SLOWDOWN_MS
+    ahead_tokens = figures.prefill_tokens + candidate.prefill_tokens
+    ahead_ms = ahead_tokens * ms_per_token
+    queue_ms = _queue_ms(ahead_tokens, streams, figures.pace)
     missed = prompt.shared_tokens * (1.0 if candidate.rank else prompt.new_fraction)
     reading_ms = (prompt.own_tokens + missed) * ms_per_token
     kv_tokens = figures.kv_tokens + candidate.kv_tokens
@@ -231,6 +248,11 @@
     )
 
 
+def _queue_ms(prefill_tokens: float, streams: float, pace: float) -> float:
+    """Return the wait behind prompts that are read before and behind running streams."""
+    return prefill_tokens * PREFILL_MS_PER_TOKEN * pace + streams * DECODE_SLOWDOWN_MS
+
+
 def _is_late(prompt: PromptLoad, cost: PlacementCost) -> bool:
     """Return whether a first token may come after its objective."""
     late_ms = prompt.objective_s * 1e3 * LATE_FRACTION or math.inf
--- a/agaterail/gateway/placement.py
+++ b/agaterail/gateway/placement.py
@@ -14,6 +14,7 @@
     PlacementCost,
     PromptLoad,
     choose_candidate,
+    is_crowded,
 )
 from agaterail.engineloads.figures import EngineLoads, NoEngineLoads
 from agaterail.gateway.weightsplan import is_cordoned, should_have_loaded
@@ -103,6 +104,8 @@
         Parts of the cost; None if it follows from this daemon's own requests alone.
     figures_age_s
         Age of the figures of the target in seconds; None if there were none.
+    crowded
+        Whether all engines of the service were crowded, which leaves fewer choices.
     """
 
     target: Target
@@ -116,6 +119,7 @@
     candidates: int = 0
     cost: PlacementCost | None = None
     figures_age_s: float | None = None
+    crowded: bool = False
 
 
 def rank_by_hash(
@@ -236,7 +240,8 @@
             seen.append(view.loads.figures(target.instance))
             yield _candidate(rank, target, seen[-1], rules, view)
 
-    rank, cost = choose_candidate(_prompt_load(inbound, view), candidates(), usual)
+    prompt = _prompt_load(inbound, view)
+    rank, cost = choose_candidate(prompt, candidates(), usual)
     if all(figures is None for figures in seen):
         return None
     figures = seen[rank]
@@ -247,6 +252,7 @@
         rank=rank,
         cost=cost,
         figures_age_s=None if figures is None else figures.age_s,
+        crowded=is_crowded(prompt, usual),
     )
 
 
--- a/agaterail/gateway/sender.py
+++ b/agaterail/gateway/sender.py
@@ -640,6 +640,7 @@
     return {
         "cost": choice.cost.summary(),
         "figures_age_s": None if age_s is None else round(age_s, 2),
+        **({"crowded": True} if choice.crowded else {}),
     }
 
 
--- a/tests/test_agaterail/test_decisions/test_engineplacement.py
+++ b/tests/test_agaterail/test_decisions/test_engineplacement.py
@@ -6,12 +6,14 @@
 
 from agaterail.decisions.engineplacement import (
     CHOICES,
+    CROWDED_CHOICES,
     MAX_CANDIDATES,
     Candidate,
     PlacementCost,
     PromptLoad,
     choose_candidate,
     expected_cost,
+    is_crowded,
 )
 from agaterail.engineloads.figures import EngineFigures
 
@@ -119,6 +121,24 @@
         late = [make_candidate(rank, prefill_tokens=80_000) for rank in range(CHOICES)]
         self.assertEqual(choose(SHORT, *late, make_candidate(CHOICES)), CHOICES)
 
+    def test_a_prompt_stays_near_its_home_while_all_engines_are_crowded(self):
+        """Daemons left crowded homes for engines that old figures showed as less busy."""
+        crowded = attrs.evolve(USUAL, prefill_tokens=40_000.0)
+        engines = [
+            make_candidate(rank, prefill_tokens=40_000 - 2_000 * rank) for rank in range(12)
+        ]
+        self.assertTrue(is_crowded(LONG, crowded))
+        index, _cost = choose_candidate(LONG, engines, crowded)
+        self.assertLess(index, CROWDED_CHOICES)
+
+    def test_engines_are_crowded_by_the_usual_queue_and_the_objective(self):
+        busy = attrs.evolve(USUAL, prefill_tokens=20_000.0)
+        patient = attrs.evolve(LONG, objective_s=30.0)
+        self.assertFalse(is_crowded(LONG, USUAL))
+        self.assertTrue(is_crowded(LONG, busy))
+        self.assertFalse(is_crowded(patient, busy))
+        self.assertFalse(is_crowded(attrs.evolve(LONG, objective_s=0.0), busy))
+
     def test_a_choice_under_overload_looks_at_a_bounded_number_of_engines(self):
         """Choices took most of a host's processor time while all engines were overloaded."""
         looked_at = []
