--- a/tests/test_agaterail/test_util/test_httpconn.py
+++ b/tests/test_agaterail/test_util/test_httpconn.py
@@ -20,6 +20,16 @@
 MAX_BODY_BYTES = 2 * BYTES_PER_MB
 
 
+def connect_to(case, serve):
+    """Return connections to a server for the time of a test; ``serve`` gets its sockets."""
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    case.addCleanup(server.stop)
+    connections = HttpConnections(Address("127.0.0.1", server.server_port))
+    case.addCleanup(connections.close)
+    return connections
+
+
 class EndlessAnswersTest(unittest.TestCase):
     """Answers of the store, of peers and of engines to control calls."""
 
@@ -107,11 +117,7 @@
 
     def setUp(self):
         self.parts = []
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
-        self.server.start()
-        self.addCleanup(self.server.stop)
-        self.connections = HttpConnections(Address("127.0.0.1", self.server.server_port))
-        self.addCleanup(self.connections.close)
+        self.connections = connect_to(self, self.serve)
 
     def serve(self, sock, _address):
         while sock.recv(65536):
@@ -170,11 +176,7 @@
 
     def setUp(self):
         self.sent = b""
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
-        self.server.start()
-        self.addCleanup(self.server.stop)
-        self.connections = HttpConnections(Address("127.0.0.1", self.server.server_port))
-        self.addCleanup(self.connections.close)
+        self.connections = connect_to(self, self.serve)
 
     def serve(self, sock, _address):
         sock.recv(65536)
