--- a/review/deployment2.py
+++ b/review/deployment2.py
@@ -463,8 +463,9 @@
     record.say(f"disruption: {'yes' if trouble else 'no'}")
     try:
         problem = case(record, trouble)
-    except CaseError as error:
-        record.say(f"could not run: {error}")
+    except Exception as error:
+        # Also a fault of the script itself must not look like a broken rule.
+        record.say(f"could not run: {error!r}")
         return NOT_RUN
     record.say(f"rule broken: {problem}" if problem else "rule held")
     return BROKEN if problem else HELD
